--- /dev/null
+++ b/internal/runtime/logging/logging.go
@@ -0,0 +1,32 @@
+// Package logging sets up logrus to write one line of key=value pairs per event.
+package logging
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// New returns a logger that writes to w at the named level, such as "info".
+func New(w io.Writer, level string) (*logrus.Logger, error) {
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetLevel(l)
+	log.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+	})
+	return log, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- /dev/null
+++ b/internal/state/directory/change.go
@@ -0,0 +1,122 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Op changes one subject. Exactly one field is set.
+type Op struct {
+	SetAccount    *Account `json:"setAccount,omitempty"`
+	SetClass      *Class   `json:"setClass,omitempty"`
+	SetPool       *Pool    `json:"setPool,omitempty"`
+	SetRoute      *Route   `json:"setRoute,omitempty"`
+	IssueKey      *Key     `json:"issueKey,omitempty"`
+	RemoveAccount string   `json:"removeAccount,omitempty"`
+	RemoveClass   string   `json:"removeClass,omitempty"`
+	RemovePool    string   `json:"removePool,omitempty"`
+	RemoveRoute   string   `json:"removeRoute,omitempty"`
+	WithdrawKey   string   `json:"withdrawKey,omitempty"`
+}
+
+// Change is one record of the configuration stream: operations that are
+// accepted together or not at all, or a snapshot of the state so far.
+type Change struct {
+	ID     string `json:"id"`
+	Author string `json:"author"`
+	// BasedOn is the version that the change was made against. The fold
+	// rejects it when one of its subjects has changed since.
+	BasedOn  int64     `json:"basedOn"`
+	Ops      []Op      `json:"ops,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+}
+
+// Subject returns what the operation changes, such as "account/harbour".
+func (o Op) Subject() string {
+	switch {
+	case o.SetAccount != nil:
+		return "account/" + o.SetAccount.Name
+	case o.SetClass != nil:
+		return "class/" + o.SetClass.Name
+	case o.SetPool != nil:
+		return "pool/" + o.SetPool.Name
+	case o.SetRoute != nil:
+		return "route/" + o.SetRoute.PathPrefix
+	case o.IssueKey != nil:
+		return "key/" + o.IssueKey.ID
+	case o.RemoveAccount != "":
+		return "account/" + o.RemoveAccount
+	case o.RemoveClass != "":
+		return "class/" + o.RemoveClass
+	case o.RemovePool != "":
+		return "pool/" + o.RemovePool
+	case o.RemoveRoute != "":
+		return "route/" + o.RemoveRoute
+	case o.WithdrawKey != "":
+		return "key/" + o.WithdrawKey
+	}
+	return ""
+}
+
+// Validate checks that exactly one operation is given and that it is sound.
+func (o Op) Validate() error {
+	n := 0
+	for _, set := range []bool{
+		o.SetAccount != nil, o.SetClass != nil, o.SetPool != nil, o.SetRoute != nil, o.IssueKey != nil,
+		o.RemoveAccount != "", o.RemoveClass != "", o.RemovePool != "", o.RemoveRoute != "", o.WithdrawKey != "",
+	} {
+		if set {
+			n++
+		}
+	}
+	if n != 1 {
+		return &FieldError{"op", n, "must hold exactly one operation"}
+	}
+	switch {
+	case o.SetAccount != nil:
+		return o.SetAccount.Validate()
+	case o.SetClass != nil:
+		return o.SetClass.Validate()
+	case o.SetPool != nil:
+		return o.SetPool.Validate()
+	case o.SetRoute != nil:
+		return o.SetRoute.Validate()
+	case o.IssueKey != nil:
+		return o.IssueKey.Validate()
+	}
+	return nil
+}
+
+// UnmarshalJSON decodes and checks a change.
+func (c *Change) UnmarshalJSON(data []byte) error {
+	type plain Change
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.ID == "" {
+		return &FieldError{"change.id", `""`, "must not be empty"}
+	}
+	if (len(p.Ops) == 0) == (p.Snapshot == nil) {
+		return &FieldError{"change.ops", len(p.Ops), "must hold operations or a snapshot, and not both"}
+	}
+	for i, op := range p.Ops {
+		if err := op.Validate(); err != nil {
+			return fmt.Errorf("ops[%d]: %w", i, err)
+		}
+	}
+	*c = Change(p)
+	return nil
+}
+
+// Snapshot is the whole state as of a version.
+type Snapshot struct {
+	Version  int64            `json:"version"`
+	Digest   uint64           `json:"digest"`
+	Accounts []Account        `json:"accounts"`
+	Classes  []Class          `json:"classes"`
+	Pools    []Pool           `json:"pools"`
+	Routes   []Route          `json:"routes"`
+	Keys     []Key            `json:"keys"`
+	Changed  map[string]int64 `json:"changed"`
+}
