--- /dev/null
+++ b/internal/backend/engine/engine.go
@@ -0,0 +1,323 @@
+// Package engine speaks to a model engine: OpenAI's chat completions as a
+// stream of server-sent events, with cancel and a load report.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// Headers between a sidecar and its engine.
+const (
+	headerAttempt = "X-Damaskport-Attempt"
+	headerFencing = "X-Fencing-Number"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	maxErrorBytes = 64 << 10
+)
+
+// ErrTruncated reports a stream that ended without its end mark.
+var ErrTruncated = errors.New("engine stream ended without its end mark")
+
+// ErrCrossed reports an answer that belongs to another attempt.
+var ErrCrossed = errors.New("engine answered for another attempt")
+
+// StatusError is an answer of the engine that is no success.
+type StatusError struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Error returns the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("engine answered %d", e.Status)
+}
+
+// Attempt is one attempt at a chat completion.
+type Attempt struct {
+	ID           string
+	Body         []byte
+	Tier         int
+	ResumeTokens int
+	// Term is the sidecar's fencing number; 0 sends none.
+	Term int64
+}
+
+// Client is a client of one engine. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a Client of the engine at base.
+func New(base string, h *http.Client) *Client {
+	return &Client{base: base, http: h}
+}
+
+// Start hands a to the engine and returns its stream of events. An answer
+// that is no success is returned as a *StatusError.
+func (c *Client) Start(ctx context.Context, a Attempt) (*Stream, error) {
+	body, err := attemptBody(a)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerAttempt, a.ID)
+	if a.Term > 0 {
+		req.Header.Set(headerFencing, strconv.FormatInt(a.Term, 10))
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		defer res.Body.Close()
+		data, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+		return nil, &StatusError{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: data}
+	}
+	if got := res.Header.Get(headerAttempt); got != "" && got != a.ID {
+		res.Body.Close()
+		return nil, ErrCrossed
+	}
+	return &Stream{events: NewReader(res.Body), body: res.Body}, nil
+}
+
+// attemptBody sets the fields that belong to the attempt in the caller's body.
+func attemptBody(a Attempt) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(a.Body, &fields); err != nil {
+		return nil, err
+	}
+	id, err := json.Marshal(a.ID)
+	if err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["priority"] = json.RawMessage(strconv.Itoa(a.Tier))
+	fields["request_id"] = id
+	delete(fields, "resume_tokens")
+	if a.ResumeTokens > 0 {
+		fields["resume_tokens"] = json.RawMessage(strconv.Itoa(a.ResumeTokens))
+	}
+	return json.Marshal(fields)
+}
+
+// Cancel stops an attempt in the engine and returns the number of tokens that
+// it generated, as far as the engine knows. Cancelling twice does no harm.
+func (c *Client) Cancel(ctx context.Context, id string) (int, error) {
+	body, err := json.Marshal(map[string]string{"request_id": id})
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/cancel", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	if err != nil {
+		return 0, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return 0, &StatusError{Status: res.StatusCode, Body: data}
+	}
+	var out struct {
+		Generated int `json:"generated"`
+	}
+	err = json.Unmarshal(data, &out)
+	return out.Generated, err
+}
+
+// Load is an engine's report; it lags behind the engine.
+type Load struct {
+	AtMs    clock.Millis `json:"atMs"`
+	Running int          `json:"running"`
+	Waiting int          `json:"waiting"`
+	Slots   int          `json:"slots"`
+	TokenMs float64      `json:"tokenMs"`
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var out Load
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/load", nil)
+	if err != nil {
+		return out, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer res.Body.Close()
+	err = json.NewDecoder(io.LimitReader(res.Body, maxErrorBytes)).Decode(&out)
+	return out, err
+}
+
+// Buffered returns the number of bytes that can be read without waiting.
+func (r *Reader) Buffered() int {
+	return r.r.Buffered()
+}
+
+// Stream is the answer to one attempt.
+type Stream struct {
+	events *Reader
+	body   io.Closer
+}
+
+// Next returns the next event; see Reader.Next.
+func (s *Stream) Next() (Event, error) {
+	return s.events.Next()
+}
+
+// Buffered returns the number of bytes that can be read without waiting.
+func (s *Stream) Buffered() int {
+	return s.events.Buffered()
+}
+
+// Close releases the connection.
+func (s *Stream) Close() error {
+	return s.body.Close()
+}
+
+// Event is the data of one server-sent event.
+type Event struct {
+	Data []byte // valid until the next call of Next
+	// Tokens is the number of tokens of content that the event carries.
+	Tokens int
+	// Usage is the engine's own count, on the event that carries it.
+	Usage *Usage
+	// Finished is true on the event that carries a finish reason.
+	Finished bool
+	// Done is true on the end mark.
+	Done bool
+}
+
+// Usage is an engine's count of tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Reader splits a stream of server-sent events.
+type Reader struct {
+	r    *bufio.Reader
+	data []byte
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, 8<<10)}
+}
+
+var (
+	dataField = []byte("data:")
+	doneMark  = []byte("[DONE]")
+)
+
+// Next returns the next event. At the end of input it returns ErrTruncated
+// unless the end mark was the last event, and then io.EOF.
+func (r *Reader) Next() (Event, error) {
+	r.data = r.data[:0]
+	for {
+		line, err := r.r.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return Event{}, endOf(err)
+		}
+		if err != nil {
+			if line, err = r.long(line); err != nil {
+				return Event{}, err
+			}
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && len(r.data) > 0 {
+			return parse(r.data)
+		}
+		if rest, ok := bytes.CutPrefix(line, dataField); ok {
+			if len(r.data) > 0 {
+				r.data = append(r.data, '\n')
+			}
+			r.data = append(r.data, bytes.TrimPrefix(rest, []byte(" "))...)
+		}
+	}
+}
+
+func endOf(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return ErrTruncated
+	}
+	return err
+}
+
+// long reads the rest of a line that exceeds the buffer.
+func (r *Reader) long(start []byte) ([]byte, error) {
+	line := bytes.Clone(start)
+	for len(line) < maxEventBytes {
+		part, err := r.r.ReadSlice('\n')
+		line = append(line, part...)
+		if err == nil {
+			return line, nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, endOf(err)
+		}
+	}
+	return nil, errors.New("event exceeds the size limit")
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content   *string           `json:"content"`
+			Reasoning *string           `json:"reasoning_content"`
+			ToolCalls []json.RawMessage `json:"tool_calls"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+func parse(data []byte) (Event, error) {
+	if bytes.Equal(data, doneMark) {
+		return Event{Data: data, Done: true}, nil
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Event{}, errors.Wrap(err, "engine event")
+	}
+	e := Event{Data: data, Usage: c.Usage}
+	for _, ch := range c.Choices {
+		if nonEmpty(ch.Delta.Content) || nonEmpty(ch.Delta.Reasoning) || len(ch.Delta.ToolCalls) > 0 {
+			e.Tokens++
+		}
+		if ch.FinishReason != nil {
+			e.Finished = true
+		}
+	}
+	return e, nil
+}
+
+func nonEmpty(s *string) bool {
+	return s != nil && *s != ""
+}
--- /dev/null
+++ b/internal/caller/openai/request.go
@@ -0,0 +1,83 @@
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// prefixBytes is the length of the start of a prompt that is hashed for
+	// prefix affinity.
+	prefixBytes = 1024
+	// bytesPerToken is the usual length of a token of text.
+	bytesPerToken = 4
+)
+
+// Request is what the router reads of a chat completion; the rest of the
+// body passes through.
+type Request struct {
+	Model        string
+	Stream       bool
+	IncludeUsage bool
+	// MaxTokens bounds the answer; 0 is unknown.
+	MaxTokens int
+	// PromptTokens is an estimate from the prompt's length.
+	PromptTokens int
+	// Prefix is a hash over the start of the messages.
+	Prefix uint64
+	Body   []byte
+}
+
+type body struct {
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// Decode reads the body of a chat completion. Errors are of type *Error.
+func Decode(data []byte) (Request, error) {
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return Request{}, decodeError(err)
+	}
+	if b.Model == "" {
+		return Request{}, BadRequest("missingModel", "model", "model must be given")
+	}
+	messages := bytes.TrimSpace(b.Messages)
+	if len(messages) < 3 || messages[0] != '[' {
+		return Request{}, BadRequest("missingMessages", "messages", "messages must be a list that is not empty")
+	}
+	if b.MaxTokens < 0 || b.MaxCompletionTokens < 0 {
+		return Request{}, BadRequest("badMaxTokens", "max_tokens", "the number of tokens must not be negative")
+	}
+	return Request{
+		Model:        b.Model,
+		Stream:       b.Stream,
+		IncludeUsage: b.StreamOptions.IncludeUsage,
+		MaxTokens:    max(b.MaxTokens, b.MaxCompletionTokens),
+		PromptTokens: len(messages)/bytesPerToken + 1,
+		Prefix:       xxhash.Sum64(messages[:min(len(messages), prefixBytes)]),
+		Body:         data,
+	}, nil
+}
+
+func decodeError(err error) *Error {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return BadRequest("malformedJson", "", fmt.Sprintf("the body is no JSON: byte %d: %v", syntax.Offset, err))
+	}
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) {
+		return BadRequest("wrongType", typ.Field, fmt.Sprintf("%s must not be a %s", typ.Field, typ.Value))
+	}
+	return BadRequest("malformedJson", "", err.Error())
+}
--- /dev/null
+++ b/internal/platform/membership/membership.go
@@ -0,0 +1,85 @@
+// Package membership reads the platform's list of live and leaving instances.
+//
+//	GET {base}/v1/instances -> {"atMs":0,"instances":[...]}
+//
+// The list lags behind.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// Role of an instance in the list.
+type Role string
+
+// Roles of instances.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// State of an instance in the list.
+type State string
+
+// States of instances.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	Pool string `json:"pool,omitempty"`
+	Zone string `json:"zone"`
+	// Address is the control address of a backend server's sidecar, or the
+	// operators' address of an entry.
+	Address   string       `json:"address"`
+	State     State        `json:"state"`
+	StartedMs clock.Millis `json:"startedMs"`
+}
+
+// List is the platform's list as of a time.
+type List struct {
+	AtMs      clock.Millis `json:"atMs"`
+	Instances []Instance   `json:"instances"`
+}
+
+const maxListBytes = 16 << 20
+
+// Client reads the list. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a Client of the list at base.
+func New(base string, h *http.Client) *Client {
+	return &Client{base: base, http: h}
+}
+
+// List reads the list.
+func (c *Client) List(ctx context.Context) (List, error) {
+	var out List
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/instances", nil)
+	if err != nil {
+		return out, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("list of instances answered %d", res.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&out)
+	return out, err
+}
--- /dev/null
+++ b/internal/role/entry/dispatcher.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// maxRounds bounds the sets of candidates that one job asks.
+	maxRounds         = 4
+	defaultRetryAfter = clock.Second
+	maxRefusalBytes   = 64 << 10
+)
+
+// dispatcher brings jobs to sidecars: at once where a slot is known to be
+// free, else by reservations of which the first offered slot is taken.
+type dispatcher struct {
+	e    *Entry
+	http *http.Client
+}
+
+// run returns the answer of a backend server to the job's next attempt.
+// Errors are of type *openai.Error and final.
+func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *openai.Error) {
+	var last *openai.Error
+	for round := 0; round < maxRounds; round++ {
+		ps := d.e.peers.pool(j.pool.Name)
+		if p := d.e.router.immediate(j, ps); p != nil {
+			ans, err := d.attempt(ctx, j, p, j.nextAttempt())
+			if ans != nil || final(err) {
+				return ans, err.unwrap()
+			}
+			last = err.unwrap()
+			if !err.full {
+				j.tried[p] = true
+				continue
+			}
+		}
+		candidates := d.e.router.candidates(j, ps, d.e.cfg.Candidates)
+		if len(candidates) == 0 {
+			break
+		}
+		ans, err := d.reserve(ctx, j, candidates)
+		if ans != nil || final(err) {
+			return ans, err.unwrap()
+		}
+		last = err.unwrap()
+	}
+	if last == nil {
+		last = unavailable("no backend server of the pool can be reached")
+	}
+	return nil, last
+}
+
+// attemptError is a failed attempt and what it allows.
+type attemptError struct {
+	err *openai.Error
+	// full: the sidecar has no slot, but may be asked for one.
+	full bool
+	// again: another sidecar may be tried.
+	again bool
+}
+
+func final(e *attemptError) bool { return e != nil && !e.full && !e.again }
+
+func (e *attemptError) unwrap() *openai.Error {
+	if e == nil {
+		return nil
+	}
+	return e.err
+}
+
+// attempt hands the job to p under the attempt id.
+func (d *dispatcher) attempt(ctx context.Context, j *job, p *peer, id string) (*answer, *attemptError) {
+	req, err := d.request(ctx, j, p, id)
+	if err != nil {
+		return nil, &attemptError{err: internalError(err)}
+	}
+	p.took()
+	res, err := d.http.Do(req)
+	if err != nil {
+		p.gave()
+		return nil, d.transportError(ctx, j, p, err)
+	}
+	if res.Header.Get(dispatch.HeaderResult) != dispatch.ResultAnswer {
+		defer res.Body.Close()
+		p.gave()
+		return nil, d.refused(j, p, res)
+	}
+	if got := res.Header.Get(dispatch.HeaderAttempt); got != id {
+		_ = res.Body.Close()
+		p.gave()
+		p.suspect()
+		return nil, &attemptError{err: lost(j, "the answer belongs to another attempt"), again: !j.request.Protected}
+	}
+	return &answer{peer: p, attempt: id, res: res, entry: d.e}, nil
+}
+
+func (d *dispatcher) request(ctx context.Context, j *job, p *peer, id string) (*http.Request, error) {
+	p.mu.Lock()
+	url := p.hello.DataURL
+	p.mu.Unlock()
+	resv, err := json.Marshal(j.reservation(id, d.e.incarnation, d.e.clock.Now()))
+	if err != nil {
+		return nil, err
+	}
+	j.request.ResumeTokens = j.delivered
+	meta, err := json.Marshal(j.request)
+	if err != nil {
+		return nil, err
+	}
+	// The plain reader keeps the HTTP client from sending the body twice.
+	body := struct{ io.Reader }{bytes.NewReader(j.body)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/run/"+id, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(j.body))
+	if len(j.body) == 0 {
+		req.Body = http.NoBody
+	}
+	req.Header.Set(dispatch.HeaderReservation, string(resv))
+	req.Header.Set(dispatch.HeaderRequest, string(meta))
+	return req, nil
+}
+
+// transportError judges an attempt that got no answer.
+func (d *dispatcher) transportError(ctx context.Context, j *job, p *peer, err error) *attemptError {
+	if ctx.Err() != nil {
+		return &attemptError{err: stopped(ctx, j)}
+	}
+	d.e.log.WithFields(logrus.Fields{"event": "attemptFailed", "request": j.id, "peer": p.instance.Name}).Warn(err)
+	p.suspect()
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &attemptError{err: unavailable("the backend server could not be reached"), again: true}
+	}
+	return &attemptError{err: lost(j, "the backend server gave no answer"), again: !j.request.Protected && d.e.retries.allow(j.pool.Name)}
+}
+
+// refused judges an attempt that the sidecar did not carry out.
+func (d *dispatcher) refused(j *job, p *peer, res *http.Response) *attemptError {
+	var r dispatch.Refusal
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &r)
+	}
+	if err != nil {
+		return &attemptError{err: lost(j, "the backend server's answer was cut short"), again: !j.request.Protected && d.e.retries.allow(j.pool.Name)}
+	}
+	out := refusalError(j, r)
+	switch r.Code {
+	case dispatch.CodeFull, dispatch.CodeOfferLapsed:
+		p.full()
+		return &attemptError{err: out, full: true}
+	case dispatch.CodeLeaving:
+		return &attemptError{err: out, again: true}
+	case dispatch.CodeUnavailable:
+		return &attemptError{err: out, again: (r.NotRun || !j.request.Protected) && d.e.retries.allow(j.pool.Name)}
+	}
+	return &attemptError{err: out}
+}
+
+// peerGone tells the waiting requests that a sidecar's connection has ended.
+func (d *dispatcher) peerGone(p *peer) {
+	d.e.room.broadcast(signal{kind: signalPeerGone, peer: p})
+}
--- /dev/null
+++ b/internal/role/entry/job.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+// job is one caller's request on its way to a backend server. One goroutine
+// owns it.
+type job struct {
+	id       string
+	account  directory.Account
+	class    directory.Class
+	keyID    string
+	pool     directory.Pool
+	request  dispatch.Request
+	body     []byte
+	prefix   uint64
+	prompt   int
+	estimate int
+	arrived  clock.Millis
+	// preemptible jobs can go on elsewhere from the tokens delivered so far.
+	preemptible bool
+	delivered   int
+	attempts    int
+	tried       map[*peer]bool
+}
+
+// nextAttempt returns the id of the job's next attempt.
+func (j *job) nextAttempt() string {
+	j.attempts++
+	return fmt.Sprintf("%s.%d", j.id, j.attempts)
+}
+
+// remaining returns the time left to the class's target for the first sign of
+// an answer; 0 is no target.
+func (j *job) remaining(now clock.Millis) clock.Millis {
+	target := j.class.FirstTokenMs
+	if target == 0 {
+		target = j.class.AnswerMs
+	}
+	if target == 0 || j.delivered > 0 {
+		return 0
+	}
+	left := j.arrived + target - now
+	if left == 0 {
+		left = -1
+	}
+	return left
+}
+
+// reservation returns what the job asks of a sidecar for the attempt id.
+func (j *job) reservation(id, entry string, now clock.Millis) dispatch.Reservation {
+	return dispatch.Reservation{
+		ID: id, Entry: entry, Class: j.class.Name, Account: j.account.Name, KeyID: j.keyID,
+		Tier: j.class.Tier, Share: j.account.Share, FloorPercent: j.class.FloorPercent,
+		RemainingMs: j.remaining(now), PromptTokens: j.prompt, EstTokens: j.estimate,
+		Preemptible: j.preemptible,
+	}
+}
+
+// answer is a sidecar's answer to an attempt.
+type answer struct {
+	peer    *peer
+	attempt string
+	res     *http.Response
+	entry   *Entry
+}
+
+// close releases the connection and the slot that the entry counts.
+func (a *answer) close() {
+	_ = a.res.Body.Close()
+	a.peer.gave()
+}
+
+// end returns how the sidecar says that the attempt ended. It is known only
+// once the body has been read to its end.
+func (a *answer) end() dispatch.End {
+	return dispatch.End(a.res.Trailer.Get(dispatch.TrailerEnd))
+}
--- /dev/null
+++ b/internal/role/entry/metrics.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const reportEvery = time.Second
+
+// metrics holds the entry's counters and histograms.
+type metrics struct {
+	scope   tally.Scope
+	closer  interface{ Close() error }
+	handler http.Handler
+	mu      sync.RWMutex
+	byClass map[string]*classMetrics
+}
+
+type classMetrics struct {
+	scope      tally.Scope
+	firstToken tally.Histogram
+	duration   tally.Histogram
+}
+
+var buckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 600 * time.Millisecond, time.Second,
+	2500 * time.Millisecond, 5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute,
+}
+
+func newMetrics() *metrics {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "damaskport", CachedReporter: r, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportEvery)
+	return &metrics{scope: scope, closer: closer, handler: r.HTTPHandler(), byClass: map[string]*classMetrics{}}
+}
+
+func (m *metrics) class(name string) *classMetrics {
+	m.mu.RLock()
+	c := m.byClass[name]
+	m.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.byClass[name]; c != nil {
+		return c
+	}
+	s := m.scope.Tagged(map[string]string{"class": name})
+	c = &classMetrics{
+		scope:      s,
+		firstToken: s.Histogram("first_token_seconds", buckets),
+		duration:   s.Histogram("request_duration_seconds", buckets),
+	}
+	m.byClass[name] = c
+	return c
+}
+
+func (m *metrics) firstToken(class string, d clock.Millis) {
+	m.class(class).firstToken.RecordDuration(d.Duration())
+}
+
+func (m *metrics) finished(class, code string, d clock.Millis) {
+	c := m.class(class)
+	c.duration.RecordDuration(d.Duration())
+	c.scope.Tagged(map[string]string{"code": code}).Counter("requests_total").Inc(1)
+}
+
+func (m *metrics) refused(code string) {
+	m.scope.Tagged(map[string]string{"code": code}).Counter("requests_refused_total").Inc(1)
+}
--- /dev/null
+++ b/internal/role/entry/model.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/backend/engine"
+	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+)
+
+// maxAttempts bounds the attempts of one chat completion.
+const maxAttempts = 12
+
+// serveChat answers POST /v1/chat/completions.
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+	q, done, failure := e.open(w, r)
+	if failure != nil {
+		e.fail(w, r, q, failure)
+		return
+	}
+	defer done()
+	body, failure := e.readBody(w, r)
+	if failure != nil {
+		e.fail(w, r, q, failure)
+		return
+	}
+	j, req, failure := e.chatJob(q, r, body)
+	if failure != nil {
+		e.fail(w, r, q, failure)
+		return
+	}
+	x := &exchange{e: e, w: w, rc: http.NewResponseController(w), j: j, req: req}
+	failure = x.run(q.ctx)
+	e.finished(q, j, failure)
+	if failure != nil {
+		x.fail(failure)
+	}
+}
+
+// chatJob builds the job of a chat completion.
+func (e *Entry) chatJob(q *query, r *http.Request, body []byte) (*job, openai.Request, *openai.Error) {
+	req, err := openai.Decode(body)
+	if err != nil {
+		return nil, req, asError(err)
+	}
+	if carriesKey(q.dir, nil, "", body) {
+		return nil, req, openai.BadRequest("keyInRequest", "", "the body holds a key, which no backend server may see")
+	}
+	class, failure := q.class(r.Header.Get(headerClass))
+	if failure != nil {
+		return nil, req, failure
+	}
+	pool, ok := q.dir.PoolByModel(req.Model, class.Pools)
+	if !ok {
+		return nil, req, &openai.Error{
+			Status: http.StatusNotFound, Type: openai.TypeInvalidRequest, Code: "modelNotFound", Param: "model", NotRun: true,
+			Message: "the model " + quote(req.Model) + " does not exist or class " + quote(class.Name) + " may not use it",
+		}
+	}
+	return &job{
+		id: e.newID(), account: q.account, class: class, keyID: q.key.ID, pool: pool, body: body,
+		prefix: req.Prefix, prompt: req.PromptTokens, estimate: req.MaxTokens,
+		arrived: q.arrived, preemptible: class.Resume, tried: map[*peer]bool{},
+	}, req, nil
+}
+
+// exchange is the answering of one chat completion over one or more attempts.
+type exchange struct {
+	e   *Entry
+	w   http.ResponseWriter
+	rc  *http.ResponseController
+	j   *job
+	req openai.Request
+	// streaming is true once the head of a streamed answer is out.
+	streaming bool
+	whole     *openai.Assembler
+	rewrite   openai.Continuation
+	firstAt   bool
+}
+
+// run carries the job through its attempts until the answer is complete.
+func (x *exchange) run(ctx context.Context) *openai.Error {
+	for x.j.attempts < maxAttempts {
+		clear(x.j.tried)
+		ans, failure := x.e.dispatcher.run(ctx, x.j)
+		if failure != nil {
+			return failure
+		}
+		end, failure := x.relay(ctx, ans)
+		ans.close()
+		if failure != nil {
+			return failure
+		}
+		if end == dispatch.EndComplete {
+			x.e.retries.success(x.j.pool.Name)
+			return nil
+		}
+		if failure := x.again(ctx, ans, end); failure != nil {
+			return failure
+		}
+	}
+	return lost(x.j, "the answer was interrupted too often")
+}
+
+// again decides whether an attempt that ended early may be followed by another.
+func (x *exchange) again(ctx context.Context, ans *answer, end dispatch.End) *openai.Error {
+	if ctx.Err() != nil {
+		return stopped(ctx, x.j)
+	}
+	x.e.log.WithFields(logrus.Fields{
+		"event": "attemptInterrupted", "request": x.j.id, "peer": ans.peer.instance.Name, "end": end, "delivered": x.j.delivered,
+	}).Info("the answer was interrupted")
+	switch end {
+	case dispatch.EndWithdrawn:
+		e := unauthorized("invalidKey", "the key has been withdrawn")
+		e.NotRun = false
+		return e
+	case dispatch.EndPreempted:
+	default:
+		ans.peer.suspect()
+		if !x.e.retries.allow(x.j.pool.Name) {
+			return lost(x.j, "the answer was interrupted and too many requests are being retried")
+		}
+	}
+	if x.j.delivered > 0 && !x.j.preemptible {
+		return lost(x.j, "the answer was interrupted")
+	}
+	if x.j.delivered == 0 {
+		x.whole = nil
+	}
+	return nil
+}
+
+// relay passes one attempt's answer to the caller and returns its end.
+func (x *exchange) relay(ctx context.Context, ans *answer) (dispatch.End, *openai.Error) {
+	if ans.res.StatusCode != http.StatusOK {
+		return x.passError(ans)
+	}
+	guard := x.e.progressGuard(ans)
+	defer guard.stop()
+	events := engine.NewReader(ans.res.Body)
+	x.rewrite.Start(x.j.delivered)
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			return ans.broken(ctx), nil
+		}
+		guard.alive()
+		if ev.Done {
+			if end := ans.drain(); end != dispatch.EndComplete {
+				return end, nil
+			}
+			return dispatch.EndComplete, x.finish()
+		}
+		if failure := x.pass(ev, events.Buffered() == 0); failure != nil {
+			return dispatch.EndCancelled, failure
+		}
+	}
+}
+
+// pass hands one event to the caller, or to the whole answer being assembled.
+func (x *exchange) pass(ev engine.Event, flush bool) *openai.Error {
+	data, keep := x.rewrite.Rewrite(ev.Data, ev.Tokens)
+	if !keep {
+		return nil
+	}
+	if ev.Tokens > 0 {
+		x.noteFirst()
+		x.j.delivered += ev.Tokens
+	}
+	if !x.req.Stream {
+		if x.whole == nil {
+			x.whole = openai.NewAssembler()
+		}
+		if err := x.whole.Add(data); err != nil {
+			return internalError(err)
+		}
+		return nil
+	}
+	if ev.Usage != nil && ev.Tokens == 0 && !ev.Finished && !x.req.IncludeUsage {
+		return nil
+	}
+	x.begin()
+	if err := openai.WriteEvent(x.w, data); err != nil {
+		return lost(x.j, "the caller has left")
+	}
+	if flush {
+		_ = x.rc.Flush()
+	}
+	return nil
+}
+
+func (x *exchange) noteFirst() {
+	if x.firstAt {
+		return
+	}
+	x.firstAt = true
+	x.e.metrics.firstToken(x.j.class.Name, x.e.clock.Now()-x.j.arrived)
+}
+
+func (x *exchange) begin() {
+	if x.streaming {
+		return
+	}
+	x.streaming = true
+	h := x.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	x.w.WriteHeader(http.StatusOK)
+}
+
+// finish ends a complete answer.
+func (x *exchange) finish() *openai.Error {
+	if x.req.Stream {
+		x.begin()
+		_ = openai.WriteEvent(x.w, []byte("[DONE]"))
+		return nil
+	}
+	if x.whole == nil {
+		return lost(x.j, "the answer was empty")
+	}
+	data, err := x.whole.Answer()
+	if err != nil {
+		return internalError(err)
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	_, _ = x.w.Write(data)
+	return nil
+}
+
+// fail ends the exchange with an error. Inside a stream the error is an event,
+// and the connection is cut so that the end never looks like a clean one.
+func (x *exchange) fail(failure *openai.Error) {
+	if !x.streaming {
+		openai.WriteError(x.w, failure)
+		return
+	}
+	_ = openai.WriteEvent(x.w, openai.EncodeError(failure))
+	_ = x.rc.Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/role/entry/peer.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/platform/membership"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	helloTimeout    = time.Second
+	firstRedial     = 50 * clock.Millisecond
+	lastRedial      = 2 * clock.Second
+	silentHeartbeat = 3 // heartbeats without an answer that end a connection
+)
+
+// peer is one sidecar as the entry sees it.
+type peer struct {
+	e        *Entry
+	instance membership.Instance
+	mu       sync.Mutex
+	link     *dispatch.Link
+	hello    dispatch.HelloReply
+	load     dispatch.Load
+	loadAt   clock.Millis
+	leaving  bool
+	// listedLeaving is what the platform's list says.
+	listedLeaving atomic.Bool
+	inFlight      atomic.Int64
+	waiting       atomic.Int64
+}
+
+// run keeps a connection to the sidecar until ctx ends.
+func (p *peer) run(ctx context.Context) error {
+	backoff := firstRedial
+	for ctx.Err() == nil {
+		start := p.e.clock.Now()
+		err := p.session(ctx)
+		p.down()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if p.e.clock.Now()-start > lastRedial {
+			backoff = firstRedial
+		}
+		p.e.log.WithFields(logrus.Fields{"event": "peerDown", "peer": p.instance.Name, "redialMs": int64(backoff)}).Info(err)
+		_ = p.e.clock.Sleep(ctx, backoff)
+		backoff = min(2*backoff, lastRedial)
+	}
+	return nil
+}
+
+// session is the life of one connection.
+func (p *peer) session(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", p.instance.Address)
+	if err != nil {
+		return err
+	}
+	l := dispatch.NewLink(conn, p.e.clock, p.handle)
+	defer l.Close()
+	if err := p.greet(ctx, l); err != nil {
+		return err
+	}
+	for {
+		wait, cancel := context.WithTimeout(ctx, p.e.peers.heartbeatEvery().Duration())
+		select {
+		case <-ctx.Done():
+			cancel()
+			return ctx.Err()
+		case <-l.Done():
+			cancel()
+			return errors.New("connection closed")
+		case <-wait.Done():
+			cancel()
+		}
+		if p.e.clock.Now()-l.Heard() > silentHeartbeat*p.e.peers.heartbeatEvery() {
+			return errors.New("connection is silent")
+		}
+		p.beat(l)
+	}
+}
+
+func (p *peer) greet(ctx context.Context, l *dispatch.Link) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	var reply dispatch.HelloReply
+	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state()}
+	if err := l.Call(ctx, dispatch.MethodHello, hello, &reply); err != nil {
+		return errors.Wrap(err, "hello")
+	}
+	p.mu.Lock()
+	p.link = l
+	p.hello = reply
+	p.load = reply.Load
+	p.loadAt = p.e.clock.Now()
+	p.leaving = reply.State.Leaving
+	p.mu.Unlock()
+	p.e.exchange.Observe(l, reply.State)
+	p.e.log.WithFields(logrus.Fields{"event": "peerUp", "peer": reply.Name, "pool": reply.Pool}).Info("connected")
+	p.e.peers.changed()
+	return nil
+}
+
+func (p *peer) state() dispatch.State {
+	st := p.e.state()
+	st.Leaving = p.listedLeaving.Load()
+	return st
+}
+
+// beat sends a heartbeat on l.
+func (p *peer) beat(l *dispatch.Link) {
+	l.Notify(dispatch.MethodHeartbeat, dispatch.Heartbeat{State: p.state()})
+}
+
+// beatNow sends a heartbeat at once, as after a change of configuration.
+func (p *peer) beatNow() {
+	if l := p.current(); l != nil {
+		p.beat(l)
+	}
+}
+
+func (p *peer) down() {
+	p.mu.Lock()
+	p.link = nil
+	p.mu.Unlock()
+	p.e.dispatcher.peerGone(p)
+	p.e.peers.changed()
+}
+
+func (p *peer) current() *dispatch.Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link
+}
+
+// notify sends a message if the sidecar is connected.
+func (p *peer) notify(method string, params any) bool {
+	l := p.current()
+	if l == nil {
+		return false
+	}
+	l.Notify(method, params)
+	return true
+}
+
+// suspect closes the connection so that it is dialled anew at once.
+func (p *peer) suspect() {
+	if l := p.current(); l != nil {
+		l.Close()
+	}
+}
+
+func (p *peer) handle(l *dispatch.Link, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case dispatch.MethodVerdict, dispatch.MethodRefuse:
+		var v dispatch.Verdict
+		if err := json.Unmarshal(params, &v); err != nil {
+			return nil, err
+		}
+		kind := signalVerdict
+		if method == dispatch.MethodRefuse {
+			kind = signalRefuse
+		}
+		p.e.room.deliver(v.ID, signal{kind: kind, peer: p, verdict: v})
+	case dispatch.MethodOffer:
+		var id dispatch.ID
+		if err := json.Unmarshal(params, &id); err != nil {
+			return nil, err
+		}
+		if !p.e.room.deliver(id.ID, signal{kind: signalOffer, peer: p}) {
+			l.Notify(dispatch.MethodCancel, id)
+		}
+	case dispatch.MethodHeartbeat:
+		var h dispatch.Heartbeat
+		if err := json.Unmarshal(params, &h); err != nil {
+			return nil, err
+		}
+		p.heartbeat(l, h)
+	case dispatch.MethodFetchConfig:
+		var f dispatch.FetchConfig
+		if err := json.Unmarshal(params, &f); err != nil {
+			return nil, err
+		}
+		return p.e.exchange.Reply(f), nil
+	default:
+		return nil, errors.Errorf("unknown method %q", method)
+	}
+	return nil, nil
+}
+
+func (p *peer) heartbeat(l *dispatch.Link, h dispatch.Heartbeat) {
+	p.e.exchange.Observe(l, h.State)
+	p.mu.Lock()
+	was := p.leaving
+	p.leaving = h.State.Leaving
+	if h.Load != nil {
+		p.load = *h.Load
+		p.loadAt = p.e.clock.Now()
+	}
+	p.mu.Unlock()
+	if was != h.State.Leaving {
+		p.e.peers.changed()
+	}
+}
+
+// took notes that a request was bound here, so that the known free slots fall
+// before the next report.
+func (p *peer) took() {
+	p.inFlight.Add(1)
+	p.mu.Lock()
+	p.load.Free--
+	p.mu.Unlock()
+}
+
+// gave notes that a request has ended here.
+func (p *peer) gave() {
+	p.inFlight.Add(-1)
+	p.mu.Lock()
+	p.load.Free++
+	p.mu.Unlock()
+}
+
+// full notes that the sidecar had no free slot.
+func (p *peer) full() {
+	p.mu.Lock()
+	p.load.Free = 0
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/role/entry/peers.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/platform/membership"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+)
+
+const (
+	listEvery    = 500 * clock.Millisecond
+	minHeartbeat = 500 * clock.Millisecond
+	maxHeartbeat = 8 * clock.Second
+	// heartbeatBytes is the size of a heartbeat and its answer on the wire.
+	heartbeatBytes = 320
+	// heartbeatBudget is the rate at which an entry's heartbeats may use the
+	// network, in bytes per second.
+	heartbeatBudget = 1024
+	// forgetAfter is how long an instance must be missing from the list
+	// before its connection is closed.
+	forgetAfter = 10 * clock.Second
+)
+
+// InstanceLister reads the platform's list of instances.
+type InstanceLister interface {
+	List(ctx context.Context) (membership.List, error)
+}
+
+// peers keeps connections to the sidecars that the platform lists.
+type peers struct {
+	e      *Entry
+	lister InstanceLister
+	mu     sync.RWMutex
+	byName map[string]*member
+	// pools holds the connected sidecars by pool.
+	pools map[string][]*peer
+}
+
+type member struct {
+	peer   *peer
+	stop   context.CancelFunc
+	seenAt clock.Millis
+}
+
+func newPeers(e *Entry, l InstanceLister) *peers {
+	return &peers{e: e, lister: l, byName: map[string]*member{}, pools: map[string][]*peer{}}
+}
+
+// Run follows the list until ctx ends.
+func (ps *peers) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		list, err := ps.lister.List(ctx)
+		switch {
+		case err == nil:
+			ps.reconcile(ctx, list, &wg)
+		case ctx.Err() == nil:
+			ps.e.log.WithField("event", "listUnavailable").Warn(err)
+		}
+		_ = ps.e.clock.Sleep(ctx, listEvery)
+	}
+	return nil
+}
+
+// reconcile starts and stops connections so that they match the list.
+func (ps *peers) reconcile(ctx context.Context, list membership.List, wg *sync.WaitGroup) {
+	now := ps.e.clock.Now()
+	wanted := ps.subset(list)
+	defer ps.changed()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, in := range wanted {
+		m := ps.byName[in.Name]
+		if m != nil && m.peer.instance.Address != in.Address {
+			m.stop()
+			m = nil
+		}
+		if m == nil {
+			m = ps.start(ctx, in, wg)
+		}
+		m.seenAt = now
+		ps.markLeaving(m.peer, in.State == membership.StateLeaving)
+	}
+	for name, m := range ps.byName {
+		if now-m.seenAt > forgetAfter {
+			m.stop()
+			delete(ps.byName, name)
+		}
+	}
+}
+
+func (ps *peers) markLeaving(p *peer, leaving bool) {
+	if p.listedLeaving.Swap(leaving) != leaving {
+		p.e.log.WithFields(logrus.Fields{"event": "listedLeaving", "peer": p.instance.Name, "leaving": leaving}).Info("list changed")
+		p.beatNow()
+	}
+}
+
+func (ps *peers) start(ctx context.Context, in membership.Instance, wg *sync.WaitGroup) *member {
+	ctx, stop := context.WithCancel(ctx)
+	p := &peer{e: ps.e, instance: in}
+	m := &member{peer: p, stop: stop}
+	ps.byName[in.Name] = m
+	tree := supervise.New("peer/"+in.Name, ps.e.log, ps.e.clock)
+	wg.Go(func() { _ = tree.Run(ctx, supervise.Duty{Name: "connection", Run: p.run}) })
+	return m
+}
+
+// subset returns the instances to which this entry connects.
+func (ps *peers) subset(list membership.List) []membership.Instance {
+	byPool := map[string][]membership.Instance{}
+	for _, in := range list.Instances {
+		if in.Role == membership.RoleBackend {
+			byPool[in.Pool] = append(byPool[in.Pool], in)
+		}
+	}
+	var out []membership.Instance
+	for _, members := range byPool {
+		out = append(out, ps.e.router.subset(ps.e.name, members)...)
+	}
+	return out
+}
+
+// changed rebuilds the views of connected sidecars.
+func (ps *peers) changed() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	pools := map[string][]*peer{}
+	for _, m := range ps.byName {
+		p := m.peer
+		p.mu.Lock()
+		usable := p.link != nil && !p.leaving
+		pool := p.hello.Pool
+		p.mu.Unlock()
+		if usable && !p.listedLeaving.Load() {
+			pools[pool] = append(pools[pool], p)
+		}
+	}
+	ps.pools = pools
+}
+
+// pool returns the connected sidecars of a pool.
+func (ps *peers) pool(name string) []*peer {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	return ps.pools[name]
+}
+
+// all returns the sidecars to which the entry connects.
+func (ps *peers) all() []*peer {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	out := make([]*peer, 0, len(ps.byName))
+	for _, m := range ps.byName {
+		out = append(out, m.peer)
+	}
+	return out
+}
+
+// heartbeatEvery returns the time between heartbeats on one connection: it
+// grows with the number of connections, so that the entry stays in its budget.
+func (ps *peers) heartbeatEvery() clock.Millis {
+	ps.mu.RLock()
+	n := len(ps.byName)
+	ps.mu.RUnlock()
+	byBudget := clock.Millis(n*heartbeatBytes) * clock.Second / heartbeatBudget
+	return min(max(byBudget, minHeartbeat), maxHeartbeat)
+}
--- /dev/null
+++ b/internal/role/entry/reserve.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// reserve asks the candidates for a slot and takes the first that is offered.
+func (d *dispatcher) reserve(ctx context.Context, j *job, candidates []*peer) (*answer, *attemptError) {
+	id := j.nextAttempt()
+	w := d.e.room.enter(id, j.class.Tier)
+	if w == nil {
+		return nil, &attemptError{err: overloaded(defaultRetryAfter)}
+	}
+	defer d.e.room.leave(w)
+	h := &held{d: d, j: j, id: id, open: map[*peer]*dispatch.Verdict{}}
+	for _, p := range candidates {
+		if p.notify(dispatch.MethodReserve, j.reservation(id, d.e.incarnation, d.e.clock.Now())) {
+			h.open[p] = nil
+		} else {
+			j.tried[p] = true
+		}
+	}
+	defer h.cancelAll()
+	return h.wait(ctx, w)
+}
+
+// held is a set of reservations for one attempt.
+type held struct {
+	d  *dispatcher
+	j  *job
+	id string
+	// open maps each sidecar that holds the reservation to its last verdict.
+	open map[*peer]*dispatch.Verdict
+	// retryAfter is the shortest time after which a sidecar expects room.
+	retryAfter clock.Millis
+}
+
+func (h *held) wait(ctx context.Context, w *waiter) (*answer, *attemptError) {
+	for len(h.open) > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, &attemptError{err: stopped(ctx, h.j)}
+		case s := <-w.signals:
+			ans, err := h.apply(ctx, s)
+			if ans != nil || err != nil {
+				return ans, err
+			}
+		}
+	}
+	return nil, &attemptError{err: overloaded(max(h.retryAfter, defaultRetryAfter)), again: true}
+}
+
+// apply takes in one signal; it returns an answer, a final error, or neither.
+func (h *held) apply(ctx context.Context, s signal) (*answer, *attemptError) {
+	switch s.kind {
+	case signalEvicted:
+		return nil, &attemptError{err: overloaded(max(h.retryAfter, defaultRetryAfter))}
+	case signalPeerGone:
+		h.drop(s.peer)
+	case signalRefuse:
+		h.note(s)
+		h.drop(s.peer)
+	case signalVerdict:
+		h.note(s)
+	case signalOffer:
+		return h.take(ctx, s.peer)
+	}
+	return nil, nil
+}
+
+func (h *held) note(s signal) {
+	if _, ok := h.open[s.peer]; !ok {
+		return
+	}
+	h.open[s.peer] = &s.verdict
+	if r := s.verdict.RetryAfterMs; r > 0 && (h.retryAfter == 0 || r < h.retryAfter) {
+		h.retryAfter = r
+	}
+}
+
+func (h *held) drop(p *peer) {
+	if _, ok := h.open[p]; ok {
+		delete(h.open, p)
+		h.j.tried[p] = true
+	}
+}
+
+// take accepts an offer. A protected job is handed over under this attempt
+// only, so its other reservations are given up first.
+func (h *held) take(ctx context.Context, p *peer) (*answer, *attemptError) {
+	if _, ok := h.open[p]; !ok {
+		return nil, nil
+	}
+	delete(h.open, p)
+	ans, err := h.d.attempt(ctx, h.j, p, h.id)
+	if ans != nil {
+		return ans, nil
+	}
+	if final(err) {
+		return nil, err
+	}
+	h.j.tried[p] = !err.full
+	if err.full && p.notify(dispatch.MethodReserve, h.j.reservation(h.id, h.d.e.incarnation, h.d.e.clock.Now())) {
+		h.open[p] = nil
+	}
+	return nil, nil
+}
+
+func (h *held) cancelAll() {
+	for p := range h.open {
+		p.notify(dispatch.MethodCancel, dispatch.ID{ID: h.id})
+	}
+}
+
+// overloaded is the answer to a request that is shed.
+func overloaded(retryAfter clock.Millis) *openai.Error {
+	return &openai.Error{
+		Status: 429, Type: openai.TypeOverloaded, Code: "overloaded", NotRun: true, RetryAfterMs: retryAfter,
+		Message: "the request cannot meet its class's target now",
+	}
+}
--- /dev/null
+++ b/internal/role/sidecar/core.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/slots"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/ring"
+)
+
+const (
+	coreRingSize = 8192
+	idleTick     = 250 * clock.Millisecond
+)
+
+// event is one input of the core; apply runs on the core's goroutine.
+type event interface {
+	apply(c *core, now clock.Millis)
+}
+
+// core owns the scheduler of the server's slots. One goroutine applies the
+// events in order; everything else passes events to it.
+type core struct {
+	slots   *slots.Slots
+	clock   clock.Clock
+	log     logrus.FieldLogger
+	events  *ring.Ring[event]
+	waiting map[string]waiting
+	runs    map[string]*run
+	// withdrawn reports whether a key id is withdrawn.
+	withdrawn func(keyID string) bool
+	state     func() dispatch.State
+	leaving   bool
+	refused   int64
+	preempted int64
+}
+
+// waiting is a reservation that has not started.
+type waiting struct {
+	link  *dispatch.Link
+	keyID string
+}
+
+// run is an attempt that holds a slot.
+type run struct {
+	id    string
+	keyID string
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+}
+
+// endError is the cause with which a run is stopped.
+type endError struct{ end dispatch.End }
+
+// Error returns the end.
+func (e *endError) Error() string { return "run stopped: " + string(e.end) }
+
+func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, withdrawn func(string) bool, state func() dispatch.State) *core {
+	return &core{
+		slots: s, clock: clk, log: log, events: ring.New[event](coreRingSize),
+		waiting: map[string]waiting{}, runs: map[string]*run{},
+		withdrawn: withdrawn, state: state,
+	}
+}
+
+// Run applies events until ctx ends.
+func (c *core) Run(ctx context.Context) error {
+	timer := time.NewTimer(idleTick.Duration())
+	defer timer.Stop()
+	for {
+		timer.Reset(c.nextTick().Duration())
+		select {
+		case <-ctx.Done():
+			c.stopAll()
+			return nil
+		case e := <-c.events.C():
+			e.apply(c, c.clock.Now())
+		case <-timer.C:
+			c.slots.Tick(c.clock.Now())
+		}
+		c.act()
+	}
+}
+
+func (c *core) nextTick() clock.Millis {
+	at, ok := c.slots.NextDeadline()
+	if !ok {
+		return idleTick
+	}
+	return min(max(at-c.clock.Now(), clock.Millisecond), idleTick)
+}
+
+// act carries out the scheduler's decisions.
+func (c *core) act() {
+	for _, a := range c.slots.Actions() {
+		switch a.Kind {
+		case slots.ActionOffer:
+			if w, ok := c.waiting[a.ID]; ok {
+				w.link.Notify(dispatch.MethodOffer, dispatch.ID{ID: a.ID})
+			}
+		case slots.ActionRefuse:
+			c.refuse(a)
+		case slots.ActionPreempt:
+			c.preempt(a.ID)
+		}
+	}
+}
+
+func (c *core) refuse(a slots.Action) {
+	w, ok := c.waiting[a.ID]
+	if !ok {
+		return
+	}
+	delete(c.waiting, a.ID)
+	c.refused++
+	v := wireVerdict(a.ID, a.Verdict)
+	v.Final = true
+	w.link.Notify(dispatch.MethodRefuse, v)
+}
+
+func (c *core) preempt(id string) {
+	r, ok := c.runs[id]
+	if !ok {
+		return
+	}
+	c.preempted++
+	c.log.WithFields(logrus.Fields{"event": "preempt", "attempt": id}).Info("attempt stopped for a higher tier")
+	r.stop(&endError{dispatch.EndPreempted})
+}
+
+func (c *core) stopAll() {
+	for _, r := range c.runs {
+		r.stop(&endError{dispatch.EndFailed})
+	}
+}
+
+func (c *core) load() dispatch.Load {
+	l := c.slots.Load()
+	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.Waiting[:], TokenMs: l.TokenMs}
+}
+
+func wireVerdict(id string, v slots.Verdict) dispatch.Verdict {
+	return dispatch.Verdict{
+		ID: id, Place: v.Place, WaitMs: v.WaitMs, Feasible: v.Feasible,
+		LowestTier: v.LowestTier, RetryAfterMs: v.RetryAfterMs,
+	}
+}
+
+func reservation(r dispatch.Reservation, now clock.Millis) slots.Reservation {
+	out := slots.Reservation{
+		ID: r.ID, Entry: r.Entry, Class: r.Class, Account: r.Account,
+		Tier: r.Tier, Share: r.Share, FloorPercent: r.FloorPercent,
+		ArrivedMs: now, PromptTokens: r.PromptTokens, EstTokens: r.EstTokens, Preemptible: r.Preemptible,
+	}
+	if r.RemainingMs != 0 {
+		out.DeadlineMs = now + r.RemainingMs
+	}
+	return out
+}
--- /dev/null
+++ b/internal/role/sidecar/sidecar.go
@@ -0,0 +1,252 @@
+// Package sidecar is the role that stands beside one backend server and is
+// the only way to it.
+//
+// The core duty owns the server's slots; the control duty serves the entries'
+// connections; the data duty carries out attempts.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/backend/engine"
+	"github.com/damaskport/damaskport/internal/backend/service"
+	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/slots"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+)
+
+const (
+	dialTimeout    = 2 * time.Second
+	offerTimeout   = 500 * clock.Millisecond
+	drainPoll      = 20 * clock.Millisecond
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 256 << 10
+)
+
+// Claimer decides whether a protected request may be handed over.
+type Claimer interface {
+	// Claim returns ok when the attempt must now be handed over, once.
+	Claim(ctx context.Context, account, route, key, attempt string) (refusal dispatch.Refusal, ok bool)
+	// Finish, NotRun and Unknown record the outcome of a claimed attempt.
+	Finish(attempt string, status int)
+	NotRun(attempt string)
+	Unknown(attempt string)
+}
+
+// Meter counts what the server generated.
+type Meter interface {
+	Add(account string, promptTokens, outputTokens int)
+}
+
+// Deps are the parts that a Sidecar uses.
+type Deps struct {
+	Log         logrus.FieldLogger
+	Clock       clock.Clock
+	Store       *config.Store
+	Claims      Claimer
+	Meter       Meter
+	Incarnation string
+	// Duties run in the sidecar's tree beside its own.
+	Duties []supervise.Duty
+}
+
+// Sidecar is the role. Create it with New and start it with Run.
+type Sidecar struct {
+	name        string
+	zone        string
+	cfg         settings.Sidecar
+	incarnation string
+	log         logrus.FieldLogger
+	clock       clock.Clock
+	claims      Claimer
+	meter       Meter
+	store       *config.Store
+	exchange    *dispatch.Exchange
+	engine      *engine.Client
+	service     *service.Client
+	core        *core
+	coreDone    chan struct{}
+	control     *control
+	controlLn   net.Listener
+	dataLn      net.Listener
+	duties      []supervise.Duty
+	draining    chan struct{}
+}
+
+// New opens the sidecar's addresses.
+func New(f settings.File, d Deps) (*Sidecar, error) {
+	cfg := *f.Sidecar
+	s := &Sidecar{
+		name: f.Name, zone: f.Zone, cfg: cfg, incarnation: d.Incarnation,
+		log: d.Log.WithField("instance", f.Name), clock: d.Clock, claims: d.Claims, meter: d.Meter, store: d.Store,
+		engine:   engine.New(cfg.ServerURL, engineHTTP(cfg)),
+		service:  service.New(cfg.ServerURL, dialTimeout),
+		coreDone: make(chan struct{}),
+		duties:   d.Duties,
+		draining: make(chan struct{}),
+	}
+	s.exchange = dispatch.NewExchange(d.Store, s.log)
+	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, s.keyWithdrawn, s.state)
+	s.control = &control{s: s, links: map[*dispatch.Link]string{}}
+	var err error
+	if s.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
+		return nil, errors.Wrap(err, "sidecar.controlAddr")
+	}
+	if s.dataLn, err = net.Listen("tcp", cfg.DataAddr); err != nil {
+		_ = s.controlLn.Close()
+		return nil, errors.Wrap(err, "sidecar.dataAddr")
+	}
+	return s, nil
+}
+
+func engineHTTP(cfg settings.Sidecar) *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: max(cfg.Slots*2, 16), DisableCompression: true,
+	}}
+}
+
+func slotsConfig(cfg settings.Sidecar, p settings.Policy) slots.Config {
+	return slots.Config{
+		Slots: cfg.Slots, OfferTimeoutMs: offerTimeout, Order: slots.Order(p.Order),
+		NoShares: p.NoShares, NoFloors: p.NoFloors, NoShedding: p.NoShedding, NoPreemption: p.NoPreemption,
+	}
+}
+
+// ControlAddr returns the address of the control connections.
+func (s *Sidecar) ControlAddr() string { return s.controlLn.Addr().String() }
+
+// Run serves until ctx ends, then drains: what runs is finished within the
+// configured time, and nothing new is taken.
+func (s *Sidecar) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	cancelDrain := context.AfterFunc(ctx, func() {
+		s.drain()
+		stop()
+	})
+	defer cancelDrain()
+	s.log.WithFields(logrus.Fields{"event": "start", "role": "sidecar", "control": s.ControlAddr(), "data": s.dataURL()}).Info("sidecar started")
+	duties := append([]supervise.Duty{
+		{Name: "core", Run: s.runCore},
+		{Name: "control", Run: func(ctx context.Context) error { return s.control.serve(ctx, s.controlLn) }},
+		{Name: "data", Run: s.serveData},
+		{Name: "config", Run: s.watchConfig},
+	}, s.duties...)
+	err := supervise.New(s.name, s.log, s.clock).Run(run, duties...)
+	s.log.WithFields(logrus.Fields{"event": "stop", "role": "sidecar"}).Info("sidecar stopped")
+	return err
+}
+
+func (s *Sidecar) runCore(ctx context.Context) error {
+	defer close(s.coreDone)
+	return s.core.Run(ctx)
+}
+
+// put passes an event to the core; it is dropped when the core has stopped.
+func (s *Sidecar) put(e event) {
+	select {
+	case <-s.coreDone:
+	default:
+		select {
+		case s.core.events.In() <- e:
+		case <-s.coreDone:
+		}
+	}
+}
+
+func (s *Sidecar) serveData(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run/{id}", s.serveRun)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.Serve(s.dataLn)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// watchConfig applies withdrawn keys and tells entries the new version.
+func (s *Sidecar) watchConfig(ctx context.Context) error {
+	changed := s.store.Subscribe()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			s.put(configEvent{})
+			s.control.broadcast()
+		}
+	}
+}
+
+// Leave makes the sidecar refuse new work, as when its server is leaving.
+func (s *Sidecar) Leave() {
+	done := make(chan struct{})
+	s.put(drainEvent{done})
+	select {
+	case <-done:
+		s.control.broadcast()
+	case <-s.coreDone:
+	}
+}
+
+// drain refuses new work and waits for what runs.
+func (s *Sidecar) drain() {
+	s.log.WithField("event", "drain").Info("no new work is taken")
+	s.Leave()
+	deadline := s.clock.Now() + s.cfg.DrainMs
+	for s.clock.Now() < deadline && s.running() > 0 {
+		_ = s.clock.Sleep(context.Background(), drainPoll)
+	}
+}
+
+func (s *Sidecar) running() int {
+	reply := make(chan int, 1)
+	s.put(idleEvent{reply})
+	select {
+	case n := <-reply:
+		return n
+	case <-s.coreDone:
+		return 0
+	}
+}
+
+func (s *Sidecar) keyWithdrawn(id string) bool {
+	return s.store.Current().KeyWithdrawn(id)
+}
+
+func (s *Sidecar) state() dispatch.State {
+	d := s.store.Current()
+	return dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest(), Leaving: s.core.leaving}
+}
+
+// observe takes in what an entry told of its state.
+func (s *Sidecar) observe(l *dispatch.Link, st dispatch.State) {
+	s.exchange.Observe(l, st)
+	if st.Leaving {
+		s.put(drainEvent{make(chan struct{})})
+	}
+}
+
+func (s *Sidecar) dataURL() string { return "http://" + s.dataLn.Addr().String() }
+
+func (s *Sidecar) greeting(load dispatch.Load) dispatch.HelloReply {
+	d := s.store.Current()
+	return dispatch.HelloReply{
+		Name: s.name, Incarnation: s.incarnation, Pool: s.cfg.Pool, Zone: s.zone,
+		DataURL: s.dataURL(), Slots: s.cfg.Slots, Load: load,
+		State: dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest()},
+	}
+}
--- a/internal/runtime/ring/ring.go
+++ b/internal/runtime/ring/ring.go
@@ -49,6 +49,11 @@
 	return r.items
 }
 
+// In returns the channel on which items may be sent.
+func (r *Ring[T]) In() chan<- T {
+	return r.items
+}
+
 // Len returns the number of items held.
 func (r *Ring[T]) Len() int {
 	return len(r.items)
