Slots: scheduler of one sidecar

Tiers, floors of dispatch turns, fair shares by charged tokens, deadlines, preemption and shedding as a pure state machine.

--- /dev/null
+++ b/internal/policy/slots/check.go
@@ -0,0 +1,154 @@
+package slots
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+)
+
+func broken(invariant, format string, args ...any) {
+	panic(&supervise.InvariantError{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// check asserts what holds between any two calls. Checks that take time linear
+// in the waiting requests run once per Config.CheckEvery calls.
+func (s *Slots) check() {
+	if len(s.busy) > s.cfg.Slots {
+		broken("slotsNotDoubled", "busy=%d slots=%d", len(s.busy), s.cfg.Slots)
+	}
+	if !s.leaving && s.free() > 0 && len(s.waitList) > 0 {
+		broken("noIdleSlot", "free=%d waiting=%d", s.free(), len(s.waitList))
+	}
+	s.checkFloors()
+	s.decisions++
+	if s.decisions%s.cfg.CheckEvery != 0 {
+		return
+	}
+	s.counts.Checked++
+	s.checkTotals()
+	if len(s.waitList) > 0 {
+		s.checkIndependence(s.waitList[s.decisions/s.cfg.CheckEvery%len(s.waitList)])
+	}
+}
+
+// checkFloors asserts that no class is owed more turns than the classes and
+// the slots can delay.
+func (s *Slots) checkFloors() {
+	if !s.floorsOn() {
+		return
+	}
+	classes := 0
+	for _, t := range s.tiers {
+		classes += len(t.classes)
+	}
+	bound := float64(classes + 2*s.cfg.Slots + 1)
+	for _, t := range s.tiers {
+		for _, c := range t.classes {
+			if c.earned > bound {
+				broken("floorServed", "class=%s earned=%.2f bound=%.0f", c.name, c.earned, bound)
+			}
+		}
+	}
+}
+
+// checkOrder asserts that an offer follows the rules of the package.
+func (s *Slots) checkOrder(it *item, floor bool) {
+	if floor {
+		if it.class.earned < earnedTurn {
+			broken("floorTurnEarned", "id=%s class=%s earned=%.3f", it.r.ID, it.class.name, it.class.earned)
+		}
+		return
+	}
+	for i := 0; i < it.r.Tier; i++ {
+		if s.tiers[i].waiting > 0 {
+			broken("offersInOrder", "id=%s tier=%d waitingTier=%d", it.r.ID, it.r.Tier, i)
+		}
+	}
+	if (s.decisions+1)%s.cfg.CheckEvery != 0 {
+		return
+	}
+	mine := it.order
+	mine.counter = it.acct.counter
+	for _, other := range s.waitList {
+		theirs := other.order
+		theirs.counter = other.acct.counter
+		if other.r.Tier == it.r.Tier && theirs.less(mine) {
+			broken("offersInOrder", "id=%s counter=%.1f before=%s counter=%.1f", it.r.ID, mine.counter, other.r.ID, theirs.counter)
+		}
+	}
+}
+
+func (s *Slots) checkPreemption(victim *item, forTier int) {
+	if victim.r.Tier <= forTier || victim.floor || !victim.r.Preemptible {
+		broken("preemptsLowerTier", "id=%s tier=%d forTier=%d floor=%t", victim.r.ID, victim.r.Tier, forTier, victim.floor)
+	}
+}
+
+// checkTotals recounts the totals that are kept incrementally.
+func (s *Slots) checkTotals() {
+	waiting := make([]int, len(s.tiers))
+	work := make([]float64, len(s.tiers))
+	for _, it := range s.waitList {
+		waiting[it.r.Tier]++
+		work[it.r.Tier] += it.est
+	}
+	for i, t := range s.tiers {
+		if t.waiting != waiting[i] || !nearly(t.work(), work[i]) {
+			broken("totals", "tier=%d waiting=%d counted=%d work=%.1f counted=%.1f", i, t.waiting, waiting[i], t.work(), work[i])
+		}
+	}
+	occupied, stopping := make([]int, maxTiers), 0
+	for _, it := range s.busy {
+		occupied[it.r.Tier]++
+		if it.state == stateStopping {
+			stopping++
+		}
+	}
+	for i := range occupied {
+		if occupied[i] != s.occupied[i] {
+			broken("totals", "tier=%d occupied=%d counted=%d", i, s.occupied[i], occupied[i])
+		}
+	}
+	if stopping != s.stopping || len(s.items) != len(s.waitList)+len(s.busy) {
+		broken("totals", "stopping=%d counted=%d items=%d", s.stopping, stopping, len(s.items))
+	}
+}
+
+// checkIndependence recomputes the work before it from the reservations of its
+// tier and above alone, as if no lower tier existed, and asserts that the
+// estimate behind its shedding is the same.
+func (s *Slots) checkIndependence(it *item) {
+	var want ahead
+	for _, other := range s.busy {
+		if other.r.Tier <= it.r.Tier {
+			want.occupied++
+		}
+	}
+	own := 0.0
+	work := map[*account]float64{}
+	for _, other := range s.waitList {
+		switch {
+		case other.r.Tier < it.r.Tier:
+			want.tokens += other.est
+		case other.r.Tier == it.r.Tier:
+			work[other.acct] += other.est
+			if other.acct == it.acct && other.order.less(it.order) {
+				own += other.est
+			}
+		}
+	}
+	v := it.acct.counter + own/it.acct.share
+	for a, w := range work {
+		want.tokens += math.Min(w, math.Max(0, (v-a.counter)*a.share))
+	}
+	got := s.ahead(it)
+	if got.occupied != want.occupied || !nearly(got.tokens, want.tokens) {
+		broken("sheddingIgnoresLowerTiers", "id=%s occupied=%d want=%d tokens=%.3f want=%.3f",
+			it.r.ID, got.occupied, want.occupied, got.tokens, want.tokens)
+	}
+}
+
+func nearly(a, b float64) bool {
+	return math.Abs(a-b) <= 1e-6*math.Max(1, math.Max(math.Abs(a), math.Abs(b)))
+}
--- /dev/null
+++ b/internal/policy/slots/doc.go
@@ -0,0 +1,47 @@
+// Package slots schedules the requests of one sidecar onto the slots of its
+// backend server. It is a pure state machine: each call takes the time, and
+// Actions returns what the sidecar has to do. It is not safe for concurrent use.
+//
+// # Which rule wins
+//
+// A request is waiting, offered, running or stopping. Offered, running and
+// stopping requests occupy a slot; the occupied slots never exceed Config.Slots.
+//
+//  1. Floors choose first. Each class with waiting work earns
+//     FloorPercent/100 of a turn per started request. Once it has earned a
+//     whole turn, the next free slot goes to it, whatever its tier; the largest
+//     earned turn goes first, then the higher tier, then the class name. If the
+//     floors of the classes that wait exceed 100 together, they are scaled down
+//     to 100. Turns that a class gets by its tier count towards its floor. Work
+//     started on a floor turn that rule 2 would not have chosen is never
+//     preempted.
+//  2. Otherwise the highest tier (the smallest number) with waiting work is
+//     served, whatever the shares and deadlines in lower tiers.
+//  3. Within a tier the client account with the smallest token counter is
+//     served. A counter grows by tokens divided by the account's share: by the
+//     estimate when the slot is offered, by the excess while the request runs
+//     past it, and by the difference once the output length is known. An
+//     account that begins to wait is lifted to the smallest counter that waits
+//     in its tier, or to the last one served if none waits.
+//  4. Within an account, and between equal counters, the earliest deadline is
+//     served, then the earliest arrival. No deadline is later than any deadline.
+//
+// Preemption: while more requests of a tier and the tiers above it wait than
+// requests are stopping, the preemptible running request of the lowest tier
+// is stopped, among those the one with the fewest tokens; only if its tier is
+// strictly lower than the waiting one. A slot that a preemption freed is an
+// ordinary free slot and may go to a floor turn.
+//
+// Shedding: a request of tier t is refused if its estimated start exceeds its
+// deadline. The estimate counts the waiting work that rules 2 to 4 place before
+// it and the occupied slots of tier t and above, and takes all slots as
+// available: lower tiers and the floor turns of other classes do not enter it.
+// The floor of the request's own class may only shorten it. A waiting request's
+// deadline is extended by the time that it lost to lower tiers and floor turns:
+// the share of slots that they occupy, integrated over time. So no lower tier's
+// presence causes a refusal; a higher tier pays for floors by waiting.
+// A request whose extended deadline passed is refused at once.
+//
+// With OrderFIFO there is one tier and one account, ordered by arrival, without
+// floors and preemption.
+package slots
--- /dev/null
+++ b/internal/policy/slots/slots.go
@@ -0,0 +1,268 @@
+package slots
+
+import (
+	"math"
+	"sort"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// Slots is the scheduler of one sidecar.
+type Slots struct {
+	cfg     Config
+	now     clock.Millis
+	seq     uint64
+	items   map[string]*item
+	entries map[string]map[*item]struct{}
+	tiers   []*tierQueue
+	// occupied and preemptible count slots by tier; floors counts those
+	// occupied by work started on floor turns.
+	occupied    []int
+	preemptible []int
+	floors      []int
+	busy        []*item // offered, running and stopping requests
+	stopping    int
+	waitList    []*item
+	cursor      int
+	leaving     bool
+	actions     []Action
+	counts      Counts
+	decisions   int
+
+	tokenMs      mean
+	firstTokenMs mean
+	drain        drainRate
+	tickMs       clock.Millis
+}
+
+// New returns a Slots with all slots free.
+func New(cfg Config) *Slots {
+	cfg.Slots = max(cfg.Slots, 1)
+	if cfg.OfferTimeoutMs <= 0 {
+		cfg.OfferTimeoutMs = defaultOfferTimeout
+	}
+	if cfg.ReestimateMs <= 0 {
+		cfg.ReestimateMs = defaultReestimate
+	}
+	if cfg.TokenMs <= 0 {
+		cfg.TokenMs = defaultTokenMs
+	}
+	if cfg.OutputTokens <= 0 {
+		cfg.OutputTokens = defaultOutputTokens
+	}
+	if cfg.CheckEvery <= 0 {
+		cfg.CheckEvery = 4096
+	}
+	return &Slots{
+		cfg:          cfg,
+		items:        map[string]*item{},
+		entries:      map[string]map[*item]struct{}{},
+		occupied:     make([]int, maxTiers),
+		preemptible:  make([]int, maxTiers),
+		floors:       make([]int, maxTiers),
+		tokenMs:      mean(cfg.TokenMs),
+		firstTokenMs: mean(cfg.TokenMs),
+	}
+}
+
+// TryStart starts r at once if a slot is free and nothing waits for it.
+// Otherwise r is not kept.
+func (s *Slots) TryStart(now clock.Millis, r Reservation) (Verdict, bool) {
+	s.advance(now)
+	if it := s.items[r.ID]; it != nil {
+		return s.verdict(it), false
+	}
+	it := s.newItem(r)
+	v := s.verdict(it)
+	if s.leaving || s.free() == 0 || len(s.waitList) > 0 || !s.cfg.NoShedding && s.expired(it) {
+		return v, false
+	}
+	a := it.acct
+	it.tier.detach(a)
+	a.counter = it.tier.lifted(a)
+	it.tier.attach(a)
+	s.add(it)
+	s.occupy(it, false)
+	s.begin(it)
+	s.check()
+	return v, true
+}
+
+// Reserve queues r and returns its estimate. It is not kept if the verdict is
+// not feasible. A known id returns its present estimate.
+func (s *Slots) Reserve(now clock.Millis, r Reservation) Verdict {
+	s.advance(now)
+	if it := s.items[r.ID]; it != nil {
+		return s.verdict(it)
+	}
+	it := s.newItem(r)
+	v := s.verdict(it)
+	if !v.Feasible {
+		if !s.leaving {
+			s.counts.Infeasible++
+		}
+		return v
+	}
+	s.add(it)
+	s.enqueue(it)
+	s.dispatch()
+	return v
+}
+
+// Cancel drops a reservation or ends a running request. Unknown ids are ignored.
+func (s *Slots) Cancel(now clock.Millis, id string) {
+	s.advance(now)
+	if it := s.items[id]; it != nil {
+		s.drop(it)
+	}
+	s.dispatch()
+}
+
+// Accept takes up an offer and tells whether it still stood.
+func (s *Slots) Accept(now clock.Millis, id string) bool {
+	s.advance(now)
+	it := s.items[id]
+	if it == nil || it.state != stateOffered {
+		return false
+	}
+	s.begin(it)
+	s.dispatch()
+	return true
+}
+
+// Decline gives an offer back and drops its reservation.
+func (s *Slots) Decline(now clock.Millis, id string) {
+	s.advance(now)
+	if it := s.items[id]; it != nil && it.state == stateOffered {
+		s.drop(it)
+	}
+	s.dispatch()
+}
+
+// Progress records that a running request has generated tokens in total.
+func (s *Slots) Progress(now clock.Millis, id string, tokens int) {
+	s.advance(now)
+	it := s.items[id]
+	if it == nil || it.state < stateRunning || tokens <= it.tokens {
+		return
+	}
+	s.observe(it, tokens, false)
+	if excess := float64(tokens) + it.promptCost() - it.charged; excess > 0 {
+		it.tier.charge(it.acct, excess)
+		it.charged += excess
+	}
+}
+
+// Finish ends a running or stopping request that has generated tokens in total.
+func (s *Slots) Finish(now clock.Millis, id string, tokens int) {
+	s.advance(now)
+	it := s.items[id]
+	if it == nil || it.state < stateRunning {
+		return
+	}
+	if tokens > 0 {
+		s.observe(it, max(tokens, it.tokens), true)
+	}
+	if it.state == stateRunning && tokens > 0 {
+		it.acct.tokens.add(float64(tokens))
+		it.class.tokens.add(float64(tokens))
+		it.tier.tokens.add(float64(tokens))
+	}
+	s.drop(it)
+	s.dispatch()
+}
+
+// DropEntry drops the waiting and offered reservations of an entry. Running
+// requests stay.
+func (s *Slots) DropEntry(now clock.Millis, entry string) {
+	s.advance(now)
+	var gone []*item
+	for it := range s.entries[entry] {
+		if it.state == stateWaiting || it.state == stateOffered {
+			gone = append(gone, it)
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i].seq < gone[j].seq })
+	for _, it := range gone {
+		s.drop(it)
+	}
+	s.dispatch()
+}
+
+// Drain refuses all waiting and later reservations. Offers that stand may
+// still be accepted.
+func (s *Slots) Drain(now clock.Millis) {
+	s.advance(now)
+	s.leaving = true
+	for len(s.waitList) > 0 {
+		s.refuse(s.waitList[0], RefuseLeaving)
+	}
+}
+
+// Tick handles timeouts and checks the estimates of waiting requests.
+func (s *Slots) Tick(now clock.Millis) {
+	s.advance(now)
+	if s.now >= s.tickMs {
+		s.tickMs = s.now + s.cfg.ReestimateMs
+		s.reestimate()
+	}
+	s.dispatch()
+}
+
+// Actions returns the actions since the last call.
+func (s *Slots) Actions() []Action {
+	out := s.actions
+	s.actions = nil
+	return out
+}
+
+// NextDeadline returns the time at which Tick has to be called, if any.
+func (s *Slots) NextDeadline() (clock.Millis, bool) {
+	at := clock.Millis(math.MaxInt64)
+	for _, it := range s.busy {
+		if it.state == stateOffered {
+			at = min(at, it.lapseMs)
+		}
+	}
+	if len(s.waitList) > 0 {
+		at = min(at, max(s.tickMs, s.now+1))
+	}
+	return at, at != math.MaxInt64
+}
+
+// Load returns the present load.
+func (s *Slots) Load() Load {
+	l := Load{
+		Slots:          s.cfg.Slots,
+		Free:           s.free(),
+		TokenMs:        float64(s.tokenMs),
+		FirstTokenMs:   float64(s.firstTokenMs),
+		DrainPerSecond: s.drainPerMs() * float64(clock.Second),
+		WaitingByTier:  make([]int, len(s.tiers)),
+	}
+	for _, it := range s.busy {
+		if it.state == stateOffered {
+			l.Offered++
+		} else {
+			l.Running++
+		}
+	}
+	for i, t := range s.tiers {
+		l.WaitingByTier[i] = t.waiting
+		for _, c := range t.classes {
+			if c.waiting > 0 {
+				l.Classes = append(l.Classes, ClassLoad{Class: c.name, Tier: i, Waiting: c.waiting})
+			}
+		}
+	}
+	return l
+}
+
+// Counts returns the totals since the start.
+func (s *Slots) Counts() Counts {
+	return s.counts
+}
+
+func (s *Slots) free() int {
+	return s.cfg.Slots - len(s.busy)
+}
