--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -81,9 +81,21 @@
 	if len(e.jobs) < maxJobs {
 		e.jobs = append(e.jobs, j.record)
 	}
+	if j.record.End == endGone {
+		e.rememberGone(j)
+	}
 	close(j.ended)
 }
 
+// rememberGone keeps the count of a job whose caller left, for a later
+// cancel. The caller holds e.mu.
+func (e *Engine) rememberGone(j *job) {
+	if len(e.gone) >= maxGone {
+		clear(e.gone)
+	}
+	e.gone[j.req.RequestID] = j.record.Generated
+}
+
 // prefill takes the time for the part of the prompt that is not cached.
 func (e *Engine) prefill(j *job, r *http.Request) {
 	e.mu.Lock()
@@ -162,8 +174,8 @@
 	if ok && !isClosed(j.cancelled) {
 		close(j.cancelled)
 	}
+	generated, gone := e.gone[req.RequestID]
 	e.mu.Unlock()
-	generated := 0
 	if ok {
 		select {
 		case <-j.ended:
@@ -175,5 +187,5 @@
 	backend.WriteJSON(w, http.StatusOK, struct {
 		Generated int  `json:"generated"`
 		Found     bool `json:"found"`
-	}{generated, ok})
+	}{generated, ok || gone})
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,7 @@
 	// slowdownPercent is added to the time per token by each further request in the batch.
 	slowdownPercent = 3
 	maxJobs         = 100000
+	maxGone         = 10000
 )
 
 // Config holds the settings of an Engine.
@@ -85,6 +86,7 @@
 	loads   []Load
 	running map[string]*job
 	jobs    []JobRecord
+	gone    map[string]int // request id -> tokens generated
 }
 
 // JobRecord is one chat completion that the engine began.
@@ -121,6 +123,7 @@
 		batch:   batch{free: cfg.Slots},
 		cache:   prefixCache{size: cfg.CachePrefixes},
 		running: map[string]*job{},
+		gone:    map[string]int{},
 	}
 	e.setTokenMs(cfg.TokenMs)
 	mux := http.NewServeMux()
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -37,6 +38,9 @@
 	KindFreeze Kind = "freeze"
 	// KindSilent handles the request and never answers.
 	KindSilent Kind = "silent"
+	// KindLateAnswer handles the request and holds its answer until the faults
+	// are cleared or DelayMs has passed.
+	KindLateAnswer Kind = "lateAnswer"
 	// KindCutMidway closes the connection within the write after AfterTokens writes.
 	KindCutMidway Kind = "cutMidway"
 )
@@ -69,7 +73,7 @@
 	if err := dec.Decode(&p); err != nil {
 		return err
 	}
-	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindCutMidway}
+	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindLateAnswer, KindCutMidway}
 	if !slices.Contains(kinds, p.Kind) {
 		return fmt.Errorf("kind: %q: must be one of %v", p.Kind, kinds)
 	}
@@ -165,6 +169,11 @@
 		next.ServeHTTP(discard{http.Header{}}, detached(r))
 		hold(r.Context(), f.DelayMs, cleared)
 		panic(http.ErrAbortHandler)
+	case KindLateAnswer:
+		held := &heldAnswer{discard{http.Header{}}, http.StatusOK, bytes.Buffer{}}
+		next.ServeHTTP(held, detached(r))
+		hold(r.Context(), f.DelayMs, cleared)
+		held.send(w)
 	case KindCutMidway:
 		next.ServeHTTP(&cutWriter{w, f.AfterTokens}, r)
 	}
@@ -227,6 +236,22 @@
 func (d discard) WriteHeader(int)             {}
 func (d discard) Flush()                      {}
 
+// heldAnswer keeps an answer for later.
+type heldAnswer struct {
+	discard
+	status int
+	body   bytes.Buffer
+}
+
+func (h *heldAnswer) Write(p []byte) (int, error) { return h.body.Write(p) }
+func (h *heldAnswer) WriteHeader(status int)      { h.status = status }
+
+func (h *heldAnswer) send(w http.ResponseWriter) {
+	maps.Copy(w.Header(), h.header)
+	w.WriteHeader(h.status)
+	_, _ = w.Write(h.body.Bytes())
+}
+
 // cutWriter lets left writes through and aborts within the next one.
 type cutWriter struct {
 	http.ResponseWriter
