--- /dev/null
+++ b/internal/state/claim/record.go
@@ -0,0 +1,130 @@
+package claim
+
+import (
+	"encoding/json"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+// Result tells how a claimed attempt ended.
+type Result string
+
+// Results of attempts. An attempt without a result may be running, or its
+// sidecar may have died.
+const (
+	NotRun  Result = "notRun"
+	Done    Result = "done"
+	Unknown Result = "unknown"
+)
+
+// Claim asks for the right to hand one attempt over to a backend server.
+type Claim struct {
+	Key     Key    `json:"key"`
+	Attempt string `json:"attempt"`
+	// ExpiresMs is the end of the key's idempotency window in the log's time.
+	ExpiresMs clock.Millis `json:"expiresMs"`
+}
+
+// Outcome ends the accepted claim at ClaimOffset.
+type Outcome struct {
+	Key         Key    `json:"key"`
+	Attempt     string `json:"attempt"`
+	ClaimOffset int64  `json:"claimOffset"`
+	Result      Result `json:"result"`
+	// Status is the HTTP status of an attempt that is Done.
+	Status int `json:"status,omitempty"`
+}
+
+// Entry is the state of a key that an accepted claim holds.
+type Entry struct {
+	Key         Key          `json:"key"`
+	Attempt     string       `json:"attempt"`
+	Incarnation string       `json:"incarnation"`
+	Offset      int64        `json:"offset"`
+	AtMs        clock.Millis `json:"atMs"`
+	ExpiresMs   clock.Millis `json:"expiresMs"`
+	// Result is empty until an outcome was recorded.
+	Result Result `json:"result,omitempty"`
+	Status int    `json:"status,omitempty"`
+}
+
+// Digest is one part of the state after the record at UpTo.
+type Digest struct {
+	ID      string       `json:"id"`
+	UpTo    int64        `json:"upTo"`
+	AtMs    clock.Millis `json:"atMs"`
+	Part    int          `json:"part"`
+	Parts   int          `json:"parts"`
+	Entries []Entry      `json:"entries"`
+}
+
+// Record is one record of a claims stream: the outcomes and the claims of one
+// sidecar process, in this order, or a part of a digest. A record with
+// neither only marks the log's time.
+type Record struct {
+	// Incarnation names the process that wrote the record.
+	Incarnation string    `json:"incarnation"`
+	Outcomes    []Outcome `json:"outcomes,omitempty"`
+	Claims      []Claim   `json:"claims,omitempty"`
+	Digest      *Digest   `json:"digest,omitempty"`
+}
+
+// UnmarshalJSON decodes and checks a record.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	type plain Record
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.Incarnation == "" {
+		return &directory.FieldError{Field: "incarnation", Value: `""`, Reason: "must not be empty"}
+	}
+	for _, c := range p.Claims {
+		if c.Attempt == "" || c.ExpiresMs <= 0 {
+			return &directory.FieldError{Field: "claims", Value: c, Reason: "must name an attempt and an expiry"}
+		}
+	}
+	for _, o := range p.Outcomes {
+		if err := o.validate(); err != nil {
+			return err
+		}
+	}
+	if p.Digest != nil {
+		if err := p.Digest.validate(); err != nil {
+			return err
+		}
+	}
+	*r = Record(p)
+	return nil
+}
+
+func (o Outcome) validate() error {
+	if o.Attempt == "" || o.ClaimOffset < 1 {
+		return &directory.FieldError{Field: "outcomes", Value: o, Reason: "must name an attempt and the offset of its claim"}
+	}
+	return o.Result.validate()
+}
+
+func (r Result) validate() error {
+	switch r {
+	case NotRun, Done, Unknown:
+		return nil
+	}
+	return &directory.FieldError{Field: "result", Value: r, Reason: "must be notRun, done or unknown"}
+}
+
+func (d *Digest) validate() error {
+	if d.ID == "" || d.UpTo < 0 {
+		return &directory.FieldError{Field: "digest.id", Value: d.ID, Reason: "must not be empty, with upTo not negative"}
+	}
+	if d.Part < 0 || d.Part >= d.Parts {
+		return &directory.FieldError{Field: "digest.part", Value: d.Part, Reason: "must be from 0 to parts-1"}
+	}
+	for _, e := range d.Entries {
+		if e.Attempt == "" || e.Incarnation == "" || e.Offset < 1 || e.Offset > d.UpTo {
+			return &directory.FieldError{Field: "digest.entries", Value: e, Reason: "must name an accepted claim"}
+		}
+	}
+	return nil
+}
