--- /dev/null
+++ b/internal/peer/config/duty_test.go
@@ -0,0 +1,161 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/platform/logservice"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/logging"
+)
+
+const testTimeout = 20 * time.Second
+
+// read runs a Reader of log into s until the test's context ends.
+func read(ctx context.Context, g *errgroup.Group, log config.Log, s *config.Store) {
+	r := &config.Reader{Log: log, Store: s, Clock: clock.System{}, Logger: logging.Discard(), WaitMs: clock.Second}
+	g.Go(func() error {
+		_ = r.Run(ctx)
+		return nil
+	})
+}
+
+func TestRacingOperatorsLoseNoAcceptedChange(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	log := filledLog(t, clock.System{}, 0)
+	var readers, operators errgroup.Group
+	stores := []*config.Store{config.New(0), config.New(0), config.New(0)}
+	for _, s := range stores {
+		read(ctx, &readers, log, s)
+	}
+	const racers, changes = 6, 20
+	accepted := make([]int, racers)
+	for i := range racers {
+		s := stores[i%len(stores)]
+		operators.Go(func() error {
+			for n := range changes {
+				ok, err := raiseShare(ctx, log, s, fmt.Sprintf("%d-%d", i, n))
+				if err != nil {
+					return err
+				}
+				if ok {
+					accepted[i]++
+				}
+			}
+			return nil
+		})
+	}
+	if err := operators.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	want := 1
+	for _, n := range accepted {
+		want += n
+	}
+	for _, s := range stores {
+		if err := s.Wait(ctx, 1+racers*changes); err != nil {
+			t.Fatal(err)
+		}
+		if a, _ := s.Directory().Account("a"); a.Share != want || want == 1 {
+			t.Errorf("share = %d, want 1 and one for each accepted change = %d", a.Share, want)
+		}
+		if s.Version() != stores[0].Version() {
+			t.Errorf("versions differ: %v and %v", s.Version(), stores[0].Version())
+		}
+	}
+	cancel()
+	_ = readers.Wait()
+}
+
+// raiseShare adds 1 to the share as an operator who sees s, and tells whether
+// the change was accepted.
+func raiseShare(ctx context.Context, log *memoryLog, s *config.Store, id string) (bool, error) {
+	if err := s.Wait(ctx, 1); err != nil {
+		return false, err
+	}
+	d := s.Directory()
+	a, _ := d.Account("a")
+	c := shareChange(id, d.Version(), a.Share+1)
+	data, err := json.Marshal(c)
+	if err != nil {
+		return false, err
+	}
+	offset, err := log.Append(ctx, logservice.StreamConfig, data)
+	if err != nil {
+		return false, err
+	}
+	if err := s.Wait(ctx, offset); err != nil {
+		return false, err
+	}
+	got, ok := s.FindChange(id, offset)
+	if !ok || got.Offset != offset {
+		return false, fmt.Errorf("change %s not found at offset %d: %+v", id, offset, got)
+	}
+	return got.Verdict.Accepted, nil
+}
+
+func TestSnapshotterKeepsTheStreamReadable(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	manual := clock.NewManual(0, 1000)
+	log := filledLog(t, manual, 10)
+	holder := config.New(0)
+	var g errgroup.Group
+	read(ctx, &g, log, holder)
+	if err := holder.Wait(ctx, 11); err != nil {
+		t.Fatal(err)
+	}
+	waitReady(ctx, t, holder)
+	snapshotter := &config.Snapshotter{Log: log, Store: holder, Clock: manual, Logger: logging.Discard(), Author: "e1",
+		MaxAgeMs: 10 * clock.Second, MaxRecords: 1000, CheckMs: clock.Second}
+	g.Go(func() error {
+		_ = snapshotter.Run(ctx)
+		return nil
+	})
+	// The first snapshot is due at once, the next one by its age.
+	for _, want := range []int64{12, 14} {
+		for holder.LastSnapshot().Offset < want {
+			if ctx.Err() != nil {
+				t.Fatalf("last snapshot = %+v, want one at %d", holder.LastSnapshot(), want)
+			}
+			manual.Advance(clock.Second)
+			soon, done := context.WithTimeout(ctx, 5*time.Millisecond)
+			_ = holder.Wait(soon, want)
+			done()
+		}
+		appendChange(t, log, shareChange(fmt.Sprint("after", want), want, 40))
+	}
+	if err := holder.Wait(ctx, 15); err != nil {
+		t.Fatal(err)
+	}
+	log.retain(14)
+	fresh := config.New(0)
+	read(ctx, &g, log, fresh)
+	if err := fresh.Wait(ctx, 15); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(holder.Directory().ToSnapshot(), fresh.Directory().ToSnapshot()); diff != "" {
+		t.Errorf("state (-holder +fresh):\n%s", diff)
+	}
+	cancel()
+	_ = g.Wait()
+}
+
+func waitReady(ctx context.Context, t *testing.T, s *config.Store) {
+	t.Helper()
+	for !s.Ready() {
+		if ctx.Err() != nil {
+			t.Fatal("the store did not become ready")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/peer/config/store.go
@@ -0,0 +1,222 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/damaskport/damaskport/internal/platform/logservice"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+const (
+	// defaultTail is the number of records kept for other processes.
+	defaultTail = 4096
+	// maxPending bounds the records kept beyond a gap.
+	maxPending = 65536
+	// maxUpdateRecords and maxUpdateBytes bound the records of one Update.
+	maxUpdateRecords = 1000
+	maxUpdateBytes   = 1 << 20
+)
+
+// Store is a process's copy of the configuration. It is safe for concurrent
+// use; Directory and Version never block.
+type Store struct {
+	cur   atomic.Pointer[directory.Directory]
+	ready atomic.Bool
+
+	mu       sync.Mutex
+	tail     []folded // contiguous, the last one at the current version
+	limit    int
+	pending  map[int64]logservice.Record // beyond a gap
+	subs     map[chan struct{}]struct{}
+	snapshot SnapshotPlace
+	cached   *directory.Snapshot
+}
+
+// folded is a record of the tail with the state that it led to.
+type folded struct {
+	record  logservice.Record
+	digest  uint64
+	verdict directory.Verdict
+}
+
+// SnapshotPlace tells where the last snapshot stands in the stream.
+type SnapshotPlace struct {
+	Offset int64
+	AtMs   clock.Millis
+}
+
+// New returns a Store at version 0 that keeps up to tail records; 0 takes a default.
+func New(tail int) *Store {
+	if tail <= 0 {
+		tail = defaultTail
+	}
+	s := &Store{limit: tail, pending: map[int64]logservice.Record{}, subs: map[chan struct{}]struct{}{}}
+	s.cur.Store(directory.New())
+	return s
+}
+
+// Directory returns the current state.
+func (s *Store) Directory() *directory.Directory { return s.cur.Load() }
+
+// Version returns the current version.
+func (s *Store) Version() Version {
+	d := s.cur.Load()
+	return Version{d.Version(), d.Digest()}
+}
+
+// Ready reports whether the Store has been current once.
+func (s *Store) Ready() bool { return s.ready.Load() }
+
+// MarkReady records that the Store has reached the version of the log or of
+// another process that was ready.
+func (s *Store) MarkReady() { s.ready.Store(true) }
+
+// Subscribe returns a channel that receives a value after the version has
+// changed, several changes being told as one, and a function that ends it.
+func (s *Store) Subscribe() (<-chan struct{}, func()) {
+	ch := make(chan struct{}, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subs[ch] = struct{}{}
+	return ch, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subs, ch)
+	}
+}
+
+// Wait returns when the version is at least number, or the error of ctx.
+func (s *Store) Wait(ctx context.Context, number int64) error {
+	changed, cancel := s.Subscribe()
+	defer cancel()
+	for s.Directory().Version() < number {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+	return nil
+}
+
+// Outcome is the fold's decision about a change at an offset.
+type Outcome struct {
+	Offset  int64
+	Verdict directory.Verdict
+}
+
+// FindChange returns the outcome of the first record in the tail at an offset
+// of at least from that carries the change id.
+func (s *Store) FindChange(id string, from int64) (Outcome, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.tail {
+		if f.record.Offset >= from && f.verdict.ChangeID == id {
+			return Outcome{f.record.Offset, f.verdict}, true
+		}
+	}
+	return Outcome{}, false
+}
+
+// LastSnapshot returns the place of the last snapshot that the Store has seen
+// in the stream, or the zero value.
+func (s *Store) LastSnapshot() SnapshotPlace {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+// Compare relates the version of another process to the current one.
+func (s *Store) Compare(v Version) Relation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compare(v)
+}
+
+func (s *Store) compare(v Version) Relation {
+	have := s.Version()
+	if v.Number > have.Number {
+		return PeerAhead
+	}
+	digest, known := s.digestAt(v.Number)
+	switch {
+	case !known:
+		return Unknown
+	case digest != v.Digest:
+		return Diverged
+	case v.Number == have.Number:
+		return Equal
+	default:
+		return PeerBehind
+	}
+}
+
+// digestAt returns the digest of an earlier version, if it is still known.
+func (s *Store) digestAt(number int64) (uint64, bool) {
+	if have := s.Version(); number == have.Number {
+		return have.Digest, true
+	}
+	if number == 0 {
+		return 0, true
+	}
+	if i, ok := s.index(number); ok {
+		return s.tail[i].digest, true
+	}
+	return 0, false
+}
+
+// index returns the place in the tail of the record at offset.
+func (s *Store) index(offset int64) (int, bool) {
+	if len(s.tail) == 0 {
+		return 0, false
+	}
+	i := offset - s.tail[0].record.Offset
+	return int(i), i >= 0 && i < int64(len(s.tail))
+}
+
+// Update is what another process needs to move to a higher version: records,
+// or the whole state when the records are no longer kept.
+type Update struct {
+	Records  []logservice.Record `json:"records,omitempty"`
+	Snapshot *directory.Snapshot `json:"snapshot,omitempty"`
+}
+
+// RecordsSince returns what follows v, at most a bounded number of records.
+// The error is a *DivergenceError when v is not a version of this history.
+func (s *Store) RecordsSince(v Version) (Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.compare(v) {
+	case Diverged:
+		digest, _ := s.digestAt(v.Number)
+		return Update{}, &DivergenceError{v.Number, digest, v.Digest}
+	case Equal, PeerAhead:
+		return Update{}, nil
+	}
+	if i, ok := s.index(v.Number + 1); ok {
+		return Update{Records: firstRecords(s.tail[i:])}, nil
+	}
+	if s.cached == nil {
+		snap := s.Directory().ToSnapshot()
+		s.cached = &snap
+	}
+	return Update{Snapshot: s.cached}, nil
+}
+
+// firstRecords returns the first records of tail, at least one, within the
+// bounds of an Update.
+func firstRecords(tail []folded) []logservice.Record {
+	var out []logservice.Record
+	size := 0
+	for _, f := range tail {
+		size += len(f.record.Data)
+		if len(out) > 0 && (size > maxUpdateBytes || len(out) == maxUpdateRecords) {
+			break
+		}
+		out = append(out, f.record)
+	}
+	return out
+}
--- a/internal/state/directory/fold.go
+++ b/internal/state/directory/fold.go
@@ -24,14 +24,16 @@
 	}
 	next := *d
 	next.version = offset
-	next.digest = chain(d.digest, offset, Canonical(data))
 	var c Change
-	if err := json.Unmarshal(data, &c); err != nil {
-		return &next, Verdict{Reason: err.Error()}
-	}
-	if c.Snapshot != nil {
+	err := json.Unmarshal(data, &c)
+	if err == nil && c.Snapshot != nil {
+		next.digest = chain(d.digest, offset, snapshotMark(c))
 		return &next, Verdict{ChangeID: c.ID, Accepted: true}
 	}
+	next.digest = chain(d.digest, offset, Canonical(data))
+	if err != nil {
+		return &next, Verdict{Reason: err.Error()}
+	}
 	out, err := next.applyOps(offset, c)
 	if err != nil {
 		return &next, Verdict{ChangeID: c.ID, Reason: err.Error()}
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -1,6 +1,9 @@
 package directory
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Snapshot is the whole state as of a version.
 type Snapshot struct {
@@ -15,6 +18,19 @@
 	// ForgottenAt is the highest version at which a key was withdrawn that
 	// is no longer in Keys.
 	ForgottenAt int64 `json:"forgottenAt,omitempty"`
+	// Omitted tells that only Version and Digest are given.
+	Omitted bool `json:"omitted,omitempty"`
+}
+
+// WithoutState returns the snapshot's version and digest only. A record with
+// it folds to the same digest as one with the whole snapshot.
+func (s Snapshot) WithoutState() Snapshot {
+	return Snapshot{Version: s.Version, Digest: s.Digest, Omitted: true}
+}
+
+// snapshotMark returns what the digest covers of a snapshot record.
+func snapshotMark(c Change) []byte {
+	return fmt.Appendf(nil, "snapshot %q %d %d", c.ID, c.Snapshot.Version, c.Snapshot.Digest)
 }
 
 // ToSnapshot returns the whole state.
