--- /dev/null
+++ b/internal/policy/capacity/place.go
@@ -0,0 +1,264 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+)
+
+// fleet is the observed servers by zone, pending orders applied.
+type fleet struct {
+	zones    []*zone // by price, then name
+	live     int
+	starting int
+	leaving  int
+}
+
+type zone struct {
+	Zone
+	live     []Server // by load, then name
+	starting int
+}
+
+func newFleet(o Observed) *fleet {
+	f := &fleet{}
+	byName := map[string]*zone{}
+	for _, z := range o.Zones {
+		byName[z.Name] = &zone{Zone: z}
+		f.zones = append(f.zones, byName[z.Name])
+	}
+	stopping := map[string]bool{}
+	for _, order := range o.Pending {
+		if order.Action == ActionStop {
+			stopping[order.Server] = true
+			continue
+		}
+		if z := byName[order.Zone]; z != nil {
+			z.starting++
+			f.starting++
+		}
+	}
+	for _, s := range o.Servers {
+		z := byName[s.Zone]
+		if z == nil {
+			z = &zone{Zone: Zone{Name: s.Zone, Down: true}}
+			byName[s.Zone] = z
+			f.zones = append(f.zones, z)
+		}
+		f.add(z, s, stopping[s.Name])
+	}
+	f.sort()
+	return f
+}
+
+func (f *fleet) add(z *zone, s Server, stopping bool) {
+	switch {
+	case s.State == StateLeaving || stopping:
+		f.leaving++
+	case s.State == StateStarting:
+		z.starting++
+		f.starting++
+	default:
+		z.live = append(z.live, s)
+		f.live++
+	}
+}
+
+func (f *fleet) sort() {
+	slices.SortFunc(f.zones, func(a, b *zone) int {
+		if c := cmp.Compare(a.PricePerHour, b.PricePerHour); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, z := range f.zones {
+		slices.SortFunc(z.live, func(a, b Server) int {
+			if c := cmp.Compare(a.Load, b.Load); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.Name, b.Name)
+		})
+	}
+}
+
+func (z *zone) size() int {
+	return len(z.live) + z.starting
+}
+
+// open returns the number of zones in which servers can be started.
+func (f *fleet) open() int {
+	n := 0
+	for _, z := range f.zones {
+		if !z.Down {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) size() int {
+	return f.live + f.starting
+}
+
+// zoneBound returns the largest number of servers of n that one zone may have.
+func (p *Planner) zoneBound(n int, f *fleet) int {
+	open := f.open()
+	if open < 2 {
+		return n
+	}
+	bound := (n*p.spec.MaxZonePercent + 99) / 100
+	if p.spec.SurviveZone {
+		bound = min(bound, n-p.spec.MinServers)
+	}
+	return max(bound, (n+open-1)/open, 1)
+}
+
+func (p *Planner) orders(f *fleet, desired int) []Order {
+	var out []Order
+	bound := p.zoneBound(desired, f)
+	for f.size() < desired {
+		z := f.cheapest(bound)
+		if z == nil {
+			break
+		}
+		out = append(out, p.start(f, z))
+	}
+	if len(out) > 0 {
+		return out
+	}
+	if f.starting > 0 {
+		return nil
+	}
+	if z := p.replacement(f, desired, bound); z != nil {
+		return []Order{p.start(f, z)}
+	}
+	stops := p.stops(f, desired)
+	if len(stops) == 0 && f.leaving == 0 {
+		if z := p.relief(f, desired, bound); z != nil {
+			return []Order{p.start(f, z)}
+		}
+	}
+	return stops
+}
+
+func (p *Planner) start(f *fleet, z *zone) Order {
+	z.starting++
+	f.starting++
+	return Order{Action: ActionStart, Pool: p.spec.Pool, Zone: z.Name}
+}
+
+// cheapest returns the cheapest zone with room below bound, the smallest of
+// those that cost the same.
+func (f *fleet) cheapest(bound int) *zone {
+	var best *zone
+	for _, z := range f.zones {
+		if z.Down || z.size() >= bound {
+			continue
+		}
+		if best == nil || z.PricePerHour == best.PricePerHour && z.size() < best.size() {
+			best = z
+		}
+	}
+	return best
+}
+
+// replacement returns the zone in which one server is started beyond the
+// desired number because another zone exceeds its bound or costs much more.
+// The next stops then take the surplus there.
+func (p *Planner) replacement(f *fleet, desired, bound int) *zone {
+	if f.size() != desired || f.leaving > 0 || p.spec.MaxServers > 0 && desired >= p.spec.MaxServers {
+		return nil
+	}
+	target := f.cheapest(bound)
+	if target == nil {
+		return nil
+	}
+	for _, z := range f.zones {
+		if z == target || len(z.live) == 0 {
+			continue
+		}
+		if z.size() > bound || z.PricePerHour >= target.PricePerHour*moveSaving && !z.Down {
+			return target
+		}
+	}
+	return nil
+}
+
+// relief returns the zone in which one more server lets at least two stop that
+// the survival of a zone holds back, if that is cheaper.
+func (p *Planner) relief(f *fleet, desired, bound int) *zone {
+	if f.size() <= desired || p.spec.MaxServers > 0 && f.size() >= p.spec.MaxServers {
+		return nil
+	}
+	target := f.cheapest(bound)
+	stopped := float64(f.size() - desired + 1)
+	if target == nil || target.PricePerHour >= stopped*f.zones[0].PricePerHour {
+		return nil
+	}
+	return target
+}
+
+// stops returns the orders that drain the surplus, a tenth of the servers at a
+// time.
+func (p *Planner) stops(f *fleet, desired int) []Order {
+	var out []Order
+	most := max(1, f.live/10) - f.leaving
+	bound := p.zoneBound(desired, f)
+	for f.size() > desired && len(out) < most {
+		z := p.dearest(f, bound)
+		if z == nil {
+			break
+		}
+		out = append(out, Order{Action: ActionStop, Pool: p.spec.Pool, Zone: z.Name, Server: z.live[0].Name})
+		z.live = z.live[1:]
+		f.live--
+	}
+	return out
+}
+
+// dearest returns the zone from which a server may stop: one that exceeds its
+// bound, else the most expensive, the largest of those that cost the same.
+func (p *Planner) dearest(f *fleet, bound int) *zone {
+	var best *zone
+	for _, z := range f.zones {
+		if len(z.live) == 0 || !p.survives(f, z) {
+			continue
+		}
+		if best == nil || z.before(best, bound) {
+			best = z
+		}
+	}
+	return best
+}
+
+// before tells whether z is rather to lose a server than best.
+func (z *zone) before(best *zone, bound int) bool {
+	if over := z.size() > bound; over != (best.size() > bound) {
+		return over
+	}
+	if z.PricePerHour != best.PricePerHour {
+		return z.PricePerHour > best.PricePerHour
+	}
+	return z.size() > best.size()
+}
+
+// survives tells whether MinServers remain after z lost a server and, where
+// the spec asks for it, after the loss of any one zone as well.
+func (p *Planner) survives(f *fleet, z *zone) bool {
+	left := f.live - 1
+	if left < p.spec.MinServers {
+		return false
+	}
+	if !p.spec.SurviveZone {
+		return true
+	}
+	for _, other := range f.zones {
+		lost := len(other.live)
+		if other == z {
+			lost--
+		}
+		if left-lost < p.spec.MinServers {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,100 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(20261203, 1)) }
+
+// TestRetriesDoNotAmplifyOverload has a pool that fails all, then nine of ten
+// attempts: the extra attempts stay within the burst and a tenth of the successes.
+func TestRetriesDoNotAmplifyOverload(t *testing.T) {
+	b, rnd := retry.NewBudget(retry.Config{Percent: 10, Burst: 5}), newRand()
+	extra, successes := 0, 0
+	for i := range 10000 {
+		if i > 1000 && i%10 == 0 {
+			b.Success()
+			successes++
+			continue
+		}
+		if b.Decide(0, retry.Attempt{Outcome: retry.OutcomeFailed, Number: 1}, rnd).Retry {
+			extra++
+		}
+	}
+	if bound := 5 + successes/10; extra > bound || extra < bound-1 {
+		t.Errorf("%d extra attempts after %d successes, want %d", extra, successes, bound)
+	}
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name string
+		a    retry.Attempt
+		want retry.Decision
+	}{
+		{"protected and unknown", retry.Attempt{Outcome: retry.OutcomeUnknown, Protected: true, Number: 1}, retry.Decision{Reason: retry.ReasonProtected}},
+		{"protected and failed", retry.Attempt{Outcome: retry.OutcomeFailed, Protected: true, Number: 1}, retry.Decision{Reason: retry.ReasonProtected}},
+		{"protected and preempted", retry.Attempt{Outcome: retry.OutcomePreempted, Protected: true, Number: 1}, retry.Decision{Reason: retry.ReasonProtected}},
+		{"delivered", retry.Attempt{Outcome: retry.OutcomeFailed, Delivered: 1, Number: 1}, retry.Decision{Reason: retry.ReasonDelivered}},
+		{"bound", retry.Attempt{Outcome: retry.OutcomeFailed, Number: 3, Bound: 3}, retry.Decision{Reason: retry.ReasonBound}},
+		{"deadline", retry.Attempt{Outcome: retry.OutcomeNotRun, Number: 1, DeadlineMs: 1100, RetryAfterMs: 100}, retry.Decision{Reason: retry.ReasonDeadline}},
+		{"preempted past the bound", retry.Attempt{Outcome: retry.OutcomePreempted, Delivered: 5, Resumable: true, Number: 9, Bound: 3}, retry.Decision{Retry: true}},
+	}
+	for _, tt := range tests {
+		got := retry.NewBudget(retry.Config{}).Decide(1000, tt.a, newRand())
+		if diff := cmp.Diff(tt.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
+
+func TestBackoffKeepsRetryAfter(t *testing.T) {
+	rnd := newRand()
+	var longest clock.Millis
+	for i := range 1000 {
+		if got := retry.Backoff(i%10, 2*clock.Second, rnd); got < 2*clock.Second {
+			t.Fatalf("waits %d ms, want at least 2000", got)
+		}
+		longest = max(longest, retry.Backoff(20, 0, rnd))
+	}
+	if longest > 5*clock.Second || longest < 4*clock.Second {
+		t.Errorf("longest backoff %d ms, want up to 5000", longest)
+	}
+}
+
+func TestHedge(t *testing.T) {
+	b := retry.NewBudget(retry.Config{Burst: 1})
+	l := retry.NewLatency()
+	for i := range clock.Millis(99) {
+		l.Add(0, i+1)
+	}
+	if _, known := l.P95(0); known {
+		t.Error("the percentile of 99 samples is known")
+	}
+	l.Add(0, 100)
+	p95, known := l.P95(0)
+	if !known || p95 < 94 || p95 > 96 {
+		t.Errorf("p95 = %d known %t, want 95", p95, known)
+	}
+	slow := retry.Pending{WaitedMs: p95}
+	got := []bool{
+		b.Hedge(retry.Pending{WaitedMs: p95 - 1}, p95, known),
+		b.Hedge(retry.Pending{WaitedMs: p95, Protected: true}, p95, known),
+		b.Hedge(retry.Pending{WaitedMs: p95, FirstToken: true}, p95, known),
+		b.Hedge(slow, p95, false),
+		b.Hedge(slow, p95, known),
+		b.Hedge(slow, p95, known),
+	}
+	if diff := cmp.Diff([]bool{false, false, false, false, true, false}, got); diff != "" {
+		t.Errorf("hedges (-want +got):\n%s", diff)
+	}
+	if _, known := l.P95(2 * clock.Minute); known {
+		t.Error("the percentile of old samples is known")
+	}
+}
--- a/internal/policy/slots/tree.go
+++ b/internal/policy/slots/tree.go
@@ -177,17 +177,3 @@
 	}
 	return t.root.total
 }
-
-// each calls f for all values in order.
-func (t *tree[T]) each(f func(T)) {
-	eachNode(t.root, f)
-}
-
-func eachNode[T any](n *node[T], f func(T)) {
-	if n == nil {
-		return
-	}
-	eachNode(n.left, f)
-	f(n.value)
-	eachNode(n.right, f)
-}
