Slots: resumed requests keep their place in the order and have no first-token target

A resumed request without a deadline went last in its account and was never finished in an overload.

--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -54,6 +54,11 @@
 	sampleTokens int
 }
 
+// hasTarget tells whether the first-token target is held against it.
+func (it *item) hasTarget() bool {
+	return it.r.DeadlineMs > 0 && !it.r.Resumed
+}
+
 func (it *item) promptCost() float64 {
 	return float64(it.r.PromptTokens) / promptTokensPerToken
 }
@@ -204,7 +209,7 @@
 	t.attach(a)
 	it.class.waiting++
 	t.waiting++
-	if it.r.DeadlineMs > 0 {
+	if it.hasTarget() {
 		it.expiry = key{deadline: float64(it.r.DeadlineMs) - t.credit, seq: it.seq}
 		t.expiry.insert(it.expiry, sums{}, it)
 	}
@@ -219,7 +224,7 @@
 	t.attach(a)
 	it.class.waiting--
 	t.waiting--
-	if it.r.DeadlineMs > 0 {
+	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
 	}
 }
--- a/internal/policy/slots/shed.go
+++ b/internal/policy/slots/shed.go
@@ -31,7 +31,7 @@
 
 // leftMs returns the time until the extended deadline of it.
 func (s *Slots) leftMs(it *item) float64 {
-	if it.r.DeadlineMs == 0 {
+	if !it.hasTarget() {
 		return math.Inf(1)
 	}
 	deadline := float64(it.r.DeadlineMs)
@@ -47,7 +47,7 @@
 
 // feasible tells whether a start after wait meets the deadline of it.
 func (s *Slots) feasible(it *item, wait, margin float64) bool {
-	if s.cfg.NoShedding || it.r.DeadlineMs == 0 {
+	if s.cfg.NoShedding || !it.hasTarget() {
 		return true
 	}
 	left := s.leftMs(it)
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -67,6 +67,9 @@
 	EstTokens int `json:"estTokens"`
 	// Preemptible tells that the request may be stopped and resumed later.
 	Preemptible bool `json:"preemptible"`
+	// Resumed tells that the request goes on after a preemption: DeadlineMs
+	// still orders it, but is not held against it.
+	Resumed bool `json:"resumed,omitempty"`
 }
 
 // Verdict is an estimate for a reservation.
