--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -55,6 +55,7 @@
 func (e *Engine) begin(req chatRequest, r *http.Request) *job {
 	j := &job{req: req, plan: e.plan(req), cancelled: make(chan struct{}), ended: make(chan struct{})}
 	j.record = JobRecord{
+		StartedMs:    e.clock.Wall(),
 		RequestID:    req.RequestID,
 		Attempt:      r.Header.Get(backend.HeaderAttempt),
 		Account:      r.Header.Get(backend.HeaderAccount),
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -91,11 +91,12 @@
 
 // JobRecord is one chat completion that the engine began.
 type JobRecord struct {
-	RequestID string `json:"requestId"`
-	Attempt   string `json:"attempt"`
-	Account   string `json:"account"`
-	Nonce     string `json:"nonce"`
-	Priority  int    `json:"priority"`
+	StartedMs clock.Millis `json:"startedMs"`
+	RequestID string       `json:"requestId"`
+	Attempt   string       `json:"attempt"`
+	Account   string       `json:"account"`
+	Nonce     string       `json:"nonce"`
+	Priority  int          `json:"priority"`
 	// PromptTokens counts the prompt, CachedTokens the part found in the cache.
 	PromptTokens int `json:"promptTokens"`
 	CachedTokens int `json:"cachedTokens"`
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -31,6 +31,7 @@
 // Execution is one execution of a request.
 type Execution struct {
 	AtMs           clock.Millis `json:"atMs"`
+	Server         string       `json:"server"`
 	Account        string       `json:"account"`
 	IdempotencyKey string       `json:"idempotencyKey"`
 	Attempt        string       `json:"attempt"`
@@ -107,6 +108,7 @@
 	}
 	e := Execution{
 		AtMs:           clock.System{}.Wall(),
+		Server:         s.cfg.Name,
 		Account:        r.Header.Get(backend.HeaderAccount),
 		IdempotencyKey: r.Header.Get(backend.HeaderIdempotency),
 		Attempt:        r.Header.Get(backend.HeaderAttempt),
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -43,7 +43,7 @@
 	if diff := cmp.Diff(want, answer); diff != "" || err != nil {
 		t.Errorf("%v, answer (-want +got):\n%s", err, diff)
 	}
-	e := service.Execution{Account: "a", IdempotencyKey: "k", Attempt: "1", Nonce: "N", Method: "POST", Path: "/deposits", Done: true}
+	e := service.Execution{Server: "s", Account: "a", IdempotencyKey: "k", Attempt: "1", Nonce: "N", Method: "POST", Path: "/deposits", Done: true}
 	e3 := e
 	e3.Attempt = "3"
 	if diff := cmp.Diff([]service.Execution{e, e3}, s.Executions(), cmpopts.IgnoreFields(service.Execution{}, "AtMs")); diff != "" {
