--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,7 +68,7 @@
 // UnmarshalJSON decodes and checks a fault.
 func (f *Fault) UnmarshalJSON(data []byte) error {
 	type plain Fault
-	p := plain{Status: http.StatusServiceUnavailable}
+	var p plain
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&p); err != nil {
@@ -153,7 +154,7 @@
 	switch f.Kind {
 	case KindFail:
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, "fault", f.Status)
+		http.Error(w, "fault", cmp.Or(f.Status, http.StatusServiceUnavailable))
 	case KindDelay:
 		if (clock.System{}).Sleep(r.Context(), f.DelayMs) == nil {
 			next.ServeHTTP(w, r)
