Slots: a turn whose attempt generated nothing is given back to its class

A class whose requests started on ordinary turns and were preempted before the first token had paid for those turns, and could starve with a floor configured.

--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -92,10 +92,9 @@
 	s.occupied[it.r.Tier]++
 	if floor {
 		s.floors[it.r.Tier]++
-		it.class.earned--
-	} else {
-		it.class.earned = math.Max(0, it.class.earned-1)
 	}
+	it.paid = math.Min(1, it.class.earned)
+	it.class.earned -= it.paid
 }
 
 // begin turns an occupied slot into a running request.
@@ -145,8 +144,9 @@
 	used := 0.0
 	if it.state != stateOffered {
 		used = float64(it.tokens) + it.promptCost()
-	} else if it.floor {
-		it.class.earned++
+	}
+	if it.tokens == 0 && it.state != stateRunning {
+		it.class.earned += it.paid
 	}
 	it.tier.charge(it.acct, used-it.charged)
 	s.occupied[it.r.Tier]--
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -36,7 +36,8 @@
 	est     float64 // expected output tokens
 	charged float64 // tokens charged to the account
 	tokens  int
-	floor   bool // started on a floor turn
+	floor   bool    // started on a floor turn
+	paid    float64 // earned turns that its class spent on it
 
 	tier  *tierQueue
 	acct  *account
