Operators' address: changes are read back and sent on before they are told

Cause: an operator's acceptance must survive a log outage right after it. A change made against its own or a later version is rejected.

--- a/internal/peer/config/store.go
+++ b/internal/peer/config/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -102,9 +103,10 @@
 	return nil
 }
 
-// Outcome is the fold's decision about a change at an offset.
+// Outcome is the fold's decision about a record.
 type Outcome struct {
 	Offset  int64
+	Data    json.RawMessage
 	Verdict directory.Verdict
 }
 
@@ -115,7 +117,7 @@
 	defer s.mu.Unlock()
 	for _, f := range s.tail {
 		if f.record.Offset >= from && f.verdict.ChangeID == id {
-			return Outcome{f.record.Offset, f.verdict}, true
+			return Outcome{f.record.Offset, f.record.Data, f.verdict}, true
 		}
 	}
 	return Outcome{}, false
--- a/internal/state/directory/fold.go
+++ b/internal/state/directory/fold.go
@@ -64,6 +64,9 @@
 }
 
 func (d *Directory) applyOps(offset int64, c Change) (*Directory, error) {
+	if c.BasedOn < 0 || c.BasedOn >= offset {
+		return nil, &FieldError{"change.basedOn", c.BasedOn, fmt.Sprintf("must be a version before the change's own, %d", offset)}
+	}
 	for _, op := range c.Ops {
 		if at, _ := d.changed.get(op.Subject()); at > c.BasedOn {
 			return nil, &ConflictError{op.Subject(), c.BasedOn, at}
--- a/internal/state/directory/fold_test.go
+++ b/internal/state/directory/fold_test.go
@@ -178,6 +178,10 @@
 	if _, v := d.Apply(d.Version()+1, encoded(t, issue)); v.Accepted {
 		t.Error("an old change issued a forgotten key again")
 	}
+	issue.BasedOn = d.Version() + 1
+	if _, v := d.Apply(d.Version()+1, encoded(t, issue)); v.Accepted {
+		t.Error("a change based on its own version was accepted")
+	}
 }
 
 func TestChangeIsRefusedWithPlaceAndReason(t *testing.T) {
