--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// prefixBytes is the length of the start of a prompt that is hashed for
-	// prefix affinity.
-	prefixBytes = 1024
 	// bytesPerToken is the usual length of a token of text.
 	bytesPerToken = 4
 )
@@ -27,9 +24,9 @@
 	MaxTokens int
 	// PromptTokens is an estimate from the prompt's length.
 	PromptTokens int
-	// Prefix is a hash over the start of the messages.
-	Prefix uint64
-	Body   []byte
+	// Prefixes are hashes over starts of the messages, the longest last.
+	Prefixes []uint64
+	Body     []byte
 }
 
 type body struct {
@@ -65,11 +62,25 @@
 		IncludeUsage: b.StreamOptions.IncludeUsage,
 		MaxTokens:    max(b.MaxTokens, b.MaxCompletionTokens),
 		PromptTokens: len(messages)/bytesPerToken + 1,
-		Prefix:       xxhash.Sum64(messages[:min(len(messages), prefixBytes)]),
+		Prefixes:     prefixes(messages),
 		Body:         data,
 	}, nil
 }
 
+// prefixLengths are the lengths, in bytes, of the hashed starts of a prompt.
+var prefixLengths = []int{256, 1024, 4096, 16384}
+
+func prefixes(messages []byte) []uint64 {
+	var out []uint64
+	for _, n := range prefixLengths {
+		if n > len(messages) {
+			break
+		}
+		out = append(out, xxhash.Sum64(messages[:n]))
+	}
+	return out
+}
+
 func decodeError(err error) *Error {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -25,11 +25,20 @@
 	err io.Writer
 }
 
+// line prints one name=value line for programs to read.
+func (o output) line(name, value string) {
+	fmt.Fprintf(o.out, "%s=%s\n", name, value)
+}
+
 // command adds one command to the parser.
 type command func(p *flags.Parser, o output) error
 
 // registered lists the commands in the order of the help text.
-var registered = []command{}
+var registered = []command{
+	addEntry,
+	addSidecar,
+	addSolo,
+}
 
 // Execute runs the command line args and returns the exit code.
 func Execute(args []string, out, errOut io.Writer) int {
--- a/internal/peer/dispatch/exchange.go
+++ b/internal/peer/dispatch/exchange.go
@@ -7,45 +7,34 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/damaskport/damaskport/internal/platform/logservice"
-	"github.com/damaskport/damaskport/internal/state/directory"
+	"github.com/damaskport/damaskport/internal/peer/config"
 )
 
 const fetchTimeout = time.Second
 
-// ConfigStore holds the configuration of one process.
-type ConfigStore interface {
-	Current() *directory.Directory
-	// RecordsSince returns the records above version, or a snapshot with the
-	// records after it when the store no longer holds them all.
-	RecordsSince(version int64) ([]logservice.Record, *directory.Snapshot)
-	Offer(records []logservice.Record) error
-	OfferSnapshot(s directory.Snapshot) error
-}
-
 // Exchange brings processes to the same configuration: whoever learns that a
 // peer has a higher version fetches the records that it lacks.
 type Exchange struct {
-	store    ConfigStore
+	store    *config.Store
 	log      logrus.FieldLogger
 	fetching atomic.Bool
 }
 
 // NewExchange returns an Exchange for the process that holds store.
-func NewExchange(store ConfigStore, log logrus.FieldLogger) *Exchange {
+func NewExchange(store *config.Store, log logrus.FieldLogger) *Exchange {
 	return &Exchange{store: store, log: log}
 }
 
 // Reply answers a peer that lacks records.
-func (x *Exchange) Reply(f FetchConfig) FetchConfigReply {
-	records, snapshot := x.store.RecordsSince(f.Since)
-	return FetchConfigReply{Snapshot: snapshot, Records: records}
+func (x *Exchange) Reply(f FetchConfig) (FetchConfigReply, error) {
+	up, err := x.store.RecordsSince(f.Since)
+	return FetchConfigReply{Update: up, Version: x.store.Version(), Ready: x.store.Ready()}, err
 }
 
 // Observe takes in a peer's state and fetches what this process lacks. It
 // does not block.
 func (x *Exchange) Observe(l *Link, st State) {
-	if st.ConfigVersion <= x.store.Current().Version() {
+	if st.Config.Number <= x.store.Directory().Version() {
 		return
 	}
 	if !x.fetching.CompareAndSwap(false, true) {
@@ -59,17 +48,30 @@
 	}()
 }
 
+// fetch asks until the peer has nothing more to give.
 func (x *Exchange) fetch(l *Link) error {
 	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
 	defer cancel()
-	var reply FetchConfigReply
-	if err := l.Call(ctx, MethodFetchConfig, FetchConfig{Since: x.store.Current().Version()}, &reply); err != nil {
-		return err
-	}
-	if reply.Snapshot != nil {
-		if err := x.store.OfferSnapshot(*reply.Snapshot); err != nil {
+	for {
+		before := x.store.Version()
+		var reply FetchConfigReply
+		if err := l.Call(ctx, MethodFetchConfig, FetchConfig{Since: before}, &reply); err != nil {
+			return err
+		}
+		if reply.Update.Snapshot != nil {
+			if err := x.store.OfferSnapshot(*reply.Update.Snapshot); err != nil {
+				return err
+			}
+		}
+		if err := x.store.Offer(reply.Update.Records); err != nil {
 			return err
 		}
+		now := x.store.Version()
+		if reply.Ready && now.Number >= reply.Version.Number {
+			x.store.MarkReady()
+		}
+		if now.Number >= reply.Version.Number || now == before {
+			return nil
+		}
 	}
-	return x.store.Offer(reply.Records)
 }
--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -138,6 +138,11 @@
 	return l.ctx.Done()
 }
 
+// Closed reports whether the link has ended.
+func (l *Link) Closed() bool {
+	return l.ctx.Err() != nil
+}
+
 // Close ends the link. It may be called more than once.
 func (l *Link) Close() {
 	l.closeOne.Do(func() {
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -8,8 +8,9 @@
 
 import (
 	"encoding/json"
+	"slices"
 
-	"github.com/damaskport/damaskport/internal/platform/logservice"
+	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -56,8 +57,7 @@
 
 // State is what each side tells the other with every greeting and heartbeat.
 type State struct {
-	ConfigVersion int64  `json:"configVersion"`
-	ConfigDigest  uint64 `json:"configDigest"`
+	Config config.Version `json:"config"`
 	// Leaving tells that the sender takes no new work, or, from an entry,
 	// that the platform lists the sidecar's instance as leaving.
 	Leaving bool `json:"leaving,omitempty"`
@@ -91,10 +91,16 @@
 	TokenMs float64 `json:"tokenMs,omitempty"`
 }
 
-// Heartbeat shows that the sender lives.
+// Heartbeat shows that the sender lives. State and load are left out when they
+// are the same as in the sender's last message on the connection.
 type Heartbeat struct {
-	State State `json:"state"`
-	Load  *Load `json:"load,omitempty"`
+	State *State `json:"state,omitempty"`
+	Load  *Load  `json:"load,omitempty"`
+}
+
+// Equal reports whether two loads are the same.
+func (l Load) Equal(o Load) bool {
+	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting)
 }
 
 // Reservation asks for a slot.
@@ -152,15 +158,16 @@
 	ID string `json:"id"`
 }
 
-// FetchConfig asks for the configuration records above a version.
+// FetchConfig asks for what follows a version of the configuration.
 type FetchConfig struct {
-	Since int64 `json:"since"`
+	Since config.Version `json:"since"`
 }
 
-// FetchConfigReply holds records, or a snapshot with the records after it.
+// FetchConfigReply holds what follows, and the version of the one who answers.
 type FetchConfigReply struct {
-	Snapshot *directory.Snapshot `json:"snapshot,omitempty"`
-	Records  []logservice.Record `json:"records,omitempty"`
+	Update  config.Update  `json:"update"`
+	Version config.Version `json:"version"`
+	Ready   bool           `json:"ready"`
 }
 
 // Request describes what is to be run, as the header HeaderRequest of the data
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -35,8 +36,8 @@
 func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *openai.Error) {
 	var last *openai.Error
 	for round := 0; round < maxRounds; round++ {
-		ps := d.e.peers.pool(j.pool.Name)
-		if p := d.e.router.immediate(j, ps); p != nil {
+		c := d.e.router.choose(j)
+		if p := c.direct; p != nil {
 			ans, err := d.attempt(ctx, j, p, j.nextAttempt())
 			if ans != nil || final(err) {
 				return ans, err.unwrap()
@@ -47,11 +48,10 @@
 				continue
 			}
 		}
-		candidates := d.e.router.candidates(j, ps, d.e.cfg.Candidates)
-		if len(candidates) == 0 {
+		if len(c.candidates) == 0 {
 			break
 		}
-		ans, err := d.reserve(ctx, j, candidates)
+		ans, err := d.reserve(ctx, j, c.candidates)
 		if ans != nil || final(err) {
 			return ans, err.unwrap()
 		}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, &attemptError{err: internalError(err)}
 	}
-	p.took()
+	p.took(j)
 	res, err := d.http.Do(req)
 	if err != nil {
 		p.gave()
@@ -146,7 +146,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return &attemptError{err: unavailable("the backend server could not be reached"), again: true}
 	}
-	return &attemptError{err: lost(j, "the backend server gave no answer"), again: !j.request.Protected && d.e.retries.allow(j.pool.Name)}
+	return &attemptError{err: lost(j, "the backend server gave no answer"), again: d.e.retries.allow(j, retry.OutcomeUnknown)}
 }
 
 // refused judges an attempt that the sidecar did not carry out.
@@ -157,7 +157,7 @@
 		err = json.Unmarshal(data, &r)
 	}
 	if err != nil {
-		return &attemptError{err: lost(j, "the backend server's answer was cut short"), again: !j.request.Protected && d.e.retries.allow(j.pool.Name)}
+		return &attemptError{err: lost(j, "the backend server's answer was cut short"), again: d.e.retries.allow(j, retry.OutcomeUnknown)}
 	}
 	out := refusalError(j, r)
 	switch r.Code {
@@ -167,7 +167,11 @@
 	case dispatch.CodeLeaving:
 		return &attemptError{err: out, again: true}
 	case dispatch.CodeUnavailable:
-		return &attemptError{err: out, again: (r.NotRun || !j.request.Protected) && d.e.retries.allow(j.pool.Name)}
+		outcome := retry.OutcomeUnknown
+		if r.NotRun {
+			outcome = retry.OutcomeNotRun
+		}
+		return &attemptError{err: out, again: d.e.retries.allow(j, outcome)}
 	}
 	return &attemptError{err: out}
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -79,7 +79,7 @@
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
-	e.retries = newRetries(e)
+	e.retries = newRetries(d.Clock)
 	e.dispatcher = &dispatcher{e: e, http: dataClient()}
 	var err error
 	if e.callerLn, err = net.Listen("tcp", e.cfg.CallerAddr); err != nil {
@@ -161,13 +161,14 @@
 // watchConfig ends the requests of withdrawn keys and tells the sidecars of
 // each new version.
 func (e *Entry) watchConfig(ctx context.Context) error {
-	changed := e.store.Subscribe()
+	changed, end := e.store.Subscribe()
+	defer end()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			e.active.withdraw(e.store.Current())
+			e.active.withdraw(e.store.Directory())
 			for _, p := range e.peers.all() {
 				p.beatNow()
 			}
@@ -180,15 +181,14 @@
 	if e.draining.Load() {
 		return errors.New("draining")
 	}
-	if e.store.Current().Version() == 0 {
+	if !e.store.Ready() {
 		return errors.New("no configuration yet")
 	}
 	return nil
 }
 
 func (e *Entry) state() dispatch.State {
-	d := e.store.Current()
-	return dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest()}
+	return dispatch.State{Config: e.store.Version()}
 }
 
 // newID returns an id that no other request of any entry has.
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -19,7 +19,7 @@
 	pool     directory.Pool
 	request  dispatch.Request
 	body     []byte
-	prefix   uint64
+	prefixes []uint64
 	prompt   int
 	estimate int
 	arrived  clock.Millis
--- a/internal/role/entry/metrics.go
+++ b/internal/role/entry/metrics.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -35,7 +36,8 @@
 }
 
 func newMetrics() *metrics {
-	r := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "damaskport", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -9,6 +9,8 @@
 	"github.com/damaskport/damaskport/internal/backend/engine"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 // maxAttempts bounds the attempts of one chat completion.
@@ -62,7 +64,7 @@
 	}
 	return &job{
 		id: e.newID(), account: q.account, class: class, keyID: q.key.ID, pool: pool, body: body,
-		prefix: req.Prefix, prompt: req.PromptTokens, estimate: req.MaxTokens,
+		prefixes: req.Prefixes, prompt: req.PromptTokens, estimate: req.MaxTokens,
 		arrived: q.arrived, preemptible: class.Resume, tried: map[*peer]bool{},
 	}, req, nil
 }
@@ -78,7 +80,11 @@
 	streaming bool
 	whole     *openai.Assembler
 	rewrite   openai.Continuation
-	firstAt   bool
+	// firstAt is when the first token arrived; 0 is not yet.
+	firstAt clock.Millis
+	// attemptAt and attemptTokens tell the pace of the present attempt.
+	attemptAt     clock.Millis
+	attemptTokens int
 }
 
 // run carries the job through its attempts until the answer is complete.
@@ -91,6 +97,7 @@
 		}
 		end, failure := x.relay(ctx, ans)
 		ans.close()
+		x.notePace(ans.peer)
 		if failure != nil {
 			return failure
 		}
@@ -119,15 +126,15 @@
 		e.NotRun = false
 		return e
 	case dispatch.EndPreempted:
+		if !x.e.retries.allow(x.j, retry.OutcomePreempted) {
+			return lost(x.j, "the answer was interrupted")
+		}
 	default:
 		ans.peer.suspect()
-		if !x.e.retries.allow(x.j.pool.Name) {
-			return lost(x.j, "the answer was interrupted and too many requests are being retried")
+		if !x.e.retries.allow(x.j, retry.OutcomeFailed) {
+			return lost(x.j, "the answer was interrupted")
 		}
 	}
-	if x.j.delivered > 0 && !x.j.preemptible {
-		return lost(x.j, "the answer was interrupted")
-	}
 	if x.j.delivered == 0 {
 		x.whole = nil
 	}
@@ -168,8 +175,7 @@
 		return nil
 	}
 	if ev.Tokens > 0 {
-		x.noteFirst()
-		x.j.delivered += ev.Tokens
+		x.noteToken(ev.Tokens)
 	}
 	if !x.req.Stream {
 		if x.whole == nil {
@@ -193,12 +199,28 @@
 	return nil
 }
 
-func (x *exchange) noteFirst() {
-	if x.firstAt {
-		return
+// noteToken counts tokens that are about to be delivered.
+func (x *exchange) noteToken(n int) {
+	now := x.e.clock.Now()
+	if x.firstAt == 0 {
+		x.firstAt = now
+		x.e.metrics.firstToken(x.j.class.Name, now-x.j.arrived)
+	}
+	if x.attemptTokens == 0 {
+		x.attemptAt = now
+	}
+	x.attemptTokens += n
+	x.j.delivered += n
+}
+
+// notePace tells the router the time per token of the attempt that has ended.
+func (x *exchange) notePace(p *peer) {
+	const fewest = 8 // tokens below which the pace says little
+	if x.attemptTokens >= fewest {
+		took := x.e.clock.Now() - x.attemptAt
+		x.e.router.observe(p, float64(took)/float64(x.attemptTokens-1))
 	}
-	x.firstAt = true
-	x.e.metrics.firstToken(x.j.class.Name, x.e.clock.Now()-x.j.arrived)
+	x.attemptTokens = 0
 }
 
 func (x *exchange) begin() {
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -30,7 +30,11 @@
 	instance membership.Instance
 	mu       sync.Mutex
 	link     *dispatch.Link
+	told     dispatch.State // last state told on link
 	hello    dispatch.HelloReply
+	// reported is the sidecar's last report; load is the report corrected by
+	// what this entry has started and ended there since.
+	reported dispatch.Load
 	load     dispatch.Load
 	loadAt   clock.Millis
 	leaving  bool
@@ -101,12 +105,17 @@
 	}
 	p.mu.Lock()
 	p.link = l
+	p.told = hello.State
 	p.hello = reply
+	p.reported = reply.Load
 	p.load = reply.Load
 	p.loadAt = p.e.clock.Now()
 	p.leaving = reply.State.Leaving
 	p.mu.Unlock()
+	p.report()
 	p.e.exchange.Observe(l, reply.State)
+	// The state may have changed since the greeting was written.
+	p.beat(l)
 	p.e.log.WithFields(logrus.Fields{"event": "peerUp", "peer": reply.Name, "pool": reply.Pool}).Info("connected")
 	p.e.peers.changed()
 	return nil
@@ -118,9 +127,16 @@
 	return st
 }
 
-// beat sends a heartbeat on l.
+// beat sends a heartbeat on l, with the state only if it has changed.
 func (p *peer) beat(l *dispatch.Link) {
-	l.Notify(dispatch.MethodHeartbeat, dispatch.Heartbeat{State: p.state()})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := dispatch.Heartbeat{}
+	if st := p.state(); st != p.told {
+		p.told = st
+		h.State = &st
+	}
+	l.Notify(dispatch.MethodHeartbeat, h)
 }
 
 // beatNow sends a heartbeat at once, as after a change of configuration.
@@ -134,6 +150,7 @@
 	p.mu.Lock()
 	p.link = nil
 	p.mu.Unlock()
+	p.e.router.remove(p)
 	p.e.dispatcher.peerGone(p)
 	p.e.peers.changed()
 }
@@ -192,7 +209,7 @@
 		if err := json.Unmarshal(params, &f); err != nil {
 			return nil, err
 		}
-		return p.e.exchange.Reply(f), nil
+		return p.e.exchange.Reply(f)
 	default:
 		return nil, errors.Errorf("unknown method %q", method)
 	}
@@ -200,24 +217,32 @@
 }
 
 func (p *peer) heartbeat(l *dispatch.Link, h dispatch.Heartbeat) {
-	p.e.exchange.Observe(l, h.State)
 	p.mu.Lock()
 	was := p.leaving
-	p.leaving = h.State.Leaving
+	if h.State != nil {
+		p.leaving = h.State.Leaving
+	}
 	if h.Load != nil {
-		p.load = *h.Load
-		p.loadAt = p.e.clock.Now()
+		p.reported = *h.Load
 	}
+	p.load = p.reported
+	p.loadAt = p.e.clock.Now()
+	changed := was != p.leaving
 	p.mu.Unlock()
-	if was != h.State.Leaving {
+	p.report()
+	if h.State != nil {
+		p.e.exchange.Observe(l, *h.State)
+	}
+	if changed {
 		p.e.peers.changed()
 	}
 }
 
 // took notes that a request was bound here, so that the known free slots fall
 // before the next report.
-func (p *peer) took() {
+func (p *peer) took(j *job) {
 	p.inFlight.Add(1)
+	p.e.router.sent(j, p)
 	p.mu.Lock()
 	p.load.Free--
 	p.mu.Unlock()
@@ -226,6 +251,7 @@
 // gave notes that a request has ended here.
 func (p *peer) gave() {
 	p.inFlight.Add(-1)
+	p.e.router.done(p)
 	p.mu.Lock()
 	p.load.Free++
 	p.mu.Unlock()
@@ -236,4 +262,23 @@
 	p.mu.Lock()
 	p.load.Free = 0
 	p.mu.Unlock()
+	p.report()
+}
+
+// free returns the number of slots that are thought to be free.
+func (p *peer) free() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.load.Free
+}
+
+// report tells the router what is known of the sidecar.
+func (p *peer) report() {
+	p.mu.Lock()
+	v := p.view(p.e.clock.Now())
+	usable := p.link != nil
+	p.mu.Unlock()
+	if usable {
+		p.e.router.report(p, v)
+	}
 }
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -15,11 +15,12 @@
 	listEvery    = 500 * clock.Millisecond
 	minHeartbeat = 500 * clock.Millisecond
 	maxHeartbeat = 8 * clock.Second
-	// heartbeatBytes is the size of a heartbeat and its answer on the wire.
-	heartbeatBytes = 320
+	// heartbeatBytes is the size of a heartbeat and its answer on the wire when
+	// nothing has changed.
+	heartbeatBytes = 128
 	// heartbeatBudget is the rate at which an entry's heartbeats may use the
 	// network, in bytes per second.
-	heartbeatBudget = 1024
+	heartbeatBudget = 1536
 	// forgetAfter is how long an instance must be missing from the list
 	// before its connection is closed.
 	forgetAfter = 10 * clock.Second
@@ -97,6 +98,7 @@
 func (ps *peers) markLeaving(p *peer, leaving bool) {
 	if p.listedLeaving.Swap(leaving) != leaving {
 		p.e.log.WithFields(logrus.Fields{"event": "listedLeaving", "peer": p.instance.Name, "leaving": leaving}).Info("list changed")
+		p.report()
 		p.beatNow()
 	}
 }
@@ -114,14 +116,17 @@
 // subset returns the instances to which this entry connects.
 func (ps *peers) subset(list membership.List) []membership.Instance {
 	byPool := map[string][]membership.Instance{}
+	entries := []string{ps.e.name}
 	for _, in := range list.Instances {
 		if in.Role == membership.RoleBackend {
 			byPool[in.Pool] = append(byPool[in.Pool], in)
+		} else if in.Name != ps.e.name {
+			entries = append(entries, in.Name)
 		}
 	}
 	var out []membership.Instance
 	for _, members := range byPool {
-		out = append(out, ps.e.router.subset(ps.e.name, members)...)
+		out = append(out, ps.e.router.subset(entries, members)...)
 	}
 	return out
 }
@@ -171,3 +176,14 @@
 	byBudget := clock.Millis(n*heartbeatBytes) * clock.Second / heartbeatBudget
 	return min(max(byBudget, minHeartbeat), maxHeartbeat)
 }
+
+// Connected returns the number of sidecars that can be used.
+func (e *Entry) Connected() int {
+	e.peers.mu.RLock()
+	defer e.peers.mu.RUnlock()
+	n := 0
+	for _, ps := range e.peers.pools {
+		n += len(ps)
+	}
+	return n
+}
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -60,8 +60,8 @@
 
 // open authenticates a request. done must be called when it has been served.
 func (e *Entry) open(_ http.ResponseWriter, r *http.Request) (q *query, done func(), failure *openai.Error) {
-	d := e.store.Current()
-	if d.Version() == 0 {
+	d := e.store.Directory()
+	if !e.store.Ready() {
 		return nil, nil, unavailable("the entry has no configuration yet")
 	}
 	key, account, failure := authenticate(d, r)
@@ -72,7 +72,7 @@
 	q = &query{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel}
 	e.active.add(q)
 	// The key may have been withdrawn between the look-up and add.
-	e.active.withdraw(e.store.Current())
+	e.active.withdraw(e.store.Directory())
 	return q, func() {
 		e.active.remove(q)
 		cancel(nil)
--- /dev/null
+++ b/internal/role/process/admin.go
@@ -0,0 +1,43 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const adminHeaderTimeout = 5 * time.Second
+
+// AdminServer serves the operators' address of an entry.
+type AdminServer struct {
+	ln  net.Listener
+	mux *http.ServeMux
+}
+
+func listenAdmin(addr string) (*AdminServer, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &AdminServer{ln: ln, mux: http.NewServeMux()}, nil
+}
+
+// Addr returns the address as host:port.
+func (a *AdminServer) Addr() string { return a.ln.Addr().String() }
+
+// URL returns the base URL.
+func (a *AdminServer) URL() string { return "http://" + a.Addr() }
+
+// Run serves until ctx ends.
+func (a *AdminServer) Run(ctx context.Context) error {
+	srv := &http.Server{Handler: a.mux, ReadHeaderTimeout: adminHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/role/process/duties.go
@@ -0,0 +1,31 @@
+package process
+
+import (
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/platform/logservice"
+	"github.com/damaskport/damaskport/internal/role/entry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+)
+
+// entryDuties returns the duties of an entry beside those of its role.
+func entryDuties(_ settings.File, store *config.Store, logs *logservice.Client, clk clock.Clock, log logrus.FieldLogger) []supervise.Duty {
+	r := &config.Reader{Log: logs, Store: store, Clock: clk, Logger: log, WaitMs: readWait}
+	return []supervise.Duty{{Name: "configReader", Run: r.Run}}
+}
+
+// mount puts the operators' interface of e on the server.
+func (a *AdminServer) mount(e *entry.Entry) {
+	a.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	a.mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	a.mux.Handle("GET /metrics", e.Metrics())
+}
--- /dev/null
+++ b/internal/role/process/process.go
@@ -0,0 +1,135 @@
+// Package process puts the parts of one role together from its settings.
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/control/claims"
+	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/platform/logservice"
+	"github.com/damaskport/damaskport/internal/platform/membership"
+	"github.com/damaskport/damaskport/internal/role/entry"
+	"github.com/damaskport/damaskport/internal/role/sidecar"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/state/claim"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+const (
+	incarnationBytes = 6
+	// readWait is how long a read of the log waits for the next record.
+	readWait = 10 * clock.Second
+)
+
+// NewIncarnation returns an id that no other process has.
+func NewIncarnation() string {
+	b := make([]byte, incarnationBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// platformHTTP returns a client whose dials are bounded; each call sets its
+// own deadline.
+func platformHTTP(timeout clock.Millis) *http.Client {
+	d := &net.Dialer{Timeout: timeout.Duration()}
+	return &http.Client{
+		Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()},
+		Timeout:   (readWait + 2*timeout).Duration(),
+	}
+}
+
+// Entry is an entry with its parts.
+type Entry struct {
+	*entry.Entry
+	Admin *AdminServer
+}
+
+// NewEntry opens the addresses of an entry.
+func NewEntry(f settings.File, log logrus.FieldLogger) (*Entry, error) {
+	if f.Entry == nil {
+		return nil, errors.New("the settings have no section entry")
+	}
+	clk := clock.System{}
+	store := config.New(0)
+	h := platformHTTP(f.Platform.TimeoutMs)
+	logs := logservice.New(f.Platform.LogURL, h)
+	admin, err := listenAdmin(f.Entry.AdminAddr)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry.adminAddr")
+	}
+	e, err := entry.New(f, entry.Deps{
+		Log: log, Clock: clk, Store: store, Incarnation: NewIncarnation(),
+		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
+		IssueKey:  claim.IssueKey,
+		Duties:    entryDuties(f, store, logs, clk, log),
+	})
+	if err != nil {
+		return nil, err
+	}
+	admin.mount(e)
+	return &Entry{Entry: e, Admin: admin}, nil
+}
+
+// boundedLister bounds the time of each read of the list.
+type boundedLister struct {
+	c       *membership.Client
+	timeout clock.Millis
+}
+
+// List reads the list within the timeout.
+func (l boundedLister) List(ctx context.Context) (membership.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout.Duration())
+	defer cancel()
+	return l.c.List(ctx)
+}
+
+// NewSidecar opens the addresses of a sidecar.
+func NewSidecar(f settings.File, log logrus.FieldLogger) (*sidecar.Sidecar, error) {
+	if f.Sidecar == nil {
+		return nil, errors.New("the settings have no section sidecar")
+	}
+	clk := clock.System{}
+	inc := NewIncarnation()
+	logs := logservice.New(f.Platform.LogURL, platformHTTP(f.Platform.TimeoutMs))
+	c := claims.New(claims.Config{
+		Incarnation: inc, Shards: f.Platform.ClaimShards, WindowMs: f.Platform.ClaimWindowMs,
+		TimeoutMs: f.Platform.TimeoutMs,
+	}, logs, clk, log)
+	store := config.New(0)
+	m := newMeter()
+	claimsDuty := supervise.Duty{Name: "claims", Run: func(ctx context.Context) error {
+		if err := waitForService(ctx, store, f.Sidecar.Pool); err != nil {
+			return nil
+		}
+		return supervise.New(f.Name+"/claims", log, clk).Run(ctx, c.Duties()...)
+	}}
+	return sidecar.New(f, sidecar.Deps{
+		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Incarnation: inc, Duties: []supervise.Duty{claimsDuty},
+	})
+}
+
+// waitForService returns nil once the configuration says that the pool holds
+// plain services; only those need claims.
+func waitForService(ctx context.Context, store *config.Store, pool string) error {
+	changed, end := store.Subscribe()
+	defer end()
+	for {
+		if p, ok := store.Directory().Pool(pool); ok && p.Kind == directory.PoolService {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- a/internal/role/sidecar/control.go
+++ b/internal/role/sidecar/control.go
@@ -106,14 +106,16 @@
 		if err := json.Unmarshal(params, &h); err != nil {
 			return nil, err
 		}
-		c.s.observe(l, h.State)
+		if h.State != nil {
+			c.s.observe(l, *h.State)
+		}
 		c.s.put(heartbeatEvent{l})
 	case dispatch.MethodFetchConfig:
 		var f dispatch.FetchConfig
 		if err := json.Unmarshal(params, &f); err != nil {
 			return nil, err
 		}
-		return c.s.exchange.Reply(f), nil
+		return c.s.exchange.Reply(f)
 	default:
 		return nil, errors.Errorf("unknown method %q", method)
 	}
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -31,6 +31,7 @@
 	events  *ring.Ring[event]
 	waiting map[string]waiting
 	runs    map[string]*run
+	told    map[*dispatch.Link]told
 	// withdrawn reports whether a key id is withdrawn.
 	withdrawn func(keyID string) bool
 	state     func() dispatch.State
@@ -45,6 +46,12 @@
 	keyID string
 }
 
+// told is what an entry was told last.
+type told struct {
+	state dispatch.State
+	load  dispatch.Load
+}
+
 // run is an attempt that holds a slot.
 type run struct {
 	id    string
@@ -62,7 +69,7 @@
 func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, withdrawn func(string) bool, state func() dispatch.State) *core {
 	return &core{
 		slots: s, clock: clk, log: log, events: ring.New[event](coreRingSize),
-		waiting: map[string]waiting{}, runs: map[string]*run{},
+		waiting: map[string]waiting{}, runs: map[string]*run{}, told: map[*dispatch.Link]told{},
 		withdrawn: withdrawn, state: state,
 	}
 }
@@ -140,7 +147,7 @@
 
 func (c *core) load() dispatch.Load {
 	l := c.slots.Load()
-	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.Waiting[:], TokenMs: l.TokenMs}
+	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.WaitingByTier, TokenMs: l.TokenMs}
 }
 
 func wireVerdict(id string, v slots.Verdict) dispatch.Verdict {
--- a/internal/role/sidecar/events.go
+++ b/internal/role/sidecar/events.go
@@ -20,8 +20,13 @@
 		e.link.Notify(dispatch.MethodRefuse, dispatch.Verdict{ID: e.r.ID, LowestTier: -1, Final: true})
 		return
 	}
-	c.waiting[e.r.ID] = waiting{link: e.link, keyID: e.r.KeyID}
 	v := wireVerdict(e.r.ID, c.slots.Reserve(now, reservation(e.r, now)))
+	if !v.Feasible {
+		v.Final = true
+		e.link.Notify(dispatch.MethodRefuse, v)
+		return
+	}
+	c.waiting[e.r.ID] = waiting{link: e.link, keyID: e.r.KeyID}
 	e.link.Notify(dispatch.MethodVerdict, v)
 }
 
@@ -119,6 +124,7 @@
 }
 
 func (e goneEvent) apply(c *core, now clock.Millis) {
+	delete(c.told, e.link)
 	for id, w := range c.waiting {
 		if w.link == e.link {
 			delete(c.waiting, id)
@@ -132,8 +138,21 @@
 type heartbeatEvent struct{ link *dispatch.Link }
 
 func (e heartbeatEvent) apply(c *core, _ clock.Millis) {
-	load := c.load()
-	e.link.Notify(dispatch.MethodHeartbeat, dispatch.Heartbeat{State: c.state(), Load: &load})
+	if e.link.Closed() {
+		delete(c.told, e.link)
+		return
+	}
+	last := c.told[e.link]
+	now := told{c.state(), c.load()}
+	h := dispatch.Heartbeat{}
+	if now.state != last.state {
+		h.State = &now.state
+	}
+	if !now.load.Equal(last.load) {
+		h.Load = &now.load
+	}
+	c.told[e.link] = now
+	e.link.Notify(dispatch.MethodHeartbeat, h)
 }
 
 // loadEvent reads the load for a greeting.
--- a/internal/role/sidecar/plain.go
+++ b/internal/role/sidecar/plain.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -13,7 +14,10 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 )
 
-const copyBytes = 16 << 10
+const (
+	copyBytes        = 16 << 10
+	protectedTimeout = time.Minute
+)
 
 // serveService runs a request on the plain service. A protected request is
 // claimed first.
@@ -27,7 +31,7 @@
 		a.serveProtected(body)
 		return
 	}
-	res, err := a.call(body)
+	res, err := a.call(a.run.ctx, body)
 	if err != nil {
 		a.serviceFailed(err)
 		return
@@ -42,7 +46,15 @@
 		refuse(a.w, refusal)
 		return
 	}
-	res, err := a.call(body)
+	if a.run.ctx.Err() != nil {
+		a.s.claims.NotRun(a.run.id)
+		refuse(a.w, dispatch.Refusal{Code: dispatch.CodeUnavailable, Message: "the caller has left", NotRun: true})
+		return
+	}
+	// From here on the request runs to its end, also when the caller leaves.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.run.ctx), protectedTimeout)
+	defer cancel()
+	res, err := a.call(ctx, body)
 	if err == nil {
 		a.copyAnswer(res)
 		a.s.claims.Finish(a.run.id, res.StatusCode)
@@ -58,8 +70,8 @@
 	refuse(a.w, dispatch.Refusal{Code: dispatch.CodeUnknown, Message: "the plain service gave no answer; the request may have run", Unknown: true})
 }
 
-func (a *attempt) call(body []byte) (*http.Response, error) {
-	return a.s.service.Do(a.run.ctx, service.Call{
+func (a *attempt) call(ctx context.Context, body []byte) (*http.Response, error) {
+	return a.s.service.Do(ctx, service.Call{
 		Attempt: a.run.id, Account: a.resv.Account,
 		Method: a.req.Method, Path: a.req.Path, Header: a.req.Header,
 		Body: strings.NewReader(string(body)), IdempotencyKey: a.req.IdempotencyKey, Protected: a.req.Protected,
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -117,7 +117,7 @@
 
 func slotsConfig(cfg settings.Sidecar, p settings.Policy) slots.Config {
 	return slots.Config{
-		Slots: cfg.Slots, OfferTimeoutMs: offerTimeout, Order: slots.Order(p.Order),
+		Slots: cfg.Slots, OfferTimeoutMs: offerTimeout, Order: string(p.Order),
 		NoShares: p.NoShares, NoFloors: p.NoFloors, NoShedding: p.NoShedding, NoPreemption: p.NoPreemption,
 	}
 }
@@ -135,7 +135,7 @@
 		stop()
 	})
 	defer cancelDrain()
-	s.log.WithFields(logrus.Fields{"event": "start", "role": "sidecar", "control": s.ControlAddr(), "data": s.dataURL()}).Info("sidecar started")
+	s.log.WithFields(logrus.Fields{"event": "start", "role": "sidecar", "control": s.ControlAddr(), "data": s.DataURL()}).Info("sidecar started")
 	duties := append([]supervise.Duty{
 		{Name: "core", Run: s.runCore},
 		{Name: "control", Run: func(ctx context.Context) error { return s.control.serve(ctx, s.controlLn) }},
@@ -179,7 +179,8 @@
 
 // watchConfig applies withdrawn keys and tells entries the new version.
 func (s *Sidecar) watchConfig(ctx context.Context) error {
-	changed := s.store.Subscribe()
+	changed, end := s.store.Subscribe()
+	defer end()
 	for {
 		select {
 		case <-ctx.Done():
@@ -224,12 +225,11 @@
 }
 
 func (s *Sidecar) keyWithdrawn(id string) bool {
-	return s.store.Current().KeyWithdrawn(id)
+	return s.store.Directory().KeyWithdrawn(id)
 }
 
 func (s *Sidecar) state() dispatch.State {
-	d := s.store.Current()
-	return dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest(), Leaving: s.core.leaving}
+	return dispatch.State{Config: s.store.Version(), Leaving: s.core.leaving}
 }
 
 // observe takes in what an entry told of its state.
@@ -240,13 +240,13 @@
 	}
 }
 
-func (s *Sidecar) dataURL() string { return "http://" + s.dataLn.Addr().String() }
+// DataURL returns the base URL of the data connections.
+func (s *Sidecar) DataURL() string { return "http://" + s.dataLn.Addr().String() }
 
 func (s *Sidecar) greeting(load dispatch.Load) dispatch.HelloReply {
-	d := s.store.Current()
 	return dispatch.HelloReply{
 		Name: s.name, Incarnation: s.incarnation, Pool: s.cfg.Pool, Zone: s.zone,
-		DataURL: s.dataURL(), Slots: s.cfg.Slots, Load: load,
-		State: dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest()},
+		DataURL: s.DataURL(), Slots: s.cfg.Slots, Load: load,
+		State: dispatch.State{Config: s.store.Version()},
 	}
 }
