Peer configuration: Current, Changed and RecordsSince as the roles use them

Cause: the roles' exchange was written against these names; a waiter needs no subscription to end. Key ids are letters and digits, so that a key in a text can be found by its characters alone.

--- a/internal/operator/admin/change.go
+++ b/internal/operator/admin/change.go
@@ -110,7 +110,7 @@
 		return status, result
 	}
 	if !c.isUnconfirmed(change.ID) {
-		if _, err := store.Directory().WithChange(change); err != nil {
+		if _, err := store.Current().WithChange(change); err != nil {
 			return http.StatusConflict, Result{Reason: err.Error()}
 		}
 		if err := c.append(ctx, change.ID, data); err != nil {
@@ -139,9 +139,8 @@
 
 // await waits until the change is read back.
 func (c *changer) await(ctx context.Context, change directory.Change, data []byte) (int, Result) {
-	changed, cancel := c.deps.Store.Subscribe()
-	defer cancel()
 	for {
+		changed := c.deps.Store.Changed()
 		if status, result, done := c.decided(ctx, change, data); done {
 			return status, result
 		}
--- a/internal/operator/admin/handler.go
+++ b/internal/operator/admin/handler.go
@@ -57,7 +57,7 @@
 
 // serveConfig answers with the state, without the digests of keys.
 func serveConfig(w http.ResponseWriter, store *config.Store) {
-	snap := store.Directory().ToSnapshot()
+	snap := store.Current().ToSnapshot()
 	for i := range snap.Keys {
 		snap.Keys[i].Digest = ""
 	}
--- a/internal/peer/config/offer.go
+++ b/internal/peer/config/offer.go
@@ -21,11 +21,11 @@
 func (s *Store) Offer(records []logservice.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.Directory().Version()
+	before := s.Current().Version()
 	defer func() { s.notify(before) }()
 	var diverged error
 	for _, r := range records {
-		version := s.Directory().Version()
+		version := s.Current().Version()
 		switch {
 		case r.Offset <= version:
 			if err := s.verifyRecord(r); err != nil {
@@ -45,7 +45,7 @@
 func (s *Store) OfferSnapshot(snap directory.Snapshot) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.Directory().Version()
+	before := s.Current().Version()
 	defer func() { s.notify(before) }()
 	if err := s.verify(snap); err != nil {
 		return err
@@ -57,14 +57,6 @@
 	return s.drainPending()
 }
 
-// Take folds an update of another process; see Offer and OfferSnapshot.
-func (s *Store) Take(u Update) error {
-	if u.Snapshot != nil {
-		return s.OfferSnapshot(*u.Snapshot)
-	}
-	return s.Offer(u.Records)
-}
-
 // drainPending folds the pending records that follow the current version.
 func (s *Store) drainPending() error {
 	if len(s.pending) == 0 {
@@ -72,14 +64,14 @@
 	}
 	var diverged error
 	for {
-		r, ok := s.pending[s.Directory().Version()+1]
+		r, ok := s.pending[s.Current().Version()+1]
 		if !ok {
 			break
 		}
 		delete(s.pending, r.Offset)
 		diverged = cmp.Or(diverged, s.fold(r))
 	}
-	version := s.Directory().Version()
+	version := s.Current().Version()
 	maps.DeleteFunc(s.pending, func(offset int64, _ logservice.Record) bool { return offset <= version })
 	return diverged
 }
@@ -88,7 +80,7 @@
 // a snapshot that does not agree with the history; the record is folded.
 func (s *Store) fold(r logservice.Record) error {
 	var diverged error
-	next, verdict := s.Directory().Apply(r.Offset, r.Data)
+	next, verdict := s.Current().Apply(r.Offset, r.Data)
 	if snap, id, ok := snapshotOf(r); ok {
 		diverged = s.verify(snap)
 		s.snapshot = SnapshotPlace{r.Offset, r.AtMs}
@@ -107,7 +99,7 @@
 func (s *Store) bridge() error {
 	for _, offset := range slices.Sorted(maps.Keys(s.pending)) {
 		snap, _, ok := snapshotOf(s.pending[offset])
-		if !ok || snap.Omitted || snap.Version < s.Directory().Version() {
+		if !ok || snap.Omitted || snap.Version < s.Current().Version() {
 			continue
 		}
 		if !s.covers(snap.Version+1, offset) {
@@ -165,7 +157,7 @@
 
 // publish makes next the current state.
 func (s *Store) publish(next *directory.Directory) {
-	if have := s.Directory().Version(); next.Version() < have {
+	if have := s.Current().Version(); next.Version() < have {
 		panic(&supervise.InvariantError{
 			Invariant: "configuration version only rises",
 			Detail:    fmt.Sprintf("from %d to %d", have, next.Version()),
@@ -176,10 +168,12 @@
 }
 
 func (s *Store) notify(before int64) {
-	if s.Directory().Version() == before {
+	if s.Current().Version() == before {
 		return
 	}
-	for ch := range s.subs {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	for _, ch := range s.subs {
 		select {
 		case ch <- struct{}{}:
 		default:
--- a/internal/peer/config/reader.go
+++ b/internal/peer/config/reader.go
@@ -41,7 +41,7 @@
 
 // Run reads until ctx ends, which it returns the error of.
 func (r *Reader) Run(ctx context.Context) error {
-	from := r.Store.Directory().Version() + 1
+	from := r.Store.Current().Version() + 1
 	backoff := firstBackoff
 	failing := ""
 	for ctx.Err() == nil {
@@ -68,7 +68,7 @@
 
 // step reads one page and returns the offset to read from next.
 func (r *Reader) step(ctx context.Context, from int64) (int64, error) {
-	version := r.Store.Directory().Version()
+	version := r.Store.Current().Version()
 	from = max(from, version+1)
 	page, err := r.Log.Read(ctx, logservice.StreamConfig, from, readLimit, r.WaitMs)
 	if err != nil {
@@ -84,7 +84,7 @@
 	for _, rec := range page.Records {
 		from = max(from, rec.Offset+1)
 	}
-	if r.Store.Directory().Version()+1 >= page.NextOffset {
+	if r.Store.Current().Version()+1 >= page.NextOffset {
 		r.Store.MarkReady()
 	}
 	return from, nil
--- a/internal/peer/config/snapshotter.go
+++ b/internal/peer/config/snapshotter.go
@@ -55,7 +55,7 @@
 }
 
 func (s *Snapshotter) due() bool {
-	version := s.Store.Directory().Version()
+	version := s.Store.Current().Version()
 	last := s.Store.LastSnapshot()
 	if version == 0 || !s.Store.Ready() {
 		return false
@@ -64,7 +64,7 @@
 }
 
 func (s *Snapshotter) write(ctx context.Context) error {
-	snap := s.Store.Directory().ToSnapshot()
+	snap := s.Store.Current().ToSnapshot()
 	c := directory.Change{
 		ID:       fmt.Sprintf("snapshot-%d-%s", snap.Version, s.Author),
 		Author:   s.Author,
--- a/internal/peer/config/store.go
+++ b/internal/peer/config/store.go
@@ -16,13 +16,13 @@
 	defaultTail = 4096
 	// maxPending bounds the records kept beyond a gap.
 	maxPending = 65536
-	// maxUpdateRecords and maxUpdateBytes bound the records of one Update.
+	// maxUpdateRecords and maxUpdateBytes bound the answer of RecordsSince.
 	maxUpdateRecords = 1000
 	maxUpdateBytes   = 1 << 20
 )
 
 // Store is a process's copy of the configuration. It is safe for concurrent
-// use; Directory and Version never block.
+// use; Current and Version never block.
 type Store struct {
 	cur   atomic.Pointer[directory.Directory]
 	ready atomic.Bool
@@ -31,7 +31,8 @@
 	tail     []folded // contiguous, the last one at the current version
 	limit    int
 	pending  map[int64]logservice.Record // beyond a gap
-	subs     map[chan struct{}]struct{}
+	subs     []chan struct{}
+	changed  chan struct{}
 	snapshot SnapshotPlace
 	cached   *directory.Snapshot
 }
@@ -54,13 +55,13 @@
 	if tail <= 0 {
 		tail = defaultTail
 	}
-	s := &Store{limit: tail, pending: map[int64]logservice.Record{}, subs: map[chan struct{}]struct{}{}}
+	s := &Store{limit: tail, pending: map[int64]logservice.Record{}, changed: make(chan struct{})}
 	s.cur.Store(directory.New())
 	return s
 }
 
-// Directory returns the current state.
-func (s *Store) Directory() *directory.Directory { return s.cur.Load() }
+// Current returns the current state.
+func (s *Store) Current() *directory.Directory { return s.cur.Load() }
 
 // Version returns the current version.
 func (s *Store) Version() Version {
@@ -76,31 +77,35 @@
 func (s *Store) MarkReady() { s.ready.Store(true) }
 
 // Subscribe returns a channel that receives a value after the version has
-// changed, several changes being told as one, and a function that ends it.
-func (s *Store) Subscribe() (<-chan struct{}, func()) {
+// changed, for as long as the Store lives; several changes are told as one.
+func (s *Store) Subscribe() <-chan struct{} {
 	ch := make(chan struct{}, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.subs[ch] = struct{}{}
-	return ch, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.subs, ch)
-	}
+	s.subs = append(s.subs, ch)
+	return ch
+}
+
+// Changed returns a channel that is closed at the next change of the version.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
 
 // Wait returns when the version is at least number, or the error of ctx.
 func (s *Store) Wait(ctx context.Context, number int64) error {
-	changed, cancel := s.Subscribe()
-	defer cancel()
-	for s.Directory().Version() < number {
+	for {
+		changed := s.Changed()
+		if s.Current().Version() >= number {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		}
 	}
-	return nil
 }
 
 // Outcome is the fold's decision about a record.
@@ -179,37 +184,26 @@
 	return int(i), i >= 0 && i < int64(len(s.tail))
 }
 
-// Update is what another process needs to move to a higher version: records,
-// or the whole state when the records are no longer kept.
-type Update struct {
-	Records  []logservice.Record `json:"records,omitempty"`
-	Snapshot *directory.Snapshot `json:"snapshot,omitempty"`
-}
-
-// RecordsSince returns what follows v, at most a bounded number of records.
-// The error is a *DivergenceError when v is not a version of this history.
-func (s *Store) RecordsSince(v Version) (Update, error) {
+// RecordsSince returns the first records above version, or the whole current
+// state when they are no longer kept, or nothing when there are none.
+func (s *Store) RecordsSince(version int64) ([]logservice.Record, *directory.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch s.compare(v) {
-	case Diverged:
-		digest, _ := s.digestAt(v.Number)
-		return Update{}, &DivergenceError{v.Number, digest, v.Digest}
-	case Equal, PeerAhead:
-		return Update{}, nil
+	if version >= s.Current().Version() {
+		return nil, nil
 	}
-	if i, ok := s.index(v.Number + 1); ok {
-		return Update{Records: firstRecords(s.tail[i:])}, nil
+	if i, ok := s.index(version + 1); ok {
+		return firstRecords(s.tail[i:]), nil
 	}
 	if s.cached == nil {
-		snap := s.Directory().ToSnapshot()
+		snap := s.Current().ToSnapshot()
 		s.cached = &snap
 	}
-	return Update{Snapshot: s.cached}, nil
+	return nil, s.cached
 }
 
 // firstRecords returns the first records of tail, at least one, within the
-// bounds of an Update.
+// bounds of one answer.
 func firstRecords(tail []folded) []logservice.Record {
 	var out []logservice.Record
 	size := 0
--- a/internal/state/directory/key.go
+++ b/internal/state/directory/key.go
@@ -41,6 +41,12 @@
 	return k.Withdrawn
 }
 
+// KeyKnown reports whether a key with the id was issued and not yet forgotten.
+func (d *Directory) KeyKnown(id string) bool {
+	_, ok := d.keys.get(id)
+	return ok
+}
+
 // Keys returns all keys, sorted by id, the withdrawn ones included.
 func (d *Directory) Keys() []Key { return d.keys.sorted() }
 
--- a/internal/state/directory/validate.go
+++ b/internal/state/directory/validate.go
@@ -23,7 +23,7 @@
 
 var (
 	namePattern   = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
-	keyIDPattern  = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}$`)
+	keyIDPattern  = regexp.MustCompile(`^[A-Za-z0-9]{1,64}$`)
 	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	methods       = []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
@@ -104,7 +104,7 @@
 // Validate checks the key on its own.
 func (k Key) Validate() error {
 	if !keyIDPattern.MatchString(k.ID) {
-		return &FieldError{"key.id", k.ID, "must be 1 to 64 letters, digits or hyphens"}
+		return &FieldError{"key.id", k.ID, "must be 1 to 64 letters or digits"}
 	}
 	if err := checkName("key.account", k.Account); err != nil {
 		return err
