Operators' address wired: status, spread of accepted changes

Cause: an accepted change must survive a log outage right after it is told. Change: an entry tells acceptance only after its connected sidecars confirmed the version or a second has passed; status reads peers, queues and counters.

--- a/internal/peer/dispatch/exchange.go
+++ b/internal/peer/dispatch/exchange.go
@@ -27,14 +27,17 @@
 
 // Reply answers a peer that lacks records.
 func (x *Exchange) Reply(f FetchConfig) (FetchConfigReply, error) {
-	up, err := x.store.RecordsSince(f.Since)
-	return FetchConfigReply{Update: up, Version: x.store.Version(), Ready: x.store.Ready()}, err
+	if x.store.Compare(f.Since) == config.Diverged {
+		return FetchConfigReply{}, &config.DivergenceError{Version: f.Since.Number, Got: f.Since.Digest}
+	}
+	records, snapshot := x.store.RecordsSince(f.Since.Number)
+	return FetchConfigReply{Records: records, Snapshot: snapshot, Version: x.store.Version(), Ready: x.store.Ready()}, nil
 }
 
 // Observe takes in a peer's state and fetches what this process lacks. It
 // does not block.
 func (x *Exchange) Observe(l *Link, st State) {
-	if st.Config.Number <= x.store.Directory().Version() {
+	if st.Config.Number <= x.store.Current().Version() {
 		return
 	}
 	if !x.fetching.CompareAndSwap(false, true) {
@@ -58,12 +61,12 @@
 		if err := l.Call(ctx, MethodFetchConfig, FetchConfig{Since: before}, &reply); err != nil {
 			return err
 		}
-		if reply.Update.Snapshot != nil {
-			if err := x.store.OfferSnapshot(*reply.Update.Snapshot); err != nil {
+		if reply.Snapshot != nil {
+			if err := x.store.OfferSnapshot(*reply.Snapshot); err != nil {
 				return err
 			}
 		}
-		if err := x.store.Offer(reply.Update.Records); err != nil {
+		if err := x.store.Offer(reply.Records); err != nil {
 			return err
 		}
 		now := x.store.Version()
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -165,9 +166,10 @@
 
 // FetchConfigReply holds what follows, and the version of the one who answers.
 type FetchConfigReply struct {
-	Update  config.Update  `json:"update"`
-	Version config.Version `json:"version"`
-	Ready   bool           `json:"ready"`
+	Records  []logservice.Record `json:"records,omitempty"`
+	Snapshot *directory.Snapshot `json:"snapshot,omitempty"`
+	Version  config.Version      `json:"version"`
+	Ready    bool                `json:"ready"`
 }
 
 // Request describes what is to be run, as the header HeaderRequest of the data
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -59,6 +59,7 @@
 	dispatcher      *dispatcher
 	retries         *retries
 	active          *active
+	confirmed       *notice
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
 	duties          []supervise.Duty
@@ -73,7 +74,7 @@
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
-		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}},
+		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
 		metrics: newMetrics(), issueKey: d.IssueKey, duties: d.Duties, progressTimeout: defaultProgressTimeout,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
@@ -161,14 +162,13 @@
 // watchConfig ends the requests of withdrawn keys and tells the sidecars of
 // each new version.
 func (e *Entry) watchConfig(ctx context.Context) error {
-	changed, end := e.store.Subscribe()
-	defer end()
+	changed := e.store.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			e.active.withdraw(e.store.Directory())
+			e.active.withdraw(e.store.Current())
 			for _, p := range e.peers.all() {
 				p.beatNow()
 			}
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -39,10 +39,7 @@
 // remaining returns the time left to the class's target for the first sign of
 // an answer; 0 is no target.
 func (j *job) remaining(now clock.Millis) clock.Millis {
-	target := j.class.FirstTokenMs
-	if target == 0 {
-		target = j.class.AnswerMs
-	}
+	target := j.target()
 	if target == 0 || j.delivered > 0 {
 		return 0
 	}
@@ -53,6 +50,20 @@
 	return left
 }
 
+// onTime reports whether a first sign of an answer at now meets the target.
+func (j *job) onTime(now clock.Millis) bool {
+	target := j.target()
+	return target == 0 || now-j.arrived <= target
+}
+
+// target returns the class's time to the first sign of an answer; 0 is none.
+func (j *job) target() clock.Millis {
+	if j.class.FirstTokenMs > 0 {
+		return j.class.FirstTokenMs
+	}
+	return j.class.AnswerMs
+}
+
 // reservation returns what the job asks of a sidecar for the attempt id.
 func (j *job) reservation(id, entry string, now clock.Millis) dispatch.Reservation {
 	return dispatch.Reservation{
--- a/internal/role/entry/metrics.go
+++ b/internal/role/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,20 @@
 	scope      tally.Scope
 	firstToken tally.Histogram
 	duration   tally.Histogram
+	running    atomic.Int64
+	shed       atomic.Int64
+	served     atomic.Int64
+	met        atomic.Int64
+}
+
+// attainment returns the part of answered requests that met their first-token
+// target; 1 before the first.
+func (c *classMetrics) attainment() float64 {
+	n := c.served.Load()
+	if n == 0 {
+		return 1
+	}
+	return float64(c.met.Load()) / float64(n)
 }
 
 var buckets = tally.DurationBuckets{
@@ -73,10 +88,26 @@
 
 func (m *metrics) finished(class, code string, d clock.Millis) {
 	c := m.class(class)
+	c.running.Add(-1)
 	c.duration.RecordDuration(d.Duration())
 	c.scope.Tagged(map[string]string{"code": code}).Counter("requests_total").Inc(1)
 }
 
+// started counts a request that was accepted for serving.
+func (m *metrics) started(class string) { m.class(class).running.Add(1) }
+
+// answered counts a request of which the first sign of an answer arrived.
+func (m *metrics) answered(class string, met bool) {
+	c := m.class(class)
+	c.served.Add(1)
+	if met {
+		c.met.Add(1)
+	}
+}
+
+// overloaded counts a request that was shed.
+func (m *metrics) overloaded(class string) { m.class(class).shed.Add(1) }
+
 func (m *metrics) refused(code string) {
 	m.scope.Tagged(map[string]string{"code": code}).Counter("requests_refused_total").Inc(1)
 }
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -34,6 +34,7 @@
 		e.fail(w, r, q, failure)
 		return
 	}
+	e.metrics.started(j.class.Name)
 	x := &exchange{e: e, w: w, rc: http.NewResponseController(w), j: j, req: req}
 	failure = x.run(q.ctx)
 	e.finished(q, j, failure)
@@ -205,6 +206,7 @@
 	if x.firstAt == 0 {
 		x.firstAt = now
 		x.e.metrics.firstToken(x.j.class.Name, now-x.j.arrived)
+		x.e.metrics.answered(x.j.class.Name, x.j.onTime(now))
 	}
 	if x.attemptTokens == 0 {
 		x.attemptAt = now
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -38,6 +38,7 @@
 	load     dispatch.Load
 	loadAt   clock.Millis
 	leaving  bool
+	version  int64 // configuration version that the sidecar showed last
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
 	inFlight      atomic.Int64
@@ -111,6 +112,7 @@
 	p.load = reply.Load
 	p.loadAt = p.e.clock.Now()
 	p.leaving = reply.State.Leaving
+	p.version = reply.State.Config.Number
 	p.mu.Unlock()
 	p.report()
 	p.e.exchange.Observe(l, reply.State)
@@ -221,6 +223,7 @@
 	was := p.leaving
 	if h.State != nil {
 		p.leaving = h.State.Leaving
+		p.version = h.State.Config.Number
 	}
 	if h.Load != nil {
 		p.reported = *h.Load
@@ -231,6 +234,7 @@
 	p.mu.Unlock()
 	p.report()
 	if h.State != nil {
+		p.e.confirmed.signal()
 		p.e.exchange.Observe(l, *h.State)
 	}
 	if changed {
--- a/internal/role/entry/plain.go
+++ b/internal/role/entry/plain.go
@@ -25,6 +25,7 @@
 		e.fail(w, r, q, failure)
 		return
 	}
+	e.metrics.started(j.class.Name)
 	ans, failure := e.dispatcher.run(q.ctx, j)
 	if failure != nil {
 		e.finished(q, j, failure)
@@ -32,6 +33,7 @@
 		return
 	}
 	defer ans.close()
+	e.metrics.answered(j.class.Name, j.onTime(e.clock.Now()))
 	e.copyPlain(w, q, j, ans)
 }
 
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -60,7 +60,7 @@
 
 // open authenticates a request. done must be called when it has been served.
 func (e *Entry) open(_ http.ResponseWriter, r *http.Request) (q *query, done func(), failure *openai.Error) {
-	d := e.store.Directory()
+	d := e.store.Current()
 	if !e.store.Ready() {
 		return nil, nil, unavailable("the entry has no configuration yet")
 	}
@@ -72,7 +72,7 @@
 	q = &query{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel}
 	e.active.add(q)
 	// The key may have been withdrawn between the look-up and add.
-	e.active.withdraw(e.store.Directory())
+	e.active.withdraw(e.store.Current())
 	return q, func() {
 		e.active.remove(q)
 		cancel(nil)
@@ -163,6 +163,9 @@
 	code := "ok"
 	if failure != nil {
 		code = failure.Code
+		if failure.Status == http.StatusTooManyRequests {
+			e.metrics.overloaded(j.class.Name)
+		}
 	}
 	e.metrics.finished(j.class.Name, code, took)
 	e.log.WithFields(logrus.Fields{
--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -1,10 +1,9 @@
 package process
 
 import (
-	"net/http"
-
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/operator/admin"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/platform/logservice"
@@ -20,12 +19,8 @@
 }
 
 // mount puts the operators' interface of e on the server.
-func (a *AdminServer) mount(e *entry.Entry) {
-	a.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	a.mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := e.Ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	a.mux.Handle("GET /metrics", e.Metrics())
+func (a *AdminServer) mount(e *entry.Entry, store *config.Store, logs *logservice.Client, log logrus.FieldLogger) {
+	a.mux.Handle("/", admin.New(admin.Deps{
+		Store: store, Appender: logs, Spread: e.Spread, Status: e.Status, Ready: e.Ready, Metrics: e.Metrics(), Logger: log,
+	}))
 }
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	admin.mount(e)
+	admin.mount(e, store, logs, log)
 	return &Entry{Entry: e, Admin: admin}, nil
 }
 
@@ -120,10 +120,9 @@
 // waitForService returns nil once the configuration says that the pool holds
 // plain services; only those need claims.
 func waitForService(ctx context.Context, store *config.Store, pool string) error {
-	changed, end := store.Subscribe()
-	defer end()
+	changed := store.Subscribe()
 	for {
-		if p, ok := store.Directory().Pool(pool); ok && p.Kind == directory.PoolService {
+		if p, ok := store.Current().Pool(pool); ok && p.Kind == directory.PoolService {
 			return nil
 		}
 		select {
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -179,8 +179,7 @@
 
 // watchConfig applies withdrawn keys and tells entries the new version.
 func (s *Sidecar) watchConfig(ctx context.Context) error {
-	changed, end := s.store.Subscribe()
-	defer end()
+	changed := s.store.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,7 +224,7 @@
 }
 
 func (s *Sidecar) keyWithdrawn(id string) bool {
-	return s.store.Directory().KeyWithdrawn(id)
+	return s.store.Current().KeyWithdrawn(id)
 }
 
 func (s *Sidecar) state() dispatch.State {
