--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -11,7 +11,7 @@
 
 func (s *Slots) tier(number int) *tierQueue {
 	for len(s.tiers) <= number {
-		s.tiers = append(s.tiers, newTier(len(s.tiers)))
+		s.tiers = append(s.tiers, newTier(len(s.tiers), float64(s.cfg.IdleTokens)))
 	}
 	return s.tiers[number]
 }
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -21,8 +21,10 @@
 //     served. A counter grows by tokens divided by the account's share: by the
 //     estimate when the slot is offered, by the excess while the request runs
 //     past it, and by the difference once the output length is known. An
-//     account that begins to wait is lifted to the smallest counter that waits
-//     in its tier, or to the last one served if none waits.
+//     account that begins to wait is lifted to Config.IdleTokens, divided by its
+//     share, below the smallest counter that waits in its tier, or below the
+//     last one served if none waits. So idling saves up a bounded credit and no
+//     more; a new account has none.
 //  4. Within an account, and between equal counters, the earliest deadline is
 //     served, then the earliest arrival. No deadline is later than any deadline.
 //
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -104,27 +104,29 @@
 
 // tierQueue is the waiting work of one tier.
 type tierQueue struct {
-	number   int
-	accounts map[string]*account
-	classes  []*classQueue
-	byName   map[string]*classQueue
-	byStart  tree[*account] // waiting accounts by counter
-	byFinish tree[*account] // waiting accounts by the counter at which their work is done
-	expiry   tree[*item]
-	waiting  int
-	level    float64 // counter of the account served last
-	credit   float64 // time lost to lower tiers and floor turns, ms
-	tokens   mean
+	number int
+	// idleTokens bounds the tokens that an account may lag behind the others.
+	idleTokens float64
+	accounts   map[string]*account
+	classes    []*classQueue
+	byName     map[string]*classQueue
+	byStart    tree[*account] // waiting accounts by counter
+	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
+	expiry     tree[*item]
+	waiting    int
+	level      float64 // counter of the account served last
+	credit     float64 // time lost to lower tiers and floor turns, ms
+	tokens     mean
 }
 
-func newTier(number int) *tierQueue {
-	return &tierQueue{number: number, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
+func newTier(number int, idleTokens float64) *tierQueue {
+	return &tierQueue{number: number, idleTokens: idleTokens, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
 }
 
 func (t *tierQueue) account(name string, share int, seq uint64) *account {
 	a := t.accounts[name]
 	if a == nil {
-		a = &account{seq: seq, share: 1}
+		a = &account{seq: seq, share: 1, counter: t.floor()}
 		t.accounts[name] = a
 	}
 	if weight := float64(max(share, 1)); a.share != weight {
@@ -161,11 +163,15 @@
 	if a.waiting > 0 {
 		return a.counter
 	}
-	level := t.level
+	return math.Max(a.counter, t.floor()-t.idleTokens/a.share)
+}
+
+// floor returns the smallest counter that waits, or the last one served.
+func (t *tierQueue) floor() float64 {
 	if first := t.byStart.first(); first != nil {
-		level = first.key.counter
+		return first.key.counter
 	}
-	return math.Max(a.counter, level)
+	return t.level
 }
 
 // detach takes a out of the ordered sets before its counter, share or work changes.
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -50,6 +50,10 @@
 	if cfg.OutputTokens <= 0 {
 		cfg.OutputTokens = defaultOutputTokens
 	}
+	if cfg.IdleTokens == 0 {
+		cfg.IdleTokens = idleRequests * cfg.OutputTokens
+	}
+	cfg.IdleTokens = max(cfg.IdleTokens, 0)
 	if cfg.CheckEvery <= 0 {
 		cfg.CheckEvery = 4096
 	}
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -17,6 +17,7 @@
 	defaultReestimate    = 100 * clock.Millisecond
 	defaultTokenMs       = 25.0
 	defaultOutputTokens  = 200
+	idleRequests         = 8 // idle credit in requests of OutputTokens
 	reestimatesPerTick   = 64
 	minRetryAfter        = 100 * clock.Millisecond
 	maxRetryAfter        = 60 * clock.Second
@@ -35,6 +36,9 @@
 	TokenMs float64
 	// OutputTokens is the output length of a request until lengths were observed.
 	OutputTokens int
+	// IdleTokens bounds the unused share that an account keeps while it is idle;
+	// 0 means 8 times OutputTokens, less than 0 none.
+	IdleTokens int
 	// Order is OrderTiers (also if empty) or OrderFIFO.
 	Order string
 	// CheckEvery is the number of decisions per full check of the invariants
