--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{out: ring.New[outgoing](outSize), ctx: ctx, cancel: cancel, clock: clk}
 	l.heard.Store(int64(clk.Now()))
-	stream := jsonrpc2.NewBufferedStream(deadlineConn{c}, jsonrpc2.PlainObjectCodec{})
+	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{c})
 	ready := make(chan struct{})
 	l.conn = jsonrpc2.NewConn(ctx, stream, adapter{l, h, ready},
 		jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -42,7 +42,6 @@
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
 	inFlight      atomic.Int64
-	waiting       atomic.Int64
 }
 
 // run keeps a connection to the sidecar until ctx ends.
--- a/internal/role/sidecar/data.go
+++ b/internal/role/sidecar/data.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 
@@ -112,7 +111,3 @@
 	}
 	return fallback
 }
-
-func clampInt(n int64) int {
-	return int(min(n, math.MaxInt32))
-}
