Sidecar drain answers refusals until entries have heard; signs of life before an answer

Cause: on a planned stop the sidecar closed its data address while answers were still being flushed and while entries had requests on their way; a request whose sidecar went silent before its answer began was never given up. Change: drain waits for the answers and for 500 ms, then shuts the server down; 102 answers every second until the head is out; protected requests use a connection each, so that a failed dial proves that nothing was sent; a sidecar without configuration takes no work, as it knows no withdrawn keys.

--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -27,8 +30,9 @@
 // dispatcher brings jobs to sidecars: at once where a slot is known to be
 // free, else by reservations of which the first offered slot is taken.
 type dispatcher struct {
-	e    *Entry
-	http *http.Client
+	e      *Entry
+	http   *http.Client
+	single *http.Client // one connection per request
 }
 
 // run returns the answer of a backend server to the job's next attempt.
@@ -88,7 +92,7 @@
 		return nil, &attemptError{err: internalError(err)}
 	}
 	p.took(j)
-	res, err := d.http.Do(req)
+	res, err := d.send(req, j)
 	if err != nil {
 		p.gave()
 		return nil, d.transportError(ctx, j, p, err)
@@ -107,6 +111,47 @@
 	return &answer{peer: p, attempt: id, res: res, entry: d.e}, nil
 }
 
+// errSilent is the cause with which an attempt without signs of life ends.
+var errSilent = errors.New("the sidecar gave no sign of life")
+
+// send sends the request; it fails when the sidecar shows no sign of life for
+// the progress timeout. A protected request uses a connection of its own, so
+// that a failed dial proves that nothing was sent.
+func (d *dispatcher) send(req *http.Request, j *job) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	after := d.e.progressTimeout.Duration()
+	silent := time.AfterFunc(after, func() { cancel(errSilent) })
+	defer silent.Stop()
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		silent.Reset(after)
+		return nil
+	}}
+	c := d.http
+	if j.request.Protected {
+		c = d.single
+	}
+	res, err := c.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	res.Body = &cancelBody{res.Body, cancel}
+	return res, nil
+}
+
+// cancelBody ends the request's context when the body is closed.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close closes the body.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
 func (d *dispatcher) request(ctx context.Context, j *job, p *peer, id string) (*http.Request, error) {
 	p.mu.Lock()
 	url := p.hello.DataURL
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -81,7 +81,7 @@
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
 	e.retries = newRetries(d.Clock)
-	e.dispatcher = &dispatcher{e: e, http: dataClient()}
+	e.dispatcher = &dispatcher{e: e, http: dataClient(false), single: dataClient(true)}
 	var err error
 	if e.callerLn, err = net.Listen("tcp", e.cfg.CallerAddr); err != nil {
 		return nil, errors.Wrap(err, "entry.callerAddr")
@@ -89,10 +89,11 @@
 	return e, nil
 }
 
-func dataClient() *http.Client {
+func dataClient(single bool) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
+		DisableKeepAlives: single,
 	}}
 }
 
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -25,16 +26,14 @@
 // core owns the scheduler of the server's slots. One goroutine applies the
 // events in order; everything else passes events to it.
 type core struct {
-	slots   *slots.Slots
-	clock   clock.Clock
-	log     logrus.FieldLogger
-	events  *ring.Ring[event]
-	waiting map[string]waiting
-	runs    map[string]*run
-	told    map[*dispatch.Link]told
-	// withdrawn reports whether a key id is withdrawn.
-	withdrawn func(keyID string) bool
-	state     func() dispatch.State
+	slots     *slots.Slots
+	clock     clock.Clock
+	log       logrus.FieldLogger
+	events    *ring.Ring[event]
+	waiting   map[string]waiting
+	runs      map[string]*run
+	told      map[*dispatch.Link]told
+	store     *config.Store
 	leaving   bool
 	refused   int64
 	preempted int64
@@ -66,14 +65,28 @@
 // Error returns the end.
 func (e *endError) Error() string { return "run stopped: " + string(e.end) }
 
-func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, withdrawn func(string) bool, state func() dispatch.State) *core {
+func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, store *config.Store) *core {
 	return &core{
 		slots: s, clock: clk, log: log, events: ring.New[event](coreRingSize),
 		waiting: map[string]waiting{}, runs: map[string]*run{}, told: map[*dispatch.Link]told{},
-		withdrawn: withdrawn, state: state,
+		store: store,
 	}
 }
 
+// withdrawn reports whether a key id is withdrawn.
+func (c *core) withdrawn(keyID string) bool {
+	return c.store.Current().KeyWithdrawn(keyID)
+}
+
+// configured reports whether the sidecar knows which keys are withdrawn.
+func (c *core) configured() bool {
+	return c.store.Current().Version() > 0
+}
+
+func (c *core) state() dispatch.State {
+	return dispatch.State{Config: c.store.Version(), Leaving: c.leaving}
+}
+
 // Run applies events until ctx ends.
 func (c *core) Run(ctx context.Context) error {
 	timer := time.NewTimer(idleTick.Duration())
--- a/internal/role/sidecar/data.go
+++ b/internal/role/sidecar/data.go
@@ -5,13 +5,18 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
+// keepAliveEvery is the time between signs of life before an answer begins.
+const keepAliveEvery = clock.Second
+
 // serveRun carries out one attempt: POST /run/{reservation}.
 func (s *Sidecar) serveRun(w http.ResponseWriter, r *http.Request) {
 	var resv dispatch.Reservation
@@ -35,6 +40,7 @@
 		a.serveModel()
 		return
 	}
+	defer a.keepAlive()()
 	a.serveService()
 }
 
@@ -70,6 +76,39 @@
 	// tokens counts what the server generated in this attempt.
 	tokens       int
 	promptTokens int
+	// mu orders the keep-alive answers before the head of the answer.
+	mu    sync.Mutex
+	begun bool
+}
+
+// keepAlive sends an informational answer every second until the head of the
+// answer is out, so that the entry can tell a slow server from a silent
+// connection. The returned function ends it.
+func (a *attempt) keepAlive() (stop func()) {
+	ctx, cancel := context.WithCancel(a.run.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for a.s.clock.Sleep(ctx, keepAliveEvery) == nil {
+			a.mu.Lock()
+			if !a.begun {
+				a.w.WriteHeader(http.StatusProcessing)
+			}
+			a.mu.Unlock()
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// refuse answers that the attempt was not carried out.
+func (a *attempt) refuse(r dispatch.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begun = true
+	refuse(a.w, r)
 }
 
 func (a *attempt) finish() {
@@ -79,6 +118,9 @@
 
 // begin writes the head of an answer that ends with a trailer.
 func (a *attempt) begin(status int, header http.Header) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begun = true
 	h := a.w.Header()
 	for k, v := range header {
 		h[k] = v
--- a/internal/role/sidecar/events.go
+++ b/internal/role/sidecar/events.go
@@ -16,7 +16,7 @@
 }
 
 func (e reserveEvent) apply(c *core, now clock.Millis) {
-	if c.leaving || c.withdrawn(e.r.KeyID) {
+	if c.leaving || !c.configured() || c.withdrawn(e.r.KeyID) {
 		e.link.Notify(dispatch.MethodRefuse, dispatch.Verdict{ID: e.r.ID, LowestTier: -1, Final: true})
 		return
 	}
@@ -82,6 +82,9 @@
 	if c.leaving {
 		return dispatch.Refusal{Code: dispatch.CodeLeaving, Message: "the backend server is leaving", NotRun: true}, false
 	}
+	if !c.configured() {
+		return dispatch.Refusal{Code: dispatch.CodeLeaving, Message: "the sidecar has no configuration yet", NotRun: true}, false
+	}
 	if c.withdrawn(r.KeyID) {
 		return dispatch.Refusal{Code: dispatch.CodeKeyWithdrawn, Message: "the key is withdrawn", NotRun: true}, false
 	}
--- a/internal/role/sidecar/model.go
+++ b/internal/role/sidecar/model.go
@@ -24,7 +24,7 @@
 func (a *attempt) serveModel() {
 	body, err := io.ReadAll(io.LimitReader(a.body, maxBodyBytes))
 	if err != nil {
-		refuse(a.w, dispatch.Refusal{Code: dispatch.CodeBadRequest, Message: "the body was cut short", NotRun: true})
+		a.refuse(dispatch.Refusal{Code: dispatch.CodeBadRequest, Message: "the body was cut short", NotRun: true})
 		return
 	}
 	watchdog := time.AfterFunc(a.s.cfg.ProgressTimeoutMs.Duration(), func() { a.run.stop(&endError{dispatch.EndFailed}) })
@@ -62,7 +62,7 @@
 		refusal.Message = "the key is withdrawn"
 	}
 	a.s.log.WithFields(logrus.Fields{"event": "engineError", "attempt": a.run.id}).Warn(err)
-	refuse(a.w, refusal)
+	a.refuse(refusal)
 }
 
 // copyEvents passes events on until the end mark.
--- a/internal/role/sidecar/plain.go
+++ b/internal/role/sidecar/plain.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	copyBytes        = 16 << 10
-	protectedTimeout = time.Minute
+	copyBytes      = 16 << 10
+	serviceTimeout = time.Minute
 )
 
 // serveService runs a request on the plain service. A protected request is
@@ -24,14 +24,16 @@
 func (a *attempt) serveService() {
 	body, err := io.ReadAll(io.LimitReader(a.body, maxBodyBytes))
 	if err != nil {
-		refuse(a.w, dispatch.Refusal{Code: dispatch.CodeBadRequest, Message: "the body was cut short", NotRun: true})
+		a.refuse(dispatch.Refusal{Code: dispatch.CodeBadRequest, Message: "the body was cut short", NotRun: true})
 		return
 	}
 	if a.req.Protected {
 		a.serveProtected(body)
 		return
 	}
-	res, err := a.call(a.run.ctx, body)
+	ctx, cancel := context.WithTimeout(a.run.ctx, serviceTimeout)
+	defer cancel()
+	res, err := a.call(ctx, body)
 	if err != nil {
 		a.serviceFailed(err)
 		return
@@ -43,16 +45,16 @@
 func (a *attempt) serveProtected(body []byte) {
 	refusal, ok := a.s.claims.Claim(a.run.ctx, a.resv.Account, a.req.Route, a.req.IdempotencyKey, a.run.id)
 	if !ok {
-		refuse(a.w, refusal)
+		a.refuse(refusal)
 		return
 	}
 	if a.run.ctx.Err() != nil {
 		a.s.claims.NotRun(a.run.id)
-		refuse(a.w, dispatch.Refusal{Code: dispatch.CodeUnavailable, Message: "the caller has left", NotRun: true})
+		a.refuse(dispatch.Refusal{Code: dispatch.CodeUnavailable, Message: "the caller has left", NotRun: true})
 		return
 	}
 	// From here on the request runs to its end, also when the caller leaves.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.run.ctx), protectedTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.run.ctx), serviceTimeout)
 	defer cancel()
 	res, err := a.call(ctx, body)
 	if err == nil {
@@ -62,12 +64,12 @@
 	}
 	if service.NotSent(err) {
 		a.s.claims.NotRun(a.run.id)
-		refuse(a.w, dispatch.Refusal{Code: dispatch.CodeUnavailable, Message: "the plain service could not be reached", NotRun: true})
+		a.refuse(dispatch.Refusal{Code: dispatch.CodeUnavailable, Message: "the plain service could not be reached", NotRun: true})
 		return
 	}
 	a.s.claims.Unknown(a.run.id)
 	a.s.log.WithFields(logrus.Fields{"event": "outcomeUnknown", "attempt": a.run.id}).Warn(err)
-	refuse(a.w, dispatch.Refusal{Code: dispatch.CodeUnknown, Message: "the plain service gave no answer; the request may have run", Unknown: true})
+	a.refuse(dispatch.Refusal{Code: dispatch.CodeUnknown, Message: "the plain service gave no answer; the request may have run", Unknown: true})
 }
 
 func (a *attempt) call(ctx context.Context, body []byte) (*http.Response, error) {
@@ -81,7 +83,7 @@
 func (a *attempt) serviceFailed(err error) {
 	a.s.log.WithFields(logrus.Fields{"event": "serviceError", "attempt": a.run.id}).Warn(err)
 	notRun := service.NotSent(err)
-	refuse(a.w, dispatch.Refusal{
+	a.refuse(dispatch.Refusal{
 		Code: dispatch.CodeUnavailable, Message: "the plain service gave no answer", NotRun: notRun, Unknown: !notRun,
 	})
 }
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -28,6 +28,7 @@
 	dialTimeout    = 2 * time.Second
 	offerTimeout   = 500 * clock.Millisecond
 	drainPoll      = 20 * clock.Millisecond
+	drainGrace     = 500 * clock.Millisecond
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 256 << 10
 )
@@ -79,7 +80,7 @@
 	controlLn   net.Listener
 	dataLn      net.Listener
 	duties      []supervise.Duty
-	draining    chan struct{}
+	data        *http.Server
 }
 
 // New opens the sidecar's addresses.
@@ -92,10 +93,10 @@
 		service:  service.New(cfg.ServerURL, dialTimeout),
 		coreDone: make(chan struct{}),
 		duties:   d.Duties,
-		draining: make(chan struct{}),
 	}
+	s.data = s.dataServer()
 	s.exchange = dispatch.NewExchange(d.Store, s.log)
-	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, s.keyWithdrawn, s.state)
+	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, d.Store)
 	s.control = &control{s: s, links: map[*dispatch.Link]string{}}
 	var err error
 	if s.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
@@ -164,14 +165,18 @@
 	}
 }
 
-func (s *Sidecar) serveData(ctx context.Context) error {
+func (s *Sidecar) dataServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run/{id}", s.serveRun)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func (s *Sidecar) serveData(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.data.Close() })
 	defer stop()
-	err := srv.Serve(s.dataLn)
+	err := s.data.Serve(s.dataLn)
 	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
 		return nil
 	}
 	return err
@@ -202,13 +207,20 @@
 	}
 }
 
-// drain refuses new work and waits for what runs.
+// drain refuses new work and waits for what runs. The data address answers
+// with refusals for a while longer, since entries may have sent requests
+// before they heard.
 func (s *Sidecar) drain() {
 	s.log.WithField("event", "drain").Info("no new work is taken")
 	s.Leave()
-	deadline := s.clock.Now() + s.cfg.DrainMs
-	for s.clock.Now() < deadline && s.running() > 0 {
-		_ = s.clock.Sleep(context.Background(), drainPoll)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DrainMs.Duration())
+	defer cancel()
+	heard := s.clock.Now() + drainGrace
+	for ctx.Err() == nil && (s.running() > 0 || s.clock.Now() < heard) {
+		_ = s.clock.Sleep(ctx, drainPoll)
+	}
+	if err := s.data.Shutdown(ctx); err != nil {
+		s.log.WithField("event", "drainTimeout").Warn(err)
 	}
 }
 
@@ -223,14 +235,6 @@
 	}
 }
 
-func (s *Sidecar) keyWithdrawn(id string) bool {
-	return s.store.Current().KeyWithdrawn(id)
-}
-
-func (s *Sidecar) state() dispatch.State {
-	return dispatch.State{Config: s.store.Version(), Leaving: s.core.leaving}
-}
-
 // observe takes in what an entry told of its state.
 func (s *Sidecar) observe(l *dispatch.Link, st dispatch.State) {
 	s.exchange.Observe(l, st)
