--- a/internal/operator/strictjson/document.go
+++ b/internal/operator/strictjson/document.go
@@ -101,7 +101,7 @@
 // nearest enclosing value when the file does not give path itself.
 func (d *Document) Reject(path string, value any, want string) {
 	v, _ := d.find(path)
-	d.add(v.StartOffset, path, shown(value), want)
+	d.add(v.StartOffset, path, Show(value), want)
 }
 
 // Err returns an *Errors with all problems so far, or nil.
@@ -162,7 +162,8 @@
 	return lit.String()
 }
 
-func shown(value any) string {
+// Show returns a value as it stands in messages: strings quoted, long values cut.
+func Show(value any) string {
 	var s string
 	switch v := value.(type) {
 	case nil:
--- a/internal/state/directory/check.go
+++ b/internal/state/directory/check.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// maxFloorPercent bounds the floors of the classes that use one pool.
-const maxFloorPercent = 50
+// MaxFloorPercent bounds the sum of the floors of the classes that use one pool.
+const MaxFloorPercent = 50
 
 // check verifies the references between subjects that ops may have broken.
 func (d *Directory) check(ops []Op) error {
@@ -35,9 +35,9 @@
 				return &FieldError{"class/" + c.Name + ".pools", p, "names no pool"}
 			}
 			floors[p] += c.FloorPercent
-			if floors[p] > maxFloorPercent {
+			if floors[p] > MaxFloorPercent {
 				return &FieldError{"class/" + c.Name + ".floorPercent", c.FloorPercent,
-					fmt.Sprintf("brings the floors of pool %s to %d; they must be at most %d together", p, floors[p], maxFloorPercent)}
+					fmt.Sprintf("brings the floors of pool %s to %d; they must be at most %d together", p, floors[p], MaxFloorPercent)}
 			}
 		}
 	}
--- a/internal/state/directory/types.go
+++ b/internal/state/directory/types.go
@@ -98,5 +98,8 @@
 
 // Error names the field, the value and what would be right.
 func (e *FieldError) Error() string {
+	if s, ok := e.Value.(string); ok {
+		return fmt.Sprintf("%s: %q: %s", e.Field, s, e.Reason)
+	}
 	return fmt.Sprintf("%s: %v: %s", e.Field, e.Value, e.Reason)
 }
--- a/internal/state/directory/validate.go
+++ b/internal/state/directory/validate.go
@@ -6,8 +6,9 @@
 	"path"
 	"regexp"
 	"slices"
-	"strconv"
 	"strings"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 // Bounds of single values.
@@ -15,6 +16,7 @@
 	maxShare   = 1000000
 	maxServers = 100000
 	maxSlots   = 4096
+	maxTarget  = 24 * clock.Hour
 	// maxClassFloor is the highest floor of one class, in percent.
 	maxClassFloor = 20
 )
@@ -49,8 +51,14 @@
 	if c.Tier < 0 || c.Tier >= Tiers {
 		return &FieldError{"class.tier", c.Tier, fmt.Sprintf("must be from 0 to %d", Tiers-1)}
 	}
-	if c.FirstTokenMs < 0 || c.TokenMs < 0 || c.AnswerMs < 0 {
-		return &FieldError{"class.targets", c.Name, "must not be negative"}
+	if err := checkTarget("class.firstTokenMs", c.FirstTokenMs); err != nil {
+		return err
+	}
+	if err := checkTarget("class.tokenMs", c.TokenMs); err != nil {
+		return err
+	}
+	if err := checkTarget("class.answerMs", c.AnswerMs); err != nil {
+		return err
 	}
 	if c.FloorPercent < 0 || c.FloorPercent > maxClassFloor {
 		return &FieldError{"class.floorPercent", c.FloorPercent, fmt.Sprintf("must be from 0 to %d", maxClassFloor)}
@@ -115,9 +123,16 @@
 	return nil
 }
 
+func checkTarget(field string, target clock.Millis) error {
+	if target < 0 || target > maxTarget {
+		return &FieldError{field, target, fmt.Sprintf("must be from 0 to %d; 0 is no target", maxTarget)}
+	}
+	return nil
+}
+
 func checkName(field, name string) error {
 	if !namePattern.MatchString(name) {
-		return &FieldError{field, strconv.Quote(name), nameRule}
+		return &FieldError{field, name, nameRule}
 	}
 	return nil
 }
@@ -125,7 +140,7 @@
 // checkNames requires at least one name, each sound and given once.
 func checkNames(field string, names []string) error {
 	if len(names) == 0 {
-		return &FieldError{field, "[]", "must hold at least one name"}
+		return &FieldError{field, "", "must hold at least one name"}
 	}
 	for i, name := range names {
 		if err := checkName(field, name); err != nil {
