Commands: config, sheet, key and status

Cause: operators need to check, show and change the configuration and to issue and withdraw keys from the command line, and to learn an outcome that is known.

--- /dev/null
+++ b/internal/cli/commands/adminoptions.go
@@ -0,0 +1,102 @@
+package commands
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os/user"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/operator/admin"
+	"github.com/damaskport/damaskport/internal/operator/strictjson"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+const (
+	requestTimeout = 10 * time.Second
+	retryEvery     = 500 * time.Millisecond
+	changeIDBytes  = 8
+)
+
+// adminOptions are the flags of commands that speak to an entry.
+type adminOptions struct {
+	Admin string `long:"admin" env:"DAMASKPORT_ADMIN" required:"true" value-name:"URL" description:"operators' address of an entry"`
+}
+
+func (a adminOptions) client() *admin.Client {
+	return admin.NewClient(a.Admin, &http.Client{Timeout: requestTimeout})
+}
+
+// changeOptions are the flags of commands that change the configuration.
+type changeOptions struct {
+	adminOptions
+	Author string        `long:"author" value-name:"NAME" description:"who makes the change; default: the user's name"`
+	Wait   time.Duration `long:"wait" default:"30s" description:"how long to wait for the outcome"`
+}
+
+// submit sends the change until its outcome is known or the time is over. A
+// repeat carries the same id and never takes effect twice.
+func (c changeOptions) submit(o output, change directory.Change) (admin.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	change.ID = randomHex(changeIDBytes)
+	change.Author = c.author()
+	for {
+		result, err := c.client().Change(ctx, change)
+		if err == nil || !undecided(err) {
+			return result, err
+		}
+		fmt.Fprintf(o.err, "change %s: %v\n", change.ID, err)
+		select {
+		case <-ctx.Done():
+			return result, errors.Errorf("change %s: the outcome is not known; see config show before sending it again", change.ID)
+		case <-time.After(retryEvery):
+		}
+	}
+}
+
+// undecided reports whether the change may still be accepted.
+func undecided(err error) bool {
+	var answer *admin.Error
+	if !errors.As(err, &answer) {
+		return true
+	}
+	return answer.Result.Unknown || answer.Status == http.StatusServiceUnavailable
+}
+
+func (c changeOptions) author() string {
+	if c.Author != "" {
+		return c.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// accepted tells an accepted change.
+func (o output) accepted(result admin.Result) {
+	fmt.Fprintf(o.err, "accepted at version %d, confirmed by %d other processes\n", result.Offset, result.Peers)
+}
+
+// problems prints every problem of a file and returns the error to end with.
+func (o output) problems(file string, err error) error {
+	var bad *strictjson.Errors
+	if !errors.As(err, &bad) {
+		return err
+	}
+	for _, p := range bad.Problems {
+		fmt.Fprintln(o.err, p)
+	}
+	return errors.Errorf("%s: %d problems", file, len(bad.Problems))
+}
+
+func randomHex(n int) string {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails; the program ends when there is no randomness
+	return hex.EncodeToString(b)
+}
--- a/internal/operator/strictjson/document.go
+++ b/internal/operator/strictjson/document.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -97,9 +98,13 @@
 	return ""
 }
 
-// Reject adds a problem with the value at path. The line is that of the
-// nearest enclosing value when the file does not give path itself.
+// Reject adds a problem with the value at path, unless Decode has reported the
+// path before. The line is that of the nearest enclosing value when the file
+// does not give path itself.
 func (d *Document) Reject(path string, value any, want string) {
+	if slices.ContainsFunc(d.problems, func(p Problem) bool { return p.Path == path }) {
+		return
+	}
 	v, _ := d.find(path)
 	d.add(v.StartOffset, path, Show(value), want)
 }
