--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{out: ring.New[outgoing](outSize), ctx: ctx, cancel: cancel, clock: clk}
 	l.heard.Store(int64(clk.Now()))
-	stream := jsonrpc2.NewBufferedStream(deadlineConn{c}, jsonrpc2.PlainObjectCodec{})
+	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{c})
 	ready := make(chan struct{})
 	l.conn = jsonrpc2.NewConn(ctx, stream, adapter{l, h, ready},
 		jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
@@ -138,6 +138,11 @@
 	return l.ctx.Done()
 }
 
+// Closed reports whether the link has ended.
+func (l *Link) Closed() bool {
+	return l.ctx.Err() != nil
+}
+
 // Close ends the link. It may be called more than once.
 func (l *Link) Close() {
 	l.closeOne.Do(func() {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -59,6 +59,7 @@
 	dispatcher      *dispatcher
 	retries         *retries
 	active          *active
+	confirmed       *notice
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
 	duties          []supervise.Duty
@@ -73,13 +74,13 @@
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
-		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}},
+		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
 		metrics: newMetrics(), issueKey: d.IssueKey, duties: d.Duties, progressTimeout: defaultProgressTimeout,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
-	e.retries = newRetries(e)
+	e.retries = newRetries(d.Clock)
 	e.dispatcher = &dispatcher{e: e, http: dataClient()}
 	var err error
 	if e.callerLn, err = net.Listen("tcp", e.cfg.CallerAddr); err != nil {
@@ -180,15 +181,14 @@
 	if e.draining.Load() {
 		return errors.New("draining")
 	}
-	if e.store.Current().Version() == 0 {
+	if !e.store.Ready() {
 		return errors.New("no configuration yet")
 	}
 	return nil
 }
 
 func (e *Entry) state() dispatch.State {
-	d := e.store.Current()
-	return dispatch.State{ConfigVersion: d.Version(), ConfigDigest: d.Digest()}
+	return dispatch.State{Config: e.store.Version()}
 }
 
 // newID returns an id that no other request of any entry has.
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -61,7 +61,7 @@
 // open authenticates a request. done must be called when it has been served.
 func (e *Entry) open(_ http.ResponseWriter, r *http.Request) (q *query, done func(), failure *openai.Error) {
 	d := e.store.Current()
-	if d.Version() == 0 {
+	if !e.store.Ready() {
 		return nil, nil, unavailable("the entry has no configuration yet")
 	}
 	key, account, failure := authenticate(d, r)
@@ -163,6 +163,9 @@
 	code := "ok"
 	if failure != nil {
 		code = failure.Code
+		if failure.Status == http.StatusTooManyRequests {
+			e.metrics.overloaded(j.class.Name)
+		}
 	}
 	e.metrics.finished(j.class.Name, code, took)
 	e.log.WithFields(logrus.Fields{
