--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -38,6 +38,10 @@
 	addEntry,
 	addSidecar,
 	addSolo,
+	addConfig,
+	addSheet,
+	addKey,
+	addStatus,
 }
 
 // Execute runs the command line args and returns the exit code.
--- a/internal/operator/strictjson/document.go
+++ b/internal/operator/strictjson/document.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -97,11 +98,15 @@
 	return ""
 }
 
-// Reject adds a problem with the value at path. The line is that of the
-// nearest enclosing value when the file does not give path itself.
+// Reject adds a problem with the value at path, unless Decode has reported the
+// path before. The line is that of the nearest enclosing value when the file
+// does not give path itself.
 func (d *Document) Reject(path string, value any, want string) {
+	if slices.ContainsFunc(d.problems, func(p Problem) bool { return p.Path == path }) {
+		return
+	}
 	v, _ := d.find(path)
-	d.add(v.StartOffset, path, shown(value), want)
+	d.add(v.StartOffset, path, Show(value), want)
 }
 
 // Err returns an *Errors with all problems so far, or nil.
@@ -162,7 +167,8 @@
 	return lit.String()
 }
 
-func shown(value any) string {
+// Show returns a value as it stands in messages: strings quoted, long values cut.
+func Show(value any) string {
 	var s string
 	switch v := value.(type) {
 	case nil:
