--- a/internal/cli/commands/adminoptions.go
+++ b/internal/cli/commands/adminoptions.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os/user"
 	"time"
 
@@ -24,11 +25,24 @@
 
 // adminOptions are the flags of commands that speak to an entry.
 type adminOptions struct {
-	Admin string `long:"admin" env:"DAMASKPORT_ADMIN" required:"true" value-name:"URL" description:"operators' address of an entry"`
+	Admin adminURL `long:"admin" env:"DAMASKPORT_ADMIN" required:"true" value-name:"URL" description:"operators' address of an entry"`
+}
+
+// adminURL is the base URL of an operators' address.
+type adminURL string
+
+// UnmarshalFlag checks the URL.
+func (a *adminURL) UnmarshalFlag(value string) error {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return errors.Errorf("%q: must be a URL such as http://10.0.0.1:8081", value)
+	}
+	*a = adminURL(value)
+	return nil
 }
 
 func (a adminOptions) client() *admin.Client {
-	return admin.NewClient(a.Admin, &http.Client{Timeout: requestTimeout})
+	return admin.NewClient(string(a.Admin), &http.Client{Timeout: requestTimeout})
 }
 
 // changeOptions are the flags of commands that change the configuration.
--- a/internal/operator/admin/admin_test.go
+++ b/internal/operator/admin/admin_test.go
@@ -30,22 +30,33 @@
 	hidden bool
 	// answer is what the next appends return after taking effect.
 	answer error
+	// silent lets appends take effect and never answers.
+	silent bool
 	// refuse is what the next appends return without taking effect.
 	refuse error
 }
 
-func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+func (l *fakeLog) Append(ctx context.Context, _ string, data []byte) (int64, error) {
+	offset, silent, err := l.append(data)
+	if silent {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return offset, err
+}
+
+func (l *fakeLog) append(data []byte) (offset int64, silent bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse != nil {
-		return 0, l.refuse
+		return 0, false, l.refuse
 	}
-	offset := int64(len(l.records) + 1)
+	offset = int64(len(l.records) + 1)
 	l.records = append(l.records, logservice.Record{Offset: offset, Data: data})
 	if !l.hidden {
 		_ = l.store.Offer(l.records)
 	}
-	return offset, l.answer
+	return offset, l.silent, l.answer
 }
 
 func (l *fakeLog) set(f func(*fakeLog)) {
@@ -141,13 +152,18 @@
 }
 
 func TestLostAppendAnswerIsFoundByReading(t *testing.T) {
-	e := newEntry(t, 0)
-	e.log.set(func(l *fakeLog) { l.answer = io.ErrUnexpectedEOF })
-	if got := e.mustChange(t, directory.Change{ID: "c1", BasedOn: 1, Ops: []directory.Op{account(2)}}); got.Offset != 2 {
-		t.Errorf("result = %+v, want offset 2", got)
-	}
-	if n := e.log.len(); n != 2 {
-		t.Errorf("%d records in the log, want 2", n)
+	for name, lose := range map[string]func(*fakeLog){
+		"cut":    func(l *fakeLog) { l.answer = io.ErrUnexpectedEOF },
+		"silent": func(l *fakeLog) { l.silent = true },
+	} {
+		e := newEntry(t, 0)
+		e.log.set(lose)
+		if got := e.mustChange(t, directory.Change{ID: "c1", BasedOn: 1, Ops: []directory.Op{account(2)}}); got.Offset != 2 {
+			t.Errorf("%s: result = %+v, want offset 2", name, got)
+		}
+		if n := e.log.len(); n != 2 {
+			t.Errorf("%s: %d records in the log, want 2", name, n)
+		}
 	}
 }
 
--- a/internal/operator/admin/change.go
+++ b/internal/operator/admin/change.go
@@ -109,20 +109,19 @@
 	if status, result, done := c.decided(ctx, change, data); done {
 		return status, result
 	}
+	refused := make(chan error, 1)
 	if !c.isUnconfirmed(change.ID) {
 		if _, err := store.Current().WithChange(change); err != nil {
 			return http.StatusConflict, Result{Reason: err.Error()}
 		}
-		if err := c.append(ctx, change.ID, data); err != nil {
-			return http.StatusServiceUnavailable, Result{Reason: "not appended: " + err.Error()}
-		}
+		c.remember(change.ID)
+		go func() { refused <- c.append(ctx, change.ID, data) }()
 	}
-	return c.await(ctx, change, data)
+	return c.await(ctx, change, data, refused)
 }
 
 // append returns an error only when the record was surely not added.
 func (c *changer) append(ctx context.Context, id string, data []byte) error {
-	c.remember(id)
 	_, err := c.deps.Appender.Append(ctx, logservice.StreamConfig, data)
 	if err == nil {
 		return nil
@@ -137,8 +136,9 @@
 	return nil
 }
 
-// await waits until the change is read back.
-func (c *changer) await(ctx context.Context, change directory.Change, data []byte) (int, Result) {
+// await waits until the change is read back or the log has refused it. It
+// does not wait for the answer to the append, which may be lost.
+func (c *changer) await(ctx context.Context, change directory.Change, data []byte, refused <-chan error) (int, Result) {
 	for {
 		changed := c.deps.Store.Changed()
 		if status, result, done := c.decided(ctx, change, data); done {
@@ -146,6 +146,10 @@
 		}
 		select {
 		case <-changed:
+		case err := <-refused:
+			if err != nil {
+				return http.StatusServiceUnavailable, Result{Reason: "not appended: " + err.Error()}
+			}
 		case <-ctx.Done():
 			return http.StatusGatewayTimeout, Result{
 				Unknown: true,
