--- /dev/null
+++ b/internal/state/lease/record.go
@@ -0,0 +1,60 @@
+package lease
+
+import (
+	"encoding/json"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+// MaxLength is the longest lease.
+const MaxLength = 30 * clock.Second
+
+// Claim takes, renews or releases one lease.
+type Claim struct {
+	Lease string `json:"lease"`
+	// Seen is the offset of the lease's last accepted claim that the author
+	// knows, or 0 when there is none. The claim is accepted only if that is
+	// still the last one.
+	Seen int64 `json:"seen"`
+	// Term is the holder's term in a renewal or a release, and 0 in a claim
+	// that starts a term.
+	Term     int64        `json:"term,omitempty"`
+	LengthMs clock.Millis `json:"lengthMs"`
+	Release  bool         `json:"release,omitempty"`
+}
+
+// Record is one record of the leases stream. A record without claims only
+// marks the log's time.
+type Record struct {
+	// Holder is unique to the process that wrote the record.
+	Holder string `json:"holder"`
+	// Seq numbers the records of the process.
+	Seq    int64   `json:"seq"`
+	Claims []Claim `json:"claims,omitempty"`
+}
+
+// UnmarshalJSON decodes and checks a record.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	type plain Record
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.Holder == "" {
+		return &directory.FieldError{Field: "holder", Value: `""`, Reason: "must not be empty"}
+	}
+	for _, c := range p.Claims {
+		if c.Lease == "" || c.Seen < 0 {
+			return &directory.FieldError{Field: "claims", Value: c, Reason: "must name a lease, and seen must not be negative"}
+		}
+		if c.Term < 0 || c.Term > c.Seen || c.Release && c.Term == 0 {
+			return &directory.FieldError{Field: "claims.term", Value: c.Term, Reason: "must be that of the claim seen"}
+		}
+		if c.LengthMs <= 0 || c.LengthMs > MaxLength {
+			return &directory.FieldError{Field: "claims.lengthMs", Value: c.LengthMs, Reason: "must be positive and at most the longest lease"}
+		}
+	}
+	*r = Record(p)
+	return nil
+}
