Terms by the platform's start time; claim budget shared by the listed services

Cause: each sidecar took the whole append budget for claims: 4 services could append 800 times a second where the log takes several hundred. Two sidecars beside one server could not be told apart by the server. Change: entries tell the number of listed plain services, and the start time of the sidecar's instance, which goes to servers that check fencing numbers.

--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +18,7 @@
 	headerAccount     = "X-Damaskport-Account"
 	headerAttempt     = "X-Damaskport-Attempt"
 	headerIdempotency = "Idempotency-Key"
+	headerFencing     = "X-Fencing-Number"
 )
 
 // Call is one request to the service.
@@ -28,6 +30,8 @@
 	Header         http.Header
 	Body           io.Reader
 	IdempotencyKey string
+	// Term is the sidecar's fencing number; 0 sends none.
+	Term int64
 	// Protected calls run at most once: each uses a connection of its own, on
 	// which the HTTP client never sends a request a second time.
 	Protected bool
@@ -77,6 +81,9 @@
 	}
 	req.Header.Set(headerAccount, call.Account)
 	req.Header.Set(headerAttempt, call.Attempt)
+	if call.Term > 0 {
+		req.Header.Set(headerFencing, strconv.FormatInt(call.Term, 10))
+	}
 	if call.IdempotencyKey != "" {
 		req.Header.Set(headerIdempotency, call.IdempotencyKey)
 	}
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -62,6 +62,9 @@
 	// Leaving tells that the sender takes no new work, or, from an entry,
 	// that the platform lists the sidecar's instance as leaving.
 	Leaving bool `json:"leaving,omitempty"`
+	// Services is the number of plain services that the platform lists; their
+	// sidecars share the budget of claim appends. Only entries tell it.
+	Services int `json:"services,omitempty"`
 }
 
 // Hello opens a control connection.
@@ -69,6 +72,10 @@
 	Entry       string `json:"entry"`
 	Incarnation string `json:"incarnation"`
 	State       State  `json:"state"`
+	// Term is when the platform started the sidecar's instance, by its list.
+	// Of two sidecars beside one backend server, the one with the higher term
+	// is the present one.
+	Term int64 `json:"term,omitempty"`
 }
 
 // HelloReply describes the sidecar.
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var reply dispatch.HelloReply
-	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state()}
+	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state(), Term: int64(p.instance.StartedMs)}
 	if err := l.Call(ctx, dispatch.MethodHello, hello, &reply); err != nil {
 		return errors.Wrap(err, "hello")
 	}
@@ -125,6 +125,7 @@
 func (p *peer) state() dispatch.State {
 	st := p.e.state()
 	st.Leaving = p.listedLeaving.Load()
+	st.Services = int(p.e.peers.services.Load())
 	return st
 }
 
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/platform/membership"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
 const (
@@ -39,6 +41,8 @@
 	byName map[string]*member
 	// pools holds the connected sidecars by pool.
 	pools map[string][]*peer
+	// services is the number of plain services in the list.
+	services atomic.Int64
 }
 
 type member struct {
@@ -116,14 +120,19 @@
 // subset returns the instances to which this entry connects.
 func (ps *peers) subset(list membership.List) []membership.Instance {
 	byPool := map[string][]membership.Instance{}
+	services := 0
 	entries := []string{ps.e.name}
 	for _, in := range list.Instances {
 		if in.Role == membership.RoleBackend {
 			byPool[in.Pool] = append(byPool[in.Pool], in)
+			if p, ok := ps.e.store.Current().Pool(in.Pool); ok && p.Kind == directory.PoolService {
+				services++
+			}
 		} else if in.Name != ps.e.name {
 			entries = append(entries, in.Name)
 		}
 	}
+	ps.services.Store(int64(services))
 	var out []membership.Instance
 	for _, members := range byPool {
 		out = append(out, ps.e.router.subset(entries, members)...)
--- a/internal/role/sidecar/control.go
+++ b/internal/role/sidecar/control.go
@@ -130,6 +130,7 @@
 	c.mu.Lock()
 	c.links[l] = h.Entry
 	c.mu.Unlock()
+	c.s.raiseTerm(h.Term)
 	c.s.observe(l, h.State)
 	reply := make(chan dispatch.Load, 1)
 	c.s.put(loadEvent{reply})
--- a/internal/role/sidecar/model.go
+++ b/internal/role/sidecar/model.go
@@ -30,7 +30,7 @@
 	watchdog := time.AfterFunc(a.s.cfg.ProgressTimeoutMs.Duration(), func() { a.run.stop(&endError{dispatch.EndFailed}) })
 	defer watchdog.Stop()
 	stream, err := a.s.engine.Start(a.run.ctx, engine.Attempt{
-		ID: a.run.id, Body: body, Tier: a.resv.Tier, ResumeTokens: a.req.ResumeTokens,
+		ID: a.run.id, Body: body, Tier: a.resv.Tier, ResumeTokens: a.req.ResumeTokens, Term: a.s.fencing(),
 	})
 	if err != nil {
 		a.engineRefused(err)
--- a/internal/role/sidecar/plain.go
+++ b/internal/role/sidecar/plain.go
@@ -74,7 +74,7 @@
 
 func (a *attempt) call(ctx context.Context, body []byte) (*http.Response, error) {
 	return a.s.service.Do(ctx, service.Call{
-		Attempt: a.run.id, Account: a.resv.Account,
+		Attempt: a.run.id, Account: a.resv.Account, Term: a.s.fencing(),
 		Method: a.req.Method, Path: a.req.Path, Header: a.req.Header,
 		Body: strings.NewReader(string(body)), IdempotencyKey: a.req.IdempotencyKey, Protected: a.req.Protected,
 	})
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	Finish(attempt string, status int)
 	NotRun(attempt string)
 	Unknown(attempt string)
+	// SetPeers tells the number of sidecars that share the append budget.
+	SetPeers(n int)
 }
 
 // Meter counts what the server generated.
@@ -81,6 +84,8 @@
 	dataLn      net.Listener
 	duties      []supervise.Duty
 	data        *http.Server
+	// term is the fencing number that goes to the backend server.
+	term atomic.Int64
 }
 
 // New opens the sidecar's addresses.
@@ -235,9 +240,30 @@
 	}
 }
 
+// raiseTerm takes in the platform's start time of this instance.
+func (s *Sidecar) raiseTerm(term int64) {
+	for {
+		have := s.term.Load()
+		if term <= have || s.term.CompareAndSwap(have, term) {
+			return
+		}
+	}
+}
+
+// fencing returns the number to send to the backend server, 0 if it checks none.
+func (s *Sidecar) fencing() int64 {
+	if !s.cfg.ChecksFencing {
+		return 0
+	}
+	return s.term.Load()
+}
+
 // observe takes in what an entry told of its state.
 func (s *Sidecar) observe(l *dispatch.Link, st dispatch.State) {
 	s.exchange.Observe(l, st)
+	if st.Services > 0 {
+		s.claims.SetPeers(st.Services)
+	}
 	if st.Leaving {
 		s.put(drainEvent{make(chan struct{})})
 	}
