--- a/internal/state/claim/digest.go
+++ b/internal/state/claim/digest.go
@@ -1,69 +1,12 @@
 package claim
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/digest"
 )
 
-const (
-	// entriesPerPart keeps a part of a digest well below the log's largest record.
-	entriesPerPart = 10000
-	// digestsPerRetention is the number of digests in one retention time.
-	digestsPerRetention = 4
-	// openDigests bounds the digests of which only some parts were read.
-	openDigests = 16
-)
-
-// digests collects the parts of digests until one is complete.
-type digests struct {
-	open []openDigest
-}
-
-type openDigest struct {
-	head    Digest
-	have    map[int]bool
-	entries []Entry
-}
-
-// add returns the whole digest once its last part was added. With keep it
-// holds the entries.
-func (ds *digests) add(d *Digest, offset int64, keep bool) *Digest {
-	if d.UpTo >= offset {
-		return nil
-	}
-	i := ds.find(d)
-	o := &ds.open[i]
-	if o.have[d.Part] || o.head.Parts != d.Parts || o.head.UpTo != d.UpTo {
-		return nil
-	}
-	o.have[d.Part] = true
-	if keep {
-		o.entries = append(o.entries, d.Entries...)
-	}
-	if len(o.have) < o.head.Parts {
-		return nil
-	}
-	whole := o.head
-	whole.Entries = o.entries
-	ds.open = append(ds.open[:i], ds.open[i+1:]...)
-	return &whole
-}
-
-func (ds *digests) find(d *Digest) int {
-	for i, o := range ds.open {
-		if o.head.ID == d.ID {
-			return i
-		}
-	}
-	if len(ds.open) == openDigests {
-		ds.open = ds.open[1:]
-	}
-	head := *d
-	head.Entries = nil
-	ds.open = append(ds.open, openDigest{head: head, have: map[int]bool{}})
-	return len(ds.open) - 1
-}
+// entriesPerPart keeps a part of a digest well below the log's largest record.
+const entriesPerPart = 10000
 
 // hold keeps a record until the earlier state is known, and then decides all
 // that are held.
@@ -80,18 +23,19 @@
 	if r.rec.Digest == nil || r.rec.Digest.UpTo < f.first-1 {
 		return nil
 	}
-	d := f.digests.add(r.rec.Digest, r.offset, true)
-	if d == nil {
+	head := r.rec.Digest.Head
+	entries, ok := f.digests.Add(r.offset, head, r.rec.Digest.Entries)
+	if !ok {
 		return nil
 	}
-	return f.adopt(d)
+	return f.adopt(head, entries)
 }
 
 // adopt starts from a whole digest and replays the records after it.
-func (f *Fold) adopt(d *Digest) []Decision {
+func (f *Fold) adopt(d digest.Head, entries []Entry) []Decision {
 	clear(f.entries)
 	names := map[string]string{}
-	for _, e := range d.Entries {
+	for _, e := range entries {
 		e.Incarnation = intern(names, e.Incarnation)
 		f.entries[e.Key] = e
 	}
@@ -140,20 +84,10 @@
 	if !f.Whole() {
 		return nil, &NotWholeError{First: f.first}
 	}
-	live := f.Live(f.atMs)
-	parts := max(1, (len(live)+entriesPerPart-1)/entriesPerPart)
-	out := make([]Record, parts)
-	for i := range out {
-		n := min(entriesPerPart, len(live))
-		out[i] = Record{Incarnation: incarnation, Digest: &Digest{
-			ID:      id,
-			UpTo:    f.next - 1,
-			AtMs:    f.atMs,
-			Part:    i,
-			Parts:   parts,
-			Entries: live[:n],
-		}}
-		live = live[n:]
+	heads, chunks := digest.Split(id, f.next-1, f.atMs, f.Live(f.atMs), entriesPerPart)
+	out := make([]Record, len(heads))
+	for i, h := range heads {
+		out[i] = Record{Incarnation: incarnation, Digest: &Digest{Head: h, Entries: chunks[i]}}
 	}
 	return out, nil
 }
@@ -165,7 +99,5 @@
 	if !f.Whole() || f.next == 1 {
 		return false
 	}
-	period := retention / digestsPerRetention
-	spread := clock.Millis(xxhash.Sum64String(incarnation) % uint64(period/2+1))
-	return max(nowMs, f.atMs) >= f.digestMs+period+spread
+	return max(nowMs, f.atMs) >= digest.DueMs(f.digestMs, retention, incarnation)
 }
--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -19,6 +19,7 @@
 	"slices"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/digest"
 )
 
 // minSweep is the least number of records between two removals of expired entries.
@@ -69,7 +70,7 @@
 	toSweep int
 	invalid int
 
-	digests digests
+	digests digest.Collector[Entry]
 	// digestMs is the log's time as of the last complete digest.
 	digestMs clock.Millis
 
@@ -116,7 +117,7 @@
 	f.first = first
 	f.quietMs = 0
 	f.heldRecs = nil
-	f.digests = digests{}
+	f.digests = digest.Collector[Entry]{}
 	clear(f.entries)
 }
 
@@ -141,8 +142,10 @@
 	if f.missed {
 		return f.hold(heldRecord{offset, atMs, rec})
 	}
-	if rec.Digest != nil && f.digests.add(rec.Digest, offset, false) != nil {
-		f.digestMs = rec.Digest.AtMs
+	if rec.Digest != nil {
+		if _, ok := f.digests.Add(offset, rec.Digest.Head, nil); ok {
+			f.digestMs = rec.Digest.AtMs
+		}
 	}
 	return f.decide(offset, rec)
 }
--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/digest"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
@@ -51,12 +52,8 @@
 
 // Digest is one part of the state after the record at UpTo.
 type Digest struct {
-	ID      string       `json:"id"`
-	UpTo    int64        `json:"upTo"`
-	AtMs    clock.Millis `json:"atMs"`
-	Part    int          `json:"part"`
-	Parts   int          `json:"parts"`
-	Entries []Entry      `json:"entries"`
+	digest.Head
+	Entries []Entry `json:"entries"`
 }
 
 // Record is one record of a claims stream: the outcomes and the claims of one
@@ -127,11 +124,8 @@
 }
 
 func (d *Digest) validate() error {
-	if d.ID == "" || d.UpTo < 0 {
-		return &directory.FieldError{Field: "digest.id", Value: d.ID, Reason: "must not be empty, with upTo not negative"}
-	}
-	if d.Part < 0 || d.Part >= d.Parts {
-		return &directory.FieldError{Field: "digest.part", Value: d.Part, Reason: "must be from 0 to parts-1"}
+	if err := d.Head.Validate(); err != nil {
+		return err
 	}
 	for _, e := range d.Entries {
 		if e.Attempt == "" || e.Incarnation == "" || e.Offset < 1 || e.Offset > d.UpTo {
