Usage windows: fold, seals, corrections and the sidecar's meter

Increments are cumulative per sidecar process, window and account, and the greatest counts, so no sequence number is needed for repeats or late ones. The first seal by offset fixes an account's window; what it left out is owed and goes to the correction of the next seal, also where two processes sealed at once, so no lease is needed for identical figures (it is for a single reporter).

Bound, not covered by the model: usage that a sidecar counted and had not recorded when it died is lost, and so is what could not be recorded for 6 hours after its window (counted by the meter or the fold).

--- a/internal/state/claim/digest.go
+++ b/internal/state/claim/digest.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"slices"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/digest"
 )
@@ -84,9 +86,12 @@
 	if !f.Whole() {
 		return nil, &NotWholeError{First: f.first}
 	}
-	heads, chunks := digest.Split(id, f.next-1, f.atMs, f.Live(f.atMs), entriesPerPart)
-	out := make([]Record, len(heads))
-	for i, h := range heads {
+	chunks := slices.Collect(slices.Chunk(f.Live(f.atMs), entriesPerPart))
+	if len(chunks) == 0 {
+		chunks = [][]Entry{nil}
+	}
+	out := make([]Record, len(chunks))
+	for i, h := range digest.Heads(id, f.next-1, f.atMs, len(chunks)) {
 		out[i] = Record{Incarnation: incarnation, Digest: &Digest{Head: h, Entries: chunks[i]}}
 	}
 	return out, nil
--- a/internal/state/digest/digest.go
+++ b/internal/state/digest/digest.go
@@ -37,19 +37,13 @@
 	return nil
 }
 
-// Split returns the heads and the entries of the parts of a digest, with at
-// most perPart entries each.
-func Split[E any](id string, upTo int64, atMs clock.Millis, entries []E, perPart int) ([]Head, [][]E) {
-	parts := max(1, (len(entries)+perPart-1)/perPart)
+// Heads returns the heads of a digest's parts.
+func Heads(id string, upTo int64, atMs clock.Millis, parts int) []Head {
 	heads := make([]Head, parts)
-	chunks := make([][]E, parts)
-	for i := range parts {
-		n := min(perPart, len(entries))
+	for i := range heads {
 		heads[i] = Head{ID: id, UpTo: upTo, AtMs: atMs, Part: i, Parts: parts}
-		chunks[i] = entries[:n]
-		entries = entries[n:]
 	}
-	return heads, chunks
+	return heads
 }
 
 // Collector collects parts until a digest is complete. The zero value is
--- /dev/null
+++ b/internal/state/window/fold_test.go
@@ -0,0 +1,131 @@
+package window_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/directory"
+	"github.com/damaskport/damaskport/internal/state/window"
+)
+
+func encode(rec window.Record) []byte {
+	data, err := json.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// increments returns a record of one sidecar for n accounts in one window.
+func increments(sidecar string, n int, at clock.Millis) []byte {
+	rec := window.Record{Incarnation: sidecar}
+	for i := range n {
+		rec.Increments = append(rec.Increments, window.Increment{
+			Account: fmt.Sprintf("account-%d", i),
+			Window:  window.At(at, length),
+			Figures: window.Figures{Requests: 10, PromptTokens: 1000, OutputTokens: 2000},
+		})
+	}
+	return encode(rec)
+}
+
+// TestDigestGivesWholeState has one account fill several parts of a digest.
+func TestDigestGivesWholeState(t *testing.T) {
+	whole, late := window.New(0, 1), window.New(0, 1)
+	offset := int64(0)
+	for w := range 24 {
+		for s := range 500 {
+			offset++
+			whole.Apply(offset, modelBase, increments(fmt.Sprint("s", s), 2, modelBase+clock.Millis(w)*length))
+		}
+	}
+	seals := whole.Due(modelBase+clock.Hour, grace, length)
+	seals[0].OutputTokens -= 7
+	parts, err := whole.Digest("d", "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(parts) < 3 {
+		t.Fatalf("%d parts, want several", len(parts))
+	}
+	log := [][]byte{encode(window.Record{Incarnation: "r", Seals: seals})}
+	for _, p := range parts {
+		log = append(log, encode(p))
+	}
+	for _, data := range log {
+		offset++
+		whole.Apply(offset, modelBase, data)
+		late.Apply(offset, modelBase, data)
+	}
+	if diff := cmp.Diff(whole.Entries(), late.Entries()); diff != "" || !late.Whole() {
+		t.Errorf("whole %v; state of a late reader (-want +got):\n%s", late.Whole(), diff)
+	}
+	if got := late.Owed(seals[0].Account); got != 7 {
+		t.Errorf("owed %d tokens, want the 7 that the seal left out", got)
+	}
+}
+
+// TestTooLate: an increment for a closed window changes nothing and is counted.
+func TestTooLate(t *testing.T) {
+	f := window.New(0, 1)
+	f.Apply(1, modelBase+window.KeepMs+length, increments("s", 1, modelBase))
+	if got := f.Entries(); len(got) != 0 || f.TooLate() != 3000 {
+		t.Errorf("state %+v, %d tokens too late; want none and 3000", got, f.TooLate())
+	}
+}
+
+func TestRecordChecksItself(t *testing.T) {
+	for _, text := range []string{
+		`{}`,
+		`{"incarnation":"a","increments":[{"account":"x","windowStartMs":5,"windowEndMs":5}]}`,
+		`{"incarnation":"a","increments":[{"account":"x","windowStartMs":0,"windowEndMs":5,"requests":-1}]}`,
+		`{"incarnation":"a","seals":[{"windowStartMs":0,"windowEndMs":5}]}`,
+		`{"incarnation":"a","digest":{"id":"d","upTo":1,"part":0,"parts":0}}`,
+	} {
+		var rec window.Record
+		if err := json.Unmarshal([]byte(text), &rec); !errors.As(err, new(*directory.FieldError)) {
+			t.Errorf("%s: %v, want FieldError", text, err)
+		}
+	}
+}
+
+// BenchmarkFold measures the time per increment and the memory per account
+// window and sidecar, with 20 sidecars.
+func BenchmarkFold(b *testing.B) {
+	const sidecars = 20
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var log [][]byte
+			for s := range sidecars {
+				log = append(log, increments(fmt.Sprint("sidecar-", s), n, modelBase))
+			}
+			before := heap()
+			var f *window.Fold
+			for b.Loop() {
+				f = window.New(0, 1)
+				for i, data := range log {
+					f.Apply(int64(i+1), modelBase, data)
+				}
+			}
+			all := float64(n * sidecars)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/all, "ns/increment")
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/accountWindow")
+			b.ReportMetric(float64(len(log[0]))/float64(n), "wireB/increment")
+			runtime.KeepAlive(f)
+			runtime.KeepAlive(log)
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
--- /dev/null
+++ b/internal/state/window/record.go
@@ -0,0 +1,179 @@
+package window
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/digest"
+	"github.com/damaskport/damaskport/internal/state/directory"
+)
+
+// Window is a span of wall-clock time for which usage is reported.
+type Window struct {
+	StartMs clock.Millis `json:"windowStartMs"`
+	EndMs   clock.Millis `json:"windowEndMs"`
+}
+
+// At returns the window of the given length that holds the time at.
+func At(at, length clock.Millis) Window {
+	start := at - at%length
+	return Window{StartMs: start, EndMs: start + length}
+}
+
+// Figures is what was used.
+type Figures struct {
+	Requests     int64 `json:"requests"`
+	PromptTokens int64 `json:"promptTokens"`
+	OutputTokens int64 `json:"outputTokens"`
+}
+
+// Tokens returns all tokens.
+func (f Figures) Tokens() int64 { return f.PromptTokens + f.OutputTokens }
+
+// Plus returns the sum of f and g.
+func (f Figures) Plus(g Figures) Figures {
+	return Figures{f.Requests + g.Requests, f.PromptTokens + g.PromptTokens, f.OutputTokens + g.OutputTokens}
+}
+
+// Minus returns the difference of f and g.
+func (f Figures) Minus(g Figures) Figures {
+	return Figures{f.Requests - g.Requests, f.PromptTokens - g.PromptTokens, f.OutputTokens - g.OutputTokens}
+}
+
+// Max returns the greater one of each figure.
+func (f Figures) Max(g Figures) Figures {
+	return Figures{max(f.Requests, g.Requests), max(f.PromptTokens, g.PromptTokens), max(f.OutputTokens, g.OutputTokens)}
+}
+
+// Increment states what one sidecar process counted for a client account in a
+// window so far. Later ones include earlier ones.
+type Increment struct {
+	Account string `json:"account"`
+	Window
+	Figures
+}
+
+// Seal fixes the figures that are reported for a client account and a window.
+type Seal struct {
+	Account string `json:"account"`
+	Window
+	Figures
+	// CorrectionTokens is what earlier seals of the account left out.
+	CorrectionTokens int64 `json:"correctionTokens"`
+}
+
+// ReportID returns the identifier of the seal's report, the same for each repeat.
+func (s Seal) ReportID() string {
+	return s.Account + "/" + strconv.FormatInt(int64(s.StartMs), 10) + "-" + strconv.FormatInt(int64(s.EndMs), 10)
+}
+
+// Confirm tells that the platform has accepted the report of a seal.
+type Confirm struct {
+	Account string `json:"account"`
+	Window
+}
+
+// Count is the latest increment of one sidecar process.
+type Count struct {
+	Incarnation string `json:"incarnation"`
+	Figures
+}
+
+// State is what is known of one window of a client account.
+type State struct {
+	Window
+	Counts    []Count `json:"counts,omitempty"`
+	Seal      *Seal   `json:"seal,omitempty"`
+	Confirmed bool    `json:"confirmed,omitempty"`
+}
+
+// Entry is the state of one client account.
+type Entry struct {
+	Account string `json:"account"`
+	// Owed is what was counted for sealed windows and is in no seal.
+	Owed    int64   `json:"owed"`
+	Windows []State `json:"windows"`
+}
+
+// Digest is one part of the state of a shard of client accounts.
+type Digest struct {
+	digest.Head
+	Shard   int     `json:"shard"`
+	Shards  int     `json:"shards"`
+	Entries []Entry `json:"entries"`
+}
+
+// Record is one record of the usage stream. A record with nothing in it only
+// marks the log's time.
+type Record struct {
+	// Incarnation is unique to the process that wrote the record.
+	Incarnation string      `json:"incarnation"`
+	Increments  []Increment `json:"increments,omitempty"`
+	Seals       []Seal      `json:"seals,omitempty"`
+	Confirms    []Confirm   `json:"confirms,omitempty"`
+	Digest      *Digest     `json:"digest,omitempty"`
+}
+
+// UnmarshalJSON decodes and checks a record.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	rec, err := decode(data)
+	if err != nil {
+		return err
+	}
+	*r = rec
+	return nil
+}
+
+// decode scans the data once, where json.Unmarshal of a Record scans it twice.
+func decode(data []byte) (Record, error) {
+	type plain Record
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Record{}, err
+	}
+	rec := Record(p)
+	return rec, rec.validate()
+}
+
+func (r *Record) validate() error {
+	if r.Incarnation == "" {
+		return &directory.FieldError{Field: "incarnation", Value: `""`, Reason: "must not be empty"}
+	}
+	for _, in := range r.Increments {
+		if err := check("increments", in.Account, in.Window, in.Figures); err != nil {
+			return err
+		}
+	}
+	for _, s := range r.Seals {
+		if err := check("seals", s.Account, s.Window, s.Figures); err != nil {
+			return err
+		}
+	}
+	for _, c := range r.Confirms {
+		if err := check("confirms", c.Account, c.Window, Figures{}); err != nil {
+			return err
+		}
+	}
+	if r.Digest != nil {
+		return r.Digest.Head.Validate()
+	}
+	return nil
+}
+
+func check(field, account string, w Window, f Figures) error {
+	if account == "" || w.StartMs < 0 || w.EndMs <= w.StartMs {
+		return &directory.FieldError{Field: field, Value: account, Reason: "must name a client account and a window"}
+	}
+	if f.Requests < 0 || f.PromptTokens < 0 || f.OutputTokens < 0 {
+		return &directory.FieldError{Field: field, Value: account, Reason: "must not have negative figures"}
+	}
+	return nil
+}
+
+// ShardOf returns the shard of a client account.
+func ShardOf(account string, shards int) int {
+	return int(xxhash.Sum64String(account) % uint64(shards))
+}
