--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -59,6 +59,7 @@
 	dispatcher      *dispatcher
 	retries         *retries
 	active          *active
+	confirmed       *notice
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
 	duties          []supervise.Duty
@@ -73,14 +74,14 @@
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
-		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}},
+		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
 		metrics: newMetrics(), issueKey: d.IssueKey, duties: d.Duties, progressTimeout: defaultProgressTimeout,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
 	e.retries = newRetries(d.Clock)
-	e.dispatcher = &dispatcher{e: e, http: dataClient()}
+	e.dispatcher = &dispatcher{e: e, http: dataClient(false), single: dataClient(true)}
 	var err error
 	if e.callerLn, err = net.Listen("tcp", e.cfg.CallerAddr); err != nil {
 		return nil, errors.Wrap(err, "entry.callerAddr")
@@ -88,10 +89,11 @@
 	return e, nil
 }
 
-func dataClient() *http.Client {
+func dataClient(single bool) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
+		DisableKeepAlives: single,
 	}}
 }
 
@@ -161,14 +163,13 @@
 // watchConfig ends the requests of withdrawn keys and tells the sidecars of
 // each new version.
 func (e *Entry) watchConfig(ctx context.Context) error {
-	changed, end := e.store.Subscribe()
-	defer end()
+	changed := e.store.Subscribe()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			e.active.withdraw(e.store.Directory())
+			e.active.withdraw(e.store.Current())
 			for _, p := range e.peers.all() {
 				p.beatNow()
 			}
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -38,10 +38,10 @@
 	load     dispatch.Load
 	loadAt   clock.Millis
 	leaving  bool
+	version  int64 // configuration version that the sidecar showed last
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
 	inFlight      atomic.Int64
-	waiting       atomic.Int64
 }
 
 // run keeps a connection to the sidecar until ctx ends.
@@ -111,6 +111,7 @@
 	p.load = reply.Load
 	p.loadAt = p.e.clock.Now()
 	p.leaving = reply.State.Leaving
+	p.version = reply.State.Config.Number
 	p.mu.Unlock()
 	p.report()
 	p.e.exchange.Observe(l, reply.State)
@@ -218,19 +219,21 @@
 
 func (p *peer) heartbeat(l *dispatch.Link, h dispatch.Heartbeat) {
 	p.mu.Lock()
-	was := p.leaving
+	was := p.usable()
 	if h.State != nil {
 		p.leaving = h.State.Leaving
+		p.version = h.State.Config.Number
 	}
 	if h.Load != nil {
 		p.reported = *h.Load
 	}
 	p.load = p.reported
 	p.loadAt = p.e.clock.Now()
-	changed := was != p.leaving
+	changed := was != p.usable()
 	p.mu.Unlock()
 	p.report()
 	if h.State != nil {
+		p.e.confirmed.signal()
 		p.e.exchange.Observe(l, *h.State)
 	}
 	if changed {
@@ -238,6 +241,13 @@
 	}
 }
 
+// usable reports whether the sidecar takes work: it is connected, not leaving,
+// and has a configuration, without which it refuses everything. The caller
+// holds mu.
+func (p *peer) usable() bool {
+	return p.link != nil && p.version > 0 && !p.leaving && !p.listedLeaving.Load()
+}
+
 // took notes that a request was bound here, so that the known free slots fall
 // before the next report.
 func (p *peer) took(j *job) {
