--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -59,6 +59,14 @@
 	lost  chan struct{}
 }
 
+// NewTenure returns a Tenure that ends at untilMs, for a process that is the
+// only one by other means.
+func NewTenure(name string, term int64, untilMs clock.Millis, clk clock.Clock) *Tenure {
+	t := &Tenure{name: name, term: term, clock: clk, lost: make(chan struct{})}
+	t.until.Store(int64(untilMs))
+	return t
+}
+
 // Name returns the name of the lease.
 func (t *Tenure) Name() string { return t.name }
 
--- a/internal/control/lease/owner.go
+++ b/internal/control/lease/owner.go
@@ -116,8 +116,7 @@
 			continue
 		}
 		if l.tenures[name] == nil {
-			t := &Tenure{name: name, term: held.Term, clock: l.clock, lost: make(chan struct{})}
-			t.until.Store(int64(held.UntilMs))
+			t := NewTenure(name, held.Term, held.UntilMs, l.clock)
 			l.tenures[name] = t
 			l.logger.WithFields(logrus.Fields{"event": "leaseTaken", "lease": name, "term": t.term}).Info()
 		}
