--- a/internal/control/capacity/capacity.go
+++ b/internal/control/capacity/capacity.go
@@ -34,7 +34,9 @@
 
 	defaultCycle = 2 * clock.Second
 	defaultDrain = 5 * clock.Minute
-	readLimit    = 1000
+	// defaultRetention is short, so that snapshots come often enough for most logs.
+	defaultRetention = clock.Hour
+	readLimit        = 1000
 	// snapshotsPerRetention is the number of snapshots in one retention time.
 	snapshotsPerRetention = 4
 	// settleStartUps is the time, in start-up times, after the lease was taken
@@ -99,7 +101,7 @@
 	CycleMs clock.Millis
 	// DrainMs bounds the drain of a server, from the intent to stop it.
 	DrainMs clock.Millis
-	// RetentionMs is that of the log; 0 writes no snapshots.
+	// RetentionMs is that of the log; the default is an hour.
 	RetentionMs clock.Millis
 	// TimeoutMs bounds one call of the platform.
 	TimeoutMs clock.Millis
@@ -122,6 +124,9 @@
 	if cfg.CycleMs == 0 {
 		cfg.CycleMs = defaultCycle
 	}
+	if cfg.RetentionMs == 0 {
+		cfg.RetentionMs = defaultRetention
+	}
 	if cfg.DrainMs == 0 {
 		cfg.DrainMs = defaultDrain
 	}
@@ -260,7 +265,7 @@
 
 // snapshot states the pending intents before retention passes over them.
 func (s *session) snapshot(ctx context.Context) error {
-	if s.cfg.RetentionMs == 0 || s.clock.Wall() < s.fold.SnapshotMs()+s.cfg.RetentionMs/snapshotsPerRetention {
+	if s.clock.Wall() < s.fold.SnapshotMs()+s.cfg.RetentionMs/snapshotsPerRetention {
 		return nil
 	}
 	return s.append(ctx, order.Record{Snapshot: &order.Snapshot{Pending: s.fold.Pending()}})
--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -29,7 +29,9 @@
 	firstBackoff = clock.Second
 	lastBackoff  = 30 * clock.Second
 	markAfter    = clock.Minute
-	readLimit    = 1000
+	// defaultRetention is short, so that digests come often enough for most logs.
+	defaultRetention = clock.Hour
+	readLimit        = 1000
 	// sealsPerRecord bounds the seals, and the confirmations, of one record.
 	sealsPerRecord = 5000
 	// parallelReports bounds the reports that are sent at a time.
@@ -64,7 +66,7 @@
 	// after which it is sealed.
 	WindowMs clock.Millis
 	GraceMs  clock.Millis
-	// RetentionMs is that of the log; 0 writes no digests.
+	// RetentionMs is that of the log; the default is an hour.
 	RetentionMs clock.Millis
 	// TimeoutMs bounds one call of the log.
 	TimeoutMs clock.Millis
@@ -88,6 +90,9 @@
 	if cfg.CycleMs == 0 {
 		cfg.CycleMs = defaultCycle
 	}
+	if cfg.RetentionMs == 0 {
+		cfg.RetentionMs = defaultRetention
+	}
 	return &Reporter{
 		cfg:      cfg,
 		leases:   leases,
@@ -223,7 +228,7 @@
 
 // digest writes the state before retention passes over the last digest.
 func (s *session) digest(ctx context.Context) error {
-	if s.cfg.RetentionMs == 0 || s.clock.Now() < s.markMs {
+	if s.clock.Now() < s.markMs {
 		return nil
 	}
 	if !s.fold.DigestDue(s.clock.Wall(), s.cfg.RetentionMs, s.cfg.Author) {
--- a/internal/state/claim/author.go
+++ b/internal/state/claim/author.go
@@ -23,6 +23,8 @@
 	probeAfter = 500 * clock.Millisecond
 	// markAfter is the time between records that only mark the log's time.
 	markAfter = clock.Minute
+	// defaultRetention is short, so that digests come often enough for most logs.
+	defaultRetention = clock.Hour
 )
 
 // Config holds the parameters of an Author.
@@ -34,7 +36,7 @@
 	// MaxRunMs is the time after which a claim without an outcome is answered
 	// as Unknown instead of in progress.
 	MaxRunMs clock.Millis
-	// RetentionMs is the log's retention; 0 writes no digests.
+	// RetentionMs is the log's retention; the default is an hour.
 	RetentionMs clock.Millis
 }
 
@@ -83,6 +85,9 @@
 
 // NewAuthor returns an Author that owns fold.
 func NewAuthor(cfg Config, fold *Fold) *Author {
+	if cfg.RetentionMs == 0 {
+		cfg.RetentionMs = defaultRetention
+	}
 	return &Author{
 		cfg:      cfg,
 		fold:     fold,
--- a/internal/state/claim/batch.go
+++ b/internal/state/claim/batch.go
@@ -121,7 +121,7 @@
 // While live claims are unknown it marks the log's time, so that the Fold can
 // tell when none is left.
 func (a *Author) Maintain(now, nowWall clock.Millis) []Action {
-	if a.stopping || a.cfg.RetentionMs == 0 || now < a.markMs {
+	if a.stopping || now < a.markMs {
 		return nil
 	}
 	if !a.fold.Whole() {
--- a/internal/state/claim/digest.go
+++ b/internal/state/claim/digest.go
@@ -17,7 +17,7 @@
 		f.quietMs = f.atMs
 	}
 	f.heldRecs = append(f.heldRecs, r)
-	if f.atMs >= f.quietMs+MaxWindow {
+	if f.atMs >= f.quietMs+maxLife {
 		f.missed = false
 		f.heldRecs = nil
 		return nil
--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -34,7 +34,8 @@
 	Won Verdict = iota + 1
 	// Lost refuses the claim because another one holds the key.
 	Lost
-	// Late refuses the claim because its window had ended when it was recorded.
+	// Late refuses the claim because its window had ended when it was recorded,
+	// or lies too far ahead for the author's clock to be right.
 	Late
 )
 
@@ -164,7 +165,7 @@
 
 func (f *Fold) claim(offset int64, incarnation string, c Claim) Decision {
 	d := Decision{Offset: offset, Key: c.Key, Attempt: c.Attempt, Incarnation: incarnation}
-	if c.ExpiresMs <= f.atMs {
+	if c.ExpiresMs <= f.atMs || c.ExpiresMs > f.atMs+maxLife {
 		d.Verdict = Late
 		return d
 	}
@@ -178,7 +179,7 @@
 		Incarnation: incarnation,
 		Offset:      offset,
 		AtMs:        f.atMs,
-		ExpiresMs:   min(c.ExpiresMs, f.atMs+MaxWindow),
+		ExpiresMs:   c.ExpiresMs,
 	}
 	f.entries[c.Key] = e
 	d.Verdict, d.Holder = Won, e
--- a/internal/state/claim/key.go
+++ b/internal/state/claim/key.go
@@ -12,9 +12,13 @@
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
-// MaxWindow bounds how long after its record a claim may stay live.
+// MaxWindow is the longest idempotency window.
 const MaxWindow = 24 * clock.Hour
 
+// maxLife bounds how long after its record a claim may stay live. A claim that
+// asks for more is refused: its author's clock is wrong.
+const maxLife = MaxWindow + clock.Hour
+
 // maxIssueSkew bounds how far in the future an issued key's time may lie.
 const maxIssueSkew = clock.Minute
 
@@ -90,9 +94,10 @@
 
 // Expiry returns the end of the window of an idempotency key at wall-clock
 // time nowMs: counted from its issue where it carries a time, else from
-// nowMs. The error is an ExpiredKeyError when an issued key is outside its
-// window.
+// nowMs. A window is at most MaxWindow. The error is an ExpiredKeyError when
+// an issued key is outside its window.
 func Expiry(idempotencyKey string, nowMs, windowMs clock.Millis) (clock.Millis, error) {
+	windowMs = min(windowMs, MaxWindow)
 	issued, ok := IssuedAt(idempotencyKey)
 	if !ok {
 		return nowMs + windowMs, nil
--- a/internal/state/window/fold.go
+++ b/internal/state/window/fold.go
@@ -26,7 +26,7 @@
 const KeepMs = 6 * clock.Hour
 
 // maxLength is the longest window.
-const maxLength = 24 * clock.Hour
+const maxLength = 48 * clock.Hour
 
 // minSweep is the least number of records between two removals of old windows.
 const minSweep = 256
