--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -19,6 +19,7 @@
 	"slices"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/digest"
 )
 
 // minSweep is the least number of records between two removals of expired entries.
@@ -33,7 +34,8 @@
 	Won Verdict = iota + 1
 	// Lost refuses the claim because another one holds the key.
 	Lost
-	// Late refuses the claim because its window had ended when it was recorded.
+	// Late refuses the claim because its window had ended when it was recorded,
+	// or lies too far ahead for the author's clock to be right.
 	Late
 )
 
@@ -69,7 +71,7 @@
 	toSweep int
 	invalid int
 
-	digests digests
+	digests digest.Collector[Entry]
 	// digestMs is the log's time as of the last complete digest.
 	digestMs clock.Millis
 
@@ -116,7 +118,7 @@
 	f.first = first
 	f.quietMs = 0
 	f.heldRecs = nil
-	f.digests = digests{}
+	f.digests = digest.Collector[Entry]{}
 	clear(f.entries)
 }
 
@@ -141,8 +143,10 @@
 	if f.missed {
 		return f.hold(heldRecord{offset, atMs, rec})
 	}
-	if rec.Digest != nil && f.digests.add(rec.Digest, offset, false) != nil {
-		f.digestMs = rec.Digest.AtMs
+	if rec.Digest != nil {
+		if _, ok := f.digests.Add(offset, rec.Digest.Head, nil); ok {
+			f.digestMs = rec.Digest.AtMs
+		}
 	}
 	return f.decide(offset, rec)
 }
@@ -161,7 +165,7 @@
 
 func (f *Fold) claim(offset int64, incarnation string, c Claim) Decision {
 	d := Decision{Offset: offset, Key: c.Key, Attempt: c.Attempt, Incarnation: incarnation}
-	if c.ExpiresMs <= f.atMs {
+	if c.ExpiresMs <= f.atMs || c.ExpiresMs > f.atMs+maxLife {
 		d.Verdict = Late
 		return d
 	}
@@ -175,7 +179,7 @@
 		Incarnation: incarnation,
 		Offset:      offset,
 		AtMs:        f.atMs,
-		ExpiresMs:   min(c.ExpiresMs, f.atMs+MaxWindow),
+		ExpiresMs:   c.ExpiresMs,
 	}
 	f.entries[c.Key] = e
 	d.Verdict, d.Holder = Won, e
