--- a/internal/policy/slots/check.go
+++ b/internal/policy/slots/check.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// checkFloors asserts that no class is owed more turns than the classes and
-// the slots can delay.
+// checkFloors asserts that each waiting class is offered a slot within the
+// turns of its floor, the offers that stand, and one turn of each other class.
 func (s *Slots) checkFloors() {
 	if !s.floorsOn() {
 		return
@@ -42,11 +42,11 @@
 	for _, t := range s.tiers {
 		classes += len(t.classes)
 	}
-	bound := float64(classes + 2*s.cfg.Slots + 1)
+	bound := float64(classes + s.cfg.Slots + 2)
 	for _, t := range s.tiers {
 		for _, c := range t.classes {
-			if c.earned > bound {
-				broken("floorServed", "class=%s earned=%.2f bound=%.0f", c.name, c.earned, bound)
+			if c.waited > bound {
+				broken("floorServed", "class=%s waited=%.2f bound=%.0f", c.name, c.waited, bound)
 			}
 		}
 	}
@@ -143,7 +143,8 @@
 		want.tokens += math.Min(w, math.Max(0, (v-a.counter)*a.share))
 	}
 	got := s.ahead(it)
-	if got.occupied != want.occupied || !nearly(got.tokens, want.tokens) {
+	rounding := 1e-12 * v * it.tier.byStart.total().share
+	if got.occupied != want.occupied || math.Abs(got.tokens-want.tokens) > rounding && !nearly(got.tokens, want.tokens) {
 		broken("sheddingIgnoresLowerTiers", "id=%s occupied=%d want=%d tokens=%.3f want=%.3f",
 			it.r.ID, got.occupied, want.occupied, got.tokens, want.tokens)
 	}
--- a/internal/policy/slots/compare_test.go
+++ b/internal/policy/slots/compare_test.go
@@ -1,9 +1,6 @@
 package slots_test
 
 import (
-	"fmt"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -11,137 +8,6 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const (
-	serverSlots   = 8
-	tokenMs       = 25
-	prefillTokens = 3 // tokens that could be generated in the time of a prefill
-	meanTokens    = 120
-	runMs         = 4 * clock.Minute
-	// capacity is the number of tokens per millisecond.
-	capacity = float64(serverSlots) / tokenMs
-)
-
-var targets = []clock.Millis{1 * clock.Second, 4 * clock.Second, 20 * clock.Second}
-
-// job is one request of the driver.
-type job struct {
-	r       slots.Reservation
-	length  int
-	done    int // tokens of all attempts
-	attempt int // tokens of this attempt
-	preempt int // preemptions
-	startMs clock.Millis
-	firstMs clock.Millis // 0 before the first token
-}
-
-func (j *job) attained() bool {
-	return j.firstMs > 0 && j.firstMs <= j.r.ArrivedMs+targets[j.r.Tier]
-}
-
-// arrivals returns Poisson arrivals of ten accounts in three tiers at load
-// times the capacity, with log-normal lengths. Account a0 sends flood times as
-// much as each other.
-func arrivals(seed uint64, load float64, mix []float64, flood float64) []*job {
-	rnd := rand.New(rand.NewPCG(seed, 1))
-	perMs := load * capacity / meanTokens
-	var out []*job
-	for at := 1.0; at < float64(runMs); at += rnd.ExpFloat64() / perMs {
-		tier, x := 0, rnd.Float64()
-		for tier < 2 && x >= mix[tier] {
-			x -= mix[tier]
-			tier++
-		}
-		account := int(math.Max(0, math.Ceil(rnd.Float64()*(9+flood)-flood)))
-		now := clock.Millis(at)
-		out = append(out, &job{
-			length: 1 + int(math.Exp(rnd.NormFloat64()*0.8-0.32)*meanTokens),
-			r: slots.Reservation{
-				ID: fmt.Sprint(len(out)), Class: fmt.Sprint("c", tier), Tier: tier, FloorPercent: []int{0, 5, 5}[tier],
-				Account: fmt.Sprint("a", account), ArrivedMs: now, DeadlineMs: now + targets[tier], Preemptible: tier > 0,
-			},
-		})
-	}
-	return out
-}
-
-// server is a backend server with its scheduler.
-type server struct {
-	s       *slots.Slots
-	jobs    map[string]*job
-	running []*job
-}
-
-func (v *server) start(now clock.Millis, j *job) {
-	j.startMs, j.attempt = now+prefillTokens*tokenMs, 0
-	v.running = append(v.running, j)
-}
-
-func (v *server) stop(now clock.Millis, j *job) {
-	i := slices.Index(v.running, j)
-	v.running = slices.Delete(v.running, i, i+1)
-	v.s.Finish(now, j.r.ID, j.attempt)
-}
-
-func (v *server) arrive(now clock.Millis, j *job) {
-	v.jobs[j.r.ID] = j
-	if _, ok := v.s.TryStart(now, j.r); ok {
-		v.start(now, j)
-	} else {
-		v.s.Reserve(now, j.r)
-	}
-}
-
-func (v *server) generate(now clock.Millis) {
-	for _, j := range slices.Clone(v.running) {
-		if now <= j.startMs || (now-j.startMs)%tokenMs != 0 {
-			continue
-		}
-		j.attempt++
-		j.done++
-		if j.firstMs == 0 {
-			j.firstMs = now
-		}
-		if j.done == j.length {
-			v.stop(now, j)
-		} else if j.attempt%8 == 1 {
-			v.s.Progress(now, j.r.ID, j.attempt)
-		}
-	}
-}
-
-func (v *server) act(now clock.Millis) {
-	for acts := v.s.Actions(); len(acts) > 0; acts = v.s.Actions() {
-		for _, a := range acts {
-			j := v.jobs[a.ID]
-			if a.Kind == slots.ActionOffer && v.s.Accept(now, a.ID) {
-				v.start(now, j)
-			}
-			if a.Kind == slots.ActionPreempt && slices.Contains(v.running, j) {
-				v.stop(now, j)
-				j.preempt++
-				j.r.Resumed = j.firstMs > 0
-				v.s.Reserve(now, j.r)
-			}
-		}
-	}
-}
-
-func drive(cfg slots.Config, jobs []*job) *slots.Slots {
-	cfg.Slots, cfg.TokenMs, cfg.CheckEvery = serverSlots, tokenMs, 64
-	v := &server{s: slots.New(cfg), jobs: map[string]*job{}}
-	for now, next := clock.Millis(0), 0; now < runMs; now++ {
-		for ; next < len(jobs) && jobs[next].r.ArrivedMs <= now; next++ {
-			v.arrive(now, jobs[next])
-		}
-		v.generate(now)
-		if now%10 == 0 {
-			v.s.Tick(now)
-		}
-		v.act(now)
-	}
-	return v.s
-}
-
 // result is what a run gave: parts of 1.
 type result struct {
 	attained [3]float64
@@ -181,35 +47,57 @@
 }
 
 var variants = []struct {
-	name string
-	cfg  slots.Config
+	name     string
+	cfg      slots.Config
+	asserted bool
 }{
-	{"ours", slots.Config{}},
-	{"fifo", slots.Config{Order: slots.OrderFIFO, NoShedding: true}},
-	{"noShares", slots.Config{NoShares: true}},
-	{"noFloors", slots.Config{NoFloors: true}},
-	{"noShedding", slots.Config{NoShedding: true}},
-	{"noPreemption", slots.Config{NoPreemption: true}},
+	{"ours", slots.Config{}, true},
+	{"alone", slots.Config{}, true}, // only the highest tier arrives
+	{"noShares", slots.Config{NoShares: true}, true},
+	{"fifo", slots.Config{Order: slots.OrderFIFO, NoShedding: true}, false},
+	{"fifoShedding", slots.Config{Order: slots.OrderFIFO}, false},
+	{"noIdleCredit", slots.Config{IdleTokens: -1}, false},
+	{"noFloors", slots.Config{NoFloors: true}, false},
+	{"noShedding", slots.Config{NoShedding: true}, false},
+	{"noPreemption", slots.Config{NoPreemption: true}, false},
 }
 
-// TestCompare runs each variant at twice the capacity, with and without an
-// account that floods, and asserts the order of ours and first come first served.
+// TestCompare runs variants at twice the capacity, with and without an account
+// that floods; all of them with -v, else those that are asserted. In an eruption the highest tier must do nearly as well as
+// if it were alone; under flooding the worst account must do better than
+// without shares.
 func TestCompare(t *testing.T) {
 	for _, scene := range []struct {
 		name  string
 		mix   []float64
 		flood float64
-	}{{"eruption", []float64{0.3, 0.3, 0.4}, 1}, {"flood", []float64{0, 1, 0}, 10}} {
+	}{{"eruption", []float64{0.2, 0.4, 0.4}, 1}, {"eruptionHighTop", []float64{0.3, 0.3, 0.4}, 1}, {"flood", []float64{0, 1, 0}, 10}} {
 		for seed := uint64(1); seed <= 3; seed++ {
 			got := map[string]result{}
 			for _, variant := range variants {
+				if !variant.asserted && !testing.Verbose() {
+					continue
+				}
 				jobs := arrivals(seed, 2, scene.mix, scene.flood)
+				if variant.name == "alone" {
+					jobs = slices.DeleteFunc(jobs, func(j *job) bool { return j.r.Tier > 0 })
+				}
 				s := drive(variant.cfg, jobs)
 				r := measure(jobs)
 				got[variant.name] = r
 				t.Logf("%s seed=%d %-12s attained=%.3f/%.3f/%.3f goodput=%.3f wasted=%.3f worst=%.3f %+v",
 					scene.name, seed, variant.name, r.attained[0], r.attained[1], r.attained[2], r.goodput, r.wasted, r.worst, s.Counts())
 			}
+			ours := got["ours"]
+			if scene.flood == 1 && ours.attained[0] < got["alone"].attained[0]-0.04 {
+				t.Errorf("%s seed %d: tier 0 attained %.3f, alone %.3f", scene.name, seed, ours.attained[0], got["alone"].attained[0])
+			}
+			if scene.flood > 1 && ours.worst < got["noShares"].worst+0.2 {
+				t.Errorf("%s seed %d: worst account %.3f, without shares %.3f", scene.name, seed, ours.worst, got["noShares"].worst)
+			}
+			if ours.wasted > 0.05 || ours.goodput < 0.9 {
+				t.Errorf("%s seed %d: wasted %.3f goodput %.3f", scene.name, seed, ours.wasted, ours.goodput)
+			}
 		}
 	}
 }
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -9,6 +9,9 @@
 // earnedTurn is a whole turn, less the rounding error of sums of percentages.
 const earnedTurn = 1 - 1e-9
 
+// mostEarned bounds the turns that a class saves up.
+const mostEarned = 2.0
+
 func (s *Slots) tier(number int) *tierQueue {
 	for len(s.tiers) <= number {
 		s.tiers = append(s.tiers, newTier(len(s.tiers), float64(s.cfg.IdleTokens)))
@@ -19,6 +22,7 @@
 // newItem returns an item for r that is in no queue yet.
 func (s *Slots) newItem(r Reservation) *item {
 	r.Tier = min(max(r.Tier, 0), maxTiers-1)
+	r.PromptTokens = max(r.PromptTokens, 0)
 	if s.cfg.Order == OrderFIFO {
 		r.Tier = 0
 	}
@@ -95,6 +99,9 @@
 	}
 	it.paid = math.Min(1, it.class.earned)
 	it.class.earned -= it.paid
+	it.class.waited = 0
+	s.offers++
+	it.class.offered = s.offers
 }
 
 // begin turns an occupied slot into a running request.
@@ -145,8 +152,9 @@
 	if it.state != stateOffered {
 		used = float64(it.tokens) + it.promptCost()
 	}
-	if it.tokens == 0 && it.state != stateRunning {
-		it.class.earned += it.paid
+	lapsed := it.state == stateOffered && it.lapseMs <= s.now
+	if it.tokens == 0 && it.state != stateRunning && !lapsed {
+		it.class.earned = math.Min(it.class.earned+it.paid, mostEarned)
 	}
 	it.tier.charge(it.acct, used-it.charged)
 	s.occupied[it.r.Tier]--
@@ -178,7 +186,8 @@
 	for _, t := range s.tiers {
 		for _, c := range t.classes {
 			if c.waiting > 0 {
-				c.earned += c.floor * scale
+				c.earned = math.Min(c.earned+c.floor*scale, mostEarned)
+				c.waited += c.floor * scale
 			}
 		}
 	}
@@ -191,19 +200,15 @@
 // next returns the request that the next free slot goes to, and whether it is
 // on a floor turn.
 func (s *Slots) next() (*item, bool) {
-	var regular *item
+	if due := s.dueClass(); due != nil {
+		return due.best(), true
+	}
 	for _, t := range s.tiers {
 		if t.waiting > 0 {
-			regular = t.best()
-			break
+			return t.best(), false
 		}
 	}
-	due := s.dueClass()
-	if due == nil {
-		return regular, false
-	}
-	it := due.best()
-	return it, it != regular
+	return nil, false
 }
 
 func (s *Slots) dueClass() *classQueue {
@@ -216,7 +221,7 @@
 			if c.waiting == 0 || c.earned < earnedTurn {
 				continue
 			}
-			if due == nil || c.earned > due.earned || c.earned == due.earned && c.tier == due.tier && c.name < due.name {
+			if due == nil || c.offered < due.offered {
 				due = c
 			}
 		}
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -9,12 +9,13 @@
 //
 //  1. Floors choose first. Each class with waiting work earns
 //     FloorPercent/100 of a turn per started request. Once it has earned a
-//     whole turn, the next free slot goes to it, whatever its tier; the largest
-//     earned turn goes first, then the higher tier, then the class name. If the
-//     floors of the classes that wait exceed 100 together, they are scaled down
-//     to 100. Turns that a class gets by its tier count towards its floor. Work
-//     started on a floor turn that rule 2 would not have chosen is never
-//     preempted.
+//     whole turn, the next free slot goes to it, whatever its tier; of several
+//     such classes the one whose last offer is the longest ago is served. If
+//     the floors of the classes that wait exceed 100 together, they are scaled
+//     down to 100. Turns that a class gets by its tier count towards its floor,
+//     unless the offer is declined or the request is preempted before its first
+//     token. A class saves up at most two turns. Work started on a floor turn is
+//     never preempted, also if rule 2 would have chosen it.
 //  2. Otherwise the highest tier (the smallest number) with waiting work is
 //     served, whatever the shares and deadlines in lower tiers.
 //  3. Within a tier the client account with the smallest token counter is
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -99,6 +99,8 @@
 	waiting int
 	floor   float64 // percent of turns
 	earned  float64 // turns earned by the floor
+	waited  float64 // turns earned since the last offer, while waiting without a break
+	offered uint64  // number of the last offer
 	tokens  mean
 }
 
@@ -179,13 +181,15 @@
 	if a.waiting == 0 {
 		return
 	}
-	t.byStart.remove(a.startKey())
-	t.byFinish.remove(a.finishKey())
+	found := t.byStart.remove(a.startKey()) && t.byFinish.remove(a.finishKey())
 	for _, f := range a.flows {
 		if f.items.root != nil {
-			f.class.flows.remove(f.order)
+			found = f.class.flows.remove(f.order) && found
 		}
 	}
+	if !found {
+		broken("queuesConsistent", "tier=%d counter=%f work=%f", t.number, a.counter, a.work)
+	}
 }
 
 // attach puts a back after the change.
@@ -230,6 +234,9 @@
 	a.work = a.queued()
 	t.attach(a)
 	it.class.waiting--
+	if it.class.waiting == 0 {
+		it.class.waited = 0
+	}
 	t.waiting--
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
--- a/internal/policy/slots/shed.go
+++ b/internal/policy/slots/shed.go
@@ -89,7 +89,7 @@
 	if s.cfg.NoShedding {
 		return
 	}
-	for i := 0; i < reestimatesPerTick && len(s.waitList) > 0; i++ {
+	for n := min(reestimatesPerTick, len(s.waitList)); n > 0 && len(s.waitList) > 0; n-- {
 		s.cursor++
 		it := s.waitList[s.cursor%len(s.waitList)]
 		if !s.feasible(it, s.waitMs(it, s.ahead(it)), waitingMargin) {
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -28,6 +28,7 @@
 	actions     []Action
 	counts      Counts
 	decisions   int
+	offers      uint64
 
 	tokenMs      mean
 	firstTokenMs mean
