Slots: estimates leave out reservations that will be cancelled; deadlines wake the scheduler; router: unchanged reports are no new evidence

Causes: a request reserved at two sidecars counts in both queues, so waits were estimated up to twice too long and requests were shed that would have met their target (place 19, now 8 to 12, behind 19 of which half are cancelled per start). A straggler's unchanged time per token was refreshed by each heartbeat, so that it was never tried again. MaxTokens caps the running mean; a caller's bound is no estimate.

--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -70,7 +70,8 @@
 	Free  int
 	// WaitingByTier is indexed by tier.
 	WaitingByTier []int
-	// TokenMs is the time per output token that the sidecar observed; 0 if unknown.
+	// TokenMs is the time per output token that the sidecar observed; 0 if
+	// unknown. A value that does not change from report to report is no new one.
 	TokenMs float64
 	// ReportMs is the time of the report on the entry's clock.
 	ReportMs clock.Millis
@@ -157,11 +158,11 @@
 		old = &peer{poolAt: -1}
 		r.peers[p.Name] = old
 	}
-	old.Peer = p
-	old.atReport = old.inFlight
-	if p.TokenMs > 0 {
+	if p.TokenMs > 0 && p.TokenMs != old.TokenMs {
 		old.tokenMs, old.tokenAt = p.TokenMs, p.ReportMs
 	}
+	old.Peer = p
+	old.atReport = old.inFlight
 	if old.poolAt < 0 && !p.Leaving {
 		r.list(old)
 	}
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -89,6 +89,9 @@
 			r.ObserveToken(0, "m4", 125)
 		}
 		got[off] = share(r, 0, route.Request{Pool: "p"}, 2000, named("m4"))
+		stale := peer(4)
+		stale.ReportMs = 2 * clock.Minute
+		r.SetPeer(stale)
 		recovered := share(r, 2*clock.Minute, route.Request{Pool: "p"}, 2000, named("m4"))
 		if recovered < 0.05 {
 			t.Errorf("share of the straggler two minutes later = %.3f, want a new try", recovered)
--- a/internal/policy/slots/check.go
+++ b/internal/policy/slots/check.go
@@ -130,7 +130,7 @@
 	for _, other := range s.waitList {
 		switch {
 		case other.r.Tier < it.r.Tier:
-			want.tokens += other.est
+			want.tokens += other.est * other.tier.kept
 		case other.r.Tier == it.r.Tier:
 			work[other.acct] += other.est
 			if other.acct == it.acct && other.order.less(it.order) {
@@ -140,7 +140,7 @@
 	}
 	v := it.acct.counter + own/it.acct.share
 	for a, w := range work {
-		want.tokens += math.Min(w, math.Max(0, (v-a.counter)*a.share))
+		want.tokens += math.Min(w, math.Max(0, (v-a.counter)*a.share)) * it.tier.kept
 	}
 	got := s.ahead(it)
 	rounding := 1e-12 * v * it.tier.byStart.total().share
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -47,15 +47,19 @@
 }
 
 func (s *Slots) estimateTokens(it *item) float64 {
+	est := float64(s.cfg.OutputTokens)
 	switch {
 	case it.r.EstTokens > 0:
 		return float64(it.r.EstTokens)
 	case it.acct.tokens > 0:
-		return math.Max(1, float64(it.acct.tokens))
+		est = float64(it.acct.tokens)
 	case it.class.tokens > 0:
-		return math.Max(1, float64(it.class.tokens))
+		est = float64(it.class.tokens)
 	}
-	return float64(s.cfg.OutputTokens)
+	if it.r.MaxTokens > 0 {
+		est = math.Min(est, float64(it.r.MaxTokens))
+	}
+	return math.Max(1, est)
 }
 
 func (s *Slots) add(it *item) {
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -37,8 +37,8 @@
 //
 // Shedding: a request of tier t is refused if its estimated start exceeds its
 // deadline. The estimate counts the waiting work that rules 2 to 4 place before
-// it and the occupied slots of tier t and above, and takes all slots as
-// available: lower tiers and the floor turns of other classes do not enter it.
+// it, as far as such work is expected to start here and not to be cancelled, and
+// the occupied slots of tier t and above, and takes all slots as available: lower tiers and the floor turns of other classes do not enter it.
 // The floor of the request's own class may only shorten it. A waiting request's
 // deadline is extended by the time that it lost to lower tiers and floor turns:
 // the share of slots that they occupy, integrated over time. So no lower tier's
--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -59,8 +59,8 @@
 	it.sampleMs, it.sampleTokens = s.now, tokens
 }
 
-// ahead is the work that rules 2 to 4 place before a request, and the occupied
-// slots of its tier and above.
+// ahead is the work that rules 2 to 4 place before a request, as far as it is
+// expected to start here, and the occupied slots of its tier and above.
 type ahead struct {
 	requests float64
 	tokens   float64
@@ -73,8 +73,8 @@
 	for i := 0; i <= it.r.Tier && i < len(s.tiers); i++ {
 		out.occupied += s.occupied[i]
 		if i < it.r.Tier {
-			out.requests += float64(s.tiers[i].waiting)
-			out.tokens += s.tiers[i].work()
+			out.requests += float64(s.tiers[i].waiting) * s.tiers[i].kept
+			out.tokens += s.tiers[i].work() * s.tiers[i].kept
 		}
 	}
 	t := it.tier
@@ -84,8 +84,8 @@
 	own := it.acct.before(it.order)
 	v := t.lifted(it.acct) + own.work/it.acct.share
 	work := t.served(v)
-	out.tokens += work
-	out.requests += math.Max(float64(own.n), work*float64(t.waiting)/math.Max(t.work(), 1))
+	out.tokens += work * t.kept
+	out.requests += math.Max(float64(own.n), work*float64(t.waiting)/math.Max(t.work(), 1)) * t.kept
 	return out
 }
 
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -6,7 +6,10 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const meanWeight = 1.0 / 16 // weight of a new sample in a running mean
+const (
+	meanWeight = 1.0 / 16 // weight of a new sample in a running mean
+	keptWeight = 1.0 / 64 // weight of a new sample in tierQueue.kept
+)
 
 // mean is an exponentially weighted running mean; 0 until the first sample.
 type mean float64
@@ -119,10 +122,13 @@
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
 	tokens     mean
+	// kept is the part of the waiting requests that start here; the others are
+	// cancelled, as when another sidecar's offer was taken.
+	kept float64
 }
 
 func newTier(number int, idleTokens float64) *tierQueue {
-	return &tierQueue{number: number, idleTokens: idleTokens, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
+	return &tierQueue{number: number, idleTokens: idleTokens, kept: 1, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
 }
 
 func (t *tierQueue) account(name string, share int, seq uint64) *account {
@@ -243,6 +249,15 @@
 	}
 }
 
+// left records that a waiting or offered request started here, or was cancelled.
+func (t *tierQueue) left(started bool) {
+	sample := 0.0
+	if started {
+		sample = 1
+	}
+	t.kept += (sample - t.kept) * keptWeight
+}
+
 // work returns the expected tokens of the waiting requests of t.
 func (t *tierQueue) work() float64 {
 	return t.byStart.total().work
--- a/internal/policy/slots/rules_test.go
+++ b/internal/policy/slots/rules_test.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// TestEstimateWithoutCancelled has each entry reserve at two sidecars: of two
+// waiting requests one is cancelled per start. The estimate must follow.
+func TestEstimateWithoutCancelled(t *testing.T) {
+	s := slots.New(slots.Config{Slots: 1, TokenMs: 10, NoShedding: true, CheckEvery: 1})
+	next := 0
+	reserve := func(now clock.Millis) {
+		next++
+		s.Reserve(now, slots.Reservation{ID: fmt.Sprint("r", next), ArrivedMs: now, EstTokens: 100})
+	}
+	for range 21 {
+		reserve(0)
+	}
+	cancel, now := 1, clock.Millis(0)
+	for range 300 {
+		for _, a := range s.Actions() {
+			s.Accept(now, a.ID)
+			_, _ = fmt.Sscanf(a.ID, "r%d", &cancel)
+			s.Cancel(now, fmt.Sprint("r", cancel+1))
+			now += clock.Second
+			s.Finish(now, a.ID, 100)
+		}
+		reserve(now)
+		reserve(now)
+	}
+	v := s.Reserve(now, slots.Reservation{ID: "probe", ArrivedMs: now, EstTokens: 100})
+	if v.Place < 8 || v.Place > 12 {
+		t.Errorf("place %d behind %d requests of which half are cancelled, want about 10", v.Place, s.Load().WaitingByTier[0]-1)
+	}
+}
+
 // TestDeadEntryHoldsNoFloor has an entry that answers no offer: its class must
 // not keep another class from its floor.
 func TestDeadEntryHoldsNoFloor(t *testing.T) {
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -118,6 +118,9 @@
 func (s *Slots) Cancel(now clock.Millis, id string) {
 	s.advance(now)
 	if it := s.items[id]; it != nil {
+		if it.state == stateWaiting || it.state == stateOffered {
+			it.tier.left(false)
+		}
 		s.drop(it)
 	}
 	s.dispatch()
@@ -130,6 +133,7 @@
 	if it == nil || it.state != stateOffered {
 		return false
 	}
+	it.tier.left(true)
 	s.begin(it)
 	s.dispatch()
 	return true
@@ -139,6 +143,7 @@
 func (s *Slots) Decline(now clock.Millis, id string) {
 	s.advance(now)
 	if it := s.items[id]; it != nil && it.state == stateOffered {
+		it.tier.left(false)
 		s.drop(it)
 	}
 	s.dispatch()
@@ -232,6 +237,12 @@
 	if len(s.waitList) > 0 {
 		at = min(at, max(s.tickMs, s.now+1))
 	}
+	for _, t := range s.tiers {
+		if n := t.expiry.first(); n != nil && !s.cfg.NoShedding {
+			deadline := clock.Millis(math.Ceil(n.key.deadline + t.credit))
+			at = min(at, max(deadline, s.now+expiryStep))
+		}
+	}
 	return at, at != math.MaxInt64
 }
 
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -15,6 +15,7 @@
 	maxTiers             = 16
 	defaultOfferTimeout  = 250 * clock.Millisecond
 	defaultReestimate    = 100 * clock.Millisecond
+	expiryStep           = 5 * clock.Millisecond // least time between two looks for passed deadlines
 	defaultTokenMs       = 25.0
 	defaultOutputTokens  = 200
 	idleRequests         = 8 // idle credit in requests of OutputTokens
@@ -69,6 +70,9 @@
 	PromptTokens int          `json:"promptTokens"`
 	// EstTokens is the expected output length, 0 if unknown.
 	EstTokens int `json:"estTokens"`
+	// MaxTokens bounds the output length, 0 if there is no bound. It caps the
+	// running mean that is used when EstTokens is 0.
+	MaxTokens int `json:"maxTokens,omitempty"`
 	// Preemptible tells that the request may be stopped and resumed later.
 	Preemptible bool `json:"preemptible"`
 	// Resumed tells that the request goes on after a preemption: DeadlineMs
@@ -78,7 +82,7 @@
 
 // Verdict is an estimate for a reservation.
 type Verdict struct {
-	// Place is the estimated number of requests served before it.
+	// Place is the estimated number of requests served here before it.
 	Place int `json:"place"`
 	// WaitMs is the estimated time until it starts.
 	WaitMs clock.Millis `json:"waitMs"`
