Route: running work that a request may preempt counts a quarter for it

A higher tier's request was as likely sent to a server full of its own tier as to one whose slots hold lower-tier work that it may preempt. The scheduler reports that work by tier (Load.PreemptibleByTier); without the report nothing changes.

--- a/internal/policy/route/choose.go
+++ b/internal/policy/route/choose.go
@@ -13,6 +13,8 @@
 	// scoreSteps is the number of distinct scores per unit of load, so that peers
 	// that differ by an estimate's noise are chosen alike.
 	scoreSteps = 32
+	// preemptionCost is the load that a preemptible request counts for a higher tier.
+	preemptionCost = 0.25
 	// affinitySlack is the load, in parts of a server, that a prefix is worth.
 	affinitySlack = 0.5
 )
@@ -21,7 +23,7 @@
 type scored struct {
 	p      *peer
 	load   float64 // in requests
-	busy   float64 // load per slot, slowness included
+	busy   float64 // load per slot without what may be preempted, slowness included
 	score  float64 // busy with the zone's penalty, rounded
 	prefix bool
 }
@@ -115,7 +117,8 @@
 		w := r.reportWeight(now, s.p)
 		slots := float64(s.p.Slots)
 		s.load = float64(s.p.inFlight) + w*s.p.othersLoad(tier) + (1-w)*mean*slots
-		s.busy = (s.load + 1) / slots * r.stragglerFactor(now, of, s.p)
+		room := w * s.p.preemptible(tier) * (1 - preemptionCost)
+		s.busy = (math.Max(0, s.load-room) + 1) / slots * r.stragglerFactor(now, of, s.p)
 		s.score = math.Round(s.busy * scoreSteps)
 		if s.p.Zone != r.cfg.Zone {
 			s.score += r.cfg.ZonePenalty * scoreSteps
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -5,9 +5,10 @@
 // A choice reads a constant number of peers. For each it estimates the load:
 // the entry's own requests in flight in full, the other load of the last report
 // weighted by the report's age, and for the rest the mean of the peers read, so
-// that an old report makes a peer average rather than idle or full. The load is
-// divided by the slots and multiplied by the straggler factor; peers of other
-// zones carry a fixed penalty. The peers that were sent the longest known prefix
+// that an old report makes a peer average rather than idle or full. Running work
+// that the request may preempt counts a part only. The load is divided by the
+// slots and multiplied by the straggler factor; peers of other zones carry a
+// fixed penalty. The peers that were sent the longest known prefix
 // of the request go first as long as their load is within a bound of the mean.
 package route
 
@@ -70,6 +71,9 @@
 	Free  int
 	// WaitingByTier is indexed by tier.
 	WaitingByTier []int
+	// PreemptibleByTier counts the running requests that a higher tier may
+	// preempt; nil if unknown.
+	PreemptibleByTier []int
 	// TokenMs is the time per output token that the sidecar observed; 0 if
 	// unknown. A value that does not change from report to report is no new one.
 	TokenMs float64
@@ -251,6 +255,16 @@
 	return float64(max(0, load-p.atReport))
 }
 
+// preemptible is the running work of the last report that a request of tier
+// may preempt.
+func (p *peer) preemptible(tier int) float64 {
+	n := 0
+	for i := tier + 1; i < len(p.PreemptibleByTier); i++ {
+		n += p.PreemptibleByTier[i]
+	}
+	return float64(n)
+}
+
 // reportWeight is 1 for a fresh report and halves with each ReportHalfMs of age.
 func (r *Router) reportWeight(now clock.Millis, p *peer) float64 {
 	if r.cfg.NoDiscount {
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -121,6 +121,34 @@
 	}
 }
 
+// TestHigherTierGoesWhereItMayPreempt has two full peers, one of them with
+// lower-tier work, and a half loaded one.
+func TestHigherTierGoesWhereItMayPreempt(t *testing.T) {
+	r := route.New(route.Config{Zone: "a", Candidates: 3})
+	for i, p := range []route.Peer{
+		{Name: "sameTier", Free: 0, PreemptibleByTier: []int{0, 0, 0}},
+		{Name: "lowerTier", Free: 0, PreemptibleByTier: []int{0, 2, 6}},
+		{Name: "half", Free: 4, PreemptibleByTier: []int{0, 0, 4}},
+	} {
+		p.Zone, p.Pool, p.Slots, p.ReportMs = "a", "p", 8, clock.Millis(i)
+		r.SetPeer(p)
+	}
+	var got []route.Choice
+	for tier := range 3 {
+		got = append(got, r.Choose(3, route.Request{Pool: "p", Tier: tier}, newRand()))
+	}
+	want := []route.Choice{
+		{Direct: "half", Candidates: []string{"half", "lowerTier", "sameTier"}},
+		{Direct: "half", Candidates: []string{"half", "lowerTier", "sameTier"}},
+	}
+	if diff := cmp.Diff(want, got[:2]); diff != "" {
+		t.Errorf("choices of the higher tiers (-want +got):\n%s", diff)
+	}
+	if got[2].Direct != "half" || got[2].Candidates[0] != "half" {
+		t.Errorf("choice of the lowest tier %+v, want the half loaded peer first", got[2])
+	}
+}
+
 func TestDirectNeedsAFreeSlot(t *testing.T) {
 	r := route.New(route.Config{Zone: "a"})
 	p := peer(0)
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -256,6 +257,7 @@
 		DrainPerSecond: s.drainPerMs() * float64(clock.Second),
 		WaitingByTier:  make([]int, len(s.tiers)),
 	}
+	l.PreemptibleByTier = slices.Clone(s.preemptible[:len(s.tiers)])
 	for _, it := range s.busy {
 		if it.state == stateOffered {
 			l.Offered++
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -149,6 +149,9 @@
 	Offered int `json:"offered"`
 	// WaitingByTier is indexed by tier.
 	WaitingByTier []int `json:"waitingByTier"`
+	// PreemptibleByTier counts the running requests that a higher tier may
+	// preempt; it is indexed by tier.
+	PreemptibleByTier []int `json:"preemptibleByTier"`
 	// TokenMs is the observed time per output token.
 	TokenMs float64 `json:"tokenMs"`
 	// FirstTokenMs is the observed time from start to first token.
