--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -24,6 +24,8 @@
 	idleConnsPerSidecar = 256
 	maxHeaderBytes      = 64 << 10
 	idleTimeout         = 2 * time.Minute
+	// drainGrace is how long a draining entry takes requests for.
+	drainGrace = 500 * clock.Millisecond
 	// progressFactor is how much longer an entry waits for progress than a
 	// sidecar does by default.
 	defaultProgressTimeout = 8 * clock.Second
@@ -133,11 +135,21 @@
 	mux.HandleFunc("GET /v1/models", e.serveModels)
 	mux.HandleFunc("/", e.servePlain)
 	return &http.Server{
-		Handler: mux, ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
+		Handler: e.closeWhenDraining(mux), ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 	}
 }
 
+// closeWhenDraining ends each connection after its request once the entry drains.
+func (e *Entry) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Entry) serveCallers(ctx context.Context, srv *http.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
@@ -149,12 +161,15 @@
 	return err
 }
 
-// drain finishes the requests in flight.
+// drain finishes the requests in flight. It still takes requests for a short
+// while, each as the last one on its connection, since callers and balancers
+// may have sent some before they saw that the entry is not ready.
 func (e *Entry) drain(srv *http.Server) {
 	e.draining.Store(true)
-	e.log.WithField("event", "drain").Info("no new requests are taken")
+	e.log.WithField("event", "drain").Info("the entry is no longer ready")
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainMs.Duration())
 	defer cancel()
+	_ = e.clock.Sleep(ctx, drainGrace)
 	if err := srv.Shutdown(ctx); err != nil {
 		e.log.WithField("event", "drainTimeout").Warn(err)
 	}
