Proofs on real processes: claims, answers and drain

internal/proof/cluster builds both programs, runs small clusters on loopback and joins them by relays that cut or silence connections.

claims: 6 steps x 14 failures, the same idempotency key at the other entry once the step is reached, a last retry after all is over; calls have nonces of their own, so that executions and notRun are checked per call.

--- /dev/null
+++ b/internal/proof/cluster/proc.go
@@ -0,0 +1,183 @@
+package cluster
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	endTimeout   = 20 * time.Second
+	shownLogSize = 6 << 10
+)
+
+var binaries struct {
+	dir string
+	// damaskport and standin are the paths of the two programs.
+	damaskport, standin string
+}
+
+// Main builds the programs once, runs the tests of m and returns the exit code.
+func Main(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "proof")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binaries.dir = dir
+	binaries.damaskport = filepath.Join(dir, "damaskport")
+	binaries.standin = filepath.Join(dir, "damaskport-standin")
+	args := []string{"build"}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	for out, pkg := range map[string]string{binaries.damaskport: ".", binaries.standin: "./cmd/damaskport-standin"} {
+		cmd := exec.Command("go", append(args, "-o", out, pkg)...)
+		cmd.Dir = moduleRoot()
+		if text, err := cmd.CombinedOutput(); err != nil {
+			_, _ = os.Stderr.Write(text)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+func moduleRoot() string {
+	_, file, _, _ := runtime.Caller(0)
+	return filepath.Join(filepath.Dir(file), "..", "..", "..")
+}
+
+// Proc is a process that the test started.
+type Proc struct {
+	t     testing.TB
+	name  string
+	cmd   *exec.Cmd
+	lines chan string
+	log   logBuffer
+	ended chan struct{}
+	err   error
+}
+
+// logBuffer collects a process's standard error.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+func startProc(t testing.TB, name, program string, args ...string) *Proc {
+	t.Helper()
+	p := &Proc{t: t, name: name, cmd: exec.Command(program, args...), lines: make(chan string, 64), ended: make(chan struct{})}
+	p.cmd.Stderr = &p.log
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.watch(out)
+	t.Cleanup(p.end)
+	return p
+}
+
+func (p *Proc) watch(out io.Reader) {
+	scanner := bufio.NewScanner(out)
+	for scanner.Scan() {
+		select {
+		case p.lines <- scanner.Text():
+		default:
+		}
+	}
+	p.err = p.cmd.Wait()
+	close(p.ended)
+}
+
+// end kills the process and shows its log if the test failed.
+func (p *Proc) end() {
+	p.Kill()
+	text := p.log.String()
+	if strings.Contains(text, "DATA RACE") || strings.Contains(text, "invariantViolated") {
+		p.t.Errorf("%s reported a data race or a broken invariant", p.name)
+	}
+	if p.t.Failed() {
+		p.t.Logf("log of %s:\n%s", p.name, text[max(len(text)-shownLogSize, 0):])
+	}
+}
+
+// Log returns what the process wrote to standard error so far.
+func (p *Proc) Log() string { return p.log.String() }
+
+// Signal sends sig to the process.
+func (p *Proc) Signal(sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig)
+}
+
+// Kill ends the process at once.
+func (p *Proc) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// Freeze stops the process until Thaw.
+func (p *Proc) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Proc) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// WaitExit waits for the process to end and returns its exit code.
+func (p *Proc) WaitExit() int {
+	p.t.Helper()
+	select {
+	case <-p.ended:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(endTimeout):
+		p.t.Fatalf("%s did not end within %v", p.name, endTimeout)
+		return -1
+	}
+}
+
+// Exited reports whether the process has ended.
+func (p *Proc) Exited() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// url returns the address that a stand-in prints.
+func (p *Proc) url() string {
+	p.t.Helper()
+	select {
+	case line := <-p.lines:
+		return strings.TrimPrefix(line, "url=")
+	case <-p.ended:
+		p.t.Fatalf("%s ended at its start: %v\n%s", p.name, p.err, p.Log())
+	case <-time.After(endTimeout):
+		p.t.Fatalf("%s printed no address", p.name)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/proof/cluster/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package cluster
+
+const raceEnabled = false
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -102,6 +102,7 @@
 	defer p.mu.Unlock()
 	st := State{Streams: map[string]StreamState{}}
 	for name, s := range p.streams {
+		s.retain(p.cfg, p.clock.Wall())
 		st.Streams[name] = s.state()
 	}
 	st.Orders = append(st.Orders, p.capacity.orders...)
