--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -39,6 +39,9 @@
 	loadAt   clock.Millis
 	leaving  bool
 	version  int64 // configuration version that the sidecar showed last
+	// heardState tells that a heartbeat of this connection brought a state,
+	// which is newer than that of the greeting.
+	heardState bool
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
 	inFlight      atomic.Int64
@@ -99,6 +102,9 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var reply dispatch.HelloReply
+	p.mu.Lock()
+	p.heardState = false
+	p.mu.Unlock()
 	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state()}
 	if err := l.Call(ctx, dispatch.MethodHello, hello, &reply); err != nil {
 		return errors.Wrap(err, "hello")
@@ -110,8 +116,10 @@
 	p.reported = reply.Load
 	p.load = reply.Load
 	p.loadAt = p.e.clock.Now()
-	p.leaving = reply.State.Leaving
-	p.version = reply.State.Config.Number
+	if !p.heardState {
+		p.leaving = reply.State.Leaving
+		p.version = reply.State.Config.Number
+	}
 	p.mu.Unlock()
 	p.report()
 	p.e.exchange.Observe(l, reply.State)
@@ -221,6 +229,7 @@
 	p.mu.Lock()
 	was := p.usable()
 	if h.State != nil {
+		p.heardState = true
 		p.leaving = h.State.Leaving
 		p.version = h.State.Config.Number
 	}
