--- a/internal/proof/drain/drain_test.go
+++ b/internal/proof/drain/drain_test.go
@@ -56,7 +56,7 @@
 	if kind == 3 {
 		r := l.c.Call(e, cluster.Request{Path: cluster.ServicePath + "/slots", Body: "nonce:" + nonce + " workMs:200"})
 		if r.Err != nil || r.Status != http.StatusOK || !strings.Contains(string(r.Body), nonce) {
-			l.t.Errorf("%s: %v", nonce, r)
+			l.fail("%s: %v", nonce, r)
 		}
 		return
 	}
@@ -67,10 +67,16 @@
 	}
 	a, err := parse(r.Body)
 	if r.Err != nil || err != nil || r.Status != http.StatusOK || !a.Whole() || a.Text != cluster.WantText(nonce, tokens) {
-		l.t.Errorf("%s: cut or wrong: %v, %v", nonce, err, r)
+		l.fail("%s: cut or wrong: %v, %v", nonce, err, r)
 	}
 }
 
+// fail reports a request that failed and stops the load.
+func (l *load) fail(format string, args ...any) {
+	l.t.Errorf(format, args...)
+	l.stop.Store(true)
+}
+
 // warm waits until every caller is at least at its second request.
 func (l *load) warm() {
 	l.c.Until("load", func() bool { return l.calls.Load() >= 2*callers })
