--- a/internal/peer/config/store_test.go
+++ b/internal/peer/config/store_test.go
@@ -20,6 +20,7 @@
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261203")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.steps", "80")
 	flag.Parse()
 	fmt.Println("rapid.seed:", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
