--- a/internal/state/directory/fold.go
+++ b/internal/state/directory/fold.go
@@ -76,10 +76,14 @@
 		}
 	}
 	next := d.fork()
+	removed := map[string]bool{}
 	for _, op := range c.Ops {
 		if err := next.apply(offset, op); err != nil {
 			return nil, err
 		}
+		if op.RemoveAccount != "" {
+			removed[op.RemoveAccount] = true
+		}
 		if !op.ofKey() {
 			next.changed.set(op.Subject(), offset)
 		}
@@ -87,6 +91,7 @@
 	if err := next.check(c.Ops); err != nil {
 		return nil, err
 	}
+	next.withdrawKeysOf(removed, offset)
 	next.forgetKeys()
 	return next, nil
 }
@@ -116,7 +121,6 @@
 		return d.issueKey(*op.IssueKey)
 	case op.RemoveAccount != "":
 		d.accounts.remove(op.RemoveAccount)
-		d.withdrawKeysOf(op.RemoveAccount, offset)
 	case op.RemoveClass != "":
 		d.classes.remove(op.RemoveClass)
 	case op.RemovePool != "":
--- a/internal/state/directory/key.go
+++ b/internal/state/directory/key.go
@@ -90,9 +90,13 @@
 	return nil
 }
 
-func (d *Directory) withdrawKeysOf(account string, offset int64) {
+// withdrawKeysOf withdraws the keys of removed client accounts.
+func (d *Directory) withdrawKeysOf(accounts map[string]bool, offset int64) {
+	if len(accounts) == 0 {
+		return
+	}
 	for _, k := range d.keys.all() {
-		if k.Account == account {
+		if accounts[k.Account] {
 			d.markWithdrawn(k, offset)
 		}
 	}
