Config reader: its own deadline, so that a silent connection is replaced

Cause: a read waited up to 10 s for a record, and a silent connection to the log was noticed after 11 s, beyond the 4 s in which a change must be in force. A read now waits at most 1.5 s and has 1 s more to answer; the time doubles after each miss, up to 32 s, so that a slow log is still read.

Ruled out: a fixed short deadline; a log slower than it would never be read.

Not measured: a silent connection between real processes.

--- a/internal/peer/config/duty_test.go
+++ b/internal/peer/config/duty_test.go
@@ -150,6 +150,44 @@
 	_ = g.Wait()
 }
 
+// silentLog does not answer its first reads, as over a silent connection.
+type silentLog struct {
+	*memoryLog
+	silent    int
+	deadlines []time.Duration
+}
+
+func (l *silentLog) Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (logservice.Page, error) {
+	deadline, _ := ctx.Deadline()
+	l.deadlines = append(l.deadlines, time.Until(deadline).Round(time.Second))
+	if len(l.deadlines) <= l.silent {
+		<-ctx.Done()
+		return logservice.Page{}, ctx.Err()
+	}
+	return l.memoryLog.Read(ctx, stream, from, limit, wait)
+}
+
+func TestReaderReplacesSilentConnectionAndBearsWithSlowLog(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	log := &silentLog{memoryLog: filledLog(t, clock.System{}, 3), silent: 2}
+	s := config.New(0)
+	r := &config.Reader{Log: log, Store: s, Clock: clock.System{}, Logger: logging.Discard(), WaitMs: 20}
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = r.Run(ctx)
+		return nil
+	})
+	if err := s.Wait(ctx, 4); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	_ = g.Wait()
+	if diff := cmp.Diff([]time.Duration{time.Second, 2 * time.Second, 4 * time.Second}, log.deadlines[:3]); diff != "" {
+		t.Errorf("deadlines of the reads (-want +got):\n%s", diff)
+	}
+}
+
 func waitReady(ctx context.Context, t *testing.T, s *config.Store) {
 	t.Helper()
 	for !s.Ready() {
--- a/internal/peer/config/reader.go
+++ b/internal/peer/config/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/platform/logservice"
@@ -14,6 +15,13 @@
 	readLimit    = 500
 	firstBackoff = 50 * clock.Millisecond
 	lastBackoff  = 1 * clock.Second
+	// maxWait bounds the wait of a read, so that a silent connection is
+	// noticed and replaced in time.
+	maxWait = 1500 * clock.Millisecond
+	// firstSlack and lastSlack bound the time that a read may take beyond its
+	// wait. It doubles with each read that ran out of time, for a slow log.
+	firstSlack = 1 * clock.Second
+	lastSlack  = 32 * clock.Second
 )
 
 // Log reads records of a stream; see logservice.Client.Read.
@@ -28,10 +36,12 @@
 	Clock clock.Clock
 	// Logger gets one event when reading starts to fail or works again.
 	Logger logrus.FieldLogger
-	// WaitMs bounds how long one read waits for the next record.
+	// WaitMs bounds how long one read waits for the next record. More than
+	// 1.5 s counts as that.
 	WaitMs clock.Millis
 
 	lastRead atomic.Int64
+	slack    clock.Millis
 }
 
 // LastRead returns when the log was read last, or 0.
@@ -70,7 +80,7 @@
 func (r *Reader) step(ctx context.Context, from int64) (int64, error) {
 	version := r.Store.Current().Version()
 	from = max(from, version+1)
-	page, err := r.Log.Read(ctx, logservice.StreamConfig, from, readLimit, r.WaitMs)
+	page, err := r.read(ctx, from)
 	if err != nil {
 		return from, err
 	}
@@ -89,3 +99,20 @@
 	}
 	return from, nil
 }
+
+// read reads one page within a deadline. A read that misses it closes its
+// connection, so that the next one dials.
+func (r *Reader) read(ctx context.Context, from int64) (logservice.Page, error) {
+	wait := min(r.WaitMs, maxWait)
+	r.slack = max(r.slack, firstSlack)
+	ctx, cancel := context.WithTimeout(ctx, (wait + r.slack).Duration())
+	defer cancel()
+	page, err := r.Log.Read(ctx, logservice.StreamConfig, from, readLimit, wait)
+	switch {
+	case err == nil:
+		r.slack /= 2
+	case errors.Is(err, context.DeadlineExceeded):
+		r.slack = min(2*r.slack, lastSlack)
+	}
+	return page, err
+}
