--- a/internal/peer/config/duty_test.go
+++ b/internal/peer/config/duty_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
@@ -188,6 +189,43 @@
 	}
 }
 
+func TestReaderTellsMissingRecordsAndIsNotReady(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	log := filledLog(t, clock.System{}, 9)
+	log.retain(6)
+	events := make(chan string, 100)
+	logger := logging.Discard()
+	logger.AddHook(hook(events))
+	s := config.New(0)
+	r := &config.Reader{Log: log, Store: s, Clock: clock.System{}, Logger: logger, WaitMs: 20}
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = r.Run(ctx)
+		return nil
+	})
+	select {
+	case got := <-events:
+		if want := "config records 1 to 5 are past retention and no snapshot is in the log"; got != want || s.Ready() {
+			t.Errorf("event = %q, ready = %v; want %q and not ready", got, s.Ready(), want)
+		}
+	case <-ctx.Done():
+		t.Error("nothing was told about the missing records")
+	}
+	cancel()
+	_ = g.Wait()
+}
+
+// hook passes the messages of a logger on.
+type hook chan string
+
+func (hook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h hook) Fire(e *logrus.Entry) error {
+	h <- e.Message
+	return nil
+}
+
 func waitReady(ctx context.Context, t *testing.T, s *config.Store) {
 	t.Helper()
 	for !s.Ready() {
--- a/internal/peer/config/reader.go
+++ b/internal/peer/config/reader.go
@@ -94,9 +94,13 @@
 	for _, rec := range page.Records {
 		from = max(from, rec.Offset+1)
 	}
-	if r.Store.Current().Version()+1 >= page.NextOffset {
+	version = r.Store.Current().Version()
+	if version+1 >= page.NextOffset {
 		r.Store.MarkReady()
 	}
+	if version+1 < page.FirstOffset && from >= page.NextOffset {
+		return from, &GapError{Version: version, FirstOffset: page.FirstOffset}
+	}
 	return from, nil
 }
 
--- a/internal/peer/config/version.go
+++ b/internal/peer/config/version.go
@@ -69,3 +69,15 @@
 func (e *TruncatedError) Error() string {
 	return fmt.Sprintf("config stream ends before offset %d, but record %d was read earlier", e.NextOffset, e.Have)
 }
+
+// GapError reports records that are past retention before they were read, and
+// no snapshot that stands in for them. Another process may still have them.
+type GapError struct {
+	Version     int64
+	FirstOffset int64
+}
+
+// Error names the records that are missing.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("config records %d to %d are past retention and no snapshot is in the log", e.Version+1, e.FirstOffset-1)
+}
