Load: seeded arrivals, open-loop runner and figures by class and account

damaskport load sends a scenario's requests at their times, checks every byte of the answers, and prints attainment, goodput, waste and fairness.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -29,7 +29,7 @@
 type command func(p *flags.Parser, o output) error
 
 // registered lists the commands in the order of the help text.
-var registered = []command{}
+var registered = []command{addLoad}
 
 // Execute runs the command line args and returns the exit code.
 func Execute(args []string, out, errOut io.Writer) int {
