Load: deployments in process, faults, baselines and a comparison table

The bound of the goodput counts what the whole capacity could serve within the targets, faults included.

--- a/internal/cli/commands/load.go
+++ b/internal/cli/commands/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"os/signal"
 	"strings"
@@ -20,9 +21,12 @@
 
 // loadCommand sends open-loop traffic and measures what came of it.
 type loadCommand struct {
-	URL        string        `long:"url" description:"base URL of a running entry, or of an engine with --direct"`
+	URL        string        `long:"url" description:"base URL of a running entry, or of an engine with --direct; without it the deployment is started in this process"`
 	Keys       []string      `long:"key" description:"key of a client account, as ACCOUNT=KEY; repeatable"`
-	Scenario   string        `long:"scenario" default:"demo" description:"scenario by name, or a JSON file"`
+	Scenario   string        `long:"scenario" default:"demo" description:"scenario by name, or a JSON file; without --url also several, or all"`
+	Baseline   string        `long:"baseline" default:"ours" description:"policies to compare where the deployment is started here, separated by commas, or all"`
+	Seeds      string        `long:"seeds" description:"seeds to compare where the deployment is started here, separated by commas"`
+	LogLevel   string        `long:"log-level" default:"error" description:"level of the log of a deployment that is started here"`
 	Deployment string        `long:"deployment" default:"colombo" description:"deployment of a named scenario: colombo or vienna"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of the arrivals"`
 	Duration   time.Duration `long:"duration" default:"20s" description:"time during which requests are sent"`
@@ -48,13 +52,13 @@
 func (c *loadCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := c.scenario()
+	if c.URL == "" {
+		return c.local(ctx)
+	}
+	s, err := c.scenario(c.Scenario)
 	if err != nil {
 		return err
 	}
-	if c.URL == "" {
-		return errors.New("--url: give the base URL of a running entry")
-	}
 	res, err := c.remote(ctx, s)
 	if err != nil {
 		return err
@@ -62,6 +66,26 @@
 	return c.write(res)
 }
 
+// local measures deployments that are started here. What was measured before
+// an error is written as well.
+func (c *loadCommand) local(ctx context.Context) error {
+	cmp, err := c.measure(ctx)
+	if len(cmp.Runs) == 0 {
+		return err
+	}
+	if len(cmp.Runs) == 1 {
+		err = errors.Wrap(err, "after one run")
+		if werr := c.write(cmp.Runs[0]); err == nil {
+			err = werr
+		}
+		return err
+	}
+	if werr := c.write(cmp); err == nil {
+		err = werr
+	}
+	return err
+}
+
 // remote measures a system that runs already.
 func (c *loadCommand) remote(ctx context.Context, s arrivals.Scenario) (attainment.Result, error) {
 	keys, err := parseKeys(c.Keys)
@@ -85,8 +109,8 @@
 	return res, nil
 }
 
-func (c *loadCommand) scenario() (arrivals.Scenario, error) {
-	s, err := c.namedOrFile()
+func (c *loadCommand) scenario(name string) (arrivals.Scenario, error) {
+	s, err := c.namedOrFile(name)
 	if err != nil {
 		return s, err
 	}
@@ -102,20 +126,25 @@
 	return s, nil
 }
 
-func (c *loadCommand) namedOrFile() (arrivals.Scenario, error) {
-	if !strings.ContainsAny(c.Scenario, "./") {
-		return arrivals.Named(c.Scenario, c.Deployment)
+func (c *loadCommand) namedOrFile(name string) (arrivals.Scenario, error) {
+	if !strings.ContainsAny(name, "./") {
+		return arrivals.Named(name, c.Deployment)
 	}
-	data, err := os.ReadFile(c.Scenario)
+	data, err := os.ReadFile(name)
 	if err != nil {
 		return arrivals.Scenario{}, err
 	}
 	var s arrivals.Scenario
 	err = json.Unmarshal(data, &s)
-	return s, errors.Wrap(err, c.Scenario)
+	return s, errors.Wrap(err, name)
+}
+
+// tabular is a result that can be written as a table.
+type tabular interface {
+	WriteTable(w io.Writer) error
 }
 
-func (c *loadCommand) write(res any) error {
+func (c *loadCommand) write(res tabular) error {
 	data, err := json.MarshalIndent(res, "", "  ")
 	if err != nil {
 		return err
@@ -130,10 +159,7 @@
 		_, err = c.o.out.Write(data)
 		return err
 	}
-	if r, ok := res.(attainment.Result); ok {
-		return r.WriteTable(c.o.out)
-	}
-	return nil
+	return res.WriteTable(c.o.out)
 }
 
 func parseKeys(pairs []string) (map[string]string, error) {
--- a/internal/load/openloop/run.go
+++ b/internal/load/openloop/run.go
@@ -23,6 +23,8 @@
 type Options struct {
 	// URL is the base URL of an entry, or of an engine if Direct is set.
 	URL string
+	// Target returns the base URL for the i-th request and replaces URL, if set.
+	Target func(i int) string
 	// Keys maps client accounts to keys.
 	Keys map[string]string
 	// Direct sends neither key nor class.
@@ -69,6 +71,9 @@
 	if opts.DrainMs == 0 {
 		opts.DrainMs = defaultDrain
 	}
+	if opts.Target == nil {
+		opts.Target = func(int) string { return opts.URL }
+	}
 	transport := &http.Transport{
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
--- a/internal/load/openloop/send.go
+++ b/internal/load/openloop/send.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.opts.URL+"/v1/chat/completions", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.opts.Target(q.Index)+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/report/attainment/compute.go
+++ b/internal/report/attainment/compute.go
@@ -55,8 +55,7 @@
 	accounts map[string]*Account
 	specs    map[string]directory.Class
 	buckets  map[string][]Bucket
-	// offered holds the tokens called for, by second of arrival.
-	offered []int64
+	seconds  int
 	// demand and received hold tokens by tier and account.
 	demand, received [directory.Tiers]map[string]float64
 	lag              *hdrhistogram.Histogram
@@ -66,16 +65,17 @@
 
 func newComputation(sched arrivals.Schedule) *computation {
 	s := sched.Scenario
-	seconds := int((sched.Duration + bucketMs - 1) / bucketMs)
+	seconds := max(1, int((sched.Duration+bucketMs-1)/bucketMs))
 	c := &computation{
 		sched:    sched,
 		classes:  map[string]*Class{},
 		accounts: map[string]*Account{},
 		specs:    map[string]directory.Class{},
 		buckets:  map[string][]Bucket{},
-		offered:  make([]int64, max(1, seconds)),
+		seconds:  seconds,
 		lag:      hdrhistogram.New(1, maxLatencyUs, digits),
 	}
+	c.res.Totals.Errors = map[string]int{}
 	for i := range directory.Tiers {
 		c.demand[i], c.received[i] = map[string]float64{}, map[string]float64{}
 	}
@@ -86,7 +86,7 @@
 			Name: name, Tier: x.Class.Tier, ObjectivePercent: x.ObjectivePercent,
 			FirstToken: newLatency(), TokenGap: newLatency(), End: newLatency(),
 		}
-		for i := range c.offered {
+		for i := range seconds {
 			c.buckets[name] = append(c.buckets[name], Bucket{AtMs: clock.Millis(i) * bucketMs, Class: name})
 		}
 	}
@@ -102,14 +102,16 @@
 	for _, n := range []*Counts{&c.res.Totals.Counts, &cl.Counts, &acc.Counts} {
 		n.add(s.Outcome, met)
 	}
-	second := min(int(s.ArrivalMs/bucketMs), len(c.offered)-1)
-	c.offered[second] += int64(s.Wanted)
+	second := min(int(s.ArrivalMs/bucketMs), c.seconds-1)
+	c.res.Totals.OfferedTokens += int64(s.Wanted)
 	c.buckets[s.Class][second].Sent++
 	_ = c.lag.RecordValue(max(1, min(s.LagUs, maxLatencyUs)))
 	acc.OfferedTokens += int64(s.Wanted)
 	c.demand[spec.Tier][s.Account] += float64(s.Wanted)
 	c.delivered += int64(s.Tokens)
-	if s.Outcome == openloop.Complete {
+	if s.Outcome != openloop.Complete {
+		c.res.Totals.Errors[fmt.Sprintf("%s %s %d %s: %s", s.Outcome, s.Class, s.Status, s.Code, s.Detail)]++
+	} else {
 		c.complete(s, cl, acc, spec.Tier)
 	}
 	if met {
@@ -216,12 +218,8 @@
 
 func (c *computation) totals(t *Totals) {
 	t.CapacityTokensPerSecond = c.sched.Scenario.Deployment.TokensPerSecond()
-	perBucket := int64(t.CapacityTokensPerSecond * float64(bucketMs) / float64(clock.Second))
-	for _, n := range c.offered {
-		t.OfferedTokens += n
-		t.ServableTokens += min(n, perBucket)
-	}
-	t.GoodputPercent = percent(t.GoodWindowTokens, t.ServableTokens)
+	t.ServableTokens = c.sched.ServableTokens()
+	t.GoodputPercent = percent(t.GoodTokens, t.ServableTokens)
 	t.SendLagP99Ms = float64(c.lag.ValueAtQuantile(99)) / 1000
 	if n := t.Retries.WithRetryAfter; n > 0 {
 		t.Retries.MeanRetryAfterMs = float64(c.retryAfter) / float64(n)
--- a/internal/report/attainment/result.go
+++ b/internal/report/attainment/result.go
@@ -52,14 +52,14 @@
 	CapacityTokensPerSecond float64 `json:"capacityTokensPerSecond"`
 	// OfferedTokens is the length of all answers called for.
 	OfferedTokens int64 `json:"offeredTokens"`
-	// ServableTokens is the sum over seconds of the offered tokens, each
-	// second bounded by the capacity.
+	// ServableTokens bounds the goodput of any policy: see
+	// arrivals.Schedule.ServableTokens.
 	ServableTokens int64 `json:"servableTokens"`
 	// GoodTokens are the tokens of requests that met their targets, and
 	// GoodWindowTokens those that arrived within the run's duration.
 	GoodTokens       int64 `json:"goodTokens"`
 	GoodWindowTokens int64 `json:"goodWindowTokens"`
-	// GoodputPercent is GoodWindowTokens in percent of ServableTokens.
+	// GoodputPercent is GoodTokens in percent of ServableTokens.
 	GoodputPercent float64 `json:"goodputPercent"`
 	// GeneratedTokens is what the engines generated, or what callers
 	// received where the engines were not asked.
@@ -69,6 +69,9 @@
 	WastedTokens  int64   `json:"wastedTokens"`
 	WastedPercent float64 `json:"wastedPercent"`
 	Retries       Retries `json:"retries"`
+	// Errors counts the answers that were not complete by outcome, class,
+	// code and message.
+	Errors map[string]int `json:"errors,omitempty"`
 	// SendLagP99Ms is how late the generator sent.
 	SendLagP99Ms float64 `json:"sendLagP99Ms"`
 }
--- a/internal/report/attainment/table.go
+++ b/internal/report/attainment/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -34,7 +36,7 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(w, "\ngoodput %d tokens (%.1f %% of the %d servable), wasted %d (%.2f %% of %d generated)\n",
-		t.GoodWindowTokens, t.GoodputPercent, t.ServableTokens, t.WastedTokens, t.WastedPercent, t.GeneratedTokens)
+		t.GoodTokens, t.GoodputPercent, t.ServableTokens, t.WastedTokens, t.WastedPercent, t.GeneratedTokens)
 	_, _ = fmt.Fprintf(w, "worst-served account %s: attainment %.2f %%, %.1f %% of its fair share\n",
 		r.Worst.Name, r.Worst.AttainmentPercent, r.Worst.FairPercent)
 	_, _ = fmt.Fprintf(w, "refused with Retry-After %d (mean %.0f ms), without %d; repeated %d, met %d, refused again %d\n",
@@ -44,6 +46,9 @@
 	if r.Cost != nil {
 		_, _ = fmt.Fprintf(w, "cost %.4f for %.1f server seconds, %.0f good tokens per unit\n", r.Cost.Spent, r.Cost.ServerSeconds, r.Cost.GoodTokensPerUnit)
 	}
+	for _, e := range slices.Sorted(maps.Keys(t.Errors)) {
+		_, _ = fmt.Fprintf(w, "%6d %s\n", t.Errors[e], e)
+	}
 	for _, f := range r.NotInjected {
 		_, _ = fmt.Fprintf(w, "not injected: %s\n", f.Kind)
 	}
