--- a/internal/load/arrivals/named.go
+++ b/internal/load/arrivals/named.go
@@ -149,9 +149,9 @@
 func colomboClasses() []ClassLoad {
 	return []ClassLoad{
 		class("waiver", 0, 250, 25, 0, 99, 25, Lengths{24, 0.7, 240}),
-		class("party", 1, 600, 30, 0, 95, 35, Lengths{60, 0.9, 900}),
+		class("party", 1, 600, 30, 0, 95, 35, Lengths{60, 0.8, 400}),
 		class("chat", 1, 500, 30, 0, 95, 20, Lengths{32, 0.8, 320}),
-		class("summary", 2, 0, 0, 6000, 90, 20, Lengths{80, 0.7, 600}),
+		class("summary", 2, 0, 0, 6000, 90, 20, Lengths{80, 0.7, 400}),
 	}
 }
 
@@ -159,8 +159,8 @@
 	return []ClassLoad{
 		class("route", 0, 250, 25, 0, 99, 25, Lengths{20, 0.7, 200}),
 		class("tag", 1, 500, 30, 0, 95, 25, Lengths{16, 0.6, 120}),
-		class("briefing", 1, 800, 30, 0, 95, 30, Lengths{120, 0.8, 1200}),
-		class("archive", 2, 0, 0, 6000, 90, 20, Lengths{80, 0.7, 600}),
+		class("briefing", 1, 800, 30, 0, 95, 30, Lengths{100, 0.7, 400}),
+		class("archive", 2, 0, 0, 6000, 90, 20, Lengths{80, 0.7, 400}),
 	}
 }
 
--- a/internal/load/openloop/send.go
+++ b/internal/load/openloop/send.go
@@ -66,7 +66,7 @@
 		return readError(resp, s)
 	}
 	rd := &reader{origin: arrival, windowUs: r.end.Sub(arrival).Microseconds()}
-	if err := rd.read(resp.Body, s); err != nil {
+	if err := rd.read(resp.Body, s); err != nil && rd.err == nil {
 		return err
 	}
 	s.Outcome, s.Detail = rd.judge(q.Nonce, q.Tokens)
