--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -42,6 +42,7 @@
 	addSheet,
 	addKey,
 	addStatus,
+	addLoad,
 }
 
 // Execute runs the command line args and returns the exit code.
