A preempted request keeps its place, and one stopped before its answer goes on elsewhere

Change: a refusal of its own for such attempts; the reservation carries the request's age, its original deadline and that it was resumed; the caller's bound on tokens is a bound and no estimate; preemptions do not count as failures.

--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -126,8 +126,13 @@
 	// RemainingMs is the time left to the first-token target; 0 is no target.
 	RemainingMs  clock.Millis `json:"remainingMs,omitempty"`
 	PromptTokens int          `json:"promptTokens,omitempty"`
-	EstTokens    int          `json:"estTokens,omitempty"`
-	Preemptible  bool         `json:"preemptible,omitempty"`
+	// MaxTokens bounds the output length; 0 is no bound.
+	MaxTokens int `json:"maxTokens,omitempty"`
+	// AgeMs is the time since the request arrived at the entry.
+	AgeMs clock.Millis `json:"ageMs,omitempty"`
+	// Resumed tells that an earlier attempt was interrupted.
+	Resumed     bool `json:"resumed,omitempty"`
+	Preemptible bool `json:"preemptible,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks a reservation.
@@ -213,6 +218,7 @@
 	CodeLeaving      = "leaving"
 	CodeDuplicate    = "duplicate"
 	CodeKeyWithdrawn = "keyWithdrawn"
+	CodePreempted    = "preempted"
 	CodeOfferLapsed  = "offerLapsed"
 	CodeBadRequest   = "badRequest"
 	CodeLogDown      = "logUnavailable"
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -39,7 +39,7 @@
 // Errors are of type *openai.Error and final.
 func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *openai.Error) {
 	var last *openai.Error
-	for round := 0; round < maxRounds; round++ {
+	for round := 0; round < maxRounds && j.failures < maxAttempts; round++ {
 		c := d.e.router.choose(j)
 		if p := c.direct; p != nil {
 			ans, err := d.attempt(ctx, j, p, j.nextAttempt())
@@ -47,6 +47,10 @@
 				return ans, err.unwrap()
 			}
 			last = err.unwrap()
+			if err.preempted {
+				round--
+				continue
+			}
 			if !err.full {
 				j.tried[p] = true
 				continue
@@ -59,6 +63,9 @@
 		if ans != nil || final(err) {
 			return ans, err.unwrap()
 		}
+		if err.preempted {
+			round--
+		}
 		last = err.unwrap()
 	}
 	if last == nil {
@@ -74,6 +81,8 @@
 	full bool
 	// again: another sidecar may be tried.
 	again bool
+	// preempted: the attempt was stopped for a higher tier before its answer.
+	preempted bool
 }
 
 func final(e *attemptError) bool { return e != nil && !e.full && !e.again }
@@ -186,6 +195,7 @@
 		return &attemptError{err: stopped(ctx, j)}
 	}
 	d.e.log.WithFields(logrus.Fields{"event": "attemptFailed", "request": j.id, "peer": p.instance.Name}).Warn(err)
+	j.failures++
 	p.suspect()
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -209,6 +219,9 @@
 	case dispatch.CodeFull, dispatch.CodeOfferLapsed:
 		p.full()
 		return &attemptError{err: out, full: true}
+	case dispatch.CodePreempted:
+		j.resumed = true
+		return &attemptError{err: out, again: true, preempted: true}
 	case dispatch.CodeLeaving:
 		return &attemptError{err: out, again: true}
 	case dispatch.CodeUnavailable:
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -21,13 +21,18 @@
 	body     []byte
 	prefixes []uint64
 	prompt   int
-	estimate int
-	arrived  clock.Millis
+	// maxTokens bounds the answer; 0 is unknown.
+	maxTokens int
+	arrived   clock.Millis
 	// preemptible jobs can go on elsewhere from the tokens delivered so far.
 	preemptible bool
 	delivered   int
 	attempts    int
-	tried       map[*peer]bool
+	// failures counts the attempts that failed, as opposed to preempted ones.
+	failures int
+	// resumed is set once an attempt was interrupted.
+	resumed bool
+	tried   map[*peer]bool
 }
 
 // nextAttempt returns the id of the job's next attempt.
@@ -40,7 +45,7 @@
 // an answer; 0 is no target.
 func (j *job) remaining(now clock.Millis) clock.Millis {
 	target := j.target()
-	if target == 0 || j.delivered > 0 {
+	if target == 0 {
 		return 0
 	}
 	left := j.arrived + target - now
@@ -69,8 +74,8 @@
 	return dispatch.Reservation{
 		ID: id, Entry: entry, Class: j.class.Name, Account: j.account.Name, KeyID: j.keyID,
 		Tier: j.class.Tier, Share: j.account.Share, FloorPercent: j.class.FloorPercent,
-		RemainingMs: j.remaining(now), PromptTokens: j.prompt, EstTokens: j.estimate,
-		Preemptible: j.preemptible,
+		RemainingMs: j.remaining(now), PromptTokens: j.prompt, MaxTokens: j.maxTokens,
+		AgeMs: now - j.arrived, Resumed: j.resumed, Preemptible: j.preemptible,
 	}
 }
 
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -103,6 +103,9 @@
 	if final(err) {
 		return nil, err
 	}
+	if err.preempted {
+		return nil, err
+	}
 	h.j.tried[p] = !err.full
 	if err.full && p.notify(dispatch.MethodReserve, h.j.reservation(h.id, h.d.e.incarnation, h.d.e.clock.Now())) {
 		h.open[p] = nil
--- a/internal/role/entry/retries.go
+++ b/internal/role/entry/retries.go
@@ -36,7 +36,7 @@
 	defer r.mu.Unlock()
 	d := r.budget(j.pool.Name).Decide(r.clock.Now(), retry.Attempt{
 		Outcome: outcome, Protected: j.request.Protected, Delivered: j.delivered, Resumable: j.preemptible,
-		Number: max(j.attempts, 1), Bound: maxAttempts,
+		Number: j.failures + 1, Bound: maxAttempts,
 	}, r.rnd)
 	return d.Retry
 }
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -174,7 +174,8 @@
 	out := slots.Reservation{
 		ID: r.ID, Entry: r.Entry, Class: r.Class, Account: r.Account,
 		Tier: r.Tier, Share: r.Share, FloorPercent: r.FloorPercent,
-		ArrivedMs: now, PromptTokens: r.PromptTokens, EstTokens: r.EstTokens, Preemptible: r.Preemptible,
+		ArrivedMs: now - r.AgeMs, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Preemptible: r.Preemptible,
+		Resumed: r.Resumed,
 	}
 	if r.RemainingMs != 0 {
 		out.DeadlineMs = now + r.RemainingMs
