--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -43,6 +43,7 @@
 	addKey,
 	addStatus,
 	addLoad,
+	addReport,
 }
 
 // Execute runs the command line args and returns the exit code.
--- a/internal/cli/commands/load.go
+++ b/internal/cli/commands/load.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -50,7 +48,7 @@
 
 // Execute runs the command.
 func (c *loadCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal()
 	defer stop()
 	if c.URL == "" {
 		return c.local(ctx)
