--- a/internal/peer/config/duty_test.go
+++ b/internal/peer/config/duty_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
@@ -150,6 +151,81 @@
 	_ = g.Wait()
 }
 
+// silentLog does not answer its first reads, as over a silent connection.
+type silentLog struct {
+	*memoryLog
+	silent    int
+	deadlines []time.Duration
+}
+
+func (l *silentLog) Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (logservice.Page, error) {
+	deadline, _ := ctx.Deadline()
+	l.deadlines = append(l.deadlines, time.Until(deadline).Round(time.Second))
+	if len(l.deadlines) <= l.silent {
+		<-ctx.Done()
+		return logservice.Page{}, ctx.Err()
+	}
+	return l.memoryLog.Read(ctx, stream, from, limit, wait)
+}
+
+func TestReaderReplacesSilentConnectionAndBearsWithSlowLog(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	log := &silentLog{memoryLog: filledLog(t, clock.System{}, 3), silent: 2}
+	s := config.New(0)
+	r := &config.Reader{Log: log, Store: s, Clock: clock.System{}, Logger: logging.Discard(), WaitMs: 20}
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = r.Run(ctx)
+		return nil
+	})
+	if err := s.Wait(ctx, 4); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	_ = g.Wait()
+	if diff := cmp.Diff([]time.Duration{time.Second, 2 * time.Second, 4 * time.Second}, log.deadlines[:3]); diff != "" {
+		t.Errorf("deadlines of the reads (-want +got):\n%s", diff)
+	}
+}
+
+func TestReaderTellsMissingRecordsAndIsNotReady(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	log := filledLog(t, clock.System{}, 9)
+	log.retain(6)
+	events := make(chan string, 100)
+	logger := logging.Discard()
+	logger.AddHook(hook(events))
+	s := config.New(0)
+	r := &config.Reader{Log: log, Store: s, Clock: clock.System{}, Logger: logger, WaitMs: 20}
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = r.Run(ctx)
+		return nil
+	})
+	select {
+	case got := <-events:
+		if want := "config records 1 to 5 are past retention and no snapshot is in the log"; got != want || s.Ready() {
+			t.Errorf("event = %q, ready = %v; want %q and not ready", got, s.Ready(), want)
+		}
+	case <-ctx.Done():
+		t.Error("nothing was told about the missing records")
+	}
+	cancel()
+	_ = g.Wait()
+}
+
+// hook passes the messages of a logger on.
+type hook chan string
+
+func (hook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h hook) Fire(e *logrus.Entry) error {
+	h <- e.Message
+	return nil
+}
+
 func waitReady(ctx context.Context, t *testing.T, s *config.Store) {
 	t.Helper()
 	for !s.Ready() {
