--- a/internal/load/deployment/deployment.go
+++ b/internal/load/deployment/deployment.go
@@ -32,7 +32,6 @@
 	idBytes          = 4
 	secretBytes      = 18
 	readyPoll        = 5 * clock.Millisecond
-	nudgeAfter       = clock.Second
 	drainMs          = 15 * clock.Second
 )
 
@@ -81,8 +80,7 @@
 }
 
 // waitReady returns when e is connected to every backend server, or with the
-// error of ctx. While it waits it appends changes of configuration, since an
-// entry may have missed the first one that a sidecar took in.
+// error of ctx.
 func (d *Deployment) waitReady(ctx context.Context, e *entryProc) error {
 	d.mu.Lock()
 	live := 0
@@ -92,15 +90,7 @@
 		}
 	}
 	d.mu.Unlock()
-	nudgeAt := d.clock.Now() + nudgeAfter
 	for e.Ready() != nil || e.Connected() < live {
-		if d.clock.Now() > nudgeAt {
-			nudgeAt += nudgeAfter
-			class := d.scenario.Classes[0].Class
-			if err := d.change(ctx, []directory.Op{{SetClass: &class}}); err != nil {
-				return err
-			}
-		}
 		if err := d.clock.Sleep(ctx, readyPoll); err != nil {
 			return errors.Wrapf(err, "%s waiting for %d of %d backend servers", e.name, e.Connected(), live)
 		}
