--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -95,6 +95,8 @@
 	Free    int   `json:"free"`
 	Running int   `json:"running"`
 	Waiting []int `json:"waiting,omitempty"` // by tier
+	// Preemptible counts the running requests that may be preempted, by tier.
+	Preemptible []int `json:"preemptible,omitempty"`
 	// TokenMs is the observed time per token, in milliseconds; 0 is unknown.
 	TokenMs float64 `json:"tokenMs,omitempty"`
 }
@@ -108,7 +110,7 @@
 
 // Equal reports whether two loads are the same.
 func (l Load) Equal(o Load) bool {
-	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting)
+	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting) && slices.Equal(l.Preemptible, o.Preemptible)
 }
 
 // Reservation asks for a slot.
--- a/internal/role/entry/router.go
+++ b/internal/role/entry/router.go
@@ -137,7 +137,7 @@
 func (p *peer) view(now clock.Millis) route.Peer {
 	return route.Peer{
 		Name: p.instance.Name, Zone: p.hello.Zone, Pool: p.hello.Pool, Slots: p.hello.Slots,
-		Free: p.load.Free, WaitingByTier: p.load.Waiting, TokenMs: p.load.TokenMs, ReportMs: now,
+		Free: p.load.Free, WaitingByTier: p.load.Waiting, PreemptibleByTier: p.load.Preemptible, TokenMs: p.load.TokenMs, ReportMs: now,
 		Leaving: !p.usable(),
 	}
 }
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -160,7 +160,7 @@
 
 func (c *core) load() dispatch.Load {
 	l := c.slots.Load()
-	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.WaitingByTier, TokenMs: l.TokenMs}
+	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.WaitingByTier, Preemptible: l.PreemptibleByTier, TokenMs: l.TokenMs}
 }
 
 func wireVerdict(id string, v slots.Verdict) dispatch.Verdict {
