Leased duties, usage counts and the log's retention wired into the roles

Measured: TestUsageReportsSumToWhatTheEnginesGenerated passes with -race: 330 of 330 tokens reported, each window once.

--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -12,10 +12,13 @@
 
 	"github.com/damaskport/damaskport/internal/operator/strictjson"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/claim"
 )
 
 // Bounds of single settings.
 const (
+	maxUsageShards  = 256
+	maxRetention    = 90 * 24 * clock.Hour
 	maxClaimShards  = 256
 	maxCandidates   = 16
 	maxPeersPerPool = 4096
@@ -73,7 +76,10 @@
 	}
 	within(c, "platform.timeoutMs", p.TimeoutMs, 1, maxTimeout)
 	within(c, "platform.claimShards", p.ClaimShards, 1, maxClaimShards)
-	within(c, "platform.claimWindowMs", p.ClaimWindowMs, clock.Minute, maxPeriod)
+	within(c, "platform.claimWindowMs", p.ClaimWindowMs, clock.Minute, claim.MaxWindow)
+	within(c, "platform.logRetentionMs", p.LogRetentionMs, clock.Second, maxRetention)
+	within(c, "platform.usageShards", p.UsageShards, 1, maxUsageShards)
+	within(c, "platform.usageWindowMs", p.UsageWindowMs, 100, maxPeriod)
 }
 
 func (c checker) entry(e Entry) {
@@ -86,7 +92,6 @@
 	within(c, "entry.candidates", e.Candidates, 1, maxCandidates)
 	within(c, "entry.peersPerPool", e.PeersPerPool, 1, maxPeersPerPool)
 	within(c, "entry.maxWaiting", e.MaxWaiting, 1, maxWaiting)
-	within(c, "entry.usageWindowMs", e.UsageWindowMs, 100, maxPeriod)
 	within(c, "entry.leaseMs", e.LeaseMs, minLeaseMs, maxTimeout)
 	within(c, "entry.drainMs", e.DrainMs, 0, maxTimeout)
 	if e.Candidates > e.PeersPerPool && e.PeersPerPool >= 1 {
--- a/internal/operator/settings/defaults.go
+++ b/internal/operator/settings/defaults.go
@@ -14,6 +14,8 @@
 	defaultCandidates        = 3
 	defaultPeersPerPool      = 64
 	defaultMaxWaiting        = 10000
+	defaultLogRetentionMs    = 1 * clock.Hour
+	defaultUsageShards       = 1
 	defaultUsageWindowMs     = 1 * clock.Minute
 	defaultLeaseMs           = 6 * clock.Second
 	defaultDrainMs           = 30 * clock.Second
@@ -27,9 +29,12 @@
 		Role:     role,
 		LogLevel: defaultLogLevel,
 		Platform: Platform{
-			TimeoutMs:     defaultTimeoutMs,
-			ClaimShards:   defaultClaimShards,
-			ClaimWindowMs: defaultClaimWindowMs,
+			TimeoutMs:      defaultTimeoutMs,
+			ClaimShards:    defaultClaimShards,
+			ClaimWindowMs:  defaultClaimWindowMs,
+			LogRetentionMs: defaultLogRetentionMs,
+			UsageShards:    defaultUsageShards,
+			UsageWindowMs:  defaultUsageWindowMs,
 		},
 		Policy: Policy{Order: OrderTiers, Routing: RoutingAffinity},
 	}
@@ -42,7 +47,6 @@
 			Candidates:      defaultCandidates,
 			PeersPerPool:    defaultPeersPerPool,
 			MaxWaiting:      defaultMaxWaiting,
-			UsageWindowMs:   defaultUsageWindowMs,
 			LeaseMs:         defaultLeaseMs,
 			DrainMs:         defaultDrainMs,
 		}
--- a/internal/operator/settings/types.go
+++ b/internal/operator/settings/types.go
@@ -36,6 +36,12 @@
 	TimeoutMs     clock.Millis `json:"timeoutMs"`
 	ClaimShards   int          `json:"claimShards"`
 	ClaimWindowMs clock.Millis `json:"claimWindowMs"`
+	// LogRetentionMs is how long the log keeps records, at the least.
+	LogRetentionMs clock.Millis `json:"logRetentionMs"`
+	// UsageShards is the number of shards of client accounts that are reported
+	// separately, and UsageWindowMs the length of a usage window.
+	UsageShards   int          `json:"usageShards"`
+	UsageWindowMs clock.Millis `json:"usageWindowMs"`
 }
 
 // Entry holds the settings of the entry role.
@@ -56,8 +62,6 @@
 	MaxWaiting int `json:"maxWaiting"`
 	// Duties runs the leased control duties in this entry.
 	Duties bool `json:"duties"`
-	// UsageWindowMs is the length of a usage window.
-	UsageWindowMs clock.Millis `json:"usageWindowMs"`
 	// LeaseMs is the length of the leases of the control duties.
 	LeaseMs clock.Millis `json:"leaseMs"`
 	// DrainMs bounds a graceful shutdown.
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -65,6 +65,8 @@
 	// Services is the number of plain services that the platform lists; their
 	// sidecars share the budget of claim appends. Only entries tell it.
 	Services int `json:"services,omitempty"`
+	// Servers is the number of all backend servers that the platform lists.
+	Servers int `json:"servers,omitempty"`
 }
 
 // Hello opens a control connection.
--- a/internal/proof/claims/retention_test.go
+++ b/internal/proof/claims/retention_test.go
@@ -22,7 +22,10 @@
 	c := cluster.Start(t, cluster.Options{
 		Entries: 2, Services: 2,
 		PlatformArgs: []string{"--retention-ms", fmt.Sprint(retentionMs)},
-		Edit:         func(f *settings.File) { f.Platform.ClaimShards = 1 },
+		Edit: func(f *settings.File) {
+			f.Platform.ClaimShards = 1
+			f.Platform.LogRetentionMs = retentionMs
+		},
 	})
 	w := &world{Cluster: c, entry: c.Entries[0], other: c.Entries[1], sidecar: c.Sidecars[0]}
 	first := w.deposit(t.Context(), w.entry, "K", "K.1")
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
@@ -102,6 +103,12 @@
 // URL returns the base URL for callers.
 func (e *Entry) URL() string { return "http://" + e.callerLn.Addr().String() }
 
+// Scope returns the scope of the entry's metrics.
+func (e *Entry) Scope() tally.Scope { return e.metrics.scope }
+
+// AddDuties adds duties to the entry's tree. It must be called before Run.
+func (e *Entry) AddDuties(ds ...supervise.Duty) { e.duties = append(e.duties, ds...) }
+
 // Metrics returns the handler of /metrics.
 func (e *Entry) Metrics() http.Handler { return e.metrics.handler }
 
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -44,7 +44,9 @@
 	heardState bool
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
-	inFlight      atomic.Int64
+	// drained is set when this entry has ordered the server to drain.
+	drained  atomic.Bool
+	inFlight atomic.Int64
 }
 
 // run keeps a connection to the sidecar until ctx ends.
@@ -132,8 +134,9 @@
 
 func (p *peer) state() dispatch.State {
 	st := p.e.state()
-	st.Leaving = p.listedLeaving.Load()
+	st.Leaving = p.listedLeaving.Load() || p.drained.Load()
 	st.Services = int(p.e.peers.services.Load())
+	st.Servers = int(p.e.peers.servers.Load())
 	return st
 }
 
@@ -255,7 +258,7 @@
 // and has a configuration, without which it refuses everything. The caller
 // holds mu.
 func (p *peer) usable() bool {
-	return p.link != nil && p.version > 0 && !p.leaving && !p.listedLeaving.Load()
+	return p.link != nil && p.version > 0 && !p.leaving && !p.listedLeaving.Load() && !p.drained.Load()
 }
 
 // took notes that a request was bound here, so that the known free slots fall
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -43,6 +43,8 @@
 	pools map[string][]*peer
 	// services is the number of plain services in the list.
 	services atomic.Int64
+	// servers is the number of all backend servers in the list.
+	servers atomic.Int64
 }
 
 type member struct {
@@ -120,11 +122,12 @@
 // subset returns the instances to which this entry connects.
 func (ps *peers) subset(list membership.List) []membership.Instance {
 	byPool := map[string][]membership.Instance{}
-	services := 0
+	services, servers := 0, 0
 	entries := []string{ps.e.name}
 	for _, in := range list.Instances {
 		if in.Role == membership.RoleBackend {
 			byPool[in.Pool] = append(byPool[in.Pool], in)
+			servers++
 			if p, ok := ps.e.store.Current().Pool(in.Pool); ok && p.Kind == directory.PoolService {
 				services++
 			}
@@ -133,6 +136,7 @@
 		}
 	}
 	ps.services.Store(int64(services))
+	ps.servers.Store(int64(servers))
 	var out []membership.Instance
 	for _, members := range byPool {
 		out = append(out, ps.e.router.subset(entries, members)...)
--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -1,21 +1,101 @@
 package process
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/control/capacity"
+	"github.com/damaskport/damaskport/internal/control/lease"
+	"github.com/damaskport/damaskport/internal/control/usage"
 	"github.com/damaskport/damaskport/internal/operator/admin"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
+	platformcapacity "github.com/damaskport/damaskport/internal/platform/capacity"
 	"github.com/damaskport/damaskport/internal/platform/logservice"
+	platformusage "github.com/damaskport/damaskport/internal/platform/usage"
 	"github.com/damaskport/damaskport/internal/role/entry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
-// entryDuties returns the duties of an entry beside those of its role.
-func entryDuties(_ settings.File, store *config.Store, logs *logservice.Client, clk clock.Clock, log logrus.FieldLogger) []supervise.Duty {
-	r := &config.Reader{Log: logs, Store: store, Clock: clk, Logger: log, WaitMs: readWait}
-	return []supervise.Duty{{Name: "configReader", Run: r.Run}}
+const (
+	snapshotLease = "configSnapshot"
+	// snapshotParts is the number of snapshots in the time of the log's retention.
+	snapshotParts      = 4
+	maxSnapshotRecords = 10_000
+	snapshotCheck      = 5 * clock.Second
+	capacityCycle      = 2 * clock.Second
+	// countParts is the number of counts that a sidecar records in one window.
+	countParts       = 4
+	maxCountInterval = 5 * clock.Second
+	// graceCounts is the number of missed counts for which a window waits.
+	graceCounts = 3
+)
+
+// duties builds the duties of one entry beside those of its role.
+type duties struct {
+	f     settings.File
+	store *config.Store
+	logs  *logservice.Client
+	http  *http.Client
+	clock clock.Clock
+	log   logrus.FieldLogger
+	inc   string
+}
+
+// reader returns the duty that follows the configuration stream.
+func (d duties) reader() supervise.Duty {
+	r := &config.Reader{Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, WaitMs: readWait}
+	return supervise.Duty{Name: "configReader", Run: r.Run}
+}
+
+// leased returns the control duties, each of which runs in one entry at a time.
+func (d duties) leased(e *entry.Entry) []supervise.Duty {
+	if !d.f.Entry.Duties {
+		return nil
+	}
+	leases := lease.New(lease.Config{Holder: d.inc, LengthMs: d.f.Entry.LeaseMs}, d.logs, d.clock, d.log)
+	out := []supervise.Duty{
+		{Name: "leases", Run: leases.Run},
+		leases.Duty(snapshotLease, d.snapshots),
+		{Name: "capacity", Run: d.reconciler(leases, e).Run},
+	}
+	for i := range d.f.Platform.UsageShards {
+		r := d.reporter(leases, e, i)
+		out = append(out, supervise.Duty{Name: fmt.Sprintf("usage-%d", i), Run: r.Run})
+	}
+	return out
+}
+
+func (d duties) snapshots(ctx context.Context, _ *lease.Tenure) error {
+	s := &config.Snapshotter{
+		Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, Author: d.inc,
+		MaxAgeMs: d.f.Platform.LogRetentionMs / snapshotParts, MaxRecords: maxSnapshotRecords,
+		CheckMs: min(snapshotCheck, d.f.Platform.LogRetentionMs/snapshotParts),
+	}
+	return s.Run(ctx)
+}
+
+func (d duties) reporter(leases *lease.Leases, e *entry.Entry, shard int) *usage.Reporter {
+	return usage.New(usage.Config{
+		Author: d.inc, Shard: shard, Shards: d.f.Platform.UsageShards, WindowMs: d.f.Platform.UsageWindowMs,
+		GraceMs: graceCounts * countInterval(d.f.Platform), RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
+	}, leases, d.logs, platformusage.New(d.f.Platform.UsageURL), d.clock, d.log, e.Scope())
+}
+
+func (d duties) reconciler(leases *lease.Leases, e *entry.Entry) *capacity.Reconciler {
+	return capacity.New(capacity.Config{
+		Author: d.inc, CycleMs: capacityCycle, DrainMs: d.f.Entry.DrainMs,
+		RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
+	}, leases, d.logs, platformcapacity.New(d.f.Platform.CapacityURL, d.http), newPools(e, d.store), e, d.clock, d.log)
+}
+
+// countInterval returns the time between two records of a sidecar's counts.
+func countInterval(p settings.Platform) clock.Millis {
+	return min(maxCountInterval, p.UsageWindowMs/countParts)
 }
 
 // mount puts the operators' interface of e on the server.
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/control/claims"
+	"github.com/damaskport/damaskport/internal/control/usage"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/platform/logservice"
@@ -28,6 +29,8 @@
 	incarnationBytes = 6
 	// readWait is how long a read of the log waits for the next record.
 	readWait = 10 * clock.Second
+	// usageAppendsPerSecond is the fleet's budget of appends for usage counts.
+	usageAppendsPerSecond = 40
 )
 
 // NewIncarnation returns an id that no other process has.
@@ -66,15 +69,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.adminAddr")
 	}
+	d := duties{f: f, store: store, logs: logs, http: h, clock: clk, log: log, inc: NewIncarnation()}
 	e, err := entry.New(f, entry.Deps{
-		Log: log, Clock: clk, Store: store, Incarnation: NewIncarnation(),
+		Log: log, Clock: clk, Store: store, Incarnation: d.inc,
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
 		IssueKey:  claim.IssueKey,
-		Duties:    entryDuties(f, store, logs, clk, log),
+		Duties:    []supervise.Duty{d.reader()},
 	})
 	if err != nil {
 		return nil, err
 	}
+	e.AddDuties(d.leased(e)...)
 	admin.mount(e, store, logs, log)
 	return &Entry{Entry: e, Admin: admin}, nil
 }
@@ -102,10 +107,13 @@
 	logs := logservice.New(f.Platform.LogURL, platformHTTP(f.Platform.TimeoutMs))
 	c := claims.New(claims.Config{
 		Incarnation: inc, Shards: f.Platform.ClaimShards, WindowMs: f.Platform.ClaimWindowMs,
-		TimeoutMs: f.Platform.TimeoutMs,
+		TimeoutMs: f.Platform.TimeoutMs, RetentionMs: f.Platform.LogRetentionMs,
 	}, logs, clk, log)
 	store := config.New(0)
-	m := newMeter()
+	m := usage.NewCounter(usage.CounterConfig{
+		Incarnation: inc, WindowMs: f.Platform.UsageWindowMs, IntervalMs: countInterval(f.Platform), AppendsPerSecond: usageAppendsPerSecond,
+		TimeoutMs: f.Platform.TimeoutMs,
+	}, logs, clk, log)
 	claimsDuty := supervise.Duty{Name: "claims", Run: func(ctx context.Context) error {
 		if err := waitForService(ctx, store, f.Sidecar.Pool); err != nil {
 			return nil
@@ -113,7 +121,7 @@
 		return supervise.New(f.Name+"/claims", log, clk).Run(ctx, c.Duties()...)
 	}}
 	return sidecar.New(f, sidecar.Deps{
-		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Incarnation: inc, Duties: []supervise.Duty{claimsDuty},
+		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Incarnation: inc, Duties: []supervise.Duty{claimsDuty, {Name: "usage", Run: m.Run}},
 	})
 }
 
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -49,6 +49,8 @@
 // Meter counts what the server generated.
 type Meter interface {
 	Add(account string, promptTokens, outputTokens int)
+	// SetPeers tells the number of sidecars that share the append budget.
+	SetPeers(n int)
 }
 
 // Deps are the parts that a Sidecar uses.
@@ -264,6 +266,9 @@
 	if st.Services > 0 {
 		s.claims.SetPeers(st.Services)
 	}
+	if st.Servers > 0 {
+		s.meter.SetPeers(st.Servers)
+	}
 	if st.Leaving {
 		s.put(drainEvent{make(chan struct{})})
 	}
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -36,6 +36,8 @@
 	Accounts []directory.Account
 	Classes  []directory.Class
 	Policy   settings.Policy
+	// UsageWindowMs is the length of a usage window; 0 takes the default.
+	UsageWindowMs clock.Millis
 }
 
 // Defaults returns a small deployment: three engines and two services.
@@ -66,8 +68,8 @@
 // operations returns the configuration of the deployment.
 func (c Config) operations() []directory.Op {
 	ops := []directory.Op{
-		{SetPool: &directory.Pool{Name: ModelPool, Kind: directory.PoolModel, Model: Model, Slots: c.Slots, MaxServers: c.Engines}},
-		{SetPool: &directory.Pool{Name: ServicePool, Kind: directory.PoolService, Slots: c.ServiceSlots, MaxServers: c.Services}},
+		{SetPool: &directory.Pool{Name: ModelPool, Kind: directory.PoolModel, Model: Model, Slots: c.Slots}},
+		{SetPool: &directory.Pool{Name: ServicePool, Kind: directory.PoolService, Slots: c.ServiceSlots}},
 		{SetRoute: &directory.Route{PathPrefix: ServicePath, Pool: ServicePool, ProtectedMethods: []string{"POST"}}},
 	}
 	for _, class := range c.Classes {
--- a/internal/role/solo/failure_test.go
+++ b/internal/role/solo/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -108,6 +109,40 @@
 	}
 }
 
+func TestUsageReportsSumToWhatTheEnginesGenerated(t *testing.T) {
+	cfg := solo.Defaults()
+	cfg.TokenMs, cfg.UsageWindowMs, cfg.Entries = 0, 400, 2
+	s := start(t, cfg)
+	const requests, tokens = 30, 11
+	for i := range requests {
+		url := s.URLs()[i%2]
+		if status, _, data := post(t, url+"/v1/chat/completions", s.Key("demo"), chat("u", tokens, i%3 == 0)); status != http.StatusOK {
+			t.Fatalf("status %d: %s", status, data)
+		}
+	}
+	reported := func() (n int64) {
+		for _, r := range s.Platform().State().Usage {
+			n += int64(r.OutputTokens) + int64(r.CorrectionTokens)
+		}
+		return n
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for reported() < requests*tokens && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if diff := cmp.Diff(int64(requests*tokens), reported()); diff != "" {
+		t.Fatal(diff)
+	}
+	seen := map[string]bool{}
+	for _, r := range s.Platform().State().Usage {
+		key := fmt.Sprint(r.Account, r.WindowStartMs)
+		if seen[key] {
+			t.Errorf("window %d of %s was reported twice", r.WindowStartMs, r.Account)
+		}
+		seen[key] = true
+	}
+}
+
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
 	cfg := solo.Defaults()
 	cfg.Engines, cfg.Slots, cfg.TokenMs = 1, 1, 10
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -195,6 +195,9 @@
 func (s *Solo) platformSettings() settings.Platform {
 	p := settings.Defaults(settings.RoleEntry).Platform
 	p.LogURL, p.CapacityURL, p.UsageURL, p.InstancesURL = s.base, s.base, s.base, s.base
+	if s.cfg.UsageWindowMs > 0 {
+		p.UsageWindowMs = s.cfg.UsageWindowMs
+	}
 	return p
 }
 
