--- a/internal/proof/claims/claims_test.go
+++ b/internal/proof/claims/claims_test.go
@@ -24,6 +24,7 @@
 	path       = cluster.ServicePath + "/deposits"
 	// faultTime is how long a fault lasts before it is mended.
 	faultTime = 1500 * time.Millisecond
+	longFault = 11 * time.Second
 	// watchTime is how long executions that should not come are watched for.
 	watchTime = 400 * time.Millisecond
 	// slowAppendMs is the delay of a slow log.
@@ -87,29 +88,33 @@
 	name   string
 	inject func(w *world)
 	mend   func(w *world)
+	// lasts is how long the failure lasts, faultTime by default.
+	lasts time.Duration
 }
 
 func nothing(*world) {}
 
 var failures = []failure{
-	{"none", nothing, nothing},
-	{"killEntry", func(w *world) { w.entry.Kill() }, nothing},
-	{"killSidecar", func(w *world) { w.sidecar.Kill() }, nothing},
-	{"freezeEntry", func(w *world) { w.entry.Freeze() }, func(w *world) { w.entry.Thaw() }},
-	{"freezeSidecar", func(w *world) { w.sidecar.Freeze() }, func(w *world) { w.sidecar.Thaw() }},
-	{"cutServer", func(w *world) { w.sidecar.ServerRelay.Cut() }, func(w *world) { w.sidecar.ServerRelay.Restore() }},
-	{"silentServer", func(w *world) { w.sidecar.ServerRelay.Silence() }, nothing},
-	{"cutControl", func(w *world) { w.sidecar.ControlRelay.Cut() }, func(w *world) { w.sidecar.ControlRelay.Restore() }},
-	{"silentControl", func(w *world) { w.sidecar.ControlRelay.Blackhole() }, func(w *world) { w.sidecar.ControlRelay.Restore() }},
-	{"cutLog", func(w *world) { w.sidecar.PlatformRelay.Cut() }, func(w *world) { w.sidecar.PlatformRelay.Restore() }},
-	{"silentLog", func(w *world) { w.sidecar.PlatformRelay.Blackhole() }, func(w *world) { w.sidecar.PlatformRelay.Restore() }},
-	{"logDown", func(w *world) {
+	{name: "none", inject: nothing, mend: nothing},
+	{name: "killEntry", inject: func(w *world) { w.entry.Kill() }, mend: nothing},
+	{name: "killSidecar", inject: func(w *world) { w.sidecar.Kill() }, mend: nothing},
+	{name: "freezeEntry", inject: func(w *world) { w.entry.Freeze() }, mend: func(w *world) { w.entry.Thaw() }},
+	{name: "freezeSidecar", inject: func(w *world) { w.sidecar.Freeze() }, mend: func(w *world) { w.sidecar.Thaw() }},
+	// freezeLong outlasts the entry's patience with a sidecar.
+	{name: "freezeLong", inject: func(w *world) { w.sidecar.Freeze() }, mend: func(w *world) { w.sidecar.Thaw() }, lasts: longFault},
+	{name: "cutServer", inject: func(w *world) { w.sidecar.ServerRelay.Cut() }, mend: func(w *world) { w.sidecar.ServerRelay.Restore() }},
+	{name: "silentServer", inject: func(w *world) { w.sidecar.ServerRelay.Silence() }, mend: nothing},
+	{name: "cutControl", inject: func(w *world) { w.sidecar.ControlRelay.Cut() }, mend: func(w *world) { w.sidecar.ControlRelay.Restore() }},
+	{name: "silentControl", inject: func(w *world) { w.sidecar.ControlRelay.Blackhole() }, mend: func(w *world) { w.sidecar.ControlRelay.Restore() }},
+	{name: "cutLog", inject: func(w *world) { w.sidecar.PlatformRelay.Cut() }, mend: func(w *world) { w.sidecar.PlatformRelay.Restore() }},
+	{name: "silentLog", inject: func(w *world) { w.sidecar.PlatformRelay.Blackhole() }, mend: func(w *world) { w.sidecar.PlatformRelay.Restore() }},
+	{name: "logDown", inject: func(w *world) {
 		w.SetFault(w.Platform, fault.Fault{Path: "/v1/streams", Kind: fault.KindFail, Status: http.StatusServiceUnavailable})
-	}, func(w *world) { w.ClearFaults(w.Platform) }},
-	{"slowLog", func(w *world) {
+	}, mend: func(w *world) { w.ClearFaults(w.Platform) }},
+	{name: "slowLog", inject: func(w *world) {
 		w.SetFault(w.Platform, fault.Fault{Path: claimsPath, Kind: fault.KindDelay, DelayMs: slowAppendMs})
-	}, func(w *world) { w.ClearFaults(w.Platform) }},
-	{"callerLeaves", func(w *world) { w.leave() }, nothing},
+	}, mend: func(w *world) { w.ClearFaults(w.Platform) }},
+	{name: "callerLeaves", inject: func(w *world) { w.leave() }, mend: nothing},
 }
 
 // unanswered lists the failures after which the first caller gets no answer.
@@ -157,15 +162,8 @@
 	wg.Go(func() { first = w.deposit(ctx, w.entry, "K", "K.1") })
 	w.Until("step "+s.name, func() bool { return s.reached(w) })
 	f.inject(w)
-	done := make(chan struct{})
-	wg.Go(func() {
-		defer close(done)
-		second = w.deposit(t.Context(), w.other, "K", "K.2")
-	})
-	select {
-	case <-done:
-	case <-time.After(faultTime):
-	}
+	wg.Go(func() { second = w.deposit(t.Context(), w.other, "K", "K.2") })
+	time.Sleep(max(f.lasts, faultTime))
 	s.release(w)
 	f.mend(w)
 	wg.Wait()
