--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -28,6 +29,7 @@
 	actions     []Action
 	counts      Counts
 	decisions   int
+	offers      uint64
 
 	tokenMs      mean
 	firstTokenMs mean
@@ -117,6 +119,9 @@
 func (s *Slots) Cancel(now clock.Millis, id string) {
 	s.advance(now)
 	if it := s.items[id]; it != nil {
+		if it.state == stateWaiting || it.state == stateOffered {
+			it.tier.left(false)
+		}
 		s.drop(it)
 	}
 	s.dispatch()
@@ -129,6 +134,7 @@
 	if it == nil || it.state != stateOffered {
 		return false
 	}
+	it.tier.left(true)
 	s.begin(it)
 	s.dispatch()
 	return true
@@ -138,6 +144,7 @@
 func (s *Slots) Decline(now clock.Millis, id string) {
 	s.advance(now)
 	if it := s.items[id]; it != nil && it.state == stateOffered {
+		it.tier.left(false)
 		s.drop(it)
 	}
 	s.dispatch()
@@ -231,6 +238,12 @@
 	if len(s.waitList) > 0 {
 		at = min(at, max(s.tickMs, s.now+1))
 	}
+	for _, t := range s.tiers {
+		if n := t.expiry.first(); n != nil && !s.cfg.NoShedding {
+			deadline := clock.Millis(math.Ceil(n.key.deadline + t.credit))
+			at = min(at, max(deadline, s.now+expiryStep))
+		}
+	}
 	return at, at != math.MaxInt64
 }
 
@@ -244,6 +257,7 @@
 		DrainPerSecond: s.drainPerMs() * float64(clock.Second),
 		WaitingByTier:  make([]int, len(s.tiers)),
 	}
+	l.PreemptibleByTier = slices.Clone(s.preemptible[:len(s.tiers)])
 	for _, it := range s.busy {
 		if it.state == stateOffered {
 			l.Offered++
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -105,7 +105,7 @@
 	p.mu.Lock()
 	p.heardState = false
 	p.mu.Unlock()
-	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state()}
+	hello := dispatch.Hello{Entry: p.e.name, Incarnation: p.e.incarnation, State: p.state(), Term: int64(p.instance.StartedMs)}
 	if err := l.Call(ctx, dispatch.MethodHello, hello, &reply); err != nil {
 		return errors.Wrap(err, "hello")
 	}
@@ -133,6 +133,7 @@
 func (p *peer) state() dispatch.State {
 	st := p.e.state()
 	st.Leaving = p.listedLeaving.Load()
+	st.Services = int(p.e.peers.services.Load())
 	return st
 }
 
