Config reader: the deadline follows the log's latency; commands tell what is open

Cause: with a log whose reads take 3 s longer the doubling and halving deadline missed every second read. The deadline is now the wait (at most 1 s) and twice the last latency, between 1 s and 8 s. Commands printed every repeat, and called an outcome open although every answer had said that nothing was appended.

--- a/internal/cli/commands/adminoptions.go
+++ b/internal/cli/commands/adminoptions.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"os/user"
@@ -52,6 +53,16 @@
 	Wait   time.Duration `long:"wait" default:"30s" description:"how long to wait for the outcome"`
 }
 
+// outcomeError reports a change that may have taken effect, or still may.
+type outcomeError struct {
+	changeID string
+}
+
+// Error names the change.
+func (e *outcomeError) Error() string {
+	return fmt.Sprintf("change %s: the outcome is not known; see config show before sending it again", e.changeID)
+}
+
 // submit sends the change until its outcome is known or the time is over. A
 // repeat carries the same id and never takes effect twice.
 func (c changeOptions) submit(o output, change directory.Change) (admin.Result, error) {
@@ -59,27 +70,44 @@
 	defer cancel()
 	change.ID = randomHex(changeIDBytes)
 	change.Author = c.author()
+	open, told := false, ""
 	for {
 		result, err := c.client().Change(ctx, change)
 		if err == nil || !undecided(err) {
 			return result, err
 		}
-		fmt.Fprintf(o.err, "change %s: %v\n", change.ID, err)
+		open = open || mayTakeEffect(err)
+		if ctx.Err() == nil && err.Error() != told {
+			told = err.Error()
+			fmt.Fprintf(o.err, "change %s: %s; trying again\n", change.ID, told)
+		}
 		select {
-		case <-ctx.Done():
-			return result, errors.Errorf("change %s: the outcome is not known; see config show before sending it again", change.ID)
 		case <-time.After(retryEvery):
+			continue
+		case <-ctx.Done():
+		}
+		if open {
+			return result, &outcomeError{change.ID}
 		}
+		return result, errors.Errorf("nothing was changed: %s", told)
 	}
 }
 
-// undecided reports whether the change may still be accepted.
+// undecided reports whether the change may be accepted when it is sent again.
 func undecided(err error) bool {
 	var answer *admin.Error
-	if !errors.As(err, &answer) {
-		return true
+	return !errors.As(err, &answer) || answer.Result.Unknown || answer.Status == http.StatusServiceUnavailable
+}
+
+// mayTakeEffect reports whether the change may be accepted without being sent
+// again.
+func mayTakeEffect(err error) bool {
+	var answer *admin.Error
+	var dial *net.OpError
+	if errors.As(err, &answer) {
+		return answer.Result.Unknown
 	}
-	return answer.Result.Unknown || answer.Status == http.StatusServiceUnavailable
+	return !errors.As(err, &dial) || dial.Op != "dial"
 }
 
 func (c changeOptions) author() string {
--- a/internal/cli/commands/key.go
+++ b/internal/cli/commands/key.go
@@ -44,9 +44,13 @@
 	id, secret := randomHex(keyIDBytes), randomHex(secretBytes)
 	key := directory.Key{ID: id, Account: c.Account, Digest: directory.DigestSecret(secret)}
 	result, err := c.submit(c.o, directory.Change{BasedOn: version, Ops: []directory.Op{{IssueKey: &key}}})
-	if err != nil {
+	var open *outcomeError
+	if errors.As(err, &open) {
 		return errors.Wrapf(err, "key %s was not printed; withdraw it if key list shows it", id)
 	}
+	if err != nil {
+		return err
+	}
 	c.o.accepted(result)
 	fmt.Fprintf(c.o.out, "key=%s%s_%s\n", directory.KeyPrefix, id, secret)
 	return nil
--- a/internal/cli/commands/operator_test.go
+++ b/internal/cli/commands/operator_test.go
@@ -156,6 +156,10 @@
 	}
 	s.platform.Faults().Clear()
 	s.must(t, "key", "issue", "--account", "jump")
+	s.url = "http://127.0.0.1:1"
+	if _, _, errOut := s.run("key", "withdraw", "k1", "--wait", "1s"); !strings.Contains(errOut, "connection refused") || strings.Contains(errOut, "not known") {
+		t.Errorf("key withdraw without an entry: %s", errOut)
+	}
 }
 
 func TestStatusForPeopleAndPrograms(t *testing.T) {
--- a/internal/peer/config/reader.go
+++ b/internal/peer/config/reader.go
@@ -17,11 +17,11 @@
 	lastBackoff  = 1 * clock.Second
 	// maxWait bounds the wait of a read, so that a silent connection is
 	// noticed and replaced in time.
-	maxWait = 1500 * clock.Millisecond
-	// firstSlack and lastSlack bound the time that a read may take beyond its
-	// wait. It doubles with each read that ran out of time, for a slow log.
-	firstSlack = 1 * clock.Second
-	lastSlack  = 32 * clock.Second
+	maxWait = 1 * clock.Second
+	// minSlack and maxSlack bound the time that a read may take beyond its
+	// wait.
+	minSlack = 1 * clock.Second
+	maxSlack = 8 * clock.Second
 )
 
 // Log reads records of a stream; see logservice.Client.Read.
@@ -37,7 +37,7 @@
 	// Logger gets one event when reading starts to fail or works again.
 	Logger logrus.FieldLogger
 	// WaitMs bounds how long one read waits for the next record. More than
-	// 1.5 s counts as that.
+	// 1 s counts as that.
 	WaitMs clock.Millis
 
 	lastRead atomic.Int64
@@ -105,18 +105,24 @@
 }
 
 // read reads one page within a deadline. A read that misses it closes its
-// connection, so that the next one dials.
+// connection, so that the next one dials. The deadline follows the time that
+// the log takes, so that a slow log is read all the same.
 func (r *Reader) read(ctx context.Context, from int64) (logservice.Page, error) {
 	wait := min(r.WaitMs, maxWait)
-	r.slack = max(r.slack, firstSlack)
+	r.slack = max(r.slack, minSlack)
 	ctx, cancel := context.WithTimeout(ctx, (wait + r.slack).Duration())
 	defer cancel()
+	start := r.Clock.Now()
 	page, err := r.Log.Read(ctx, logservice.StreamConfig, from, readLimit, wait)
+	latency := r.Clock.Now() - start
+	if len(page.Records) == 0 {
+		latency -= wait
+	}
 	switch {
 	case err == nil:
-		r.slack /= 2
+		r.slack = min(2*latency, maxSlack)
 	case errors.Is(err, context.DeadlineExceeded):
-		r.slack = min(2*r.slack, lastSlack)
+		r.slack = min(2*r.slack, maxSlack)
 	}
 	return page, err
 }
