--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -42,6 +42,8 @@
 	addSheet,
 	addKey,
 	addStatus,
+	addLoad,
+	addReport,
 }
 
 // Execute runs the command line args and returns the exit code.
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -62,6 +62,9 @@
 	// Leaving tells that the sender takes no new work, or, from an entry,
 	// that the platform lists the sidecar's instance as leaving.
 	Leaving bool `json:"leaving,omitempty"`
+	// Services is the number of plain services that the platform lists; their
+	// sidecars share the budget of claim appends. Only entries tell it.
+	Services int `json:"services,omitempty"`
 }
 
 // Hello opens a control connection.
@@ -69,6 +72,10 @@
 	Entry       string `json:"entry"`
 	Incarnation string `json:"incarnation"`
 	State       State  `json:"state"`
+	// Term is when the platform started the sidecar's instance, by its list.
+	// Of two sidecars beside one backend server, the one with the higher term
+	// is the present one.
+	Term int64 `json:"term,omitempty"`
 }
 
 // HelloReply describes the sidecar.
@@ -88,6 +95,8 @@
 	Free    int   `json:"free"`
 	Running int   `json:"running"`
 	Waiting []int `json:"waiting,omitempty"` // by tier
+	// Preemptible counts the running requests that may be preempted, by tier.
+	Preemptible []int `json:"preemptible,omitempty"`
 	// TokenMs is the observed time per token, in milliseconds; 0 is unknown.
 	TokenMs float64 `json:"tokenMs,omitempty"`
 }
@@ -101,7 +110,7 @@
 
 // Equal reports whether two loads are the same.
 func (l Load) Equal(o Load) bool {
-	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting)
+	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting) && slices.Equal(l.Preemptible, o.Preemptible)
 }
 
 // Reservation asks for a slot.
@@ -119,8 +128,13 @@
 	// RemainingMs is the time left to the first-token target; 0 is no target.
 	RemainingMs  clock.Millis `json:"remainingMs,omitempty"`
 	PromptTokens int          `json:"promptTokens,omitempty"`
-	EstTokens    int          `json:"estTokens,omitempty"`
-	Preemptible  bool         `json:"preemptible,omitempty"`
+	// MaxTokens bounds the output length; 0 is no bound.
+	MaxTokens int `json:"maxTokens,omitempty"`
+	// AgeMs is the time since the request arrived at the entry.
+	AgeMs clock.Millis `json:"ageMs,omitempty"`
+	// Resumed tells that an earlier attempt was interrupted.
+	Resumed     bool `json:"resumed,omitempty"`
+	Preemptible bool `json:"preemptible,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks a reservation.
@@ -206,6 +220,7 @@
 	CodeLeaving      = "leaving"
 	CodeDuplicate    = "duplicate"
 	CodeKeyWithdrawn = "keyWithdrawn"
+	CodePreempted    = "preempted"
 	CodeOfferLapsed  = "offerLapsed"
 	CodeBadRequest   = "badRequest"
 	CodeLogDown      = "logUnavailable"
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -6,7 +6,10 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const meanWeight = 1.0 / 16 // weight of a new sample in a running mean
+const (
+	meanWeight = 1.0 / 16 // weight of a new sample in a running mean
+	keptWeight = 1.0 / 64 // weight of a new sample in tierQueue.kept
+)
 
 // mean is an exponentially weighted running mean; 0 until the first sample.
 type mean float64
@@ -99,6 +102,8 @@
 	waiting int
 	floor   float64 // percent of turns
 	earned  float64 // turns earned by the floor
+	waited  float64 // turns earned since the last offer, while waiting without a break
+	offered uint64  // number of the last offer
 	tokens  mean
 }
 
@@ -117,10 +122,13 @@
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
 	tokens     mean
+	// kept is the part of the waiting requests that start here; the others are
+	// cancelled, as when another sidecar's offer was taken.
+	kept float64
 }
 
 func newTier(number int, idleTokens float64) *tierQueue {
-	return &tierQueue{number: number, idleTokens: idleTokens, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
+	return &tierQueue{number: number, idleTokens: idleTokens, kept: 1, accounts: map[string]*account{}, byName: map[string]*classQueue{}}
 }
 
 func (t *tierQueue) account(name string, share int, seq uint64) *account {
@@ -179,13 +187,15 @@
 	if a.waiting == 0 {
 		return
 	}
-	t.byStart.remove(a.startKey())
-	t.byFinish.remove(a.finishKey())
+	found := t.byStart.remove(a.startKey()) && t.byFinish.remove(a.finishKey())
 	for _, f := range a.flows {
 		if f.items.root != nil {
-			f.class.flows.remove(f.order)
+			found = f.class.flows.remove(f.order) && found
 		}
 	}
+	if !found {
+		broken("queuesConsistent", "tier=%d counter=%f work=%f", t.number, a.counter, a.work)
+	}
 }
 
 // attach puts a back after the change.
@@ -230,12 +240,24 @@
 	a.work = a.queued()
 	t.attach(a)
 	it.class.waiting--
+	if it.class.waiting == 0 {
+		it.class.waited = 0
+	}
 	t.waiting--
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
 	}
 }
 
+// left records that a waiting or offered request started here, or was cancelled.
+func (t *tierQueue) left(started bool) {
+	sample := 0.0
+	if started {
+		sample = 1
+	}
+	t.kept += (sample - t.kept) * keptWeight
+}
+
 // work returns the expected tokens of the waiting requests of t.
 func (t *tierQueue) work() float64 {
 	return t.byStart.total().work
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -160,7 +160,7 @@
 
 func (c *core) load() dispatch.Load {
 	l := c.slots.Load()
-	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.WaitingByTier, TokenMs: l.TokenMs}
+	return dispatch.Load{Free: l.Free, Running: l.Running, Waiting: l.WaitingByTier, Preemptible: l.PreemptibleByTier, TokenMs: l.TokenMs}
 }
 
 func wireVerdict(id string, v slots.Verdict) dispatch.Verdict {
@@ -174,7 +174,8 @@
 	out := slots.Reservation{
 		ID: r.ID, Entry: r.Entry, Class: r.Class, Account: r.Account,
 		Tier: r.Tier, Share: r.Share, FloorPercent: r.FloorPercent,
-		ArrivedMs: now, PromptTokens: r.PromptTokens, EstTokens: r.EstTokens, Preemptible: r.Preemptible,
+		ArrivedMs: now - r.AgeMs, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Preemptible: r.Preemptible,
+		Resumed: r.Resumed,
 	}
 	if r.RemainingMs != 0 {
 		out.DeadlineMs = now + r.RemainingMs
