--- a/internal/load/deployment/overhead_test.go
+++ b/internal/load/deployment/overhead_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -28,6 +31,18 @@
 
 // unloaded starts one entry before nine engines without delay.
 func unloaded(b *testing.B) (path, direct target) {
+	b.Helper()
+	d, s := single(b, 64, 0, deployment.Ours)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	b.Cleanup(client.CloseIdleConnections)
+	path = target{d.Target(0), d.Keys()[benchAccount], s.Classes[0].Class.Name, s.Deployment.Model, client}
+	direct = path
+	direct.url = d.EngineURL(0)
+	return path, direct
+}
+
+// single starts one entry before nine engines.
+func single(b *testing.B, slots int, tokenMs float64, policy string) (*deployment.Deployment, arrivals.Scenario) {
 	b.Helper()
 	s, err := arrivals.Named(arrivals.Demo, arrivals.Colombo)
 	if err != nil {
@@ -35,9 +50,9 @@
 	}
 	s.Accounts = []arrivals.Account{{Name: benchAccount, Share: 1}}
 	s.Deployment.Zones = s.Deployment.Zones[:1]
-	s.Deployment.TokenMs = 0
-	s.Deployment.Slots = 64
-	baseline, err := deployment.BaselineNamed(deployment.Ours)
+	s.Deployment.TokenMs = tokenMs
+	s.Deployment.Slots = slots
+	baseline, err := deployment.BaselineNamed(policy)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -47,17 +62,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	b.Cleanup(func() {
-		client.CloseIdleConnections()
 		if err := d.Stop(); err != nil {
 			b.Error(err)
 		}
 	})
-	path = target{d.Target(0), d.Keys()[benchAccount], s.Classes[0].Class.Name, s.Deployment.Model, client}
-	direct = path
-	direct.url = d.EngineURL(0)
-	return path, direct
+	return d, s
 }
 
 // chat sends a request for one token and returns the time to the first event.
@@ -133,6 +143,55 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
 
+// BenchmarkWaiting reports the memory of a request that waits in an entry,
+// with its reservations at the sidecars and without its caller's side.
+func BenchmarkWaiting(b *testing.B) {
+	for _, n := range []int{1000, 2000, 4000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			d, s := single(b, 1, 60_000, "noShedding")
+			before, goroutines := memory(), runtime.NumGoroutine()
+			conns := make([]net.Conn, n)
+			for i := range conns {
+				conns[i] = send(b, d, s, i)
+			}
+			for runtime.NumGoroutine() < goroutines+n {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(time.Second) // until the reservations have arrived
+			b.ReportMetric(float64(memory()-before)/float64(n)/1024, "KiB/request")
+			for _, c := range conns {
+				_ = c.Close()
+			}
+		})
+	}
+}
+
+// send writes a request on a connection of its own, without reading from it.
+func send(b *testing.B, d *deployment.Deployment, s arrivals.Scenario, i int) net.Conn {
+	b.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(d.Target(0), "http://"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	q := arrivals.Request{Account: benchAccount, Nonce: strconv.Itoa(i), Tokens: 10, PromptChars: 200}
+	system, user := q.Prompt()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`, s.Deployment.Model, system, user)
+	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		d.Keys()[benchAccount], len(body), body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+// memory returns the bytes of the heap and the stacks in use.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
 func quantile(times []time.Duration, q float64) time.Duration {
 	sorted := slices.Sorted(slices.Values(times))
 	return sorted[min(len(sorted)-1, int(float64(len(sorted))*q/100))]
