--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -41,6 +41,8 @@
 )
 
 const (
+	// anyAddr has a process take a free port, which it prints.
+	anyAddr     = "127.0.0.1:0"
 	waitTimeout = 20 * time.Second
 	pollPeriod  = 5 * time.Millisecond
 )
@@ -179,7 +181,7 @@
 func (c *Cluster) standin(name string, args []string) *Standin {
 	c.t.Helper()
 	p := startProc(c.t, name, binaries.standin, args...)
-	return &Standin{Proc: p, URL: p.url()}
+	return &Standin{Proc: p, URL: p.value("url")}
 }
 
 // AddSidecar starts a sidecar with its backend server and lists it.
@@ -194,13 +196,12 @@
 	}
 	s.ServerRelay = NewRelay(c.t, hostPort(s.Server.URL))
 	s.PlatformRelay = NewRelay(c.t, hostPort(c.Platform.URL))
-	control := freeAddr(c.t)
-	s.ControlRelay = NewRelay(c.t, control)
-	s.instance = platform.Instance{Name: name, Role: "backend", Pool: pool, Zone: "a", Address: s.ControlRelay.Addr()}
 	file := defaults(settings.RoleSidecar, name, s.PlatformRelay)
-	file.Sidecar.ControlAddr, file.Sidecar.DataAddr, file.Sidecar.AdminAddr = control, freeAddr(c.t), freeAddr(c.t)
+	file.Sidecar.ControlAddr, file.Sidecar.DataAddr, file.Sidecar.AdminAddr = anyAddr, anyAddr, anyAddr
 	file.Sidecar.Pool, file.Sidecar.ServerURL, file.Sidecar.Slots = pool, s.ServerRelay.URL(), c.opts.Slots
 	s.Proc = c.damaskport(file)
+	s.ControlRelay = NewRelay(c.t, s.value("controlAddr"))
+	s.instance = platform.Instance{Name: name, Role: "backend", Pool: pool, Zone: "a", Address: s.ControlRelay.Addr()}
 	c.Sidecars = append(c.Sidecars, s)
 	c.List(s, platform.StateLive)
 	return s
@@ -210,15 +211,14 @@
 func (c *Cluster) AddEntry(name string) *Entry {
 	c.t.Helper()
 	e := &Entry{Name: name, PlatformRelay: NewRelay(c.t, hostPort(c.Platform.URL))}
-	caller, admin := freeAddr(c.t), freeAddr(c.t)
-	e.CallerURL, e.AdminURL = "http://"+caller, "http://"+admin
 	file := defaults(settings.RoleEntry, name, e.PlatformRelay)
-	file.Entry.CallerAddr, file.Entry.AdminAddr, file.Entry.Duties = caller, admin, true
+	file.Entry.CallerAddr, file.Entry.AdminAddr, file.Entry.Duties = anyAddr, anyAddr, true
 	if c.opts.Instances != nil {
 		file.Platform.InstancesURL = c.listFor(name)
 	}
-	c.send(http.MethodPut, c.Platform.URL+"/admin/instances/"+name, platform.Instance{Role: "entry", Zone: "a", Address: admin})
 	e.Proc = c.damaskport(file)
+	e.CallerURL, e.AdminURL = e.value("url"), e.value("adminUrl")
+	c.send(http.MethodPut, c.Platform.URL+"/admin/instances/"+name, platform.Instance{Role: "entry", Zone: "a", Address: hostPort(e.AdminURL)})
 	c.Entries = append(c.Entries, e)
 	return e
 }
@@ -413,21 +413,3 @@
 }
 
 func hostPort(url string) string { return strings.TrimPrefix(url, "http://") }
-
-var nextPort atomic.Int64
-
-// freeAddr returns an address below the range of ports for outgoing connections.
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	nextPort.CompareAndSwap(0, int64(12000+os.Getpid()%100*180))
-	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = ln.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -168,12 +168,16 @@
 	}
 }
 
-// url returns the address that a stand-in prints.
-func (p *Proc) url() string {
+// value returns what the process prints after name= on its next line.
+func (p *Proc) value(name string) string {
 	p.t.Helper()
 	select {
 	case line := <-p.lines:
-		return strings.TrimPrefix(line, "url=")
+		value, ok := strings.CutPrefix(line, name+"=")
+		if !ok {
+			p.t.Fatalf("%s printed %q in place of %s", p.name, line, name)
+		}
+		return value
 	case <-p.ended:
 		p.t.Fatalf("%s ended at its start: %v\n%s", p.name, p.err, p.Log())
 	case <-time.After(endTimeout):
