--- a/internal/proof/answers/answers_test.go
+++ b/internal/proof/answers/answers_test.go
@@ -53,6 +53,11 @@
 			c.SetFault(s.Server, fault.Fault{Path: "/v1/chat", Kind: fault.KindCutMidway, AfterTokens: faultAfterTokens, Count: 1})
 		}
 	}, inject: func(*cluster.Cluster, *cluster.Sidecar) {}, mend: nothing},
+	{name: "crossedAnswers", arm: func(c *cluster.Cluster) {
+		for _, s := range c.Sidecars {
+			c.SetFault(s.Server, fault.Fault{Path: "/v1/chat", Kind: fault.KindCross, Count: 2})
+		}
+	}, inject: func(*cluster.Cluster, *cluster.Sidecar) {}, mend: nothing},
 	{name: "killSidecar", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Kill() }, mend: nothing},
 	{name: "freezeSidecar", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Freeze() }, mend: func(s *cluster.Sidecar) { s.Thaw() }},
 	{name: "cutControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Cut() }, mend: nothing},
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -42,6 +42,8 @@
 	// KindLateAnswer handles the request and holds its answer until the faults
 	// are cleared or DelayMs has passed.
 	KindLateAnswer Kind = "lateAnswer"
+	// KindCross exchanges the answers of two requests.
+	KindCross Kind = "cross"
 	// KindCutMidway closes the connection within the write after AfterTokens writes.
 	KindCutMidway Kind = "cutMidway"
 )
@@ -74,7 +76,7 @@
 	if err := dec.Decode(&p); err != nil {
 		return err
 	}
-	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindLateAnswer, KindCutMidway}
+	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindLateAnswer, KindCross, KindCutMidway}
 	if !slices.Contains(kinds, p.Kind) {
 		return fmt.Errorf("kind: %q: must be one of %v", p.Kind, kinds)
 	}
@@ -87,7 +89,8 @@
 	mu     sync.Mutex
 	faults []Fault
 	// cleared is closed and replaced when the faults are cleared.
-	cleared chan struct{}
+	cleared  chan struct{}
+	crossing *crossing
 }
 
 // NewSet returns a Set without faults.
@@ -124,6 +127,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if f.Kind == KindCross {
+			s.cross(r.Context(), answerOf(next, r), cleared).send(w)
+			return
+		}
 		serve(w, r, next, f, cleared)
 	})
 }
@@ -171,8 +178,7 @@
 		hold(r.Context(), f.DelayMs, cleared)
 		panic(http.ErrAbortHandler)
 	case KindLateAnswer:
-		held := &heldAnswer{discard{http.Header{}}, http.StatusOK, bytes.Buffer{}}
-		next.ServeHTTP(held, detached(r))
+		held := answerOf(next, r)
 		hold(r.Context(), f.DelayMs, cleared)
 		held.send(w)
 	case KindCutMidway:
@@ -237,6 +243,46 @@
 func (d discard) WriteHeader(int)             {}
 func (d discard) Flush()                      {}
 
+// answerOf returns the answer of next to r.
+func answerOf(next http.Handler, r *http.Request) *heldAnswer {
+	held := &heldAnswer{discard{http.Header{}}, http.StatusOK, bytes.Buffer{}}
+	next.ServeHTTP(held, detached(r))
+	return held
+}
+
+// crossing is an answer that waits for another one to be exchanged with.
+type crossing struct {
+	own   *heldAnswer
+	other chan *heldAnswer
+}
+
+// cross returns the answer of another request in exchange for own. Without
+// another one it returns own once ctx ends or cleared is closed.
+func (s *Set) cross(ctx context.Context, own *heldAnswer, cleared <-chan struct{}) *heldAnswer {
+	s.mu.Lock()
+	if c := s.crossing; c != nil {
+		s.crossing = nil
+		s.mu.Unlock()
+		c.other <- own
+		return c.own
+	}
+	c := &crossing{own, make(chan *heldAnswer, 1)}
+	s.crossing = c
+	s.mu.Unlock()
+	select {
+	case other := <-c.other:
+		return other
+	case <-ctx.Done():
+	case <-cleared:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crossing == c {
+		s.crossing = nil
+	}
+	return own
+}
+
 // heldAnswer keeps an answer for later.
 type heldAnswer struct {
 	discard
