--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -65,6 +65,8 @@
 	// Services is the number of plain services that the platform lists; their
 	// sidecars share the budget of claim appends. Only entries tell it.
 	Services int `json:"services,omitempty"`
+	// Servers is the number of all backend servers that the platform lists.
+	Servers int `json:"servers,omitempty"`
 }
 
 // Hello opens a control connection.
@@ -95,6 +97,8 @@
 	Free    int   `json:"free"`
 	Running int   `json:"running"`
 	Waiting []int `json:"waiting,omitempty"` // by tier
+	// Preemptible counts the running requests that may be preempted, by tier.
+	Preemptible []int `json:"preemptible,omitempty"`
 	// TokenMs is the observed time per token, in milliseconds; 0 is unknown.
 	TokenMs float64 `json:"tokenMs,omitempty"`
 }
@@ -108,7 +112,7 @@
 
 // Equal reports whether two loads are the same.
 func (l Load) Equal(o Load) bool {
-	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting)
+	return l.Free == o.Free && l.Running == o.Running && l.TokenMs == o.TokenMs && slices.Equal(l.Waiting, o.Waiting) && slices.Equal(l.Preemptible, o.Preemptible)
 }
 
 // Reservation asks for a slot.
