Entry: encoded keys, keys in header names and in the method are refused

Found by internal/proof/keys: a key went on to the backend server when it was percent-encoded in a header, cookie, body or idempotency key, JSON-escaped in a body, encoded twice in path or query, beside a malformed escape, or when it was a header's name (the HTTP server capitalizes it) or the method. A header X_Damaskport_Account went on too, which servers that read an underscore as a hyphen take for the router's own. The scan now also looks at up to three levels of decoding, one pass each, and only when the text holds an escape. Not covered: compressed bodies and base64 within a body.

--- a/internal/role/entry/auth.go
+++ b/internal/role/entry/auth.go
@@ -91,7 +91,9 @@
 		}
 	}
 	for k, v := range h {
-		if !drop[k] && !strings.HasPrefix(k, "X-Damaskport-") && !strings.HasPrefix(k, "Damaskport-") {
+		// Some servers read an underscore in a name as a hyphen.
+		name := http.CanonicalHeaderKey(strings.ReplaceAll(k, "_", "-"))
+		if !drop[name] && !strings.HasPrefix(name, "X-Damaskport-") && !strings.HasPrefix(name, "Damaskport-") {
 			out[k] = v
 		}
 	}
@@ -148,11 +150,9 @@
 	if holdsKey(d, body) || holdsKey(d, []byte(path)) {
 		return true
 	}
-	if plain, err := url.QueryUnescape(path); err == nil && holdsKey(d, []byte(plain)) {
-		return true
-	}
 	for k, values := range header {
-		if holdsKey(d, []byte(k)) {
+		// The server has capitalized the header's name.
+		if holdsKey(d, []byte(strings.ToLower(k))) {
 			return true
 		}
 		for _, v := range values {
@@ -164,8 +164,26 @@
 	return false
 }
 
-// holdsKey searches text for the prefix and id of a known key.
+// maxDecodings is the number of encodings inside one another in which a key
+// is looked for.
+const maxDecodings = 3
+
+// holdsKey searches text for the prefix and id of a known key, as it is and
+// percent-encoded or escaped.
 func holdsKey(d *directory.Directory, text []byte) bool {
+	encoded := true
+	for range maxDecodings {
+		if holdsPlainKey(d, text) {
+			return true
+		}
+		if text, encoded = unescape(text); !encoded {
+			return false
+		}
+	}
+	return holdsPlainKey(d, text)
+}
+
+func holdsPlainKey(d *directory.Directory, text []byte) bool {
 	prefix := []byte(directory.KeyPrefix)
 	for {
 		i := bytes.Index(text, prefix)
--- a/internal/role/entry/plain.go
+++ b/internal/role/entry/plain.go
@@ -57,7 +57,7 @@
 	}
 	header, path := forwardHeader(r.Header), forwardPath(r.URL)
 	key := r.Header.Get(headerIdempotency)
-	if carriesKey(q.dir, header, path, body) || holdsKey(q.dir, []byte(key)) {
+	if carriesKey(q.dir, header, path, body) || holdsKey(q.dir, []byte(key)) || holdsKey(q.dir, []byte(r.Method)) {
 		return nil, openai.BadRequest("keyInRequest", "", "the request holds a key in a place that the backend server would see")
 	}
 	j := &job{
