Claims: a planned stop records the outcomes of what ran

Change: on a stop the author takes no new claims and goes on until it is idle, for at most two append timeouts.

--- a/internal/control/claims/shard.go
+++ b/internal/control/claims/shard.go
@@ -23,6 +23,8 @@
 	readBackoff   = 200 * clock.Millisecond
 	maintainEvery = 5 * clock.Second
 	idleTick      = clock.Second
+	// stopAppends is the number of append timeouts that a stop may take.
+	stopAppends = 2
 )
 
 // input is one input of a shard's owner.
@@ -65,17 +67,31 @@
 	}
 }
 
-// own applies inputs until ctx ends.
+// own applies inputs until ctx ends, and then until the outcomes of what was
+// handed over are recorded.
 func (s *shard) own(ctx context.Context) error {
 	defer s.doneOnce.Do(func() { close(s.done) })
+	s.apply(ctx, func() bool { return false })
+	s.author.Stop()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopAppends*s.cfg.TimeoutMs.Duration())
+	defer cancel()
+	s.apply(ctx, s.author.Idle)
+	if !s.author.Idle() {
+		s.logger.WithField("event", "claimOutcomesLost").Warn("the log did not take the outcomes in time")
+	}
+	return nil
+}
+
+// apply applies inputs until ctx ends or done reports true.
+func (s *shard) apply(ctx context.Context, done func() bool) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	for !done() {
 		timer.Reset(s.nextTick().Duration())
 		var actions []claim.Action
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case in := <-s.inputs.C():
 			actions = in.apply(s, s.clock.Now())
 		case <-timer.C:
