--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -88,5 +88,8 @@
 	defer stop()
 	c.o.line("controlAddr", s.ControlAddr())
 	c.o.line("dataUrl", s.DataURL())
+	if url := s.AdminURL(); url != "" {
+		c.o.line("adminUrl", url)
+	}
 	return s.Run(ctx)
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -104,13 +104,13 @@
 func (e *Entry) URL() string { return "http://" + e.callerLn.Addr().String() }
 
 // Scope returns the scope of the entry's metrics.
-func (e *Entry) Scope() tally.Scope { return e.metrics.scope }
+func (e *Entry) Scope() tally.Scope { return e.metrics.root }
 
 // AddDuties adds duties to the entry's tree. It must be called before Run.
 func (e *Entry) AddDuties(ds ...supervise.Duty) { e.duties = append(e.duties, ds...) }
 
 // Metrics returns the handler of /metrics.
-func (e *Entry) Metrics() http.Handler { return e.metrics.handler }
+func (e *Entry) Metrics() http.Handler { return e.metrics.root.Handler }
 
 // Run serves until ctx ends, then shuts down gracefully: it takes no new
 // requests and finishes those that it has, within the configured time.
@@ -130,7 +130,7 @@
 		{Name: "config", Run: e.watchConfig},
 	}, e.duties...)
 	err := supervise.New(e.name, e.log, e.clock).Run(run, duties...)
-	_ = e.metrics.closer.Close()
+	_ = e.metrics.root.Close()
 	e.dispatcher.http.CloseIdleConnections()
 	e.log.WithFields(logrus.Fields{"event": "stop", "role": "entry"}).Info("entry stopped")
 	return err
--- a/internal/role/entry/metrics.go
+++ b/internal/role/entry/metrics.go
@@ -1,25 +1,19 @@
 package entry
 
 import (
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	runtimemetrics "github.com/damaskport/damaskport/internal/runtime/metrics"
 )
 
-const reportEvery = time.Second
-
 // metrics holds the entry's counters and histograms.
 type metrics struct {
-	scope   tally.Scope
-	closer  interface{ Close() error }
-	handler http.Handler
+	root    *runtimemetrics.Root
 	mu      sync.RWMutex
 	byClass map[string]*classMetrics
 }
@@ -51,13 +45,7 @@
 }
 
 func newMetrics() *metrics {
-	registry := prom.NewRegistry()
-	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "damaskport", CachedReporter: r, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, reportEvery)
-	return &metrics{scope: scope, closer: closer, handler: r.HTTPHandler(), byClass: map[string]*classMetrics{}}
+	return &metrics{root: runtimemetrics.New(), byClass: map[string]*classMetrics{}}
 }
 
 func (m *metrics) class(name string) *classMetrics {
@@ -72,7 +60,7 @@
 	if c := m.byClass[name]; c != nil {
 		return c
 	}
-	s := m.scope.Tagged(map[string]string{"class": name})
+	s := m.root.Tagged(map[string]string{"class": name})
 	c = &classMetrics{
 		scope:      s,
 		firstToken: s.Histogram("first_token_seconds", buckets),
@@ -109,5 +97,5 @@
 func (m *metrics) overloaded(class string) { m.class(class).shed.Add(1) }
 
 func (m *metrics) refused(code string) {
-	m.scope.Tagged(map[string]string{"code": code}).Counter("requests_refused_total").Inc(1)
+	m.root.Tagged(map[string]string{"code": code}).Counter("requests_refused_total").Inc(1)
 }
--- /dev/null
+++ b/internal/role/sidecar/admin.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// serveAdmin serves the operators' address: /healthz, /readyz and /metrics.
+func (s *Sidecar) serveAdmin(ctx context.Context) error {
+	if s.adminLn == nil {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if s.store.Current().Version() == 0 {
+			http.Error(w, "not ready: no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("GET /metrics", s.metrics.Handler)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(s.adminLn); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// AdminURL returns the base URL of the operators' address, or "" without one.
+func (s *Sidecar) AdminURL() string {
+	if s.adminLn == nil {
+		return ""
+	}
+	return "http://" + s.adminLn.Addr().String()
+}
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
@@ -26,17 +28,16 @@
 // core owns the scheduler of the server's slots. One goroutine applies the
 // events in order; everything else passes events to it.
 type core struct {
-	slots     *slots.Slots
-	clock     clock.Clock
-	log       logrus.FieldLogger
-	events    *ring.Ring[event]
-	waiting   map[string]waiting
-	runs      map[string]*run
-	told      map[*dispatch.Link]told
-	store     *config.Store
-	leaving   bool
-	refused   int64
-	preempted int64
+	slots   *slots.Slots
+	clock   clock.Clock
+	log     logrus.FieldLogger
+	events  *ring.Ring[event]
+	waiting map[string]waiting
+	runs    map[string]*run
+	told    map[*dispatch.Link]told
+	store   *config.Store
+	leaving bool
+	scope   tally.Scope
 }
 
 // waiting is a reservation that has not started.
@@ -65,11 +66,11 @@
 // Error returns the end.
 func (e *endError) Error() string { return "run stopped: " + string(e.end) }
 
-func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, store *config.Store) *core {
+func newCore(s *slots.Slots, clk clock.Clock, log logrus.FieldLogger, store *config.Store, scope tally.Scope) *core {
 	return &core{
 		slots: s, clock: clk, log: log, events: ring.New[event](coreRingSize),
 		waiting: map[string]waiting{}, runs: map[string]*run{}, told: map[*dispatch.Link]told{},
-		store: store,
+		store: store, scope: scope,
 	}
 }
 
@@ -101,11 +102,21 @@
 			e.apply(c, c.clock.Now())
 		case <-timer.C:
 			c.slots.Tick(c.clock.Now())
+			c.gauge()
 		}
 		c.act()
 	}
 }
 
+// gauge publishes the load.
+func (c *core) gauge() {
+	l := c.slots.Load()
+	c.scope.Gauge("attempts_running").Update(float64(l.Running))
+	for tier, n := range l.WaitingByTier {
+		c.scope.Tagged(map[string]string{"tier": strconv.Itoa(tier)}).Gauge("reservations_waiting").Update(float64(n))
+	}
+}
+
 func (c *core) nextTick() clock.Millis {
 	at, ok := c.slots.NextDeadline()
 	if !ok {
@@ -136,7 +147,7 @@
 		return
 	}
 	delete(c.waiting, a.ID)
-	c.refused++
+	c.scope.Counter("reservations_refused_total").Inc(1)
 	v := wireVerdict(a.ID, a.Verdict)
 	v.Final = true
 	w.link.Notify(dispatch.MethodRefuse, v)
@@ -147,7 +158,7 @@
 	if !ok {
 		return
 	}
-	c.preempted++
+	c.scope.Counter("attempts_preempted_total").Inc(1)
 	c.log.WithFields(logrus.Fields{"event": "preempt", "attempt": id}).Info("attempt stopped for a higher tier")
 	r.stop(&endError{dispatch.EndPreempted})
 }
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/metrics"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -86,6 +87,8 @@
 	dataLn      net.Listener
 	duties      []supervise.Duty
 	data        *http.Server
+	metrics     *metrics.Root
+	adminLn     net.Listener
 	// term is the fencing number that goes to the backend server.
 	term atomic.Int64
 }
@@ -101,9 +104,10 @@
 		coreDone: make(chan struct{}),
 		duties:   d.Duties,
 	}
+	s.metrics = metrics.New()
 	s.data = s.dataServer()
 	s.exchange = dispatch.NewExchange(d.Store, s.log)
-	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, d.Store)
+	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, d.Store, s.metrics)
 	s.control = &control{s: s, links: map[*dispatch.Link]string{}}
 	var err error
 	if s.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
@@ -113,6 +117,14 @@
 		_ = s.controlLn.Close()
 		return nil, errors.Wrap(err, "sidecar.dataAddr")
 	}
+	if cfg.AdminAddr == "" {
+		return s, nil
+	}
+	if s.adminLn, err = net.Listen("tcp", cfg.AdminAddr); err != nil {
+		_ = s.controlLn.Close()
+		_ = s.dataLn.Close()
+		return nil, errors.Wrap(err, "sidecar.adminAddr")
+	}
 	return s, nil
 }
 
@@ -149,8 +161,10 @@
 		{Name: "control", Run: func(ctx context.Context) error { return s.control.serve(ctx, s.controlLn) }},
 		{Name: "data", Run: s.serveData},
 		{Name: "config", Run: s.watchConfig},
+		{Name: "admin", Run: s.serveAdmin},
 	}, s.duties...)
 	err := supervise.New(s.name, s.log, s.clock).Run(run, duties...)
+	_ = s.metrics.Close()
 	s.log.WithFields(logrus.Fields{"event": "stop", "role": "sidecar"}).Info("sidecar stopped")
 	return err
 }
