--- a/internal/cli/commands/load.go
+++ b/internal/cli/commands/load.go
@@ -32,7 +32,6 @@
 	Model      string        `long:"model" description:"name of the model to ask for"`
 	TokenMs    float64       `long:"token-ms" description:"time per token of the engines"`
 	Direct     bool          `long:"direct" description:"send to an engine, without key and class"`
-	NoClass    bool          `long:"no-class" description:"leave the class to the account's default"`
 	Out        string        `long:"out" description:"write the result as JSON to this file"`
 	JSON       bool          `long:"json" description:"print the result as JSON instead of a table"`
 
@@ -95,7 +94,6 @@
 		URL:      strings.TrimSuffix(c.URL, "/"),
 		Keys:     keys,
 		Direct:   c.Direct,
-		NoClass:  c.NoClass,
 		Progress: c.o.err,
 	})
 	if err != nil {
--- a/internal/load/arrivals/arrivals_test.go
+++ b/internal/load/arrivals/arrivals_test.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/damaskport/damaskport/internal/load/arrivals"
+	"github.com/damaskport/damaskport/internal/role/solo"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -98,6 +101,30 @@
 	}
 }
 
+// TestDemoFitsSolo holds the demo scenario to what solo runs by default.
+func TestDemoFitsSolo(t *testing.T) {
+	s := named(t, arrivals.Demo, "")
+	cfg := solo.Defaults()
+	var classes []directory.Class
+	for _, c := range s.Classes {
+		classes = append(classes, c.Class)
+	}
+	slices.SortFunc(classes, func(a, b directory.Class) int { return a.Tier - b.Tier })
+	if diff := cmp.Diff(cfg.Classes, classes, cmpopts.IgnoreFields(directory.Class{}, "Pools")); diff != "" {
+		t.Error(diff)
+	}
+	want := arrivals.Deployment{
+		Name: "solo", Zones: cfg.Zones, Engines: cfg.Engines, Services: cfg.Services,
+		Slots: cfg.Slots, TokenMs: cfg.TokenMs, Model: solo.Model,
+	}
+	if diff := cmp.Diff(want, s.Deployment); diff != "" {
+		t.Error(diff)
+	}
+	if s.Accounts[0].Name != cfg.Accounts[0].Name {
+		t.Errorf("demo uses the account %q, solo has %q", s.Accounts[0].Name, cfg.Accounts[0].Name)
+	}
+}
+
 func TestScenarioJSON(t *testing.T) {
 	want := named(t, arrivals.Straggler, arrivals.Vienna)
 	data, err := json.Marshal(want)
--- a/internal/load/arrivals/named.go
+++ b/internal/load/arrivals/named.go
@@ -52,14 +52,14 @@
 
 // Named returns a scenario on a deployment.
 func Named(name, deployment string) (Scenario, error) {
+	if name == Demo {
+		return demo(), nil
+	}
 	base, err := deploymentScenario(deployment)
 	if err != nil {
 		return Scenario{}, err
 	}
 	base.Name = name
-	if name == Demo {
-		return demo(base), nil
-	}
 	if !slices.Contains(Names(), name) {
 		return Scenario{}, &UnknownError{"scenario", name, append(Names(), Demo)}
 	}
@@ -94,12 +94,23 @@
 	return s
 }
 
-// demo is a light load of the account and key that solo prints.
-func demo(s Scenario) Scenario {
-	s.Accounts = []Account{{Name: "demo", Share: 1, Prefixes: 4}}
-	s.LoadPercent = 40
-	s.RetryPercent = 0
-	return s
+// demo is a light load on what damaskport solo runs by default.
+func demo() Scenario {
+	interactive := class("interactive", 1, 1500, 50, 0, 95, 50, Lengths{60, 0.8, 400})
+	interactive.Class.FloorPercent = 5
+	return Scenario{
+		Name: Demo,
+		Deployment: Deployment{
+			Name: "solo", Zones: []string{"a", "b"}, Engines: 3, Services: 2, Slots: 8, TokenMs: 10, Model: "assistant-1",
+		},
+		Classes: []ClassLoad{
+			class("urgent", 0, 600, 50, 0, 99, 25, Lengths{24, 0.7, 240}),
+			interactive,
+			class("batch", 2, 0, 0, 60_000, 90, 25, Lengths{80, 0.7, 400}),
+		},
+		Accounts:    []Account{{Name: "demo", Share: 1, Prefixes: 4}},
+		LoadPercent: 40,
+	}
 }
 
 func deploymentScenario(name string) (Scenario, error) {
--- a/internal/load/openloop/run.go
+++ b/internal/load/openloop/run.go
@@ -29,8 +29,6 @@
 	Keys map[string]string
 	// Direct sends neither key nor class.
 	Direct bool
-	// NoClass sends no class, so that the account's default applies.
-	NoClass bool
 	// DrainMs is how long open requests may last after the schedule's end,
 	// 10 s by default.
 	DrainMs clock.Millis
--- a/internal/load/openloop/send.go
+++ b/internal/load/openloop/send.go
@@ -93,8 +93,6 @@
 	req.Header.Set("Content-Type", "application/json")
 	if !r.opts.Direct {
 		req.Header.Set("Authorization", "Bearer "+r.opts.Keys[q.Account])
-	}
-	if !r.opts.Direct && !r.opts.NoClass {
 		req.Header.Set(HeaderClass, q.Class)
 	}
 	return req, nil
