--- a/internal/cli/commands/report.go
+++ b/internal/cli/commands/report.go
@@ -29,9 +29,31 @@
 	_, err = c.AddCommand("burn", "Report service-level burn by class",
 		"Reports burn rates over several windows, error budget left, goodput, wasted work, the worst-served account and cost.",
 		&burnCommand{o: o})
+	if err != nil {
+		return err
+	}
+	_, err = c.AddCommand("compare", "Compare policies over results",
+		"Prints one table for each scenario of the given results, with a line for each policy and the spread over seeds.",
+		&compareCommand{o: o})
 	return err
 }
 
+// compareCommand compares the results of several runs.
+type compareCommand struct {
+	In []string `long:"in" value-name:"FILE" required:"true" description:"result of damaskport load; repeatable"`
+
+	o output
+}
+
+// Execute runs the command.
+func (c *compareCommand) Execute([]string) error {
+	runs, err := readResults(c.In)
+	if err != nil {
+		return err
+	}
+	return attainment.Comparison{Runs: runs}.WriteTable(c.o.out)
+}
+
 // Execute runs the command.
 func (c *burnCommand) Execute([]string) error {
 	rep, err := c.report()
@@ -60,19 +82,27 @@
 		}
 		windows = append(windows, w)
 	}
+	results, err := readResults(c.In)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	return burn.Compute(results, windows), nil
+}
+
+func readResults(names []string) ([]attainment.Result, error) {
 	var results []attainment.Result
-	for _, name := range c.In {
+	for _, name := range names {
 		data, err := os.ReadFile(name)
 		if err != nil {
-			return burn.Report{}, err
+			return nil, err
 		}
 		runs, err := attainment.Decode(data)
 		if err != nil {
-			return burn.Report{}, errors.Wrap(err, name)
+			return nil, errors.Wrap(err, name)
 		}
 		results = append(results, runs...)
 	}
-	return burn.Compute(results, windows), nil
+	return results, nil
 }
 
 func (c *burnCommand) page(rep burn.Report) error {
--- a/internal/report/attainment/compare.go
+++ b/internal/report/attainment/compare.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -75,6 +77,9 @@
 		}
 		g.runs = append(g.runs, r)
 	}
+	slices.SortStableFunc(out, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(a.deployment, b.deployment), cmp.Compare(a.scenario, b.scenario))
+	})
 	return out
 }
 
@@ -115,8 +120,8 @@
 		titles += fmt.Sprintf("\t| %s (tier %d) met %%", c.Name, c.Tier)
 		rule += "\t|---"
 	}
-	_, _ = fmt.Fprintln(w, titles+"\t| goodput %\t| wasted %\t| worst account of fair share %\t| worst account met %\t| cost per M good tokens\t| failed\t| timed out\t| incorrect\t| sent late p99 ms\t|")
-	_, _ = fmt.Fprintln(w, rule+"\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	_, _ = fmt.Fprintln(w, titles+"\t| all met %\t| goodput %\t| wasted %\t| worst account of fair share %\t| worst account met %\t| cost per M good tokens\t| failed\t| timed out\t| incorrect\t| sent late p99 ms\t|")
+	_, _ = fmt.Fprintln(w, rule+"\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
 }
 
 func (g *group) line(w io.Writer) {
@@ -125,6 +130,7 @@
 		_, _ = fmt.Fprintf(w, "\t| %s", SpreadOf(g.runs, func(r Result) float64 { return r.Classes[i].AttainmentPercent }))
 	}
 	figures := []func(Result) float64{
+		func(r Result) float64 { return r.Totals.AttainmentPercent },
 		func(r Result) float64 { return r.Totals.GoodputPercent },
 		func(r Result) float64 { return r.Totals.WastedPercent },
 		func(r Result) float64 { return r.Worst.FairPercent },
