Config exchange: a version shown during a fetch, or whose fetch failed, is fetched later

Found by internal/proof/config: with an entry killed within a change, a sidecar that was fetching the change from it dropped the version that the other entry showed at that moment. The same held for a fetch that ran out of time on a link that stayed up. The versions shown by peers are now kept until they are reached or the link ends; after a fetch that brought nothing another peer is asked first.

--- a/internal/peer/dispatch/exchange.go
+++ b/internal/peer/dispatch/exchange.go
@@ -2,27 +2,37 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const fetchTimeout = time.Second
+const (
+	fetchTimeout = time.Second
+	// fetchPause is the time between a fetch that brought nothing and the next.
+	fetchPause = 200 * clock.Millisecond
+)
 
 // Exchange brings processes to the same configuration: whoever learns that a
 // peer has a higher version fetches the records that it lacks.
 type Exchange struct {
-	store    *config.Store
-	log      logrus.FieldLogger
-	fetching atomic.Bool
+	store *config.Store
+	log   logrus.FieldLogger
+
+	mu sync.Mutex
+	// ahead holds the version that each peer showed while it was above this
+	// process's own.
+	ahead    map[*Link]int64
+	fetching bool
 }
 
 // NewExchange returns an Exchange for the process that holds store.
 func NewExchange(store *config.Store, log logrus.FieldLogger) *Exchange {
-	return &Exchange{store: store, log: log}
+	return &Exchange{store: store, log: log, ahead: map[*Link]int64{}}
 }
 
 // Reply answers a peer that lacks records.
@@ -40,15 +50,48 @@
 	if st.Config.Number <= x.store.Current().Version() {
 		return
 	}
-	if !x.fetching.CompareAndSwap(false, true) {
-		return
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ahead[l] = max(x.ahead[l], st.Config.Number)
+	if !x.fetching {
+		x.fetching = true
+		go x.catchUp()
 	}
-	go func() {
-		defer x.fetching.Store(false)
+}
+
+// catchUp fetches from one peer after another until none is ahead.
+func (x *Exchange) catchUp() {
+	var failed *Link
+	for l := x.next(failed); l != nil; l = x.next(failed) {
+		failed = nil
+		before := x.store.Version()
 		if err := x.fetch(l); err != nil {
 			x.log.WithField("event", "fetchConfigFailed").Warn(err)
 		}
-	}()
+		if x.store.Version() == before {
+			failed = l
+			_ = l.clock.Sleep(l.ctx, fetchPause)
+		}
+	}
+}
+
+// next returns a link to a peer that is ahead, one other than failed if there
+// is any. It returns nil, and catching up has ended, when there is none.
+func (x *Exchange) next(failed *Link) *Link {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var found *Link
+	for l, version := range x.ahead {
+		if l.Closed() || version <= x.store.Current().Version() {
+			delete(x.ahead, l)
+			continue
+		}
+		if found == nil || found == failed {
+			found = l
+		}
+	}
+	x.fetching = found != nil
+	return found
 }
 
 // fetch asks until the peer has nothing more to give.
