Streams outlive the crash of their servers: going on costs no retry budget, and waits for servers

Ruled out: a larger budget, which would let fresh attempts amplify an overload. Change: going on from delivered tokens repeats no work and is charged no retry, for at most 12 failed attempts; a stream that no server takes waits up to 10 s.

--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -16,6 +16,13 @@
 // maxAttempts bounds the failed attempts of one chat completion.
 const maxAttempts = 12
 
+const (
+	// resumePatience bounds the time for which a stream that has begun waits
+	// for a server to go on.
+	resumePatience = 10 * clock.Second
+	resumePause    = 100 * clock.Millisecond
+)
+
 // serveChat answers POST /v1/chat/completions.
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	q, done, failure := e.open(w, r)
@@ -86,6 +93,8 @@
 	// attemptAt and attemptTokens tell the pace of the present attempt.
 	attemptAt     clock.Millis
 	attemptTokens int
+	// interruptedAt is when the present interruption began; 0 is none.
+	interruptedAt clock.Millis
 }
 
 // run carries the job through its attempts until the answer is complete.
@@ -93,9 +102,13 @@
 	for x.j.failures < maxAttempts {
 		clear(x.j.tried)
 		ans, failure := x.e.dispatcher.run(ctx, x.j)
+		if failure != nil && x.waitToResume(ctx, failure) {
+			continue
+		}
 		if failure != nil {
 			return failure
 		}
+		x.interruptedAt = 0
 		end, failure := x.relay(ctx, ans)
 		ans.close()
 		x.notePace(ans.peer)
@@ -113,6 +126,23 @@
 	return lost(x.j, "the answer was interrupted too often")
 }
 
+// waitToResume waits before a stream that has begun is tried again although no
+// server took it: the caller has part of the answer, and servers that are being
+// replaced come back. It reports false once the stream is given up.
+func (x *exchange) waitToResume(ctx context.Context, failure *openai.Error) bool {
+	if x.j.delivered == 0 || !x.j.preemptible || !failure.NotRun || failure.RetryAfterMs == 0 {
+		return false
+	}
+	now := x.e.clock.Now()
+	if x.interruptedAt == 0 {
+		x.interruptedAt = now
+	}
+	if now-x.interruptedAt > resumePatience {
+		return false
+	}
+	return x.e.clock.Sleep(ctx, resumePause) == nil
+}
+
 // again decides whether an attempt that ended early may be followed by another.
 func (x *exchange) again(ctx context.Context, ans *answer, end dispatch.End) *openai.Error {
 	if ctx.Err() != nil {
--- a/internal/role/entry/retries.go
+++ b/internal/role/entry/retries.go
@@ -34,6 +34,11 @@
 func (r *retries) allow(j *job, outcome retry.Outcome) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if outcome == retry.OutcomeFailed && j.delivered > 0 && j.preemptible && j.failures < maxAttempts {
+		// Going on from the tokens delivered repeats no work, so that it needs
+		// no budget: a zone's crash interrupts more streams than one holds.
+		return true
+	}
 	d := r.budget(j.pool.Name).Decide(r.clock.Now(), retry.Attempt{
 		Outcome: outcome, Protected: j.request.Protected, Delivered: j.delivered, Resumable: j.preemptible,
 		Number: j.failures + 1, Bound: maxAttempts,
--- a/internal/role/solo/failure_test.go
+++ b/internal/role/solo/failure_test.go
@@ -143,6 +143,29 @@
 	}
 }
 
+// TestStreamsOutliveTheCrashOfTheirServers breaks off more streams at once than
+// the retry budget allows retries.
+func TestStreamsOutliveTheCrashOfTheirServers(t *testing.T) {
+	cfg := solo.Defaults()
+	cfg.Slots, cfg.TokenMs = 16, 2
+	s := start(t, cfg)
+	for _, e := range s.Engines() {
+		e.Faults().Add(fault.Fault{Path: "/v1/chat/completions", Kind: fault.KindCutMidway, AfterTokens: 5, Count: 16})
+	}
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			nonce := fmt.Sprintf("c%d", i)
+			status, _, data := post(t, s.URL()+"/v1/chat/completions", s.Key("demo"), chat(nonce, 30, true))
+			content, done := streamed(t, data)
+			if diff := cmp.Diff(want(nonce, 30), content); status != 200 || !done || diff != "" {
+				t.Errorf("status %d, end mark %t, %s", status, done, diff)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
 	cfg := solo.Defaults()
 	cfg.Engines, cfg.Slots, cfg.TokenMs = 1, 1, 10
