--- a/internal/peer/config/duty_test.go
+++ b/internal/peer/config/duty_test.go
@@ -108,7 +108,8 @@
 	defer goleak.VerifyNone(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	manual := clock.NewManual(0, 1000)
-	log := filledLog(t, manual, 10)
+	// The log's clock is an hour ahead and stands still.
+	log := filledLog(t, clock.NewManual(0, clock.Hour), 10)
 	holder := config.New(0)
 	var g errgroup.Group
 	read(ctx, &g, log, holder)
@@ -125,8 +126,8 @@
 	// The first snapshot is due at once, the next one by its age.
 	for _, want := range []int64{12, 14} {
 		for holder.LastSnapshot().Offset < want {
-			if ctx.Err() != nil {
-				t.Fatalf("last snapshot = %+v, want one at %d", holder.LastSnapshot(), want)
+			if ctx.Err() != nil || manual.Now() > 10*clock.Minute {
+				t.Fatalf("last snapshot = %+v after %d ms, want one at %d", holder.LastSnapshot(), manual.Now(), want)
 			}
 			manual.Advance(clock.Second)
 			soon, done := context.WithTimeout(ctx, 5*time.Millisecond)
--- a/internal/peer/config/snapshotter.go
+++ b/internal/peer/config/snapshotter.go
@@ -37,11 +37,18 @@
 	// CheckMs is the time between two checks, and the least time between two
 	// snapshots.
 	CheckMs clock.Millis
+
+	// seen is the offset of the last snapshot at the last check, looked tells
+	// that there was one, and writtenAt is when the snapshot was written.
+	seen      int64
+	looked    bool
+	writtenAt clock.Millis
 }
 
 // Run writes snapshots until ctx ends. A failed append is logged and tried
 // again at the next check.
 func (s *Snapshotter) Run(ctx context.Context) error {
+	s.seen, s.looked = 0, false
 	for {
 		if s.due() {
 			if err := s.write(ctx); err != nil && ctx.Err() == nil {
@@ -56,11 +63,34 @@
 
 func (s *Snapshotter) due() bool {
 	version := s.Store.Current().Version()
-	last := s.Store.LastSnapshot()
 	if version == 0 || !s.Store.Ready() {
 		return false
 	}
-	return last.Offset == 0 || version-last.Offset >= s.MaxRecords || s.Clock.Wall()-last.AtMs >= s.MaxAgeMs
+	last := s.Store.LastSnapshot()
+	age := s.age(last)
+	return last.Offset == 0 || version-last.Offset >= s.MaxRecords || age >= s.MaxAgeMs
+}
+
+// age returns the age of the last snapshot. The log's clock counts only for
+// the first one that Run finds; if it is ahead, the age is taken as MaxAgeMs.
+func (s *Snapshotter) age(last SnapshotPlace) clock.Millis {
+	now := s.Clock.Now()
+	if last.Offset != s.seen {
+		s.writtenAt = now - s.CheckMs
+		if !s.looked {
+			s.writtenAt = now - s.ageByLog(last)
+		}
+	}
+	s.seen, s.looked = last.Offset, true
+	return now - s.writtenAt
+}
+
+func (s *Snapshotter) ageByLog(last SnapshotPlace) clock.Millis {
+	age := s.Clock.Wall() - last.AtMs
+	if age < 0 {
+		return s.MaxAgeMs
+	}
+	return age
 }
 
 func (s *Snapshotter) write(ctx context.Context) error {
