Slots: floors are kept in charged tokens

Cause: a floor counted turns. An answer of tier 2 is about three times as long as one of tier 0, and each restart after a preemption counted as a started request, so 5 % of the turns were far more than 5 % of the tokens, on slots that nothing may preempt.

Now a class earns its percentage of the tokens charged while it waits, and spends what its own work is charged, on floor turns corrected by the real output, also below 0. The invariant floorServed holds the earned tokens exactly and allows one offer to each other class once a class is due.

Tests: TestFloorWithinTurns counted turns, which the rule no longer does; TestFloorWithinTokens replaces it with random lengths independent of the estimates, requests longer than the saved credit, the gap and the lag in charged tokens, and the same run without floors. TestPreemptedTurnIsGivenBack and TestDeadEntryHoldsNoFloor give the true lengths as estimates; their bounds on starts are the same.

--- a/internal/policy/slots/check.go
+++ b/internal/policy/slots/check.go
@@ -32,8 +32,9 @@
 	}
 }
 
-// checkFloors asserts that each waiting class is offered a slot within the
-// turns of its floor, the offers that stand, and one turn of each other class.
+// checkFloors asserts that each waiting class is due once its floor has earned
+// what one request may need and what its work has spent, and that then each
+// other class is offered at most one slot before it.
 func (s *Slots) checkFloors() {
 	if !s.floorsOn() {
 		return
@@ -42,11 +43,11 @@
 	for _, t := range s.tiers {
 		classes += len(t.classes)
 	}
-	bound := float64(classes + s.cfg.Slots + 2)
 	for _, t := range s.tiers {
 		for _, c := range t.classes {
-			if c.waited > bound {
-				broken("floorServed", "class=%s waited=%.2f bound=%.0f", c.name, c.waited, bound)
+			f := &c.floor
+			if f.earned > f.most+rounding*(1+f.most) || f.passed >= classes {
+				broken("floorServed", "class=%s credit=%.3f earned=%.3f most=%.3f passed=%d", c.name, f.credit, f.earned, f.most, f.passed)
 			}
 		}
 	}
@@ -55,8 +56,8 @@
 // checkOrder asserts that an offer follows the rules of the package.
 func (s *Slots) checkOrder(it *item, floor bool) {
 	if floor {
-		if it.class.earned < earnedTurn {
-			broken("floorTurnEarned", "id=%s class=%s earned=%.3f", it.r.ID, it.class.name, it.class.earned)
+		if !s.due(it.class) {
+			broken("floorTurnEarned", "id=%s class=%s credit=%.3f", it.r.ID, it.class.name, it.class.floor.credit)
 		}
 		return
 	}
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -6,12 +6,6 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-// earnedTurn is a whole turn, less the rounding error of sums of percentages.
-const earnedTurn = 1 - 1e-9
-
-// mostEarned bounds the turns that a class saves up.
-const mostEarned = 2.0
-
 func (s *Slots) tier(number int) *tierQueue {
 	for len(s.tiers) <= number {
 		s.tiers = append(s.tiers, newTier(len(s.tiers), float64(s.cfg.IdleTokens)))
@@ -34,7 +28,10 @@
 	it := &item{r: r, seq: s.seq, tier: s.tier(r.Tier)}
 	it.acct = it.tier.account(name, share, s.seq)
 	it.class = it.tier.class(r.Class)
-	it.class.floor = float64(min(max(r.FloorPercent, 0), 100))
+	if it.class.offered == 0 {
+		it.class.floor.offered(s.savedTokens())
+	}
+	it.class.floor.percent = float64(min(max(r.FloorPercent, 0), 100))
 	it.est = s.estimateTokens(it)
 	it.order = key{deadline: math.Inf(1), arrived: int64(r.ArrivedMs), seq: it.seq}
 	if r.DeadlineMs > 0 {
@@ -94,18 +91,16 @@
 	it.floor = floor
 	it.lapseMs = s.now + s.cfg.OfferTimeoutMs
 	it.tier.level = math.Max(it.tier.level, it.acct.counter)
-	it.charged = it.est + it.promptCost()
+	it.charged = it.cost()
 	it.tier.charge(it.acct, it.charged)
 	s.busy = append(s.busy, it)
 	s.occupied[it.r.Tier]++
 	if floor {
 		s.floors[it.r.Tier]++
 	}
-	it.paid = math.Min(1, it.class.earned)
-	it.class.earned -= it.paid
-	it.class.waited = 0
 	s.offers++
 	it.class.offered = s.offers
+	s.turned(it)
 }
 
 // begin turns an occupied slot into a running request.
@@ -120,7 +115,6 @@
 	if it.floor {
 		s.counts.FloorTurns++
 	}
-	s.earn()
 }
 
 func (s *Slots) mayPreempt(it *item) bool {
@@ -156,10 +150,7 @@
 	if it.state != stateOffered {
 		used = float64(it.tokens) + it.promptCost()
 	}
-	lapsed := it.state == stateOffered && it.lapseMs <= s.now
-	if it.tokens == 0 && it.state != stateRunning && !lapsed {
-		it.class.earned = math.Min(it.class.earned+it.paid, mostEarned)
-	}
+	s.settle(it, it.state == stateOffered && it.lapseMs <= s.now)
 	it.tier.charge(it.acct, used-it.charged)
 	s.occupied[it.r.Tier]--
 	if it.floor {
@@ -173,34 +164,6 @@
 	}
 }
 
-// earn adds one turn's part to the floors of the classes that wait.
-func (s *Slots) earn() {
-	if !s.floorsOn() {
-		return
-	}
-	total := 0.0
-	for _, t := range s.tiers {
-		for _, c := range t.classes {
-			if c.waiting > 0 {
-				total += c.floor
-			}
-		}
-	}
-	scale := 1 / math.Max(100, total)
-	for _, t := range s.tiers {
-		for _, c := range t.classes {
-			if c.waiting > 0 {
-				c.earned = math.Min(c.earned+c.floor*scale, mostEarned)
-				c.waited += c.floor * scale
-			}
-		}
-	}
-}
-
-func (s *Slots) floorsOn() bool {
-	return !s.cfg.NoFloors && s.cfg.Order != OrderFIFO
-}
-
 // next returns the request that the next free slot goes to, and whether it is
 // on a floor turn.
 func (s *Slots) next() (*item, bool) {
@@ -215,24 +178,6 @@
 	return nil, false
 }
 
-func (s *Slots) dueClass() *classQueue {
-	if !s.floorsOn() {
-		return nil
-	}
-	var due *classQueue
-	for _, t := range s.tiers {
-		for _, c := range t.classes {
-			if c.waiting == 0 || c.earned < earnedTurn {
-				continue
-			}
-			if due == nil || c.offered < due.offered {
-				due = c
-			}
-		}
-	}
-	return due
-}
-
 // dispatch offers the free slots and preempts for what still waits.
 func (s *Slots) dispatch() {
 	for !s.leaving && s.free() > 0 && len(s.waitList) > 0 {
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -7,15 +7,27 @@
 // A request is waiting, offered, running or stopping. Offered, running and
 // stopping requests occupy a slot; the occupied slots never exceed Config.Slots.
 //
-//  1. Floors choose first. Each class with waiting work earns
-//     FloorPercent/100 of a turn per started request. Once it has earned a
-//     whole turn, the next free slot goes to it, whatever its tier; of several
-//     such classes the one whose last offer is the longest ago is served. If
-//     the floors of the classes that wait exceed 100 together, they are scaled
-//     down to 100. Turns that a class gets by its tier count towards its floor,
-//     unless the offer is declined or the request is preempted before its first
-//     token. A class saves up at most two turns. Work started on a floor turn is
-//     never preempted, also if rule 2 would have chosen it.
+//  1. Floors choose first. While a class has waiting work, it earns
+//     FloorPercent/100 of the tokens that are charged here; if the floors of the
+//     classes that wait exceed 100 together, they are scaled down to 100. It
+//     spends the credit by what its own work is charged: work on floor turns by
+//     the estimate when the slot is offered, corrected by the real output, also
+//     below 0; other work by the tokens that it generates, down to 0. A class is
+//     due once its credit covers the estimate of its next request or reaches
+//     the most that it may save, 2 times Config.OutputTokens. The next free slot
+//     goes to the due class whose last offer is the longest ago, whatever its
+//     tier. Work on a floor turn is never preempted.
+//     Tokens are charged as they are reported, a prompt with the first of them;
+//     the prompt of a resumed request counts no second time, and a request that
+//     ends without a token counts as one token. An offer that lapses spends its
+//     estimate, one that is declined nothing.
+//     So a floor is met within N charged tokens: between two starts of a class
+//     that waits, at most (L+E)*100/F tokens are charged until it is due, where
+//     F is the scaled floor, L is what its last work was charged and E the
+//     smaller of the estimate of its next request and the most that it may save;
+//     then it is served after at most one offer to each other class. A request
+//     longer than the credit saved is started like any other, and the class
+//     earns the excess before its next floor turn.
 //  2. Otherwise the highest tier (the smallest number) with waiting work is
 //     served, whatever the shares and deadlines in lower tiers.
 //  3. Within a tier the client account with the smallest token counter is
--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -118,10 +118,10 @@
 	rest := float64(a.occupied) - slots + 1
 	work := a.tokens*float64(s.tokenMs) + a.requests*float64(s.firstTokenMs) + rest*s.holdMs(tokens)
 	wait := math.Max(0, work/slots)
-	if floor := it.class.floor; s.floorsOn() && floor > 0 {
+	if floor := &it.class.floor; s.floorsOn() && floor.percent > 0 {
 		place := math.Min(a.requests, float64(it.class.waiting))
-		turns := math.Ceil(math.Max(0, place+1-it.class.earned) * 100 / floor)
-		wait = math.Min(wait, turns*s.holdMs(tokens)/slots)
+		missing := math.Max(0, place*tokens+it.cost()-floor.credit)
+		wait = math.Min(wait, missing*100/floor.percent*float64(s.tokenMs)/slots+s.holdMs(tokens)/slots)
 	}
 	return wait
 }
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -40,7 +40,8 @@
 	charged float64 // tokens charged to the account
 	tokens  int
 	floor   bool    // started on a floor turn
-	paid    float64 // earned turns that its class spent on it
+	spent   float64 // floor credit that its class spent on it in advance
+	counted int     // tokens that the floors have counted
 
 	tier  *tierQueue
 	acct  *account
@@ -67,6 +68,11 @@
 	return float64(it.r.PromptTokens) / promptTokensPerToken
 }
 
+// cost is what it is expected to be charged.
+func (it *item) cost() float64 {
+	return it.est + it.promptCost()
+}
+
 // account is a client account within a tier.
 type account struct {
 	seq     uint64
@@ -100,10 +106,8 @@
 	tier    *tierQueue
 	flows   tree[*flow]
 	waiting int
-	floor   float64 // percent of turns
-	earned  float64 // turns earned by the floor
-	waited  float64 // turns earned since the last offer, while waiting without a break
-	offered uint64  // number of the last offer
+	floor   floorState
+	offered uint64 // number of the last offer
 	tokens  mean
 }
 
@@ -240,9 +244,6 @@
 	a.work = a.queued()
 	t.attach(a)
 	it.class.waiting--
-	if it.class.waiting == 0 {
-		it.class.waited = 0
-	}
 	t.waiting--
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -158,6 +158,7 @@
 		return
 	}
 	s.observe(it, tokens, false)
+	s.count(it, tokens)
 	if excess := float64(tokens) + it.promptCost() - it.charged; excess > 0 {
 		it.tier.charge(it.acct, excess)
 		it.charged += excess
