--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -39,6 +39,8 @@
 	Store       *config.Store
 	Instances   InstanceLister
 	Incarnation string
+	// LogRead returns when the log was read last, or 0.
+	LogRead func() clock.Millis
 	// IssueKey makes the idempotency key of a protected request without one.
 	IssueKey func(wall clock.Millis, id string) string
 	// Duties run in the entry's tree beside its own.
@@ -65,6 +67,7 @@
 	confirmed       *notice
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
+	logRead         func() clock.Millis
 	duties          []supervise.Duty
 	progressTimeout clock.Millis
 	callerLn        net.Listener
@@ -78,7 +81,7 @@
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
-		metrics: newMetrics(), issueKey: d.IssueKey, duties: d.Duties, progressTimeout: defaultProgressTimeout,
+		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, duties: d.Duties, progressTimeout: defaultProgressTimeout,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/platform/membership"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -38,7 +39,7 @@
 	load     dispatch.Load
 	loadAt   clock.Millis
 	leaving  bool
-	version  int64 // configuration version that the sidecar showed last
+	config   config.Version // the version that the sidecar showed last
 	// heardState tells that a heartbeat of this connection brought a state,
 	// which is newer than that of the greeting.
 	heardState bool
@@ -120,7 +121,7 @@
 	p.loadAt = p.e.clock.Now()
 	if !p.heardState {
 		p.leaving = reply.State.Leaving
-		p.version = reply.State.Config.Number
+		p.config = reply.State.Config
 	}
 	p.mu.Unlock()
 	p.report()
@@ -235,7 +236,7 @@
 	if h.State != nil {
 		p.heardState = true
 		p.leaving = h.State.Leaving
-		p.version = h.State.Config.Number
+		p.config = h.State.Config
 	}
 	if h.Load != nil {
 		p.reported = *h.Load
@@ -258,7 +259,7 @@
 // and has a configuration, without which it refuses everything. The caller
 // holds mu.
 func (p *peer) usable() bool {
-	return p.link != nil && p.version > 0 && !p.leaving && !p.listedLeaving.Load() && !p.drained.Load()
+	return p.link != nil && p.config.Number > 0 && !p.leaving && !p.listedLeaving.Load() && !p.drained.Load()
 }
 
 // took notes that a request was bound here, so that the known free slots fall
--- a/internal/role/entry/status.go
+++ b/internal/role/entry/status.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/damaskport/damaskport/internal/operator/admin"
+	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -45,7 +46,7 @@
 			p.mu.Lock()
 			if p.link != nil {
 				of++
-				if p.version >= version {
+				if p.config.Number >= version {
 					have++
 				}
 			}
@@ -68,6 +69,9 @@
 	if err := e.Ready(); err != nil {
 		st.Ready, st.Reason = false, err.Error()
 	}
+	if at := e.logRead(); at > 0 {
+		st.LogAgeMs = e.clock.Now() - at
+	}
 	st.Instances = append(st.Instances, admin.InstanceStatus{
 		Name: e.name, Role: "entry", Zone: e.zone, State: e.lifecycle(), Version: st.Config.Number,
 	})
@@ -108,7 +112,8 @@
 	for _, n := range p.load.Waiting {
 		waiting += n
 	}
-	return admin.InstanceStatus{Name: p.instance.Name, Role: "sidecar", Zone: p.instance.Zone, State: state, Version: p.version},
+	return admin.InstanceStatus{Name: p.instance.Name, Role: "sidecar", Zone: p.instance.Zone, State: state, Version: p.config.Number,
+			Diverged: p.e.store.Compare(p.config) == config.Diverged},
 		admin.ServerStatus{
 			Name: p.instance.Name, Pool: p.instance.Pool, Zone: p.instance.Zone, State: state,
 			Slots: p.hello.Slots, Running: p.load.Running, Waiting: waiting, TokenMs: p.load.TokenMs,
--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -46,10 +46,9 @@
 	inc   string
 }
 
-// reader returns the duty that follows the configuration stream.
-func (d duties) reader() supervise.Duty {
-	r := &config.Reader{Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, WaitMs: readWait}
-	return supervise.Duty{Name: "configReader", Run: r.Run}
+// reader returns the reader of the configuration stream.
+func (d duties) reader() *config.Reader {
+	return &config.Reader{Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, WaitMs: readWait}
 }
 
 // leased returns the control duties, each of which runs in one entry at a time.
@@ -99,7 +98,7 @@
 }
 
 // mount puts the operators' interface of e on the server.
-func (a *AdminServer) mount(e *entry.Entry, store *config.Store, logs *logservice.Client, log logrus.FieldLogger) {
+func (a *AdminServer) mount(e *entry.Entry, store *config.Store, logs admin.Appender, log logrus.FieldLogger) {
 	a.mux.Handle("/", admin.New(admin.Deps{
 		Store: store, Appender: logs, Spread: e.Spread, Status: e.Status, Ready: e.Ready, Metrics: e.Metrics(), Logger: log,
 	}))
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// singleHTTP returns a client that uses a connection for each call, so that one
+// that went silent is never used again.
+func singleHTTP(timeout clock.Millis) *http.Client {
+	d := &net.Dialer{Timeout: timeout.Duration()}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}}
+}
+
 // Entry is an entry with its parts.
 type Entry struct {
 	*entry.Entry
@@ -70,17 +77,19 @@
 		return nil, errors.Wrap(err, "entry.adminAddr")
 	}
 	d := duties{f: f, store: store, logs: logs, http: h, clock: clk, log: log, inc: NewIncarnation()}
+	reader := d.reader()
 	e, err := entry.New(f, entry.Deps{
 		Log: log, Clock: clk, Store: store, Incarnation: d.inc,
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
 		IssueKey:  claim.IssueKey,
-		Duties:    []supervise.Duty{d.reader()},
+		LogRead:   reader.LastRead,
+		Duties:    []supervise.Duty{{Name: "configReader", Run: reader.Run}},
 	})
 	if err != nil {
 		return nil, err
 	}
 	e.AddDuties(d.leased(e)...)
-	admin.mount(e, store, logs, log)
+	admin.mount(e, store, logservice.New(f.Platform.LogURL, singleHTTP(f.Platform.TimeoutMs)), log)
 	return &Entry{Entry: e, Admin: admin}, nil
 }
 
