--- /dev/null
+++ b/internal/peer/dispatch/bench_test.go
@@ -0,0 +1,118 @@
+package dispatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// countedConn counts what one end writes.
+type countedConn struct {
+	net.Conn
+	bytes  *atomic.Int64
+	writes *atomic.Int64
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// pair is both ends of one control connection over loopback.
+type pair struct {
+	dialed, accepted *dispatch.Link
+}
+
+// traffic counts the payload of a set of pairs in both directions.
+type traffic struct {
+	bytes, writes atomic.Int64
+}
+
+func (t *traffic) wrap(c net.Conn) net.Conn { return countedConn{c, &t.bytes, &t.writes} }
+
+// connect returns n pairs. The accepting ends answer every message with
+// reply, and the dialing ends tell heard of each message.
+func connect(b *testing.B, n int, t *traffic, reply any, heard chan<- struct{}) []pair {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = ln.Close() })
+	clk := clock.System{}
+	out := make([]pair, n)
+	for i := range out {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := ln.Accept()
+		if err != nil {
+			b.Fatal(err)
+		}
+		out[i].accepted = dispatch.NewLink(t.wrap(s), clk, func(l *dispatch.Link, method string, _ json.RawMessage) (any, error) {
+			l.Notify(method, reply)
+			return nil, nil
+		})
+		out[i].dialed = dispatch.NewLink(t.wrap(c), clk, func(*dispatch.Link, string, json.RawMessage) (any, error) {
+			heard <- struct{}{}
+			return nil, nil
+		})
+		b.Cleanup(out[i].dialed.Close)
+		b.Cleanup(out[i].accepted.Close)
+	}
+	return out
+}
+
+var (
+	sampleReservation = dispatch.Reservation{
+		ID: "3f9a0c71b2de-4fz2.1", Entry: "3f9a0c71b2de", Class: "interactive", Account: "account-0421", KeyID: "9c1f20ab",
+		Tier: 1, Share: 3, FloorPercent: 5, RemainingMs: 580, PromptTokens: 412, MaxTokens: 512, AgeMs: 20, Preemptible: true,
+	}
+	sampleVerdict = dispatch.Verdict{ID: sampleReservation.ID, Place: 4, WaitMs: 210, Feasible: true, LowestTier: 2}
+	sampleID      = dispatch.ID{ID: sampleReservation.ID}
+	sampleState   = dispatch.State{Config: config.Version{Number: 110_000, Digest: 0xfedcba9876543210}, Services: 40}
+	sampleLoad    = dispatch.Load{Free: 3, Running: 61, Waiting: []int{0, 3, 12}, Preemptible: []int{0, 20, 41}, TokenMs: 25.125}
+)
+
+// BenchmarkMessages measures one message and its counterpart, there and back,
+// over connections that are used in turn.
+func BenchmarkMessages(b *testing.B) {
+	messages := []struct {
+		name, method string
+		send, reply  any
+	}{
+		{"heartbeat", dispatch.MethodHeartbeat, dispatch.Heartbeat{}, dispatch.Heartbeat{}},
+		{"heartbeatChanged", dispatch.MethodHeartbeat, dispatch.Heartbeat{State: &sampleState}, dispatch.Heartbeat{State: &sampleState, Load: &sampleLoad}},
+		{"reserveVerdict", dispatch.MethodReserve, sampleReservation, sampleVerdict},
+		{"cancelOffer", dispatch.MethodCancel, sampleID, sampleID},
+	}
+	for _, m := range messages {
+		for _, n := range []int{16, 64, 256} {
+			b.Run(fmt.Sprintf("%s/connections=%d", m.name, n), func(b *testing.B) {
+				var t traffic
+				heard := make(chan struct{}, n)
+				pairs := connect(b, n, &t, m.reply, heard)
+				for b.Loop() {
+					for _, p := range pairs {
+						p.dialed.Notify(m.method, m.send)
+					}
+					for range pairs {
+						<-heard
+					}
+				}
+				per := float64(b.N * n)
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/per, "ns/exchange")
+				b.ReportMetric(float64(t.bytes.Load())/per, "B/exchange")
+				b.ReportMetric(float64(t.writes.Load())/per, "writes/exchange")
+			})
+		}
+	}
+}
