--- a/internal/peer/dispatch/bench_test.go
+++ b/internal/peer/dispatch/bench_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
 // countedConn counts what one end writes.
@@ -116,3 +119,95 @@
 		}
 	}
 }
+
+// follower is a sidecar's configuration behind one connection.
+type follower struct {
+	store *config.Store
+	entry *dispatch.Link
+}
+
+// follow connects n followers to the configuration of source.
+func follow(b *testing.B, n int, t *traffic, source *config.Store) []follower {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = ln.Close() })
+	clk, out := clock.System{}, make([]follower, n)
+	serve := dispatch.NewExchange(source, logging.Discard())
+	for i := range out {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := ln.Accept()
+		if err != nil {
+			b.Fatal(err)
+		}
+		store := config.New(0)
+		x := dispatch.NewExchange(store, logging.Discard())
+		sidecar := dispatch.NewLink(t.wrap(s), clk, func(l *dispatch.Link, _ string, params json.RawMessage) (any, error) {
+			var h dispatch.Heartbeat
+			if err := json.Unmarshal(params, &h); err != nil {
+				return nil, err
+			}
+			x.Observe(l, *h.State)
+			return nil, nil
+		})
+		entry := dispatch.NewLink(t.wrap(c), clk, func(_ *dispatch.Link, _ string, params json.RawMessage) (any, error) {
+			var f dispatch.FetchConfig
+			if err := json.Unmarshal(params, &f); err != nil {
+				return nil, err
+			}
+			return serve.Reply(f)
+		})
+		b.Cleanup(sidecar.Close)
+		b.Cleanup(entry.Close)
+		out[i] = follower{store, entry}
+	}
+	return out
+}
+
+// shareRecord returns a change of one client account as the record at offset.
+func shareRecord(b testing.TB, offset int64) logservice.Record {
+	b.Helper()
+	account := directory.Account{Name: "account-0421", Share: int(offset%100) + 1}
+	data, err := json.Marshal(directory.Change{
+		ID: fmt.Sprint("change-", offset), Author: "operator", BasedOn: offset - 1, Ops: []directory.Op{{SetAccount: &account}},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return logservice.Record{Offset: offset, Data: data}
+}
+
+// BenchmarkSpread measures the time until all sidecars of an entry have a
+// change of configuration, and the payload of it for each.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1024} {
+		b.Run(fmt.Sprint("connections=", n), func(b *testing.B) {
+			var t traffic
+			source := config.New(0)
+			all := follow(b, n, &t, source)
+			offset := int64(0)
+			for b.Loop() {
+				offset++
+				if err := source.Offer([]logservice.Record{shareRecord(b, offset)}); err != nil {
+					b.Fatal(err)
+				}
+				st := dispatch.State{Config: source.Version()}
+				for _, f := range all {
+					f.entry.Notify(dispatch.MethodHeartbeat, dispatch.Heartbeat{State: &st})
+				}
+				for _, f := range all {
+					if err := f.store.Wait(b.Context(), offset); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/change")
+			b.ReportMetric(float64(t.bytes.Load())/float64(b.N*n), "B/connection")
+		})
+	}
+}
