--- a/internal/peer/dispatch/bench_test.go
+++ b/internal/peer/dispatch/bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -211,3 +212,30 @@
 		})
 	}
 }
+
+// BenchmarkLinkMemory measures the heap and stacks of one end of an idle connection.
+func BenchmarkLinkMemory(b *testing.B) {
+	for _, n := range []int{16, 64, 256} {
+		b.Run(fmt.Sprint("connections=", n), func(b *testing.B) {
+			for range b.N {
+				var t traffic
+				heard := make(chan struct{}, n)
+				before := inUse()
+				pairs := connect(b, n, &t, dispatch.Heartbeat{}, heard)
+				for _, p := range pairs {
+					p.dialed.Notify(dispatch.MethodHeartbeat, dispatch.Heartbeat{})
+					<-heard
+				}
+				b.ReportMetric((inUse()-before)/float64(2*n), "B/link")
+				runtime.KeepAlive(pairs)
+			}
+		})
+	}
+}
+
+func inUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -33,7 +33,7 @@
 // a bounded ring to a writer, and an overflow closes the link.
 type Link struct {
 	conn     *jsonrpc2.Conn
-	out      *ring.Ring[outgoing]
+	out      *ring.Ring[*outgoing]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	clock    clock.Clock
@@ -49,7 +49,7 @@
 // NewLink starts a link on c.
 func NewLink(c net.Conn, clk clock.Clock, h Handler) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{out: ring.New[outgoing](outSize), ctx: ctx, cancel: cancel, clock: clk}
+	l := &Link{out: ring.New[*outgoing](outSize), ctx: ctx, cancel: cancel, clock: clk}
 	l.heard.Store(int64(clk.Now()))
 	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{c})
 	ready := make(chan struct{})
@@ -114,7 +114,7 @@
 
 // Notify queues a message; it closes the link when the ring is full.
 func (l *Link) Notify(method string, params any) {
-	if !l.out.TryPut(outgoing{method, params}) {
+	if !l.out.TryPut(&outgoing{method, params}) {
 		l.Close()
 	}
 }
