--- a/internal/cli/standins/standins.go
+++ b/internal/cli/standins/standins.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -76,10 +78,33 @@
 	ListLagMs        int64 `long:"list-lag-ms" default:"500" description:"age of the list of instances"`
 	StartUpMs        int64 `long:"start-up-ms" default:"60000" description:"time that an ordered server takes to become live"`
 	CheckFencing     bool  `long:"check-fencing" description:"refuse orders with an old term"`
+	// Prices are of the form ZONE:POOL:PER_HOUR.
+	Prices []string `long:"price" value-name:"ZONE:POOL:PERHOUR" description:"price of a server of a pool in a zone; may be repeated"`
+}
+
+// prices parses the prices.
+func (c *platformCommand) prices() ([]platform.Price, error) {
+	var out []platform.Price
+	for _, text := range c.Prices {
+		parts := strings.Split(text, ":")
+		if len(parts) != 3 {
+			return nil, errors.Errorf("--price %s: must be ZONE:POOL:PERHOUR", text)
+		}
+		perHour, err := strconv.ParseFloat(parts[2], 64)
+		if err != nil {
+			return nil, errors.Errorf("--price %s: %s is no number", text, parts[2])
+		}
+		out = append(out, platform.Price{Zone: parts[0], Pool: parts[1], PerHour: perHour})
+	}
+	return out, nil
 }
 
 // Execute runs the platform.
 func (c *platformCommand) Execute([]string) error {
+	prices, err := c.prices()
+	if err != nil {
+		return err
+	}
 	p := platform.New(platform.Config{
 		AppendsPerSecond: c.AppendsPerSecond,
 		RetentionMs:      clock.Millis(c.RetentionMs),
@@ -87,6 +112,7 @@
 		ListLagMs:        clock.Millis(c.ListLagMs),
 		StartUpMs:        clock.Millis(c.StartUpMs),
 		CheckFencing:     c.CheckFencing,
+		Prices:           prices,
 	})
 	return serve(c.Addr, p.Handler(), c.out)
 }
--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -158,8 +158,8 @@
 	}
 	classes := []string{"interactive", "batch"}
 	return []directory.Op{
-		{SetPool: &directory.Pool{Name: modelPool, Kind: directory.PoolModel, Model: Model, Slots: c.opts.Slots, MaxServers: 9}},
-		{SetPool: &directory.Pool{Name: servicePool, Kind: directory.PoolService, Slots: c.opts.Slots, MaxServers: 9}},
+		{SetPool: &directory.Pool{Name: modelPool, Kind: directory.PoolModel, Model: Model, Slots: c.opts.Slots}},
+		{SetPool: &directory.Pool{Name: servicePool, Kind: directory.PoolService, Slots: c.opts.Slots}},
 		{SetClass: &directory.Class{Name: "interactive", Tier: 0, Pools: pools, Resume: true}},
 		{SetClass: &directory.Class{Name: "batch", Tier: 2, Pools: pools, Resume: true, FloorPercent: 5}},
 		{SetAccount: &directory.Account{Name: Account, Share: 1, Classes: classes}},
--- a/internal/state/directory/types.go
+++ b/internal/state/directory/types.go
@@ -60,7 +60,7 @@
 	// Model is the model's name towards callers, for PoolModel.
 	Model string `json:"model,omitempty"`
 	// MinServers and MaxServers bound what the capacity duty orders, by
-	// availability zone.
+	// availability zone. MaxServers 0 leaves the pool's servers as they are.
 	MinServers int `json:"minServers,omitempty"`
 	MaxServers int `json:"maxServers,omitempty"`
 	// Slots is the number of requests that one server runs at a time.
