--- a/internal/proof/cluster/admin.go
+++ b/internal/proof/cluster/admin.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 
 	"github.com/damaskport/damaskport/internal/operator/admin"
+	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/standin/backend"
+	"github.com/damaskport/damaskport/internal/standin/platform"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
@@ -39,3 +42,24 @@
 	}
 	return report.Requests
 }
+
+// RestartSidecar ends the sidecar's process, if it still runs, and starts
+// another one with the same settings.
+func (c *Cluster) RestartSidecar(s *Sidecar) {
+	c.t.Helper()
+	s.Kill()
+	s.Proc = startProc(c.t, s.Name, binaries.damaskport, string(settings.RoleSidecar), "--settings", c.settingsPath(s.Name))
+	c.List(s, platform.StateLive)
+}
+
+// RestartEntry ends the entry's process, if it still runs, and starts another
+// one with the same settings.
+func (c *Cluster) RestartEntry(e *Entry) {
+	c.t.Helper()
+	e.Kill()
+	e.Proc = startProc(c.t, e.Name, binaries.damaskport, string(settings.RoleEntry), "--settings", c.settingsPath(e.Name))
+}
+
+func (c *Cluster) settingsPath(name string) string {
+	return filepath.Join(c.dir, name+".json")
+}
--- a/internal/proof/config/config_test.go
+++ b/internal/proof/config/config_test.go
@@ -52,6 +52,7 @@
 		{name: "entrySilentFromLog", before: func(f *fleet) { f.Entries[1].PlatformRelay.Blackhole() }},
 		{name: "entryKilledAfter", after: func(f *fleet) { f.Entries[0].Kill() }},
 		{name: "entryKilledAndLogDownAfter", after: func(f *fleet) { f.logFault(fault.KindFail, 0); f.Entries[0].Kill() }},
+		{name: "otherCutAndEntryKilledAfter", before: func(f *fleet) { f.Entries[1].PlatformRelay.Cut() }, after: func(f *fleet) { f.Entries[0].Kill() }},
 		{name: "silentSidecar", before: func(f *fleet) { f.Sidecars[0].ControlRelay.Silence() }},
 		{name: "frozenSidecar", after: func(f *fleet) {
 			f.Sidecars[0].Freeze()
--- a/internal/proof/keys/withdraw_test.go
+++ b/internal/proof/keys/withdraw_test.go
@@ -67,6 +67,7 @@
 		{name: "entryCutAndLogDownAfter", before: func(c *cluster.Cluster) { c.Entries[1].PlatformRelay.Cut() }, after: logDown},
 		{name: "entryCutFromOthers", apart: true},
 		{name: "entryOfChangeKilledAfter", after: func(c *cluster.Cluster) { c.Entries[0].Kill() }},
+		{name: "entryCutAndEntryOfChangeKilledAfter", before: func(c *cluster.Cluster) { c.Entries[1].PlatformRelay.Cut() }, after: func(c *cluster.Cluster) { c.Entries[0].Kill() }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
