--- a/internal/peer/dispatch/exchange.go
+++ b/internal/peer/dispatch/exchange.go
@@ -5,16 +5,16 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/peer/config"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 const (
 	fetchTimeout = time.Second
-	firstPause   = 100 * time.Millisecond
-	lastPause    = 5 * time.Second
+	// fetchPause is the time between a fetch that brought nothing and the next.
+	fetchPause = 200 * clock.Millisecond
 )
 
 // Exchange brings processes to the same configuration: whoever learns that a
@@ -23,17 +23,16 @@
 	store *config.Store
 	log   logrus.FieldLogger
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ahead holds the version that each peer showed while it was above this
+	// process's own.
+	ahead    map[*Link]int64
 	fetching bool
-	// ahead holds the versions that peers told and this process lacks.
-	ahead map[*Link]int64
-	// news is signalled when ahead has grown.
-	news chan struct{}
 }
 
 // NewExchange returns an Exchange for the process that holds store.
 func NewExchange(store *config.Store, log logrus.FieldLogger) *Exchange {
-	return &Exchange{store: store, log: log, ahead: map[*Link]int64{}, news: make(chan struct{}, 1)}
+	return &Exchange{store: store, log: log, ahead: map[*Link]int64{}}
 }
 
 // Reply answers a peer that lacks records.
@@ -45,72 +44,54 @@
 	return FetchConfigReply{Records: records, Snapshot: snapshot, Version: x.store.Version(), Ready: x.store.Ready()}, nil
 }
 
-// Observe takes in a peer's state and fetches what this process lacks, until
-// it has it or the peer's link has ended. It does not block.
+// Observe takes in a peer's state and fetches what this process lacks. It
+// does not block.
 func (x *Exchange) Observe(l *Link, st State) {
 	if st.Config.Number <= x.store.Current().Version() {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ahead[l] = st.Config.Number
-	select {
-	case x.news <- struct{}{}:
-	default:
-	}
+	x.ahead[l] = max(x.ahead[l], st.Config.Number)
 	if !x.fetching {
 		x.fetching = true
 		go x.catchUp()
 	}
 }
 
-// catchUp fetches from the peers that are ahead until none is.
+// catchUp fetches from one peer after another until none is ahead.
 func (x *Exchange) catchUp() {
-	pause := firstPause
-	for {
-		l := x.next()
-		if l == nil {
-			return
+	var failed *Link
+	for l := x.next(failed); l != nil; l = x.next(failed) {
+		failed = nil
+		before := x.store.Version()
+		if err := x.fetch(l); err != nil {
+			x.log.WithField("event", "fetchConfigFailed").Warn(err)
 		}
-		err := x.fetch(l)
-		if err == nil {
-			pause = firstPause
-			continue
+		if x.store.Version() == before {
+			failed = l
+			_ = l.clock.Sleep(l.ctx, fetchPause)
 		}
-		x.log.WithField("event", "fetchConfigFailed").Warn(err)
-		x.rest(l, pause)
-		pause = min(2*pause, lastPause)
 	}
 }
 
-// next returns the link of a peer that is ahead. Without one it returns nil,
-// and the next peer that is ahead starts catchUp again.
-func (x *Exchange) next() *Link {
+// next returns a link to a peer that is ahead, one other than failed if there
+// is any. It returns nil, and catching up has ended, when there is none.
+func (x *Exchange) next(failed *Link) *Link {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	have := x.store.Current().Version()
-	var out *Link
-	for l, number := range x.ahead {
-		if number <= have || l.Closed() {
+	var found *Link
+	for l, version := range x.ahead {
+		if l.Closed() || version <= x.store.Current().Version() {
 			delete(x.ahead, l)
 			continue
 		}
-		out = l
-	}
-	x.fetching = out != nil
-	return out
-}
-
-// rest waits after a failed fetch until a peer tells a version, the link has
-// ended, or the pause is over.
-func (x *Exchange) rest(l *Link, pause time.Duration) {
-	t := time.NewTimer(pause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-l.Done():
-	case <-x.news:
+		if found == nil || found == failed {
+			found = l
+		}
 	}
+	x.fetching = found != nil
+	return found
 }
 
 // fetch asks until the peer has nothing more to give.
@@ -135,11 +116,8 @@
 		if reply.Ready && now.Number >= reply.Version.Number {
 			x.store.MarkReady()
 		}
-		if now.Number >= reply.Version.Number {
+		if now.Number >= reply.Version.Number || now == before {
 			return nil
 		}
-		if now == before {
-			return errors.Errorf("the records sent do not follow version %d", now.Number)
-		}
 	}
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -39,6 +39,8 @@
 	Store       *config.Store
 	Instances   InstanceLister
 	Incarnation string
+	// LogRead returns when the log was read last, or 0.
+	LogRead func() clock.Millis
 	// IssueKey makes the idempotency key of a protected request without one.
 	IssueKey func(wall clock.Millis, id string) string
 	// Duties run in the entry's tree beside its own.
@@ -65,6 +67,7 @@
 	confirmed       *notice
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
+	logRead         func() clock.Millis
 	duties          []supervise.Duty
 	progressTimeout clock.Millis
 	callerLn        net.Listener
@@ -78,7 +81,7 @@
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
-		metrics: newMetrics(), issueKey: d.IssueKey, duties: d.Duties, progressTimeout: defaultProgressTimeout,
+		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, duties: d.Duties, progressTimeout: defaultProgressTimeout,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -104,13 +107,13 @@
 func (e *Entry) URL() string { return "http://" + e.callerLn.Addr().String() }
 
 // Scope returns the scope of the entry's metrics.
-func (e *Entry) Scope() tally.Scope { return e.metrics.scope }
+func (e *Entry) Scope() tally.Scope { return e.metrics.root }
 
 // AddDuties adds duties to the entry's tree. It must be called before Run.
 func (e *Entry) AddDuties(ds ...supervise.Duty) { e.duties = append(e.duties, ds...) }
 
 // Metrics returns the handler of /metrics.
-func (e *Entry) Metrics() http.Handler { return e.metrics.handler }
+func (e *Entry) Metrics() http.Handler { return e.metrics.root.Handler }
 
 // Run serves until ctx ends, then shuts down gracefully: it takes no new
 // requests and finishes those that it has, within the configured time.
@@ -130,7 +133,7 @@
 		{Name: "config", Run: e.watchConfig},
 	}, e.duties...)
 	err := supervise.New(e.name, e.log, e.clock).Run(run, duties...)
-	_ = e.metrics.closer.Close()
+	_ = e.metrics.root.Close()
 	e.dispatcher.http.CloseIdleConnections()
 	e.log.WithFields(logrus.Fields{"event": "stop", "role": "entry"}).Info("entry stopped")
 	return err
