Reservations: only one sidecar preempts for a request

Cause: an entry reserves at two sidecars, and each stopped a running request for it, though the request needs one slot. A reservation is now patient at all but the best candidate; if that one refuses or is gone, another is asked again without patience.

Ruled out as the main source: late first tokens alone.

The in-package driver has one server and does not see this.

--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -137,6 +137,9 @@
 	// Resumed tells that an earlier attempt was interrupted.
 	Resumed     bool `json:"resumed,omitempty"`
 	Preemptible bool `json:"preemptible,omitempty"`
+	// Patient tells that nothing is preempted for it here, as another sidecar
+	// was asked to. The same reservation without it withdraws this.
+	Patient bool `json:"patient,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks a reservation.
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -198,8 +198,8 @@
 	}
 	need := 0
 	for _, t := range s.tiers {
-		need += t.waiting
-		if t.waiting == 0 {
+		need += t.waiting - t.patient
+		if t.waiting == t.patient {
 			continue
 		}
 		for need > s.stopping {
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -123,6 +123,7 @@
 	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
 	expiry     tree[*item]
 	waiting    int
+	patient    int     // waiting requests for which nothing is preempted
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
 	tokens     mean
@@ -230,6 +231,9 @@
 	t.attach(a)
 	it.class.waiting++
 	t.waiting++
+	if it.r.Patient {
+		t.patient++
+	}
 	if it.hasTarget() {
 		it.expiry = key{deadline: float64(it.r.DeadlineMs) - t.credit, seq: it.seq}
 		t.expiry.insert(it.expiry, sums{}, it)
@@ -245,6 +249,9 @@
 	t.attach(a)
 	it.class.waiting--
 	t.waiting--
+	if it.r.Patient {
+		t.patient--
+	}
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
 	}
--- a/internal/policy/slots/rules_test.go
+++ b/internal/policy/slots/rules_test.go
@@ -330,3 +330,19 @@
 		t.Errorf("started %v of 1000 requests each, want at least 200", started)
 	}
 }
+
+// TestPatientPreemptsNothing has a patient request wait beside lower work until
+// it is reserved again without patience.
+func TestPatientPreemptsNothing(t *testing.T) {
+	s := slots.New(slots.Config{Slots: 1, CheckEvery: 1})
+	s.TryStart(0, slots.Reservation{ID: "low", Tier: 2, Preemptible: true})
+	high := slots.Reservation{ID: "high", Patient: true}
+	s.Reserve(1, high)
+	diff(t, "patient", []event(nil), events(s))
+	high.Patient = false
+	s.Reserve(2, high)
+	s.Reserve(3, high)
+	diff(t, "urged", []event{{slots.ActionPreempt, "low", ""}}, events(s))
+	s.Finish(4, "low", 1)
+	diff(t, "served", []event{{slots.ActionOffer, "high", ""}}, events(s))
+}
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -99,6 +99,7 @@
 func (s *Slots) Reserve(now clock.Millis, r Reservation) Verdict {
 	s.advance(now)
 	if it := s.items[r.ID]; it != nil {
+		s.urge(it, r)
 		return s.verdict(it)
 	}
 	it := s.newItem(r)
@@ -115,6 +116,16 @@
 	return v
 }
 
+// urge takes in that a waiting request is no longer patient.
+func (s *Slots) urge(it *item, r Reservation) {
+	if it.state != stateWaiting || !it.r.Patient || r.Patient {
+		return
+	}
+	it.r.Patient = false
+	it.tier.patient--
+	s.dispatch()
+}
+
 // Cancel drops a reservation or ends a running request. Unknown ids are ignored.
 func (s *Slots) Cancel(now clock.Millis, id string) {
 	s.advance(now)
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -18,9 +18,7 @@
 	defer d.e.room.leave(w)
 	h := &held{d: d, j: j, id: id, open: map[*peer]*dispatch.Verdict{}}
 	for _, p := range candidates {
-		if p.notify(dispatch.MethodReserve, j.reservation(id, d.e.incarnation, d.e.clock.Now())) {
-			h.open[p] = nil
-		} else {
+		if !h.ask(p) {
 			j.tried[p] = true
 		}
 	}
@@ -35,10 +33,42 @@
 	id string
 	// open maps each sidecar that holds the reservation to its last verdict.
 	open map[*peer]*dispatch.Verdict
+	// urged is the one sidecar that may preempt for the job; nil if none was asked.
+	urged *peer
 	// retryAfter is the shortest time after which a sidecar expects room.
 	retryAfter clock.Millis
 }
 
+// ask reserves at p, or asks again. Only one sidecar preempts for a job, so
+// that one slot is cleared and not one at each.
+func (h *held) ask(p *peer) bool {
+	r := h.j.reservation(h.id, h.d.e.incarnation, h.d.e.clock.Now())
+	r.Patient = h.urged != nil && h.urged != p
+	if !p.notify(dispatch.MethodReserve, r) {
+		return false
+	}
+	if !r.Patient {
+		h.urged = p
+	}
+	if _, ok := h.open[p]; !ok {
+		h.open[p] = nil
+	}
+	return true
+}
+
+// urge lets another sidecar preempt once the urged one is gone.
+func (h *held) urge() {
+	if _, ok := h.open[h.urged]; ok {
+		return
+	}
+	h.urged = nil
+	for p := range h.open {
+		if h.ask(p) {
+			return
+		}
+	}
+}
+
 func (h *held) wait(ctx context.Context, w *waiter) (*answer, *attemptError) {
 	for len(h.open) > 0 {
 		select {
@@ -86,6 +116,7 @@
 	if _, ok := h.open[p]; ok {
 		delete(h.open, p)
 		h.j.tried[p] = true
+		h.urge()
 	}
 }
 
@@ -107,8 +138,8 @@
 		return nil, err
 	}
 	h.j.tried[p] = !err.full
-	if err.full && p.notify(dispatch.MethodReserve, h.j.reservation(h.id, h.d.e.incarnation, h.d.e.clock.Now())) {
-		h.open[p] = nil
+	if !err.full || !h.ask(p) {
+		h.urge()
 	}
 	return nil, nil
 }
