--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -87,6 +87,8 @@
 	logger  logrus.FieldLogger
 	inputs  *ring.Ring[input]
 	author  *lease.Author
+	fold    *lease.Fold
+	states  atomic.Pointer[map[string]lease.State]
 	wanted  map[string]chan<- *Tenure // nil once the tenure was given out
 	tenures map[string]*Tenure
 	appends sync.WaitGroup
@@ -101,18 +103,39 @@
 		cfg.ReleaseMs = cfg.LengthMs
 	}
 	authorCfg := lease.Config{Holder: cfg.Holder, LengthMs: cfg.LengthMs, DriftMs: cfg.DriftMs}
+	fold := lease.New()
 	return &Leases{
+		fold:    fold,
 		cfg:     cfg,
 		log:     log,
 		clock:   clk,
 		logger:  l,
 		inputs:  ring.New[input](ringSize),
-		author:  lease.NewAuthor(clk.Now(), authorCfg, lease.New()),
+		author:  lease.NewAuthor(clk.Now(), authorCfg, fold),
 		wanted:  map[string]chan<- *Tenure{},
 		tenures: map[string]*Tenure{},
 	}
 }
 
+// States returns the leases that this process wants, as the stream shows them.
+func (l *Leases) States() map[string]lease.State {
+	if m := l.states.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// publish makes the states of the wanted leases known.
+func (l *Leases) publish() {
+	m := map[string]lease.State{}
+	for name := range l.wanted {
+		if s, ok := l.fold.Lookup(name); ok {
+			m[name] = s
+		}
+	}
+	l.states.Store(&m)
+}
+
 // Run takes, renews and releases leases until ctx has ended and the leases
 // are released.
 func (l *Leases) Run(ctx context.Context) error {
--- a/internal/control/lease/owner.go
+++ b/internal/control/lease/owner.go
@@ -69,6 +69,7 @@
 			go l.append(a)
 		}
 		l.sync()
+		l.publish()
 		if lastMs != 0 && (l.idle() || l.clock.Now() >= lastMs) {
 			return nil
 		}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskport/damaskport/internal/operator/admin"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
@@ -68,6 +69,7 @@
 	metrics         *metrics
 	issueKey        func(clock.Millis, string) string
 	logRead         func() clock.Millis
+	leaseStatus     func() []admin.LeaseStatus
 	duties          []supervise.Duty
 	progressTimeout clock.Millis
 	callerLn        net.Listener
--- a/internal/role/entry/status.go
+++ b/internal/role/entry/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/damaskport/damaskport/internal/operator/admin"
@@ -80,6 +81,10 @@
 		st.Instances = append(st.Instances, in)
 		st.Servers = append(st.Servers, server)
 	}
+	markStragglers(st.Servers)
+	if e.leaseStatus != nil {
+		st.Leases = e.leaseStatus()
+	}
 	depths := e.room.depths()
 	for _, c := range e.store.Current().Classes() {
 		k := e.metrics.class(c.Name)
@@ -91,6 +96,29 @@
 	return st
 }
 
+// ShowLeases sets where Status reads the leases of control duties. It must be
+// called before Run.
+func (e *Entry) ShowLeases(read func() []admin.LeaseStatus) { e.leaseStatus = read }
+
+// stragglerRatio is the time per token against the pool's median from which a
+// server is shown as a straggler.
+const stragglerRatio = 1.5
+
+// markStragglers compares each server's time per token with its pool's median.
+func markStragglers(servers []admin.ServerStatus) {
+	paces := map[string][]float64{}
+	for _, s := range servers {
+		paces[s.Pool] = append(paces[s.Pool], s.TokenMs)
+	}
+	for _, p := range paces {
+		slices.Sort(p)
+	}
+	for i, s := range servers {
+		p := paces[s.Pool]
+		servers[i].Straggler = s.TokenMs > stragglerRatio*p[len(p)/2]
+	}
+}
+
 func (e *Entry) lifecycle() string {
 	if e.draining.Load() {
 		return "leaving"
--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -43,7 +45,8 @@
 	http  *http.Client
 	clock clock.Clock
 	log   logrus.FieldLogger
-	inc   string
+	// author names the process in its records, leases and orders.
+	author string
 }
 
 // reader returns the reader of the configuration stream.
@@ -56,7 +59,8 @@
 	if !d.f.Entry.Duties {
 		return nil
 	}
-	leases := lease.New(lease.Config{Holder: d.inc, LengthMs: d.f.Entry.LeaseMs}, d.logs, d.clock, d.log)
+	leases := lease.New(lease.Config{Holder: d.author, LengthMs: d.f.Entry.LeaseMs}, d.logs, d.clock, d.log)
+	e.ShowLeases(func() []admin.LeaseStatus { return d.leaseStatus(leases) })
 	out := []supervise.Duty{
 		{Name: "leases", Run: leases.Run},
 		leases.Duty(snapshotLease, d.snapshots),
@@ -69,9 +73,24 @@
 	return out
 }
 
+// leaseStatus returns the leases as this process sees them in the stream.
+func (d duties) leaseStatus(leases *lease.Leases) []admin.LeaseStatus {
+	var out []admin.LeaseStatus
+	for name, s := range leases.States() {
+		if s.Holder == "" {
+			continue
+		}
+		out = append(out, admin.LeaseStatus{
+			Duty: name, Holder: s.Holder, Term: s.Term, RemainingMs: s.AtMs + d.f.Entry.LeaseMs - d.clock.Wall(),
+		})
+	}
+	slices.SortFunc(out, func(a, b admin.LeaseStatus) int { return strings.Compare(a.Duty, b.Duty) })
+	return out
+}
+
 func (d duties) snapshots(ctx context.Context, _ *lease.Tenure) error {
 	s := &config.Snapshotter{
-		Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, Author: d.inc,
+		Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, Author: d.author,
 		MaxAgeMs: d.f.Platform.LogRetentionMs / snapshotParts, MaxRecords: maxSnapshotRecords,
 		CheckMs: min(snapshotCheck, d.f.Platform.LogRetentionMs/snapshotParts),
 	}
@@ -80,14 +99,14 @@
 
 func (d duties) reporter(leases *lease.Leases, e *entry.Entry, shard int) *usage.Reporter {
 	return usage.New(usage.Config{
-		Author: d.inc, Shard: shard, Shards: d.f.Platform.UsageShards, WindowMs: d.f.Platform.UsageWindowMs,
+		Author: d.author, Shard: shard, Shards: d.f.Platform.UsageShards, WindowMs: d.f.Platform.UsageWindowMs,
 		GraceMs: graceCounts * countInterval(d.f.Platform), RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
 	}, leases, d.logs, platformusage.New(d.f.Platform.UsageURL), d.clock, d.log, e.Scope())
 }
 
 func (d duties) reconciler(leases *lease.Leases, e *entry.Entry) *capacity.Reconciler {
 	return capacity.New(capacity.Config{
-		Author: d.inc, CycleMs: capacityCycle, DrainMs: d.f.Entry.DrainMs,
+		Author: d.author, CycleMs: capacityCycle, DrainMs: d.f.Entry.DrainMs,
 		RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
 	}, leases, d.logs, platformcapacity.New(d.f.Platform.CapacityURL, d.http), newPools(e, d.store), e, d.clock, d.log)
 }
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -76,10 +76,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.adminAddr")
 	}
-	d := duties{f: f, store: store, logs: logs, http: h, clock: clk, log: log, inc: NewIncarnation()}
+	inc := NewIncarnation()
+	d := duties{f: f, store: store, logs: logs, http: h, clock: clk, log: log, author: f.Name + "/" + inc}
 	reader := d.reader()
 	e, err := entry.New(f, entry.Deps{
-		Log: log, Clock: clk, Store: store, Incarnation: d.inc,
+		Log: log, Clock: clk, Store: store, Incarnation: inc,
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
 		IssueKey:  claim.IssueKey,
 		LogRead:   reader.LastRead,
