--- a/internal/proof/cluster/call.go
+++ b/internal/proof/cluster/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,6 +48,12 @@
 	Unknown bool
 }
 
+// Ended reports whether the caller learned an end in time: a whole answer, or
+// one that was visibly cut after its head.
+func (r Reply) Ended() bool {
+	return r.Err == nil || r.Status != 0 && !errors.Is(r.Err, context.DeadlineExceeded)
+}
+
 // String describes the reply for a test's messages.
 func (r Reply) String() string {
 	return fmt.Sprintf("status %d code %q notRun=%v unknown=%v err=%v body %.200q", r.Status, r.Code, r.NotRun, r.Unknown, r.Err, r.Body)
--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -330,6 +330,12 @@
 	return st
 }
 
+// SetReadLag makes reads of the log show records only at age ms.
+func (c *Cluster) SetReadLag(ms int) {
+	c.t.Helper()
+	c.send(http.MethodPut, c.Platform.URL+"/admin/readLag", map[string]int{"ms": ms})
+}
+
 // SetFault puts f in force at the stand-in.
 func (c *Cluster) SetFault(s *Standin, f fault.Fault) {
 	c.t.Helper()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,6 +7,7 @@
 //	PUT    /admin/instances/{name}  an Instance
 //	DELETE /admin/instances/{name}
 //	GET    /admin/state             a State
+//	PUT    /admin/readLag           {"ms":800}: reads show records only at that age
 //	POST   /admin/faults            see package fault
 package platform
 
@@ -51,6 +52,7 @@
 
 	mu        sync.Mutex
 	streams   map[string]*stream
+	readLag   clock.Millis
 	capacity  capacity
 	usage     []UsageReport
 	instances instances
@@ -78,6 +80,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/streams/{stream}/records", p.serveAppend)
 	mux.HandleFunc("GET /v1/streams/{stream}/records", p.serveRead)
+	mux.HandleFunc("PUT /admin/readLag", p.serveReadLag)
 	mux.HandleFunc("GET /v1/instances", p.serveInstances)
 	mux.HandleFunc("PUT /admin/instances/{name}", p.servePutInstance)
 	mux.HandleFunc("DELETE /admin/instances/{name}", p.serveDeleteInstance)
