--- a/internal/proof/cluster/admin.go
+++ b/internal/proof/cluster/admin.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"os"
 	"path/filepath"
 
 	"github.com/damaskport/damaskport/internal/operator/admin"
@@ -44,22 +46,39 @@
 }
 
 // RestartSidecar ends the sidecar's process, if it still runs, and starts
-// another one with the same settings.
+// another one at the same control address.
 func (c *Cluster) RestartSidecar(s *Sidecar) {
 	c.t.Helper()
 	s.Kill()
-	s.Proc = startProc(c.t, s.Name, binaries.damaskport, string(settings.RoleSidecar), "--settings", c.settingsPath(s.Name))
+	s.Proc = c.restart(s.Name, func(f *settings.File) { f.Sidecar.ControlAddr = s.ControlRelay.target })
 	c.List(s, platform.StateLive)
 }
 
 // RestartEntry ends the entry's process, if it still runs, and starts another
-// one with the same settings.
+// one at the same addresses.
 func (c *Cluster) RestartEntry(e *Entry) {
 	c.t.Helper()
 	e.Kill()
-	e.Proc = startProc(c.t, e.Name, binaries.damaskport, string(settings.RoleEntry), "--settings", c.settingsPath(e.Name))
+	e.Proc = c.restart(e.Name, func(f *settings.File) {
+		f.Entry.CallerAddr, f.Entry.AdminAddr = hostPort(e.CallerURL), hostPort(e.AdminURL)
+	})
 }
 
-func (c *Cluster) settingsPath(name string) string {
-	return filepath.Join(c.dir, name+".json")
+// restart starts the process with the settings that it had, edited by pin.
+func (c *Cluster) restart(name string, pin func(*settings.File)) *Proc {
+	c.t.Helper()
+	path := filepath.Join(c.dir, name+".json")
+	f, err := settings.Load(path)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	pin(&f)
+	data, err := json.Marshal(f)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return startProc(c.t, name, binaries.damaskport, string(f.Role), "--settings", path)
 }
--- a/internal/proof/pairs/pairs_test.go
+++ b/internal/proof/pairs/pairs_test.go
@@ -152,6 +152,7 @@
 		b.mend(w, m)
 		a.mend(w, n)
 	}
+	w.t.Logf("%d: %s(%d) + %s(%d)", i, a.name, n%4, b.name, m%4)
 	accepted, ok := <-told
 	version := w.insist(withdraw)
 	if !ok {
@@ -161,7 +162,7 @@
 	w.withdrawn = append(w.withdrawn, withdrawn{key, accepted})
 	w.mu.Unlock()
 	w.recover(version)
-	w.t.Logf("%d: %s(%d) + %s(%d), %v", i, a.name, n%4, b.name, m%4, time.Since(at).Round(time.Millisecond))
+	w.t.Logf("%d: well after %v", i, time.Since(at).Round(time.Millisecond))
 }
 
 func (w *world) newChange(ops ...directory.Op) directory.Change {
@@ -202,18 +203,15 @@
 func (w *world) recover(version int64) {
 	at := time.Now()
 	for _, e := range w.Entries {
-		w.Until(e.Name+" and its sidecars have recovered", func() bool {
-			s, err := e.Operator().Status(context.Background())
-			if err != nil || !s.Ready || s.Config.Number < version || len(s.Instances) < 1+len(w.Sidecars) {
-				return false
-			}
-			for _, in := range s.Instances {
-				if in.State != "live" || in.Version < version {
-					return false
-				}
-			}
-			return true
-		})
+		behind := "nothing"
+		for behind != "" && time.Since(at) < 3*forceTime {
+			time.Sleep(thinkTime)
+			behind = w.behind(e, version)
+		}
+		if behind != "" {
+			w.t.Errorf("not recovered at version %d after %v: %s", version, time.Since(at), behind)
+			return
+		}
 	}
 	if took := time.Since(at); took > forceTime {
 		w.t.Errorf("version %d was in force everywhere %v after all was mended, want at most %v", version, took, forceTime)
@@ -225,3 +223,20 @@
 		})
 	}
 }
+
+// behind says what keeps e from the version or from its sidecars, or "".
+func (w *world) behind(e *cluster.Entry, version int64) string {
+	s, err := e.Operator().Status(context.Background())
+	if err != nil {
+		return err.Error()
+	}
+	if !s.Ready || s.Config.Number < version || len(s.Instances) < 1+len(w.Sidecars) {
+		return fmt.Sprintf("%+v", s)
+	}
+	for _, in := range s.Instances {
+		if in.State != "live" || in.Version < version {
+			return fmt.Sprintf("%s sees %+v", e.Name, in)
+		}
+	}
+	return ""
+}
