--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -40,7 +40,8 @@
 	charged float64 // tokens charged to the account
 	tokens  int
 	floor   bool    // started on a floor turn
-	paid    float64 // earned turns that its class spent on it
+	spent   float64 // floor credit that its class spent on it in advance
+	counted int     // tokens that the floors have counted
 
 	tier  *tierQueue
 	acct  *account
@@ -67,6 +68,11 @@
 	return float64(it.r.PromptTokens) / promptTokensPerToken
 }
 
+// cost is what it is expected to be charged.
+func (it *item) cost() float64 {
+	return it.est + it.promptCost()
+}
+
 // account is a client account within a tier.
 type account struct {
 	seq     uint64
@@ -100,10 +106,8 @@
 	tier    *tierQueue
 	flows   tree[*flow]
 	waiting int
-	floor   float64 // percent of turns
-	earned  float64 // turns earned by the floor
-	waited  float64 // turns earned since the last offer, while waiting without a break
-	offered uint64  // number of the last offer
+	floor   floorState
+	offered uint64 // number of the last offer
 	tokens  mean
 }
 
@@ -119,6 +123,7 @@
 	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
 	expiry     tree[*item]
 	waiting    int
+	patient    int     // waiting requests for which nothing is preempted
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
 	tokens     mean
@@ -226,6 +231,9 @@
 	t.attach(a)
 	it.class.waiting++
 	t.waiting++
+	if it.r.Patient {
+		t.patient++
+	}
 	if it.hasTarget() {
 		it.expiry = key{deadline: float64(it.r.DeadlineMs) - t.credit, seq: it.seq}
 		t.expiry.insert(it.expiry, sums{}, it)
@@ -240,10 +248,10 @@
 	a.work = a.queued()
 	t.attach(a)
 	it.class.waiting--
-	if it.class.waiting == 0 {
-		it.class.waited = 0
-	}
 	t.waiting--
+	if it.r.Patient {
+		t.patient--
+	}
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
 	}
