--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
@@ -24,6 +25,16 @@
 	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"settings in JSON with comments"`
 }
 
+// load reads the settings and sets up the log.
+func (s settingsFlag) load(o output) (settings.File, *logrus.Logger, error) {
+	f, err := settings.Load(s.Settings)
+	if err != nil {
+		return f, nil, err
+	}
+	log, err := logging.New(o.err, f.LogLevel)
+	return f, log, err
+}
+
 type entryCommand struct {
 	settingsFlag
 	o output
@@ -37,11 +48,7 @@
 
 // Execute runs the entry until a signal arrives.
 func (c *entryCommand) Execute([]string) error {
-	f, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	log, err := logging.New(c.o.err, f.LogLevel)
+	f, log, err := c.load(c.o)
 	if err != nil {
 		return err
 	}
@@ -72,11 +79,7 @@
 
 // Execute runs the sidecar until a signal arrives.
 func (c *sidecarCommand) Execute([]string) error {
-	f, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	log, err := logging.New(c.o.err, f.LogLevel)
+	f, log, err := c.load(c.o)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/capacity/capacity.go
+++ b/internal/platform/capacity/capacity.go
@@ -11,15 +11,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/damaskport/damaskport/internal/platform/fenced"
+	"github.com/damaskport/damaskport/internal/platform/listing"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const maxListBytes = 16 << 20
-
 // State of a backend server.
 type State string
 
@@ -90,19 +88,7 @@
 // List reads the state of all backend servers.
 func (c *Client) List(ctx context.Context) (Listing, error) {
 	var out Listing
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/capacity", nil)
-	if err != nil {
-		return out, err
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return out, err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return out, &fenced.StatusError{Status: res.StatusCode, Message: "list of backend servers"}
-	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&out)
+	err := listing.Get(ctx, c.http, c.base+"/v1/capacity", &out)
 	return out, err
 }
 
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -7,11 +7,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 
+	"github.com/damaskport/damaskport/internal/platform/listing"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -52,8 +50,6 @@
 	Instances []Instance   `json:"instances"`
 }
 
-const maxListBytes = 16 << 20
-
 // Client reads the list. It is safe for concurrent use.
 type Client struct {
 	base string
@@ -68,18 +64,6 @@
 // List reads the list.
 func (c *Client) List(ctx context.Context) (List, error) {
 	var out List
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/instances", nil)
-	if err != nil {
-		return out, err
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return out, err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return out, fmt.Errorf("list of instances answered %d", res.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&out)
+	err := listing.Get(ctx, c.http, c.base+"/v1/instances", &out)
 	return out, err
 }
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -4,25 +4,15 @@
 	"context"
 	"net/http"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/damaskport/damaskport/internal/backend/engine"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
-	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 // maxAttempts bounds the failed attempts of one chat completion.
 const maxAttempts = 12
 
-const (
-	// resumePatience bounds the time for which a stream that has begun waits
-	// for a server to go on.
-	resumePatience = 10 * clock.Second
-	resumePause    = 100 * clock.Millisecond
-)
-
 // serveChat answers POST /v1/chat/completions.
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	q, done, failure := e.open(w, r)
@@ -126,54 +116,6 @@
 	return lost(x.j, "the answer was interrupted too often")
 }
 
-// waitToResume waits before a stream that has begun is tried again although no
-// server took it: the caller has part of the answer, and servers that are being
-// replaced come back. It reports false once the stream is given up.
-func (x *exchange) waitToResume(ctx context.Context, failure *openai.Error) bool {
-	if x.j.delivered == 0 || !x.j.preemptible || !failure.NotRun || failure.RetryAfterMs == 0 {
-		return false
-	}
-	now := x.e.clock.Now()
-	if x.interruptedAt == 0 {
-		x.interruptedAt = now
-	}
-	if now-x.interruptedAt > resumePatience {
-		return false
-	}
-	return x.e.clock.Sleep(ctx, resumePause) == nil
-}
-
-// again decides whether an attempt that ended early may be followed by another.
-func (x *exchange) again(ctx context.Context, ans *answer, end dispatch.End) *openai.Error {
-	if ctx.Err() != nil {
-		return stopped(ctx, x.j)
-	}
-	x.e.log.WithFields(logrus.Fields{
-		"event": "attemptInterrupted", "request": x.j.id, "peer": ans.peer.instance.Name, "end": end, "delivered": x.j.delivered,
-	}).Info("the answer was interrupted")
-	x.j.resumed = true
-	switch end {
-	case dispatch.EndWithdrawn:
-		e := unauthorized("invalidKey", "the key has been withdrawn")
-		e.NotRun = false
-		return e
-	case dispatch.EndPreempted:
-		if !x.e.retries.allow(x.j, retry.OutcomePreempted) {
-			return lost(x.j, "the answer was interrupted")
-		}
-	default:
-		x.j.failures++
-		ans.peer.suspect()
-		if !x.e.retries.allow(x.j, retry.OutcomeFailed) {
-			return lost(x.j, "the answer was interrupted")
-		}
-	}
-	if x.j.delivered == 0 {
-		x.whole = nil
-	}
-	return nil
-}
-
 // relay passes one attempt's answer to the caller and returns its end.
 func (x *exchange) relay(ctx context.Context, ans *answer) (dispatch.End, *openai.Error) {
 	if ans.res.StatusCode != http.StatusOK {
