An entry bears a silent answer as long as the sidecar does, and a margin

Cause: the entry's limit was a constant of 8 s; a sidecar set to wait longer for its server was given up before it could answer. A drain was cut after 30 s, which is fewer than 1200 tokens at 26 ms; the default is two minutes now.

--- a/internal/operator/settings/defaults.go
+++ b/internal/operator/settings/defaults.go
@@ -18,7 +18,7 @@
 	defaultUsageShards       = 1
 	defaultUsageWindowMs     = 1 * clock.Minute
 	defaultLeaseMs           = 6 * clock.Second
-	defaultDrainMs           = 30 * clock.Second
+	defaultDrainMs           = 2 * clock.Minute
 	defaultProgressTimeoutMs = 5 * clock.Second
 )
 
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -88,8 +88,10 @@
 	Zone        string `json:"zone"`
 	DataURL     string `json:"dataUrl"`
 	Slots       int    `json:"slots"`
-	State       State  `json:"state"`
-	Load        Load   `json:"load"`
+	// ProgressTimeoutMs is the silence of its server that the sidecar bears.
+	ProgressTimeoutMs clock.Millis `json:"progressTimeoutMs"`
+	State             State        `json:"state"`
+	Load              Load         `json:"load"`
 }
 
 // Load is the sidecar's own account of its server.
--- a/internal/role/entry/answer.go
+++ b/internal/role/entry/answer.go
@@ -58,10 +58,9 @@
 	after time.Duration
 }
 
-// progressGuard watches ans. Its time exceeds that of the sidecars, so that a
-// sidecar reports a silent server before the entry gives the sidecar up.
+// progressGuard watches ans.
 func (e *Entry) progressGuard(ans *answer) *guard {
-	after := e.progressTimeout.Duration()
+	after := ans.peer.patience().Duration()
 	return &guard{after: after, timer: time.AfterFunc(after, func() { _ = ans.res.Body.Close() })}
 }
 
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -101,7 +101,7 @@
 		return nil, &attemptError{err: internalError(err)}
 	}
 	p.took(j)
-	res, err := d.send(req, j)
+	res, err := d.send(req, j, p)
 	if err != nil {
 		p.gave()
 		return nil, d.transportError(ctx, j, p, err)
@@ -126,9 +126,9 @@
 // send sends the request; it fails when the sidecar shows no sign of life for
 // the progress timeout. A protected request uses a connection of its own, so
 // that a failed dial proves that nothing was sent.
-func (d *dispatcher) send(req *http.Request, j *job) (*http.Response, error) {
+func (d *dispatcher) send(req *http.Request, j *job, p *peer) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	after := d.e.progressTimeout.Duration()
+	after := p.patience().Duration()
 	silent := time.AfterFunc(after, func() { cancel(errSilent) })
 	defer silent.Stop()
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -28,9 +28,9 @@
 	idleTimeout         = 2 * time.Minute
 	// drainGrace is how long a draining entry takes requests for.
 	drainGrace = 500 * clock.Millisecond
-	// progressFactor is how much longer an entry waits for progress than a
-	// sidecar does by default.
-	defaultProgressTimeout = 8 * clock.Second
+	// progressMargin is how much longer an entry waits for a sign of life than
+	// the sidecar waits for its server.
+	progressMargin = 3 * clock.Second
 )
 
 // Deps are the parts that an Entry uses.
@@ -50,31 +50,30 @@
 
 // Entry is the role. Create it with New and start it with Run.
 type Entry struct {
-	name            string
-	zone            string
-	incarnation     string
-	cfg             settings.Entry
-	policy          settings.Policy
-	log             logrus.FieldLogger
-	clock           clock.Clock
-	store           *config.Store
-	exchange        *dispatch.Exchange
-	peers           *peers
-	router          *router
-	room            *waitRoom
-	dispatcher      *dispatcher
-	retries         *retries
-	active          *active
-	confirmed       *notice
-	metrics         *metrics
-	issueKey        func(clock.Millis, string) string
-	logRead         func() clock.Millis
-	leaseStatus     func() []admin.LeaseStatus
-	duties          []supervise.Duty
-	progressTimeout clock.Millis
-	callerLn        net.Listener
-	nextID          atomic.Int64
-	draining        atomic.Bool
+	name        string
+	zone        string
+	incarnation string
+	cfg         settings.Entry
+	policy      settings.Policy
+	log         logrus.FieldLogger
+	clock       clock.Clock
+	store       *config.Store
+	exchange    *dispatch.Exchange
+	peers       *peers
+	router      *router
+	room        *waitRoom
+	dispatcher  *dispatcher
+	retries     *retries
+	active      *active
+	confirmed   *notice
+	metrics     *metrics
+	issueKey    func(clock.Millis, string) string
+	logRead     func() clock.Millis
+	leaseStatus func() []admin.LeaseStatus
+	duties      []supervise.Duty
+	callerLn    net.Listener
+	nextID      atomic.Int64
+	draining    atomic.Bool
 }
 
 // New opens the entry's address for callers.
@@ -83,7 +82,7 @@
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
-		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, duties: d.Duties, progressTimeout: defaultProgressTimeout,
+		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, duties: d.Duties,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
--- a/internal/role/entry/peerload.go
+++ b/internal/role/entry/peerload.go
@@ -1,5 +1,7 @@
 package entry
 
+import "github.com/damaskport/damaskport/internal/runtime/clock"
+
 // usable reports whether the sidecar takes work: it is connected, not leaving,
 // and has a configuration, without which it refuses everything. The caller
 // holds mu.
@@ -7,6 +9,15 @@
 	return p.link != nil && p.config.Number > 0 && !p.leaving && !p.listedLeaving.Load() && !p.drained.Load()
 }
 
+// patience returns how long a silent answer of the sidecar is borne. It exceeds
+// the sidecar's own timeout, so that a sidecar reports a silent server before
+// the entry gives the sidecar up.
+func (p *peer) patience() clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hello.ProgressTimeoutMs + progressMargin
+}
+
 // took notes that a request was bound here, so that the known free slots fall
 // before the next report.
 func (p *peer) took(j *job) {
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -295,6 +295,7 @@
 	return dispatch.HelloReply{
 		Name: s.name, Incarnation: s.incarnation, Pool: s.cfg.Pool, Zone: s.zone,
 		DataURL: s.DataURL(), Slots: s.cfg.Slots, Load: load,
-		State: dispatch.State{Config: s.store.Version()},
+		ProgressTimeoutMs: s.cfg.ProgressTimeoutMs,
+		State:             dispatch.State{Config: s.store.Version()},
 	}
 }
