--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// take accepts an offer. A protected job is handed over under this attempt
-// only, so its other reservations are given up first.
+// take accepts an offer; offers of the other sidecars are not read meanwhile, and
+// their reservations are cancelled once the job is bound.
 func (h *held) take(ctx context.Context, p *peer) (*answer, *attemptError) {
 	if _, ok := h.open[p]; !ok {
 		return nil, nil
