Servers that cannot be told are not stopped; usage grace follows the counts; a told end keeps the connection

Change: unknown load is the highest, and an error of a drain stops nothing; the grace is at least three counts of the listed servers; the connection is closed only if the sidecar did not tell the end itself. maxWaiting is 4000: 31 KB each. Measured: the streams test passes 52 of 52 runs with -race (5 at a time); control tests pass.

--- a/internal/control/capacity/capacity.go
+++ b/internal/control/capacity/capacity.go
@@ -89,7 +89,8 @@
 // Drainer drains servers.
 type Drainer interface {
 	// Drain has the server take no new work, and reports whether it has no
-	// work left. It may be called again for the same server.
+	// work left. It may be called again for the same server. After an error the
+	// server is not stopped.
 	Drain(ctx context.Context, server string) (bool, error)
 }
 
--- a/internal/control/capacity/step.go
+++ b/internal/control/capacity/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -83,7 +84,7 @@
 				Name:  srv.Name,
 				Zone:  srv.Zone,
 				State: policy.State(srv.State),
-				Load:  pool.Load[srv.Name],
+				Load:  loadOf(pool, srv.Name),
 			})
 		}
 	}
@@ -147,13 +148,24 @@
 	return s.order(ctx, in)
 }
 
+// loadOf returns the load of a server. An unknown load counts as the highest,
+// so that such a server is stopped last.
+func loadOf(p Pool, server string) int {
+	if n, ok := p.Load[server]; ok {
+		return n
+	}
+	return math.MaxInt32
+}
+
 // drained drains the server of an intent and reports whether it may be stopped.
 func (s *session) drained(ctx context.Context, in order.Intent) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.TimeoutMs.Duration())
 	defer cancel()
 	done, err := s.drainer.Drain(ctx, in.Server)
 	if err != nil {
+		// A server that cannot be told is not stopped: it may be at work.
 		s.logger.WithFields(logrus.Fields{"event": "drainFailed", "server": in.Server}).Warn(err)
+		return false
 	}
 	return done || s.clock.Wall() >= in.AtMs+s.cfg.DrainMs
 }
--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -66,6 +66,8 @@
 	// after which it is sealed.
 	WindowMs clock.Millis
 	GraceMs  clock.Millis
+	// Grace returns a longer time where counts come more seldom; nil is none.
+	Grace func() clock.Millis
 	// RetentionMs is that of the log; the default is an hour.
 	RetentionMs clock.Millis
 	// TimeoutMs bounds one call of the log.
@@ -203,7 +205,7 @@
 // seal writes the figures of the windows that have ended, and reads them back.
 // A seal that was recorded twice changes nothing.
 func (s *session) seal(ctx context.Context) error {
-	due := s.fold.Due(s.clock.Wall(), s.cfg.GraceMs, s.cfg.WindowMs)
+	due := s.fold.Due(s.clock.Wall(), s.grace(), s.cfg.WindowMs)
 	if len(due) == 0 {
 		return nil
 	}
@@ -246,3 +248,11 @@
 	}
 	return nil
 }
+
+// grace returns the time after a window's end after which it is sealed.
+func (s *session) grace() clock.Millis {
+	if s.cfg.Grace == nil {
+		return s.cfg.GraceMs
+	}
+	return max(s.cfg.GraceMs, s.cfg.Grace())
+}
--- a/internal/operator/settings/defaults.go
+++ b/internal/operator/settings/defaults.go
@@ -13,7 +13,7 @@
 	defaultBodyTimeoutMs     = 30 * clock.Second
 	defaultCandidates        = 3
 	defaultPeersPerPool      = 64
-	defaultMaxWaiting        = 10000
+	defaultMaxWaiting        = 4000
 	defaultLogRetentionMs    = 1 * clock.Hour
 	defaultUsageShards       = 1
 	defaultUsageWindowMs     = 1 * clock.Minute
--- a/internal/role/entry/demand.go
+++ b/internal/role/entry/demand.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -90,7 +92,11 @@
 	return n
 }
 
+// ListedServers returns the number of backend servers in the platform's list.
+func (e *Entry) ListedServers() int { return int(e.peers.servers.Load()) }
+
 // Drain has a server take no new work, and reports whether it has none left.
+// It is an error when this entry keeps no connection to the server.
 func (e *Entry) Drain(_ context.Context, server string) (bool, error) {
 	for _, p := range e.peers.all() {
 		if p.instance.Name != server {
@@ -106,5 +112,5 @@
 		idle := p.link != nil && p.leaving && p.load.Running == 0
 		return idle, nil
 	}
-	return false, nil
+	return false, errors.Errorf("no connection is kept to %s", server)
 }
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -21,8 +21,7 @@
 	listPerInstance = clock.Millisecond
 	minHeartbeat    = 500 * clock.Millisecond
 	maxHeartbeat    = 8 * clock.Second
-	// heartbeatBytes is the size of a heartbeat and its answer on the wire when
-	// nothing has changed.
+	// heartbeatBytes is the size of a heartbeat and its answer with a load.
 	heartbeatBytes = 192
 	// heartbeatBudget is the rate at which an entry's heartbeats may use the
 	// network, in bytes per second.
--- a/internal/role/entry/resume.go
+++ b/internal/role/entry/resume.go
@@ -55,7 +55,10 @@
 		}
 	default:
 		x.j.failures++
-		ans.peer.suspect()
+		if ans.end() == "" {
+			// The sidecar itself did not tell the end: the path to it is broken.
+			ans.peer.suspect()
+		}
 		if !x.e.retries.allow(x.j, retry.OutcomeFailed) {
 			return lost(x.j, "the answer was interrupted")
 		}
--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -100,7 +100,10 @@
 func (d duties) reporter(leases *lease.Leases, e *entry.Entry, shard int) *usage.Reporter {
 	return usage.New(usage.Config{
 		Author: d.author, Shard: shard, Shards: d.f.Platform.UsageShards, WindowMs: d.f.Platform.UsageWindowMs,
-		GraceMs: graceCounts * countInterval(d.f.Platform), RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
+		GraceMs: graceCounts * countInterval(d.f.Platform),
+		Grace: func() clock.Millis {
+			return graceCounts * clock.Millis(e.ListedServers()) * clock.Second / usageAppendsPerSecond
+		}, RetentionMs: d.f.Platform.LogRetentionMs, TimeoutMs: d.f.Platform.TimeoutMs,
 	}, leases, d.logs, platformusage.New(d.f.Platform.UsageURL), d.clock, d.log, e.Scope())
 }
 
