Log reads are hedged: an entry behind a silent connection catches up in time

Found by internal/proof/config, TestPartitionHeals/silent=true: the reader's deadline grows with each read that runs out of time, so that the last read over the silent connection held an entry back after the partition had healed (5.15 s and 5.21 s in two of nine runs, limit 4 s; the others below 1 s). A read without an answer one second past its wait is now sent again on another connection, at most 8 at a time; the reader and its deadlines are unchanged. Ruled out: hedging within config.Reader, which changes the deadlines that its test states.

--- a/internal/role/process/duties.go
+++ b/internal/role/process/duties.go
@@ -48,7 +48,7 @@
 
 // reader returns the reader of the configuration stream.
 func (d duties) reader() *config.Reader {
-	return &config.Reader{Log: d.logs, Store: d.store, Clock: d.clock, Logger: d.log, WaitMs: readWait}
+	return &config.Reader{Log: logservice.Hedged{Client: d.logs}, Store: d.store, Clock: d.clock, Logger: d.log, WaitMs: readWait}
 }
 
 // leased returns the control duties, each of which runs in one entry at a time.
