Slots: a target for the whole answer moves the latest start forward

The latest start is now the deadline less the expected time of generation, at most half of the time from the arrival.

The driver counts now, beside the first token, all targets (pace and whole answer) and the tokens of late answers; the earlier figures and assertions stay.

--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -127,8 +127,10 @@
 	Share   int    `json:"share"`
 	// FloorPercent is the class's floor of dispatch turns.
 	FloorPercent int `json:"floorPercent,omitempty"`
-	// RemainingMs is the time left to the first-token target; 0 is no target.
+	// RemainingMs is the time left to the first-token target, or to that of the
+	// whole answer; 0 is no target.
 	RemainingMs  clock.Millis `json:"remainingMs,omitempty"`
+	WholeAnswer  bool         `json:"wholeAnswer,omitempty"`
 	PromptTokens int          `json:"promptTokens,omitempty"`
 	// MaxTokens bounds the output length; 0 is no bound.
 	MaxTokens int `json:"maxTokens,omitempty"`
--- a/internal/policy/slots/compare_test.go
+++ b/internal/policy/slots/compare_test.go
@@ -11,13 +11,16 @@
 // result is what a run gave: parts of 1.
 type result struct {
 	attained [3]float64
-	goodput  float64 // tokens of requests that attained and ended, of the capacity
-	wasted   float64 // other tokens and prefills of preemption, of those generated
-	worst    float64 // lowest part of its fair share of tokens that an account got
+	goodput  float64    // tokens of requests that attained and ended, of the capacity
+	wasted   float64    // other tokens and prefills of preemption, of those generated
+	met      [3]float64 // all targets
+	late     float64    // tokens of answers that did not meet all targets, of those generated
+	worst    float64    // lowest part of its fair share of tokens that an account got
 }
 
 func measure(jobs []*job) result {
-	var n, hit [3]float64
+	var n, hit, met [3]float64
+	late := 0.0
 	good, spent, lost := 0.0, 0.0, 0.0
 	asked, got := map[string]float64{}, map[string]float64{}
 	for _, j := range jobs {
@@ -25,6 +28,11 @@
 		asked[j.r.Account] += float64(j.length)
 		spent += float64(j.done + j.preempt*prefillTokens)
 		lost += float64(j.preempt * prefillTokens)
+		if j.met() {
+			met[j.r.Tier]++
+		} else if j.endMs > 0 {
+			late += float64(j.done)
+		}
 		if j.attained() {
 			hit[j.r.Tier]++
 		}
@@ -35,9 +43,10 @@
 		good += float64(j.done)
 		got[j.r.Account] += float64(j.done)
 	}
-	out := result{goodput: good / (capacity * float64(runMs)), wasted: lost / spent, worst: 1}
+	out := result{goodput: good / (capacity * float64(runMs)), wasted: lost / spent, late: late / spent, worst: 1}
 	for i := range n {
 		out.attained[i] = hit[i] / max(n[i], 1)
+		out.met[i] = met[i] / max(n[i], 1)
 	}
 	fair := capacity * float64(runMs) / 10
 	for a, tokens := range asked {
@@ -85,8 +94,8 @@
 				s := drive(variant.cfg, jobs)
 				r := measure(jobs)
 				got[variant.name] = r
-				t.Logf("%s seed=%d %-12s attained=%.3f/%.3f/%.3f goodput=%.3f wasted=%.3f worst=%.3f %+v",
-					scene.name, seed, variant.name, r.attained[0], r.attained[1], r.attained[2], r.goodput, r.wasted, r.worst, s.Counts())
+				t.Logf("%s seed=%d %-12s attained=%.3f/%.3f/%.3f met=%.3f/%.3f/%.3f late=%.3f goodput=%.3f wasted=%.3f worst=%.3f %+v",
+					scene.name, seed, variant.name, r.attained[0], r.attained[1], r.attained[2], r.met[0], r.met[1], r.met[2], r.late, r.goodput, r.wasted, r.worst, s.Counts())
 			}
 			ours := got["ours"]
 			if scene.flood == 1 && ours.attained[0] < got["alone"].attained[0]-0.04 {
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -33,10 +33,8 @@
 	}
 	it.class.floor.percent = float64(min(max(r.FloorPercent, 0), 100))
 	it.est = s.estimateTokens(it)
-	it.order = key{deadline: math.Inf(1), arrived: int64(r.ArrivedMs), seq: it.seq}
-	if r.DeadlineMs > 0 {
-		it.order.deadline = float64(r.DeadlineMs)
-	}
+	it.startBy = s.startBy(it)
+	it.order = key{deadline: it.startBy, arrived: int64(r.ArrivedMs), seq: it.seq}
 	if s.cfg.Order == OrderFIFO {
 		it.order.deadline = 0
 	}
@@ -59,6 +57,21 @@
 	return math.Max(1, est)
 }
 
+// startBy returns the time by which it has to start: its deadline, less the
+// expected time of generation if the deadline is that of the whole answer, but
+// at least half of the time from its arrival.
+func (s *Slots) startBy(it *item) float64 {
+	if it.r.DeadlineMs <= 0 {
+		return math.Inf(1)
+	}
+	deadline := float64(it.r.DeadlineMs)
+	if !it.r.WholeAnswer {
+		return deadline
+	}
+	half := math.Max(0, deadline-float64(it.r.ArrivedMs)) / 2
+	return deadline - math.Min(it.est*float64(s.tokenMs), half)
+}
+
 func (s *Slots) add(it *item) {
 	s.items[it.r.ID] = it
 	of := s.entries[it.r.Entry]
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -48,7 +48,8 @@
 // ordinary free slot and may go to a floor turn.
 //
 // Shedding: a request of tier t is refused if its estimated start exceeds its
-// deadline. The estimate counts the waiting work that rules 2 to 4 place before
+// deadline; a deadline for the whole answer is brought forward by the expected
+// time of generation, at most by half of the time from the arrival. The estimate counts the waiting work that rules 2 to 4 place before
 // it, as far as such work is expected to start here and not to be cancelled, and
 // the occupied slots of tier t and above, and takes all slots as available: lower tiers and the floor turns of other classes do not enter it.
 // The floor of the request's own class may only shorten it. A waiting request's
--- a/internal/policy/slots/drive_test.go
+++ b/internal/policy/slots/drive_test.go
@@ -31,6 +31,19 @@
 	preempt int // preemptions
 	startMs clock.Millis
 	firstMs clock.Millis // 0 before the first token
+	endMs   clock.Millis // 0 before the end
+}
+
+// paceMs bounds the mean time between the tokens of the tiers 0 and 1; the
+// target of tier 2 is for the whole answer.
+const paceMs = 3 * tokenMs
+
+// met tells whether a complete answer met all targets.
+func (j *job) met() bool {
+	if j.endMs == 0 || j.r.WholeAnswer {
+		return j.endMs > 0 && j.endMs <= j.r.ArrivedMs+targets[2]
+	}
+	return j.attained() && j.endMs-j.firstMs <= paceMs*clock.Millis(j.length-1)
 }
 
 func (j *job) attained() bool {
@@ -57,6 +70,7 @@
 			r: slots.Reservation{
 				ID: fmt.Sprint(len(out)), Class: fmt.Sprint("c", tier), Tier: tier, FloorPercent: []int{0, 5, 5}[tier],
 				Account: fmt.Sprint("a", account), ArrivedMs: now, DeadlineMs: now + targets[tier], Preemptible: tier > 0,
+				WholeAnswer: tier == 2,
 			},
 		})
 	}
@@ -101,6 +115,7 @@
 			j.firstMs = now
 		}
 		if j.done == j.length {
+			j.endMs = now
 			v.stop(now, j)
 		} else if j.attempt%8 == 1 {
 			v.s.Progress(now, j.r.ID, j.attempt)
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -37,6 +37,7 @@
 	state   state
 	seq     uint64
 	est     float64 // expected output tokens
+	startBy float64 // time by which it has to start; infinite without a target
 	charged float64 // tokens charged to the account
 	tokens  int
 	floor   bool    // started on a floor turn
@@ -235,7 +236,7 @@
 		t.patient++
 	}
 	if it.hasTarget() {
-		it.expiry = key{deadline: float64(it.r.DeadlineMs) - t.credit, seq: it.seq}
+		it.expiry = key{deadline: it.startBy - t.credit, seq: it.seq}
 		t.expiry.insert(it.expiry, sums{}, it)
 	}
 }
--- a/internal/policy/slots/shed.go
+++ b/internal/policy/slots/shed.go
@@ -34,7 +34,7 @@
 	if !it.hasTarget() {
 		return math.Inf(1)
 	}
-	deadline := float64(it.r.DeadlineMs)
+	deadline := it.startBy
 	if it.state == stateWaiting {
 		deadline = it.expiry.deadline + it.tier.credit
 	}
@@ -51,7 +51,7 @@
 		return true
 	}
 	left := s.leftMs(it)
-	target := float64(it.r.DeadlineMs - it.r.ArrivedMs)
+	target := it.startBy - float64(it.r.ArrivedMs)
 	first := math.Min(float64(s.firstTokenMs), target/2)
 	return left > 0 && wait <= math.Max(0, left-first)*margin
 }
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -64,9 +64,10 @@
 	Share        int `json:"share"`
 	FloorPercent int `json:"floorPercent"`
 	// ArrivedMs and DeadlineMs are on the sidecar's clock. DeadlineMs is the
-	// first-token target, 0 for none.
+	// first-token target, or that of the whole answer; 0 for none.
 	ArrivedMs    clock.Millis `json:"arrivedMs"`
 	DeadlineMs   clock.Millis `json:"deadlineMs"`
+	WholeAnswer  bool         `json:"wholeAnswer,omitempty"`
 	PromptTokens int          `json:"promptTokens"`
 	// EstTokens is the expected output length, 0 if unknown.
 	EstTokens int `json:"estTokens"`
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -74,7 +74,7 @@
 	return dispatch.Reservation{
 		ID: id, Entry: entry, Class: j.class.Name, Account: j.account.Name, KeyID: j.keyID,
 		Tier: j.class.Tier, Share: j.account.Share, FloorPercent: j.class.FloorPercent,
-		RemainingMs: j.remaining(now), PromptTokens: j.prompt, MaxTokens: j.maxTokens,
+		RemainingMs: j.remaining(now), WholeAnswer: j.class.FirstTokenMs == 0, PromptTokens: j.prompt, MaxTokens: j.maxTokens,
 		AgeMs: now - j.arrived, Resumed: j.resumed, Preemptible: j.preemptible,
 	}
 }
