Slots: the estimate counts what higher tiers will take

Cause: the time to start counted the higher tiers' work that waits now, not what will arrive. Below a busy tier requests were accepted that could not start in time, or were preempted and ended late.

The expected wait is now divided by the share of the slots that the tiers above left lately (mean over 5 s, at least a tenth). It reads only tiers above; the probe of TestRandomRuns still finds no influence of lower tiers.

TestCompare asserts at most 8 % in late answers, 10 % before.

--- a/internal/policy/slots/compare_test.go
+++ b/internal/policy/slots/compare_test.go
@@ -104,7 +104,7 @@
 			if scene.flood > 1 && ours.worst < got["noShares"].worst+0.2 {
 				t.Errorf("%s seed %d: worst account %.3f, without shares %.3f", scene.name, seed, ours.worst, got["noShares"].worst)
 			}
-			if ours.late > 0.1 {
+			if ours.late > 0.08 {
 				t.Errorf("%s seed %d: %.3f of the tokens in late answers", scene.name, seed, ours.late)
 			}
 			if ours.wasted > 0.05 || ours.goodput < 0.9 {
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -259,6 +259,7 @@
 func (s *Slots) advance(now clock.Millis) {
 	if now > s.now {
 		s.credit(now - s.now)
+		s.noteAbove(now - s.now)
 		s.now = now
 	}
 	lapsed := false
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -54,6 +54,8 @@
 // time of generation, at most by half of the time from the arrival. The estimate counts the waiting work that rules 2 to 4 place before
 // it, as far as such work is expected to start here and not to be cancelled, and
 // the occupied slots of tier t and above, and takes all slots as available: lower tiers and the floor turns of other classes do not enter it.
+// The share of the slots that the tiers above held lately, a mean weighted over
+// 5 s, is taken as lost to them also later; at least a tenth is left.
 // The floor of the request's own class may only shorten it. A waiting request's
 // deadline is extended by the time that it lost to lower tiers and floor turns:
 // the share of slots that they occupy, integrated over time. So no lower tier's
--- a/internal/policy/slots/estimate.go
+++ b/internal/policy/slots/estimate.go
@@ -13,6 +13,10 @@
 	drainMemory = 10 * clock.Second
 	// drainTrust is the busy time from which the observed drain rate is used.
 	drainTrust = 1 * clock.Second
+	// aboveMemory is the time after which an observed share weighs 1/e.
+	aboveMemory = 5 * clock.Second
+	// leastShare bounds the share of the slots that is left to a tier, from below.
+	leastShare = 0.1
 )
 
 // drainRate observes the completions per time while requests wait.
@@ -59,6 +63,16 @@
 	it.sampleMs, it.sampleTokens = s.now, tokens
 }
 
+// noteAbove observes the share of the slots that the tiers above each hold.
+func (s *Slots) noteAbove(dt clock.Millis) {
+	keep := math.Exp(-float64(dt) / float64(aboveMemory))
+	above := 0
+	for i, t := range s.tiers {
+		t.above = t.above*keep + (1-keep)*float64(above)/float64(s.cfg.Slots)
+		above += s.occupied[i]
+	}
+}
+
 // ahead is the work that rules 2 to 4 place before a request, as far as it is
 // expected to start here, and the occupied slots of its tier and above.
 type ahead struct {
@@ -117,7 +131,7 @@
 	tokens := s.tierTokens(it.tier)
 	rest := float64(a.occupied) - slots + 1
 	work := a.tokens*float64(s.tokenMs) + a.requests*float64(s.firstTokenMs) + rest*s.holdMs(tokens)
-	wait := math.Max(0, work/slots)
+	wait := math.Max(0, work/slots) / math.Max(1-it.tier.above, leastShare)
 	if floor := &it.class.floor; s.floorsOn() && floor.percent > 0 {
 		place := math.Min(a.requests, float64(it.class.waiting))
 		missing := math.Max(0, place*tokens+it.cost()-floor.credit)
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -125,6 +125,7 @@
 	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
 	expiry     tree[*item]
 	waiting    int
+	above      float64 // observed share of the slots held by the tiers above
 	patient    int     // waiting requests for which nothing is preempted
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
