--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -29,7 +29,9 @@
 //     longer than the credit saved is started like any other, and the class
 //     earns the excess before its next floor turn.
 //  2. Otherwise the highest tier (the smallest number) with waiting work is
-//     served, whatever the shares and deadlines in lower tiers.
+//     served, whatever the shares and deadlines in lower tiers. Within a tier,
+//     and within a class on a floor turn, resumed requests come first, the
+//     earliest deadline before the others; they are charged like all others.
 //  3. Within a tier the client account with the smallest token counter is
 //     served. A counter grows by tokens divided by the account's share: by the
 //     estimate when the slot is offered, by the excess while the request runs
@@ -48,9 +50,12 @@
 // ordinary free slot and may go to a floor turn.
 //
 // Shedding: a request of tier t is refused if its estimated start exceeds its
-// deadline. The estimate counts the waiting work that rules 2 to 4 place before
+// deadline; a deadline for the whole answer is brought forward by the expected
+// time of generation, at most by half of the time from the arrival. The estimate counts the waiting work that rules 2 to 4 place before
 // it, as far as such work is expected to start here and not to be cancelled, and
 // the occupied slots of tier t and above, and takes all slots as available: lower tiers and the floor turns of other classes do not enter it.
+// The share of the slots that the tiers above held lately, a mean weighted over
+// 5 s, is taken as lost to them also later; at least a tenth is left.
 // The floor of the request's own class may only shorten it. A waiting request's
 // deadline is extended by the time that it lost to lower tiers and floor turns:
 // the share of slots that they occupy, integrated over time. So no lower tier's
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -37,6 +37,7 @@
 	state   state
 	seq     uint64
 	est     float64 // expected output tokens
+	startBy float64 // time by which it has to start; infinite without a target
 	charged float64 // tokens charged to the account
 	tokens  int
 	floor   bool    // started on a floor turn
@@ -107,7 +108,8 @@
 	flows   tree[*flow]
 	waiting int
 	floor   floorState
-	offered uint64 // number of the last offer
+	resumed tree[*item] // waiting requests that were preempted, by deadline
+	offered uint64      // number of the last offer
 	tokens  mean
 }
 
@@ -123,6 +125,7 @@
 	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
 	expiry     tree[*item]
 	waiting    int
+	above      float64 // observed share of the slots held by the tiers above
 	patient    int     // waiting requests for which nothing is preempted
 	level      float64 // counter of the account served last
 	credit     float64 // time lost to lower tiers and floor turns, ms
@@ -234,8 +237,11 @@
 	if it.r.Patient {
 		t.patient++
 	}
+	if it.r.Resumed {
+		it.class.resumed.insert(it.order, sums{}, it)
+	}
 	if it.hasTarget() {
-		it.expiry = key{deadline: float64(it.r.DeadlineMs) - t.credit, seq: it.seq}
+		it.expiry = key{deadline: it.startBy - t.credit, seq: it.seq}
 		t.expiry.insert(it.expiry, sums{}, it)
 	}
 }
@@ -252,6 +258,9 @@
 	if it.r.Patient {
 		t.patient--
 	}
+	if it.r.Resumed {
+		it.class.resumed.remove(it.order)
+	}
 	if it.hasTarget() {
 		t.expiry.remove(it.expiry)
 	}
@@ -289,6 +298,16 @@
 
 // best returns the request that rules 3 and 4 choose.
 func (t *tierQueue) best() *item {
+	var resumed *node[*item]
+	for _, c := range t.classes {
+		n := c.resumed.first()
+		if n != nil && (resumed == nil || n.key.less(resumed.key)) {
+			resumed = n
+		}
+	}
+	if resumed != nil {
+		return resumed.value
+	}
 	var best *node[*flow]
 	for _, c := range t.classes {
 		n := c.flows.first()
@@ -303,6 +322,9 @@
 }
 
 func (c *classQueue) best() *item {
+	if n := c.resumed.first(); n != nil {
+		return n.value
+	}
 	n := c.flows.first()
 	if n == nil {
 		return nil
