Entry: fewer places in a waiting request's channel; a preempted request that is given up is unavailable

Cause: memory per waiting request was 33.1-33.6 KiB (target 32), 2.9 KiB of it a channel of 32 signals; callers saw the internal code preempted in coldStart.

--- a/internal/role/entry/failure.go
+++ b/internal/role/entry/failure.go
@@ -54,6 +54,8 @@
 	switch r.Code {
 	case dispatch.CodeFull, dispatch.CodeOfferLapsed:
 		return overloaded(max(r.RetryAfterMs, defaultRetryAfter))
+	case dispatch.CodePreempted:
+		return unavailable("the request was stopped for a higher tier and no backend server took it up again")
 	case dispatch.CodeKeyWithdrawn:
 		return unauthorized("invalidKey", "the key has been withdrawn")
 	case dispatch.CodeDuplicate, dispatch.CodeAlreadyDone:
--- a/internal/role/entry/waiting.go
+++ b/internal/role/entry/waiting.go
@@ -27,7 +27,7 @@
 }
 
 // signalBuffer holds what a few candidates can send before the request reads.
-const signalBuffer = 32
+const signalBuffer = 12
 
 // waiter is a request that waits for a slot.
 type waiter struct {
