Slots: an idle account keeps twice the credit

Cause of the worst account under a flood (driver, one server, one tier): each small account asks for about its fair share (1.05 times) in bursts, and targets of 4 s refuse what a burst of it exceeds; the credit of 8 requests for the time in which it asked for less cut that short. It is now 16 requests.

--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -18,7 +18,7 @@
 	expiryStep           = 5 * clock.Millisecond // least time between two looks for passed deadlines
 	defaultTokenMs       = 25.0
 	defaultOutputTokens  = 200
-	idleRequests         = 8 // idle credit in requests of OutputTokens
+	idleRequests         = 16 // idle credit in requests of OutputTokens
 	reestimatesPerTick   = 64
 	minRetryAfter        = 100 * clock.Millisecond
 	maxRetryAfter        = 60 * clock.Second
@@ -38,7 +38,7 @@
 	// OutputTokens is the output length of a request until lengths were observed.
 	OutputTokens int
 	// IdleTokens bounds the unused share that an account keeps while it is idle;
-	// 0 means 8 times OutputTokens, less than 0 none.
+	// 0 means 16 times OutputTokens, less than 0 none.
 	IdleTokens int
 	// Order is OrderTiers (also if empty) or OrderFIFO.
 	Order string
