--- a/internal/operator/settings/defaults.go
+++ b/internal/operator/settings/defaults.go
@@ -13,12 +13,12 @@
 	defaultBodyTimeoutMs     = 30 * clock.Second
 	defaultCandidates        = 3
 	defaultPeersPerPool      = 64
-	defaultMaxWaiting        = 10000
+	defaultMaxWaiting        = 4000
 	defaultLogRetentionMs    = 1 * clock.Hour
 	defaultUsageShards       = 1
 	defaultUsageWindowMs     = 1 * clock.Minute
 	defaultLeaseMs           = 6 * clock.Second
-	defaultDrainMs           = 30 * clock.Second
+	defaultDrainMs           = 2 * clock.Minute
 	defaultProgressTimeoutMs = 5 * clock.Second
 )
 
