--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -127,7 +127,7 @@
 	KeyID   string `json:"keyId"`
 	Tier    int    `json:"tier"`
 	Share   int    `json:"share"`
-	// FloorPercent is the class's floor of dispatch turns.
+	// FloorPercent is the class's floor of the charged tokens.
 	FloorPercent int `json:"floorPercent,omitempty"`
 	// RemainingMs is the time left to the first-token target, or to that of the
 	// whole answer; 0 is no target.
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -36,6 +36,8 @@
 	Accounts []directory.Account
 	Classes  []directory.Class
 	Policy   settings.Policy
+	// MaxWaiting bounds the requests that wait in an entry; 0 takes the default.
+	MaxWaiting int
 	// UsageWindowMs is the length of a usage window; 0 takes the default.
 	UsageWindowMs clock.Millis
 }
--- a/internal/role/solo/waiting_bench_test.go
+++ b/internal/role/solo/waiting_bench_test.go
@@ -26,6 +26,7 @@
 	b.Helper()
 	cfg := solo.Defaults()
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = 1, 1, slots, tokenMs
+	cfg.MaxWaiting = 10_000
 	cfg.Classes = []directory.Class{{Name: "batch", Tier: 2, Pools: []string{solo.ModelPool, solo.ServicePool}, Resume: true}}
 	cfg.Accounts = []directory.Account{{Name: "demo", Share: 1, Classes: []string{"batch"}}}
 	s, err := solo.New(cfg, logging.Discard())
--- a/internal/state/directory/types.go
+++ b/internal/state/directory/types.go
@@ -35,7 +35,7 @@
 	TokenMs clock.Millis `json:"tokenMs,omitempty"`
 	// AnswerMs is the target from arrival to the end of the answer; 0 is none.
 	AnswerMs clock.Millis `json:"answerMs,omitempty"`
-	// FloorPercent is the share of dispatch turns kept for the class while it
+	// FloorPercent is the share of the charged tokens kept for the class while it
 	// has waiting work.
 	FloorPercent int `json:"floorPercent,omitempty"`
 	// Pools lists the pools of backend servers that the class may use.
