--- a/internal/proof/duties/duties_test.go
+++ b/internal/proof/duties/duties_test.go
@@ -194,3 +194,30 @@
 		first[key] = r
 	}
 }
+
+// TestUsageOfKilledSidecar bounds what is lost with a sidecar: at most what
+// it counted since its last record.
+func TestUsageOfKilledSidecar(t *testing.T) {
+	c := start(t)
+	send := func(from, to int) {
+		for i := from; i < to; i++ {
+			if r := c.Call(c.Entries[0], cluster.ChatRequest(fmt.Sprintf("k%d", i), tokens, true)); r.Status != http.StatusOK || r.Err != nil {
+				t.Fatalf("request: %v", r)
+			}
+		}
+	}
+	send(0, 20)
+	recorded := generated(c)
+	c.Until("what was recorded is reported", func() bool { return reported(c.State()) >= recorded })
+	send(20, 30)
+	c.Sidecars[0].Kill()
+	all := generated(c)
+	// The counts of the sidecar that lives come with the next window.
+	time.Sleep((3 * windowMs).Duration())
+	got := reported(c.State())
+	t.Logf("%d of %d tokens reported, %d lost with the sidecar", got, all, all-got)
+	if got < recorded || got > all {
+		t.Errorf("%d tokens reported, want from %d to %d", got, recorded, all)
+	}
+	checkReports(t, c.State().Usage)
+}
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -38,6 +38,9 @@
 	Policy   settings.Policy
 	// MaxWaiting bounds the requests that wait in an entry; 0 takes the default.
 	MaxWaiting int
+	// BodyTimeoutMs bounds the time that a caller takes to send its body; 0 takes
+	// the default.
+	BodyTimeoutMs clock.Millis
 	// UsageWindowMs is the length of a usage window; 0 takes the default.
 	UsageWindowMs clock.Millis
 }
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -244,6 +244,9 @@
 		f.Entry.CallerAddr, f.Entry.AdminAddr = s.cfg.CallerAddr, s.cfg.AdminAddr
 	}
 	f.Entry.Duties = true
+	if s.cfg.BodyTimeoutMs > 0 {
+		f.Entry.BodyTimeoutMs = s.cfg.BodyTimeoutMs
+	}
 	if s.cfg.MaxWaiting > 0 {
 		f.Entry.MaxWaiting = s.cfg.MaxWaiting
 	}
--- a/internal/role/solo/solo_test.go
+++ b/internal/role/solo/solo_test.go
@@ -216,18 +216,28 @@
 	}
 }
 
-func TestBodyShorterThanItsLength(t *testing.T) {
+// TestIncompleteBodies sends a part of a body and then closes its side, or
+// sends nothing more.
+func TestIncompleteBodies(t *testing.T) {
 	cfg := solo.Defaults()
-	cfg.TokenMs = 0
+	cfg.TokenMs, cfg.BodyTimeoutMs = 0, 300
 	s := start(t, cfg)
+	t.Run("half-closed", func(t *testing.T) { incompleteBody(t, s, true, http.StatusBadRequest, "bodyCutShort") })
+	t.Run("slow", func(t *testing.T) { incompleteBody(t, s, false, http.StatusRequestTimeout, "bodyTimeout") })
+}
+
+func incompleteBody(t *testing.T, s *solo.Solo, closeWrite bool, status int, code string) {
+	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL(), "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
 	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n{\"model\":", s.Key("demo"))
-	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
+	if closeWrite {
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -236,7 +246,7 @@
 	}
 	defer res.Body.Close()
 	data, _ := io.ReadAll(res.Body)
-	if res.StatusCode != http.StatusBadRequest || !strings.Contains(string(data), "bodyCutShort") {
+	if res.StatusCode != status || !strings.Contains(string(data), code) {
 		t.Fatalf("status %d: %s", res.StatusCode, data)
 	}
 }
