--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -141,9 +141,9 @@
 	// Resumed tells that an earlier attempt was interrupted.
 	Resumed     bool `json:"resumed,omitempty"`
 	Preemptible bool `json:"preemptible,omitempty"`
-	// Patient tells that nothing is preempted for it here, as another sidecar
+	// NonPreempting tells that nothing is preempted for it here, as another sidecar
 	// was asked to. The same reservation without it withdraws this.
-	Patient bool `json:"patient,omitempty"`
+	NonPreempting bool `json:"nonPreempting,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks a reservation.
--- a/internal/policy/slots/check.go
+++ b/internal/policy/slots/check.go
@@ -96,17 +96,17 @@
 
 // checkTotals recounts the totals that are kept incrementally.
 func (s *Slots) checkTotals() {
-	waiting, patient := make([]int, len(s.tiers)), make([]int, len(s.tiers))
+	waiting, nonPreempting := make([]int, len(s.tiers)), make([]int, len(s.tiers))
 	work := make([]float64, len(s.tiers))
 	for _, it := range s.waitList {
 		waiting[it.r.Tier]++
 		work[it.r.Tier] += it.est
-		if it.r.Patient {
-			patient[it.r.Tier]++
+		if it.r.NonPreempting {
+			nonPreempting[it.r.Tier]++
 		}
 	}
 	for i, t := range s.tiers {
-		if t.waiting != waiting[i] || t.patient != patient[i] || !nearly(t.work(), work[i]) {
+		if t.waiting != waiting[i] || t.nonPreempting != nonPreempting[i] || !nearly(t.work(), work[i]) {
 			broken("totals", "tier=%d waiting=%d counted=%d work=%.1f counted=%.1f", i, t.waiting, waiting[i], t.work(), work[i])
 		}
 	}
--- a/internal/policy/slots/dispatch.go
+++ b/internal/policy/slots/dispatch.go
@@ -211,8 +211,8 @@
 	}
 	need := 0
 	for _, t := range s.tiers {
-		need += t.waiting - t.patient
-		if t.waiting == t.patient {
+		need += t.waiting - t.nonPreempting
+		if t.waiting == t.nonPreempting {
 			continue
 		}
 		for need > s.stopping {
--- a/internal/policy/slots/doc.go
+++ b/internal/policy/slots/doc.go
@@ -43,8 +43,9 @@
 //  4. Within an account, and between equal counters, the earliest deadline is
 //     served, then the earliest arrival. No deadline is later than any deadline.
 //
-// Preemption: while more requests of a tier and the tiers above it wait, those
-// not counted that are patient, than requests are stopping, the preemptible running request of the lowest tier
+// Preemption: while more requests of a tier and the tiers above it wait than
+// requests are stopping (waiting requests that are marked non-preempting are
+// not counted), the preemptible running request of the lowest tier
 // is stopped, among those the one with the fewest tokens; only if its tier is
 // strictly lower than the waiting one. A slot that a preemption freed is an
 // ordinary free slot and may go to a floor turn.
--- a/internal/policy/slots/queue.go
+++ b/internal/policy/slots/queue.go
@@ -117,19 +117,19 @@
 type tierQueue struct {
 	number int
 	// idleTokens bounds the tokens that an account may lag behind the others.
-	idleTokens float64
-	accounts   map[string]*account
-	classes    []*classQueue
-	byName     map[string]*classQueue
-	byStart    tree[*account] // waiting accounts by counter
-	byFinish   tree[*account] // waiting accounts by the counter at which their work is done
-	expiry     tree[*item]
-	waiting    int
-	above      float64 // observed share of the slots held by the tiers above
-	patient    int     // waiting requests for which nothing is preempted
-	level      float64 // counter of the account served last
-	credit     float64 // time lost to lower tiers and floor turns, ms
-	tokens     mean
+	idleTokens    float64
+	accounts      map[string]*account
+	classes       []*classQueue
+	byName        map[string]*classQueue
+	byStart       tree[*account] // waiting accounts by counter
+	byFinish      tree[*account] // waiting accounts by the counter at which their work is done
+	expiry        tree[*item]
+	waiting       int
+	above         float64 // observed share of the slots held by the tiers above
+	nonPreempting int     // waiting requests for which nothing is preempted
+	level         float64 // counter of the account served last
+	credit        float64 // time lost to lower tiers and floor turns, ms
+	tokens        mean
 	// kept is the part of the waiting requests that start here; the others are
 	// cancelled, as when another sidecar's offer was taken.
 	kept float64
@@ -234,8 +234,8 @@
 	t.attach(a)
 	it.class.waiting++
 	t.waiting++
-	if it.r.Patient {
-		t.patient++
+	if it.r.NonPreempting {
+		t.nonPreempting++
 	}
 	if it.r.Resumed {
 		it.class.resumed.insert(it.order, sums{}, it)
@@ -255,8 +255,8 @@
 	t.attach(a)
 	it.class.waiting--
 	t.waiting--
-	if it.r.Patient {
-		t.patient--
+	if it.r.NonPreempting {
+		t.nonPreempting--
 	}
 	if it.r.Resumed {
 		it.class.resumed.remove(it.order)
--- a/internal/policy/slots/rules_test.go
+++ b/internal/policy/slots/rules_test.go
@@ -331,15 +331,15 @@
 	}
 }
 
-// TestPatientPreemptsNothing has a patient request wait beside lower work until
+// TestNonPreemptingRequestWaits has a non-preempting request wait beside lower work until
 // it is reserved again without patience.
-func TestPatientPreemptsNothing(t *testing.T) {
+func TestNonPreemptingRequestWaits(t *testing.T) {
 	s := slots.New(slots.Config{Slots: 1, CheckEvery: 1})
 	s.TryStart(0, slots.Reservation{ID: "low", Tier: 2, Preemptible: true})
-	high := slots.Reservation{ID: "high", Patient: true}
+	high := slots.Reservation{ID: "high", NonPreempting: true}
 	s.Reserve(1, high)
-	diff(t, "patient", []event(nil), events(s))
-	high.Patient = false
+	diff(t, "nonPreempting", []event(nil), events(s))
+	high.NonPreempting = false
 	s.Reserve(2, high)
 	s.Reserve(3, high)
 	diff(t, "urged", []event{{slots.ActionPreempt, "low", ""}}, events(s))
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -99,7 +99,7 @@
 func (s *Slots) Reserve(now clock.Millis, r Reservation) Verdict {
 	s.advance(now)
 	if it := s.items[r.ID]; it != nil {
-		s.urge(it, r)
+		s.allowPreemption(it, r)
 		return s.verdict(it)
 	}
 	it := s.newItem(r)
@@ -116,13 +116,13 @@
 	return v
 }
 
-// urge takes in that a waiting request is no longer patient.
-func (s *Slots) urge(it *item, r Reservation) {
-	if it.state != stateWaiting || !it.r.Patient || r.Patient {
+// allowPreemption takes in that a waiting request may have work preempted for it from now on.
+func (s *Slots) allowPreemption(it *item, r Reservation) {
+	if it.state != stateWaiting || !it.r.NonPreempting || r.NonPreempting {
 		return
 	}
-	it.r.Patient = false
-	it.tier.patient--
+	it.r.NonPreempting = false
+	it.tier.nonPreempting--
 	s.dispatch()
 }
 
--- a/internal/policy/slots/slots_test.go
+++ b/internal/policy/slots/slots_test.go
@@ -99,7 +99,7 @@
 		Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "account"), Share: rapid.IntRange(0, 3).Draw(m.t, "share"),
 		FloorPercent: 10 * tier, ArrivedMs: m.now, EstTokens: rapid.IntRange(0, 60).Draw(m.t, "est"),
 		PromptTokens: rapid.IntRange(0, 100).Draw(m.t, "prompt"), Preemptible: rapid.Bool().Draw(m.t, "preemptible"),
-		Patient: rapid.Bool().Draw(m.t, "patient"), Resumed: rapid.IntRange(0, 3).Draw(m.t, "resumed") == 0,
+		NonPreempting: rapid.Bool().Draw(m.t, "nonPreempting"), Resumed: rapid.IntRange(0, 3).Draw(m.t, "resumed") == 0,
 	}
 	if d := rapid.IntRange(0, 5000).Draw(m.t, "deadline"); d > 0 {
 		r.DeadlineMs = m.now + clock.Millis(d)
--- a/internal/policy/slots/types.go
+++ b/internal/policy/slots/types.go
@@ -79,9 +79,9 @@
 	// Resumed tells that the request goes on after a preemption: DeadlineMs
 	// still orders it, but is not held against it.
 	Resumed bool `json:"resumed,omitempty"`
-	// Patient tells that nothing is preempted for the request here, as another
+	// NonPreempting tells that nothing is preempted for the request here, as another
 	// sidecar was asked to. A later Reserve without it withdraws this.
-	Patient bool `json:"patient,omitempty"`
+	NonPreempting bool `json:"nonPreempting,omitempty"`
 }
 
 // Verdict is an estimate for a reservation.
--- a/internal/role/entry/answer.go
+++ b/internal/role/entry/answer.go
@@ -60,7 +60,7 @@
 
 // progressGuard watches ans.
 func (e *Entry) progressGuard(ans *answer) *guard {
-	after := ans.peer.patience().Duration()
+	after := ans.peer.silenceTimeout().Duration()
 	return &guard{after: after, timer: time.AfterFunc(after, func() { _ = ans.res.Body.Close() })}
 }
 
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -100,20 +100,20 @@
 	if err != nil {
 		return nil, &attemptError{err: internalError(err)}
 	}
-	p.took(j)
+	p.assigned(j)
 	res, err := d.send(req, j, p)
 	if err != nil {
-		p.gave()
+		p.released()
 		return nil, d.transportError(ctx, j, p, err)
 	}
 	if res.Header.Get(dispatch.HeaderResult) != dispatch.ResultAnswer {
 		defer res.Body.Close()
-		p.gave()
+		p.released()
 		return nil, d.refused(j, p, res)
 	}
 	if got := res.Header.Get(dispatch.HeaderAttempt); got != id {
 		_ = res.Body.Close()
-		p.gave()
+		p.released()
 		p.suspect()
 		return nil, &attemptError{err: lost(j, "the answer belongs to another attempt"), again: !j.request.Protected}
 	}
@@ -128,7 +128,7 @@
 // that a failed dial proves that nothing was sent.
 func (d *dispatcher) send(req *http.Request, j *job, p *peer) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	after := p.patience().Duration()
+	after := p.silenceTimeout().Duration()
 	silent := time.AfterFunc(after, func() { cancel(errSilent) })
 	defer silent.Stop()
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error {
@@ -236,5 +236,5 @@
 
 // peerGone tells the waiting requests that a sidecar's connection has ended.
 func (d *dispatcher) peerGone(p *peer) {
-	d.e.room.broadcast(signal{kind: signalPeerGone, peer: p})
+	d.e.waitQueue.broadcast(signal{kind: signalPeerGone, peer: p})
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -61,7 +61,7 @@
 	exchange    *dispatch.Exchange
 	peers       *peers
 	router      *router
-	room        *waitRoom
+	waitQueue   *waitQueue
 	dispatcher  *dispatcher
 	retries     *retries
 	active      *active
@@ -81,7 +81,7 @@
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
-		room: newWaitRoom(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
+		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &active{all: map[*query]struct{}{}}, confirmed: newNotice(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, duties: d.Duties,
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -90,7 +90,7 @@
 // close releases the connection and the slot that the entry counts.
 func (a *answer) close() {
 	_ = a.res.Body.Close()
-	a.peer.gave()
+	a.peer.released()
 }
 
 // end returns how the sidecar says that the attempt ended. It is known only
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -203,13 +203,13 @@
 		if method == dispatch.MethodRefuse {
 			kind = signalRefuse
 		}
-		p.e.room.deliver(v.ID, signal{kind: kind, peer: p, verdict: v})
+		p.e.waitQueue.deliver(v.ID, signal{kind: kind, peer: p, verdict: v})
 	case dispatch.MethodOffer:
 		var id dispatch.ID
 		if err := json.Unmarshal(params, &id); err != nil {
 			return nil, err
 		}
-		if !p.e.room.deliver(id.ID, signal{kind: signalOffer, peer: p}) {
+		if !p.e.waitQueue.deliver(id.ID, signal{kind: signalOffer, peer: p}) {
 			l.Notify(dispatch.MethodCancel, id)
 		}
 	case dispatch.MethodHeartbeat:
--- a/internal/role/entry/peerload.go
+++ b/internal/role/entry/peerload.go
@@ -9,18 +9,18 @@
 	return p.link != nil && p.config.Number > 0 && !p.leaving && !p.listedLeaving.Load() && !p.drained.Load()
 }
 
-// patience returns how long a silent answer of the sidecar is borne. It exceeds
+// silenceTimeout returns how long a silent answer of the sidecar is borne. It exceeds
 // the sidecar's own timeout, so that a sidecar reports a silent server before
 // the entry gives the sidecar up.
-func (p *peer) patience() clock.Millis {
+func (p *peer) silenceTimeout() clock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.hello.ProgressTimeoutMs + progressMargin
 }
 
-// took notes that a request was bound here, so that the known free slots fall
+// assigned notes that a request was bound here, so that the known free slots fall
 // before the next report.
-func (p *peer) took(j *job) {
+func (p *peer) assigned(j *job) {
 	p.inFlight.Add(1)
 	p.e.router.sent(j, p)
 	p.mu.Lock()
@@ -28,8 +28,8 @@
 	p.mu.Unlock()
 }
 
-// gave notes that a request has ended here.
-func (p *peer) gave() {
+// released notes that a request has ended here.
+func (p *peer) released() {
 	p.inFlight.Add(-1)
 	p.e.router.done(p)
 	p.mu.Lock()
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -11,11 +11,11 @@
 // reserve asks the candidates for a slot and takes the first that is offered.
 func (d *dispatcher) reserve(ctx context.Context, j *job, candidates []*peer) (*answer, *attemptError) {
 	id := j.nextAttempt()
-	w := d.e.room.enter(id, j.class.Tier)
+	w := d.e.waitQueue.add(id, j.class.Tier)
 	if w == nil {
 		return nil, &attemptError{err: overloaded(defaultRetryAfter)}
 	}
-	defer d.e.room.leave(w)
+	defer d.e.waitQueue.drop(w)
 	h := &held{d: d, j: j, id: id, open: map[*peer]*dispatch.Verdict{}}
 	for _, p := range candidates {
 		if !h.ask(p) {
@@ -33,8 +33,8 @@
 	id string
 	// open maps each sidecar that holds the reservation to its last verdict.
 	open map[*peer]*dispatch.Verdict
-	// urged is the one sidecar that may preempt for the job; nil if none was asked.
-	urged *peer
+	// preemptor is the one sidecar that may preempt for the job; nil if none was asked.
+	preemptor *peer
 	// retryAfter is the shortest time after which a sidecar expects room.
 	retryAfter clock.Millis
 }
@@ -43,12 +43,12 @@
 // that one slot is cleared and not one at each.
 func (h *held) ask(p *peer) bool {
 	r := h.j.reservation(h.id, h.d.e.incarnation, h.d.e.clock.Now())
-	r.Patient = h.urged != nil && h.urged != p
+	r.NonPreempting = h.preemptor != nil && h.preemptor != p
 	if !p.notify(dispatch.MethodReserve, r) {
 		return false
 	}
-	if !r.Patient {
-		h.urged = p
+	if !r.NonPreempting {
+		h.preemptor = p
 	}
 	if _, ok := h.open[p]; !ok {
 		h.open[p] = nil
@@ -56,12 +56,12 @@
 	return true
 }
 
-// urge lets another sidecar preempt once the urged one is gone.
-func (h *held) urge() {
-	if _, ok := h.open[h.urged]; ok {
+// movePreemption lets another sidecar preempt once the preemptor one is gone.
+func (h *held) movePreemption() {
+	if _, ok := h.open[h.preemptor]; ok {
 		return
 	}
-	h.urged = nil
+	h.preemptor = nil
 	for p := range h.open {
 		if h.ask(p) {
 			return
@@ -116,7 +116,7 @@
 	if _, ok := h.open[p]; ok {
 		delete(h.open, p)
 		h.j.tried[p] = true
-		h.urge()
+		h.movePreemption()
 	}
 }
 
@@ -139,7 +139,7 @@
 	}
 	h.j.tried[p] = !err.full
 	if !err.full || !h.ask(p) {
-		h.urge()
+		h.movePreemption()
 	}
 	return nil, nil
 }
--- a/internal/role/entry/resume.go
+++ b/internal/role/entry/resume.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// resumePatience bounds the time for which a stream that has begun waits
+	// resumeTimeout bounds the time for which a stream that has begun waits
 	// for a server to go on.
-	resumePatience = 10 * clock.Second
-	resumePause    = 100 * clock.Millisecond
+	resumeTimeout = 10 * clock.Second
+	resumePause   = 100 * clock.Millisecond
 )
 
 // waitToResume waits before a stream that has begun is tried again although no
@@ -29,7 +29,7 @@
 	if x.interruptedAt == 0 {
 		x.interruptedAt = now
 	}
-	if now-x.interruptedAt > resumePatience {
+	if now-x.interruptedAt > resumeTimeout {
 		return false
 	}
 	return x.e.clock.Sleep(ctx, resumePause) == nil
--- a/internal/role/entry/status.go
+++ b/internal/role/entry/status.go
@@ -85,7 +85,7 @@
 	if e.leaseStatus != nil {
 		st.Leases = e.leaseStatus()
 	}
-	depths := e.room.depths()
+	depths := e.waitQueue.depths()
 	for _, c := range e.store.Current().Classes() {
 		k := e.metrics.class(c.Name)
 		st.Classes = append(st.Classes, admin.ClassStatus{
--- a/internal/role/entry/waiting.go
+++ b/internal/role/entry/waiting.go
@@ -37,25 +37,25 @@
 	elem    *list.Element
 }
 
-// waitRoom holds the waiting requests of the entry, bounded in number.
-type waitRoom struct {
+// waitQueue holds the waiting requests of the entry, bounded in number.
+type waitQueue struct {
 	mu    sync.Mutex
 	max   int
 	byID  map[string]*waiter
 	tiers [directory.Tiers]*list.List
 }
 
-func newWaitRoom(size int) *waitRoom {
-	r := &waitRoom{max: size, byID: map[string]*waiter{}}
+func newWaitQueue(size int) *waitQueue {
+	r := &waitQueue{max: size, byID: map[string]*waiter{}}
 	for i := range r.tiers {
 		r.tiers[i] = list.New()
 	}
 	return r
 }
 
-// enter adds a request. When the room is full, the newest request of the
-// lowest tier below the new one's leaves; without one, enter returns nil.
-func (r *waitRoom) enter(id string, tier int) *waiter {
+// add adds a request. When the queue is full, the newest request of the
+// lowest tier below the new one's leaves; without one, add returns nil.
+func (r *waitQueue) add(id string, tier int) *waiter {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.byID) >= r.max && !r.evictBelow(tier) {
@@ -67,7 +67,7 @@
 	return w
 }
 
-func (r *waitRoom) evictBelow(tier int) bool {
+func (r *waitQueue) evictBelow(tier int) bool {
 	for t := directory.Tiers - 1; t > tier; t-- {
 		e := r.tiers[t].Back()
 		if e == nil {
@@ -81,7 +81,7 @@
 	return false
 }
 
-func (r *waitRoom) leave(w *waiter) {
+func (r *waitQueue) drop(w *waiter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byID[w.id] == w {
@@ -89,14 +89,14 @@
 	}
 }
 
-func (r *waitRoom) remove(w *waiter) {
+func (r *waitQueue) remove(w *waiter) {
 	delete(r.byID, w.id)
 	r.tiers[w.tier].Remove(w.elem)
 }
 
 // deliver passes a signal to a waiting request and reports whether it was taken.
 // One place of the buffer is kept for an eviction.
-func (r *waitRoom) deliver(id string, s signal) bool {
+func (r *waitQueue) deliver(id string, s signal) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w, ok := r.byID[id]
@@ -108,7 +108,7 @@
 }
 
 // depths returns the number of waiting requests by tier.
-func (r *waitRoom) depths() [directory.Tiers]int {
+func (r *waitQueue) depths() [directory.Tiers]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out [directory.Tiers]int
@@ -119,7 +119,7 @@
 }
 
 // broadcast passes a signal to every waiting request.
-func (r *waitRoom) broadcast(s signal) {
+func (r *waitQueue) broadcast(s signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range r.byID {
--- a/internal/role/sidecar/core.go
+++ b/internal/role/sidecar/core.go
@@ -186,7 +186,7 @@
 		ID: r.ID, Entry: r.Entry, Class: r.Class, Account: r.Account,
 		Tier: r.Tier, Share: r.Share, FloorPercent: r.FloorPercent,
 		ArrivedMs: now - r.AgeMs, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Preemptible: r.Preemptible,
-		Resumed: r.Resumed, Patient: r.Patient, WholeAnswer: r.WholeAnswer,
+		Resumed: r.Resumed, NonPreempting: r.NonPreempting, WholeAnswer: r.WholeAnswer,
 	}
 	if r.RemainingMs != 0 {
 		out.DeadlineMs = now + r.RemainingMs
