--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -203,7 +203,7 @@
 		if method == dispatch.MethodRefuse {
 			kind = signalRefuse
 		}
-		p.e.waitQueue.deliver(v.ID, signal{kind: kind, peer: p, verdict: v})
+		p.e.waitQueue.deliver(v.ID, signal{kind: kind, peer: p, verdict: &v})
 	case dispatch.MethodOffer:
 		var id dispatch.ID
 		if err := json.Unmarshal(params, &id); err != nil {
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -106,7 +106,7 @@
 	if _, ok := h.open[s.peer]; !ok {
 		return
 	}
-	h.open[s.peer] = &s.verdict
+	h.open[s.peer] = s.verdict
 	if r := s.verdict.RetryAfterMs; r > 0 && (h.retryAfter == 0 || r < h.retryAfter) {
 		h.retryAfter = r
 	}
--- a/internal/role/entry/waiting.go
+++ b/internal/role/entry/waiting.go
@@ -23,7 +23,7 @@
 type signal struct {
 	kind    signalKind
 	peer    *peer
-	verdict dispatch.Verdict
+	verdict *dispatch.Verdict // nil unless the kind carries one
 }
 
 // signalBuffer holds what a few candidates can send before the request reads.
