State that nobody read is gone; one way to read a stream to its end

Cause, from reading the whole change once more: the capacity and usage duties read their streams to the end by the same loop; a peer's in-flight count and load time, an answer's attempt and entry, the verdicts kept by reservation, the refusal's verdict and the trailer with the tokens were written and never read; an event for the core was offered by two nested selects. Change: logservice.CatchUp serves both duties; the rest is removed. Behaviour is unchanged, and no test was touched. Ruled out: one decode for the records of claims and usage (the type without methods must be local to each), and one cycle loop for both duties (four lines each).

--- a/internal/control/capacity/capacity.go
+++ b/internal/control/capacity/capacity.go
@@ -36,7 +36,6 @@
 	defaultDrain = 5 * clock.Minute
 	// defaultRetention is short, so that snapshots come often enough for most logs.
 	defaultRetention = clock.Hour
-	readLimit        = 1000
 	// snapshotsPerRetention is the number of snapshots in one retention time.
 	snapshotsPerRetention = 4
 	// settleStartUps is the time, in start-up times, after the lease was taken
@@ -224,24 +223,11 @@
 
 // catchUp reads the stream to its end.
 func (s *session) catchUp(ctx context.Context) error {
-	for {
-		page, err := s.read(ctx)
-		if err != nil {
-			return err
-		}
+	return logservice.CatchUp(ctx, s.log, StreamOrders, s.cfg.TimeoutMs, s.fold.Next, func(page logservice.Page) {
 		for _, rec := range page.Records {
 			s.fold.Apply(rec.Offset, rec.AtMs, rec.Data)
 		}
-		if len(page.Records) == 0 || s.fold.Next() >= page.NextOffset {
-			return nil
-		}
-	}
-}
-
-func (s *session) read(ctx context.Context) (logservice.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.TimeoutMs.Duration())
-	defer cancel()
-	return s.log.Read(ctx, StreamOrders, s.fold.Next(), readLimit, 0)
+	})
 }
 
 // append adds a record while the lease is held and reads the stream to its
--- a/internal/control/usage/reporter.go
+++ b/internal/control/usage/reporter.go
@@ -31,7 +31,6 @@
 	markAfter    = clock.Minute
 	// defaultRetention is short, so that digests come often enough for most logs.
 	defaultRetention = clock.Hour
-	readLimit        = 1000
 	// sealsPerRecord bounds the seals, and the confirmations, of one record.
 	sealsPerRecord = 5000
 	// parallelReports bounds the reports that are sent at a time.
@@ -164,25 +163,12 @@
 
 // catchUp reads the stream to its end.
 func (s *session) catchUp(ctx context.Context) error {
-	for {
-		page, err := s.read(ctx)
-		if err != nil {
-			return err
-		}
+	return logservice.CatchUp(ctx, s.log, logservice.StreamUsage, s.cfg.TimeoutMs, s.fold.Next, func(page logservice.Page) {
 		s.fold.Begin(page.FirstOffset)
 		for _, rec := range page.Records {
 			s.fold.Apply(rec.Offset, rec.AtMs, rec.Data)
 		}
-		if len(page.Records) == 0 || s.fold.Next() >= page.NextOffset {
-			return nil
-		}
-	}
-}
-
-func (s *session) read(ctx context.Context) (logservice.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.TimeoutMs.Duration())
-	defer cancel()
-	return s.log.Read(ctx, logservice.StreamUsage, s.fold.Next(), readLimit, 0)
+	})
 }
 
 // append adds a record while the lease is held.
--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -35,7 +35,6 @@
 	HeaderResult      = "Damaskport-Result"
 	HeaderRequest     = "Damaskport-Request"
 	TrailerEnd        = "Damaskport-End"
-	TrailerTokens     = "Damaskport-Tokens"
 )
 
 // Values of HeaderResult.
@@ -218,7 +217,6 @@
 	// Unknown is true when the request may have run.
 	Unknown      bool         `json:"unknown,omitempty"`
 	RetryAfterMs clock.Millis `json:"retryAfterMs,omitempty"`
-	Verdict      *Verdict     `json:"verdict,omitempty"`
 	// DoneStatus is the backend server's status of an earlier attempt that ran.
 	DoneStatus int `json:"doneStatus,omitempty"`
 }
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -117,7 +117,7 @@
 		p.suspect()
 		return nil, &attemptError{err: lost(j, "the answer belongs to another attempt"), again: !j.request.Protected}
 	}
-	return &answer{peer: p, attempt: id, res: res, entry: d.e}, nil
+	return &answer{peer: p, res: res}, nil
 }
 
 // errSilent is the cause with which an attempt without signs of life ends.
--- a/internal/role/entry/job.go
+++ b/internal/role/entry/job.go
@@ -81,10 +81,8 @@
 
 // answer is a sidecar's answer to an attempt.
 type answer struct {
-	peer    *peer
-	attempt string
-	res     *http.Response
-	entry   *Entry
+	peer *peer
+	res  *http.Response
 }
 
 // close releases the connection and the slot that the entry counts.
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -37,7 +37,6 @@
 	// what this entry has started and ended there since.
 	reported dispatch.Load
 	load     dispatch.Load
-	loadAt   clock.Millis
 	leaving  bool
 	config   config.Version // the version that the sidecar showed last
 	// heardState tells that a heartbeat of this connection brought a state,
@@ -46,8 +45,7 @@
 	// listedLeaving is what the platform's list says.
 	listedLeaving atomic.Bool
 	// drained is set when this entry has ordered the server to drain.
-	drained  atomic.Bool
-	inFlight atomic.Int64
+	drained atomic.Bool
 }
 
 // run keeps a connection to the sidecar until ctx ends.
@@ -118,7 +116,6 @@
 	p.hello = reply
 	p.reported = reply.Load
 	p.load = reply.Load
-	p.loadAt = p.e.clock.Now()
 	if !p.heardState {
 		p.leaving = reply.State.Leaving
 		p.config = reply.State.Config
@@ -242,7 +239,6 @@
 		p.reported = *h.Load
 	}
 	p.load = p.reported
-	p.loadAt = p.e.clock.Now()
 	changed := was != p.usable()
 	p.mu.Unlock()
 	p.report()
--- a/internal/role/entry/peerload.go
+++ b/internal/role/entry/peerload.go
@@ -21,7 +21,6 @@
 // assigned notes that a request was bound here, so that the known free slots fall
 // before the next report.
 func (p *peer) assigned(j *job) {
-	p.inFlight.Add(1)
 	p.e.router.sent(j, p)
 	p.mu.Lock()
 	p.load.Free--
@@ -30,7 +29,6 @@
 
 // released notes that a request has ended here.
 func (p *peer) released() {
-	p.inFlight.Add(-1)
 	p.e.router.done(p)
 	p.mu.Lock()
 	p.load.Free++
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -16,7 +16,7 @@
 		return nil, &attemptError{err: overloaded(defaultRetryAfter)}
 	}
 	defer d.e.waitQueue.drop(w)
-	h := &held{d: d, j: j, id: id, open: map[*peer]*dispatch.Verdict{}}
+	h := &held{d: d, j: j, id: id, open: map[*peer]bool{}}
 	for _, p := range candidates {
 		if !h.ask(p) {
 			j.tried[p] = true
@@ -31,8 +31,8 @@
 	d  *dispatcher
 	j  *job
 	id string
-	// open maps each sidecar that holds the reservation to its last verdict.
-	open map[*peer]*dispatch.Verdict
+	// open holds the sidecars that hold the reservation.
+	open map[*peer]bool
 	// preemptor is the one sidecar that may preempt for the job; nil if none was asked.
 	preemptor *peer
 	// retryAfter is the shortest time after which a sidecar expects room.
@@ -50,15 +50,13 @@
 	if !r.NonPreempting {
 		h.preemptor = p
 	}
-	if _, ok := h.open[p]; !ok {
-		h.open[p] = nil
-	}
+	h.open[p] = true
 	return true
 }
 
 // movePreemption lets another sidecar preempt once the preemptor one is gone.
 func (h *held) movePreemption() {
-	if _, ok := h.open[h.preemptor]; ok {
+	if h.open[h.preemptor] {
 		return
 	}
 	h.preemptor = nil
@@ -103,17 +101,16 @@
 }
 
 func (h *held) note(s signal) {
-	if _, ok := h.open[s.peer]; !ok {
+	if !h.open[s.peer] {
 		return
 	}
-	h.open[s.peer] = s.verdict
 	if r := s.verdict.RetryAfterMs; r > 0 && (h.retryAfter == 0 || r < h.retryAfter) {
 		h.retryAfter = r
 	}
 }
 
 func (h *held) drop(p *peer) {
-	if _, ok := h.open[p]; ok {
+	if h.open[p] {
 		delete(h.open, p)
 		h.j.tried[p] = true
 		h.movePreemption()
@@ -123,7 +120,7 @@
 // take accepts an offer; offers of the other sidecars are not read meanwhile, and
 // their reservations are cancelled once the job is bound.
 func (h *held) take(ctx context.Context, p *peer) (*answer, *attemptError) {
-	if _, ok := h.open[p]; !ok {
+	if !h.open[p] {
 		return nil, nil
 	}
 	delete(h.open, p)
--- a/internal/role/sidecar/data.go
+++ b/internal/role/sidecar/data.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -129,14 +128,12 @@
 	h.Set(dispatch.HeaderResult, dispatch.ResultAnswer)
 	h.Set(dispatch.HeaderAttempt, a.run.id)
 	h.Add("Trailer", dispatch.TrailerEnd)
-	h.Add("Trailer", dispatch.TrailerTokens)
 	a.w.WriteHeader(status)
 }
 
 // end states how the attempt ended.
 func (a *attempt) end(e dispatch.End) {
 	a.w.Header().Set(dispatch.TrailerEnd, string(e))
-	a.w.Header().Set(dispatch.TrailerTokens, strconv.Itoa(a.tokens))
 	if e != dispatch.EndComplete {
 		a.s.log.WithFields(logrus.Fields{"event": "attemptEnd", "attempt": a.run.id, "end": e, "tokens": a.tokens}).Info("attempt ended early")
 	}
--- a/internal/role/sidecar/events.go
+++ b/internal/role/sidecar/events.go
@@ -67,8 +67,7 @@
 			return
 		}
 	} else if v, ok := c.slots.TryStart(now, reservation(e.r, now)); !ok {
-		w := wireVerdict(e.r.ID, v)
-		e.reply <- startReply{refusal: dispatch.Refusal{Code: dispatch.CodeFull, Message: "no slot is free", NotRun: true, RetryAfterMs: w.RetryAfterMs, Verdict: &w}}
+		e.reply <- startReply{refusal: dispatch.Refusal{Code: dispatch.CodeFull, Message: "no slot is free", NotRun: true, RetryAfterMs: v.RetryAfterMs}}
 		return
 	}
 	ctx, stop := context.WithCancelCause(e.ctx)
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -177,12 +177,8 @@
 // put passes an event to the core; it is dropped when the core has stopped.
 func (s *Sidecar) put(e event) {
 	select {
+	case s.core.events.In() <- e:
 	case <-s.coreDone:
-	default:
-		select {
-		case s.core.events.In() <- e:
-		case <-s.coreDone:
-		}
 	}
 }
 
