Gateway: an entry without sidecars, on the users' platform

Cause: nothing of the product could run where the platform's store holds the configuration and the list of servers, and no machine stands beside a plain service.

Ruled out: roles on side machines for now; the path without them serves all kinds of request. State in claims: each attempt of a caller has its own id and reaches one entry.

--- /dev/null
+++ b/internal/backend/direct/exchange.go
@@ -0,0 +1,215 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxStray is how many late answers to earlier requests are skipped.
+	maxStray      = 2
+	maxStrayBytes = 1 << 20
+)
+
+// Request is one send.
+type Request struct {
+	Method string
+	Target string // as the caller sent it
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Mine reports whether an answer with these headers belongs to the request.
+	Mine func(status int, h http.Header) bool
+	// Fresh asks for a connection that no request used before.
+	Fresh bool
+}
+
+// Answer is a backend server's answer. Its body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the body's length, -1 when the server did not tell it.
+	Length int64
+	// Framed tells that the end of the body can be told from a cut.
+	Framed bool
+	// Reused tells that the connection served a request before.
+	Reused bool
+}
+
+// Do sends r once. The error is a *NotSentError when no byte of it reached the
+// server; after any other error it may have run. Ending ctx closes the
+// connection, also while the body is read.
+func (p *Pool) Do(ctx context.Context, r Request) (*Answer, error) {
+	c, err := p.get(ctx, r.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if ctx.Err() != nil {
+		stop()
+		_ = c.Close()
+		return nil, &NotSentError{ctx.Err()}
+	}
+	// The server may answer before it has read a long body.
+	var written atomic.Bool
+	wrote := make(chan error, 1)
+	go func() {
+		err := write(c.bw, r)
+		written.Store(err == nil)
+		wrote <- err
+	}()
+	res, err := c.answer(r)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		if werr := <-wrote; werr != nil && ctx.Err() == nil {
+			err = errors.Wrap(err, werr.Error())
+		}
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		return nil, err
+	}
+	c.note(res.Header)
+	b := &body{ReadCloser: res.Body, c: c, pool: p, stop: stop, written: &written, keep: !res.Close && framed(res)}
+	return &Answer{
+		Status: res.StatusCode, Header: res.Header, Body: b, Length: res.ContentLength,
+		Framed: framed(res), Reused: c.reused,
+	}, nil
+}
+
+// framed reports whether the end of the body can be told from a cut.
+func framed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
+}
+
+// answer reads the answer that belongs to r. A server may answer an earlier
+// request late; the id of the request tells such answers apart.
+func (c *conn) answer(r Request) (*http.Response, error) {
+	for range maxStray + 1 {
+		res, err := readResponse(c.br, r.Method)
+		if err != nil {
+			return nil, err
+		}
+		if r.Mine == nil || r.Mine(res.StatusCode, res.Header) {
+			return res, nil
+		}
+		c.tainted = true
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes)); err != nil {
+			return nil, errors.Wrap(err, "answer to another request")
+		}
+	}
+	return nil, errors.New("only answers to other requests")
+}
+
+func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, nil
+		}
+	}
+}
+
+func write(w *bufio.Writer, r Request) error {
+	b := make([]byte, 0, 128)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	if _, err := w.Write(b); err != nil {
+		return err
+	}
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if _, err := w.Write(r.Body); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// body gives its connection back once it was read whole.
+type body struct {
+	io.ReadCloser
+	c       *conn
+	pool    *Pool
+	stop    func() bool
+	written *atomic.Bool
+	keep    bool
+	whole   bool
+	closed  bool
+}
+
+// Read reads the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close ends the use of the connection. It is kept only after a whole answer to
+// a request that was written whole, with no byte behind it.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	if b.stop() && b.whole && b.keep && b.written.Load() && b.c.br.Buffered() == 0 && !b.c.tainted {
+		b.pool.put(b.c)
+		return nil
+	}
+	return b.c.Close()
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// EndToEnd returns a copy of h without the headers that concern one connection.
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// SetReadDeadline bounds the next reads of the answer's body.
+func (a *Answer) SetReadDeadline(t time.Time) error {
+	if b, ok := a.Body.(*body); ok {
+		return b.c.SetReadDeadline(t)
+	}
+	return nil
+}
--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -37,6 +37,7 @@
 var registered = []command{
 	addEntry,
 	addSidecar,
+	addGateway,
 	addSolo,
 	addConfig,
 	addSheet,
--- /dev/null
+++ b/internal/operator/settings/gateway.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/operator/strictjson"
+)
+
+// RoleGateway is the role of an entry that reaches backend servers directly.
+const RoleGateway Role = "gateway"
+
+// Default settings of a gateway.
+const (
+	defaultWindowS       = 5
+	defaultReportWithinS = 10
+	defaultGatewayLease  = 3000
+	defaultRetryRatio    = 0.1
+	defaultRetrySlack    = 10
+	defaultRetryWindowS  = 10
+	defaultServerDrainMs = 2000
+	defaultGraceS        = 8
+	defaultConfigMs      = 2000
+	defaultMemoryMb      = 256
+	defaultMaxFiles      = 4096
+)
+
+// Gateway is the settings file of a gateway.
+type Gateway struct {
+	Role Role `json:"role"`
+	// Name is the instance's name, unique in the deployment.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone        string `json:"zone"`
+	LogLevel    string `json:"logLevel"`
+	CallerAddr  string `json:"callerAddr"`
+	ReadyAddr   string `json:"readyAddr"`
+	MetricsAddr string `json:"metricsAddr"`
+	// MemoryMb and MaxFiles are the limits of the process.
+	MemoryMb float64       `json:"memoryMb"`
+	MaxFiles float64       `json:"maxFiles"`
+	Store    StoreClient   `json:"store"`
+	Duties   GatewayDuties `json:"duties"`
+	Bounds   GatewayBounds `json:"bounds"`
+}
+
+// StoreClient says where the platform's store is.
+type StoreClient struct {
+	Addr string `json:"addr"`
+}
+
+// GatewayDuties are the settings of the duties of one holder.
+type GatewayDuties struct {
+	Addr string `json:"addr"`
+	// WindowS is the length of a usage window in seconds.
+	WindowS float64 `json:"windowS"`
+	// ReportWithinS is when the report of a window is due after its end.
+	ReportWithinS float64 `json:"reportWithinS"`
+	// LeaseMs is the least time between the acts of two holders.
+	LeaseMs float64 `json:"leaseMs"`
+}
+
+// GatewayBounds are promises to callers and backend servers.
+type GatewayBounds struct {
+	// RetryRatio, RetrySlack and RetryWindowS bound the repeated sends to a
+	// pool by all gateways: ratio x requests + slack in any window.
+	RetryRatio   float64 `json:"retryRatio"`
+	RetrySlack   float64 `json:"retrySlack"`
+	RetryWindowS float64 `json:"retryWindowS"`
+	// DrainMs is how long a server that leaves still serves.
+	DrainMs float64 `json:"drainMs"`
+	// GraceS is the time from SIGTERM to SIGKILL.
+	GraceS float64 `json:"graceS"`
+	// ConfigMs is the time in which a new configuration is in force.
+	ConfigMs float64 `json:"configMs"`
+}
+
+// DefaultGateway returns settings with every default set.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Role: RoleGateway, LogLevel: defaultLogLevel, MemoryMb: defaultMemoryMb, MaxFiles: defaultMaxFiles,
+		Duties: GatewayDuties{WindowS: defaultWindowS, ReportWithinS: defaultReportWithinS, LeaseMs: defaultGatewayLease},
+		Bounds: GatewayBounds{
+			RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack, RetryWindowS: defaultRetryWindowS,
+			DrainMs: defaultServerDrainMs, GraceS: defaultGraceS, ConfigMs: defaultConfigMs,
+		},
+	}
+}
+
+// LoadGateway reads, defaults and checks the settings file at path. The error
+// is an *Errors unless the file cannot be read.
+func LoadGateway(path string) (Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, errors.Wrap(err, "read settings")
+	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway decodes, defaults and checks settings; name stands for the file
+// in messages. The error is an *Errors with every problem found.
+func ParseGateway(name string, data []byte) (Gateway, error) {
+	doc, err := strictjson.Parse(name, data)
+	if err != nil {
+		return Gateway{}, err
+	}
+	g := DefaultGateway()
+	doc.Decode(&g)
+	checker{doc: doc}.gateway(g)
+	if err := doc.Err(); err != nil {
+		return Gateway{}, err
+	}
+	return g, nil
+}
+
+func (c checker) gateway(g Gateway) {
+	oneOf(c, "role", g.Role, RoleGateway)
+	c.filled("name", g.Name)
+	c.filled("zone", g.Zone)
+	if _, err := logrus.ParseLevel(g.LogLevel); err != nil {
+		c.doc.Reject("logLevel", g.LogLevel, "must be one of panic, fatal, error, warn, info, debug, trace")
+	}
+	c.addr("callerAddr", g.CallerAddr)
+	c.addr("readyAddr", g.ReadyAddr)
+	c.addr("metricsAddr", g.MetricsAddr)
+	c.differ("readyAddr", g.ReadyAddr, g.CallerAddr)
+	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr)
+	c.peer("store.addr", g.Store.Addr)
+	c.peer("duties.addr", g.Duties.Addr)
+	c.positive("memoryMb", g.MemoryMb)
+	c.positive("maxFiles", g.MaxFiles)
+	c.positive("duties.windowS", g.Duties.WindowS)
+	c.positive("duties.reportWithinS", g.Duties.ReportWithinS)
+	c.positive("duties.leaseMs", g.Duties.LeaseMs)
+	c.positive("bounds.retryWindowS", g.Bounds.RetryWindowS)
+	c.positive("bounds.graceS", g.Bounds.GraceS)
+	c.positive("bounds.drainMs", g.Bounds.DrainMs)
+	c.positive("bounds.configMs", g.Bounds.ConfigMs)
+	c.notNegative("bounds.retryRatio", g.Bounds.RetryRatio)
+	c.notNegative("bounds.retrySlack", g.Bounds.RetrySlack)
+}
+
+func (c checker) peer(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.doc.Reject(path, value, `must be an IP address and a port such as "10.0.0.1:8223"`)
+	}
+}
+
+func (c checker) positive(path string, value float64) {
+	if value <= 0 {
+		c.doc.Reject(path, value, "must be above 0")
+	}
+}
+
+func (c checker) notNegative(path string, value float64) {
+	if value < 0 {
+		c.doc.Reject(path, value, "must not be negative")
+	}
+}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -136,6 +136,16 @@
 }
 
 func (b *Budget) against(now clock.Millis, a Attempt, wait clock.Millis) Reason {
+	reason := Against(now, a, wait)
+	if reason == "" && a.Outcome != OutcomePreempted && !b.take() {
+		return ReasonBudget
+	}
+	return reason
+}
+
+// Against returns why a must not be repeated after wait, whatever the budget;
+// empty if it may.
+func Against(now clock.Millis, a Attempt, wait clock.Millis) Reason {
 	switch {
 	case a.Protected && a.Outcome != OutcomeNotRun:
 		return ReasonProtected
@@ -147,8 +157,6 @@
 		return ReasonBound
 	case a.DeadlineMs > 0 && now+wait >= a.DeadlineMs:
 		return ReasonDeadline
-	case !b.take():
-		return ReasonBudget
 	}
 	return ""
 }
--- /dev/null
+++ b/internal/role/gateway/belief.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/routing"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+// tightPause is the factor on a pool's shortest pause up to which routes count
+// as tight: a lane serves the routes that bear the shortest pauses only.
+const tightPause = 1.5
+
+// belief is what the gateway takes to be true of the configuration and the
+// backend servers.
+type belief struct {
+	zone  string
+	clock clock.Clock
+	log   logrus.FieldLogger
+	cfg   atomic.Pointer[routing.Config]
+	// configReadMs is when the store last answered for the configuration.
+	configReadMs atomic.Int64
+	listed       atomic.Bool
+	dialed       func()
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	list  []servers.Server
+	bound retry.Bound
+}
+
+// pool is what the gateway knows of one pool of servers.
+type pool struct {
+	name string
+
+	mu     sync.Mutex
+	engine bool
+	// tightMs is the longest pause of routes that count as tight; 0 for none.
+	tightMs clock.Millis
+	book    *place.Book
+	conns   map[servers.Key]*direct.Pool
+	starts  map[string]servers.Key
+	retries *retry.Window
+	rnd     *rand.Rand
+}
+
+func newBelief(zone string, c clock.Clock, log logrus.FieldLogger, bound retry.Bound) *belief {
+	return &belief{zone: zone, clock: c, log: log, bound: bound, pools: map[string]*pool{}}
+}
+
+func (b *belief) config() *routing.Config { return b.cfg.Load() }
+
+// configAge returns how long ago the store last told the configuration.
+func (b *belief) configAge() clock.Millis {
+	return b.clock.Now() - clock.Millis(b.configReadMs.Load())
+}
+
+// pool returns the named pool; it has no server if none is known.
+func (b *belief) pool(name string) *pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.poolLocked(name)
+}
+
+func (b *belief) poolLocked(name string) *pool {
+	p, ok := b.pools[name]
+	if !ok {
+		p = &pool{
+			name: name, book: place.NewBook(b.zone), conns: map[servers.Key]*direct.Pool{}, starts: map[string]servers.Key{},
+			retries: retry.NewWindow(b.bound), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}
+		b.pools[name] = p
+	}
+	return p
+}
+
+// setConfig puts a newer configuration in force and reports whether it was one.
+func (b *belief) setConfig(cfg *routing.Config) bool {
+	if old := b.cfg.Load(); old != nil && cfg.Version <= old.Version {
+		return false
+	}
+	b.cfg.Store(cfg)
+	b.refresh()
+	return true
+}
+
+// setServers sets the servers that may take requests.
+func (b *belief) setServers(list []servers.Server) {
+	b.mu.Lock()
+	b.list = list
+	b.mu.Unlock()
+	b.listed.Store(true)
+	b.refresh()
+}
+
+// setBound changes the bound on repeated sends.
+func (b *belief) setBound(bound retry.Bound) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bound = bound
+	for _, p := range b.pools {
+		p.mu.Lock()
+		p.retries.SetBound(bound)
+		p.mu.Unlock()
+	}
+}
+
+// refresh brings the configuration and the servers together.
+func (b *belief) refresh() {
+	cfg := b.cfg.Load()
+	if cfg == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byPool := map[string][]servers.Server{}
+	for _, s := range b.list {
+		byPool[s.Pool] = append(byPool[s.Pool], s)
+		b.poolLocked(s.Pool)
+	}
+	for name, p := range b.pools {
+		p.set(b, cfg.Pool(name), tight(cfg, name), byPool[name])
+	}
+}
+
+// tight returns the longest pause of the pool's tight routes, or 0 when all of
+// its routes are alike.
+func tight(cfg *routing.Config, name string) clock.Millis {
+	var least, most clock.Millis
+	for _, r := range cfg.Routes {
+		if !r.Engine || r.PauseMs <= 0 {
+			continue
+		}
+		for _, s := range r.Split {
+			if s.Pool == name {
+				most = max(most, r.PauseMs)
+				if least == 0 || r.PauseMs < least {
+					least = r.PauseMs
+				}
+			}
+		}
+	}
+	if bound := clock.Millis(float64(least) * tightPause); most > bound {
+		return bound
+	}
+	return 0
+}
+
+func (p *pool) set(b *belief, cfg *routing.Pool, tightMs clock.Millis, list []servers.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tightMs = tightMs
+	p.engine = cfg != nil && cfg.Engine
+	out := make([]place.Server, 0, len(list))
+	live := map[servers.Key]bool{}
+	starts := map[string]servers.Key{}
+	for _, s := range list {
+		ps := place.Server{ID: s.ID, Start: s.Start, Zone: s.Zone, Slots: s.Slots}
+		if p.engine {
+			ps.CacheTokens = cfg.CacheTokens
+		}
+		out = append(out, ps)
+		live[s.Key()] = true
+		starts[s.ID] = s.Key()
+		if p.conns[s.Key()] == nil {
+			c := direct.NewPool(s.Addr, b.clock)
+			c.Dialed = b.dialed
+			p.conns[s.Key()] = c
+		}
+	}
+	p.book.SetServers(out, tightMs > 0)
+	for k, c := range p.conns {
+		if !live[k] {
+			c.Close()
+			delete(p.conns, k)
+		}
+	}
+	p.starts = starts
+}
+
+// choose picks the server for a request and its connections.
+func (p *pool) choose(now clock.Millis, r place.Request, exclude []string) (place.Choice, *direct.Pool, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.book.Choose(now, r, exclude, p.rnd)
+	if !ok {
+		return c, nil, false
+	}
+	p.book.Sent(c)
+	return c, p.conns[p.starts[c.ID]], true
+}
+
+// with runs f on the pool's book.
+func (p *pool) with(f func(b *place.Book)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.book)
+}
+
+// sweep closes the idle connections that have come to their end.
+func (b *belief) sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, c := range p.conns {
+			c.Sweep()
+		}
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/role/gateway/duties.go
@@ -0,0 +1,268 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/tenure"
+)
+
+const (
+	keyHolder = "holder"
+	keySealed = "sealed"
+	// claimMargin is how much longer than the platform's least time between
+	// two holders a challenger waits; a holder stops by as much sooner.
+	claimMargin = 600 * clock.Millisecond
+	// collectAfter is the time after a window's end until its counts are
+	// collected, when all gateways have published.
+	collectAfter = 1200 * clock.Millisecond
+	collectEvery = 700 * clock.Millisecond
+	// reportMargin is how long before it is due a report is sent at the latest.
+	reportMargin = 2500 * clock.Millisecond
+	dutyIdle     = 1500 * clock.Millisecond
+	// claimSpread bounds the delay by which challengers differ.
+	claimSpread = 500 * clock.Millisecond
+	// actMargin is the least time left of a term for a call of a duty.
+	actMargin = 700 * clock.Millisecond
+)
+
+// sealed are the figures that were agreed on before they were reported: a
+// report is repeated with the same figures only.
+type sealed struct {
+	Usage Usage `json:"usage"`
+}
+
+// holder runs the duties of one holder.
+type holder struct {
+	g      *Gateway
+	t      *tenure.Tenure
+	sealed *sealed // the last one in the store
+	// told is the last window whose report was accepted.
+	told     int64
+	nextMs   clock.Millis // of the next collection
+	held     bool
+	loaded   bool
+	awayOnce bool
+}
+
+// keepDuties takes part in the election of the holder and acts while it holds.
+func (g *Gateway) keepDuties(ctx context.Context) error {
+	lease := clock.Millis(g.Settings().Duties.LeaseMs)
+	h := &holder{g: g, t: tenure.New(tenure.Config{
+		Holder: g.name, Process: g.process,
+		HoldMs: lease, ClaimMs: lease + 2*claimMargin, RenewMs: lease / 3,
+		HandoverMs: lease/2 + claimMargin/2, SpreadMs: g.spread(claimSpread),
+	})}
+	for ctx.Err() == nil && !g.draining.Load() {
+		if err := h.step(ctx); err != nil {
+			if !h.awayOnce {
+				g.log.WithField("event", "dutyStoreLost").Warn(err)
+			}
+			h.awayOnce = true
+			h.loaded = false
+			_ = g.clock.Sleep(ctx, readBackoff)
+			continue
+		}
+		h.awayOnce = false
+	}
+	h.release()
+	return nil
+}
+
+// release gives the duties away, so that the next holder need not wait.
+func (h *holder) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
+	defer cancel()
+	now := h.g.clock.Now()
+	term, _ := h.t.Holds(now)
+	r, asOf, ok := h.t.Release(now)
+	if !ok {
+		return
+	}
+	err := h.append(ctx, keyHolder, r, asOf, nil)
+	h.g.log.WithFields(logrus.Fields{"event": "dutyReleased", "term": term, "written": err == nil}).Info()
+}
+
+// step reads what changed, renews or claims, and acts.
+func (h *holder) step(ctx context.Context) error {
+	g := h.g
+	if !h.loaded {
+		snap, err := g.store.Newest(ctx, TopicDuty)
+		if err != nil {
+			return err
+		}
+		h.apply(snap)
+		if len(snap.Records) == 0 {
+			h.t.Seen(g.clock.Now(), -1, tenure.Record{})
+		}
+		h.loaded = true
+	}
+	now := g.clock.Now()
+	if now >= h.t.DueMs(now) {
+		r, asOf := h.t.Write(now)
+		err := h.append(ctx, keyHolder, r, asOf, func(offset int64) { h.t.Appended(g.clock.Now(), offset, r) })
+		if err != nil {
+			return err
+		}
+		h.note()
+		return nil
+	}
+	h.note()
+	term, held := h.t.Holds(now)
+	if held {
+		return h.act(ctx, term)
+	}
+	wait := min(max(h.t.DueMs(now)-now, 0), dutyIdle)
+	if h.t.Next() == 0 {
+		_ = g.clock.Sleep(ctx, wait)
+		h.loaded = false
+		return nil
+	}
+	snap, err := g.store.Read(ctx, TopicDuty, h.t.Next(), wait)
+	if err != nil {
+		return err
+	}
+	h.apply(snap)
+	return nil
+}
+
+// note logs a duty that was taken or lost.
+func (h *holder) note() {
+	term, held := h.t.Holds(h.g.clock.Now())
+	if held == h.held {
+		return
+	}
+	h.held = held
+	h.g.metrics.duty(held)
+	event := "dutyLost"
+	if held {
+		event = "dutyTaken"
+	}
+	h.g.log.WithFields(logrus.Fields{"event": event, "term": term}).Info()
+}
+
+func (h *holder) apply(snap Snapshot) {
+	now := h.g.clock.Now()
+	for _, rec := range snap.Records {
+		var err error
+		switch rec.Key {
+		case keyHolder:
+			var r tenure.Record
+			if err = json.Unmarshal(rec.Value, &r); err == nil {
+				h.t.Seen(now, rec.Offset, r)
+			}
+		case keySealed:
+			var s sealed
+			if err = json.Unmarshal(rec.Value, &s); err == nil {
+				h.sealed = &s
+			}
+		}
+		if err != nil {
+			h.g.log.WithFields(logrus.Fields{"event": "dutyUnreadable", "key": rec.Key, "offset": rec.Offset}).Error(err)
+		}
+	}
+	h.t.End(snap.Next)
+}
+
+// append writes a record if the topic ends at asOf. After a conflict or an
+// error the topic is read again before the next step.
+func (h *holder) append(ctx context.Context, key string, v any, asOf int64, done func(offset int64)) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	offset, err := h.g.store.Append(ctx, TopicDuty, key, data, asOf)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		h.loaded = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if done != nil {
+		done(offset)
+	}
+	return nil
+}
+
+// act reports the next window that is due, or waits.
+func (h *holder) act(ctx context.Context, term int64) error {
+	g := h.g
+	now, wall := g.clock.Now(), g.clock.Wall()
+	if s := h.sealed; s != nil && s.Usage.Window > h.told {
+		return h.report(ctx, term, s.Usage)
+	}
+	window := h.dueWindow(wall)
+	ready := g.usage.end(window) + collectAfter
+	if wait := max(ready-wall, h.nextMs-now); wait > 0 {
+		return g.clock.Sleep(ctx, min(wait, max(h.t.DueMs(now)-now, clock.Millisecond)))
+	}
+	h.nextMs = now + collectEvery
+	snap, err := g.store.Newest(ctx, TopicUsage)
+	if err != nil {
+		return err
+	}
+	total, complete, running, stale := sum(snap.Records, window)
+	g.live.Store(int32(running))
+	h.drop(ctx, stale)
+	within := clock.Millis(g.Settings().Duties.ReportWithinS) * clock.Second
+	if !complete && g.clock.Wall() < g.usage.end(window)+within-reportMargin {
+		return nil
+	}
+	u := Usage{Window: window, Counts: total}
+	s := sealed{Usage: u}
+	return h.append(ctx, keySealed, s, h.t.Next(), func(offset int64) {
+		h.t.End(offset + 1)
+		h.sealed = &s
+		g.log.WithFields(logrus.Fields{"event": "usageSealed", "window": window, "accounts": len(total), "complete": complete, "running": running, "term": term}).Info()
+	})
+}
+
+// dueWindow returns the first window that has not been sealed and whose report
+// is not yet late.
+func (h *holder) dueWindow(wall clock.Millis) int64 {
+	g := h.g
+	within := clock.Millis(g.Settings().Duties.ReportWithinS) * clock.Second
+	first := g.usage.window(wall - within + reportMargin/2)
+	if h.sealed != nil {
+		return max(first, h.sealed.Usage.Window+1)
+	}
+	return first
+}
+
+// report sends sealed figures. They were read back or written under the term,
+// so each sender of the window sends the same.
+func (h *holder) report(ctx context.Context, term int64, u Usage) error {
+	g := h.g
+	if h.t.Until()-g.clock.Now() < actMargin {
+		return g.clock.Sleep(ctx, min(50*clock.Millisecond, max(h.t.Until()-g.clock.Now(), 1)))
+	}
+	err := g.duties.ReportUsage(ctx, term, u)
+	l := g.log.WithFields(logrus.Fields{"event": "usageReported", "window": u.Window, "term": term, "ok": err == nil})
+	g.metrics.reported(err)
+	if err != nil {
+		l.Warn(err)
+		if g.clock.Wall() > g.usage.end(u.Window)+clock.Millis(g.Settings().Duties.ReportWithinS)*clock.Second {
+			h.told = u.Window
+		}
+		return g.clock.Sleep(ctx, readBackoff)
+	}
+	l.Info()
+	h.told = u.Window
+	return nil
+}
+
+// drop removes the counts of processes that are long gone.
+func (h *holder) drop(ctx context.Context, keys []string) {
+	for _, k := range keys {
+		if _, err := h.g.store.Append(ctx, TopicUsage, k, nil, -1); err != nil {
+			h.g.log.WithFields(logrus.Fields{"event": "usageNotDropped", "key": k}).Warn(err)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/gateway/follow.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+const (
+	// configWait is how long a read waits for a change. A connection that went
+	// silent costs this and the time-out of a call, within the 2 s in which
+	// changes must be in force.
+	configWait = 1 * clock.Second
+	// serversEvery is the time between two reads of the servers' entries, which
+	// change all the time; a drained server may get requests for 2 s.
+	serversEvery = 500 * clock.Millisecond
+	// readBackoff is the pause after a failed read.
+	readBackoff = 150 * clock.Millisecond
+	// confirmEvery is the time between whole reads of the servers' entries,
+	// which bring what the records missed.
+	confirmEvery = 10 * clock.Second
+)
+
+// follower reads one topic to its end, and then what is added.
+type follower struct {
+	g     *Gateway
+	topic Topic
+	next  int64 // 0 until the topic was read whole
+	lost  bool
+}
+
+// read returns the next records; whole tells that they are all keys.
+func (f *follower) read(ctx context.Context, wait clock.Millis) (snap Snapshot, whole bool, err error) {
+	if f.next == 0 {
+		snap, err = f.g.store.Newest(ctx, f.topic)
+		whole = true
+	} else {
+		snap, err = f.g.store.Read(ctx, f.topic, f.next, wait)
+	}
+	var trimmed *TrimmedError
+	if errors.As(err, &trimmed) {
+		f.g.log.WithFields(logrus.Fields{"event": "historyLost", "topic": f.topic.String(), "offset": f.next}).Warn(err)
+		f.next = 0
+		return f.read(ctx, wait)
+	}
+	f.g.metrics.storeRead(f.topic, err)
+	if err != nil {
+		if !f.lost && ctx.Err() == nil {
+			f.g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": f.topic.String()}).Warn(err)
+		}
+		f.lost = true
+		return snap, whole, err
+	}
+	if f.lost {
+		f.g.log.WithFields(logrus.Fields{"event": "storeBack", "topic": f.topic.String()}).Info()
+	}
+	f.lost = false
+	f.next = snap.Next
+	return snap, whole, nil
+}
+
+// followConfig keeps the newest configuration in force.
+func (g *Gateway) followConfig(ctx context.Context) error {
+	f := &follower{g: g, topic: TopicConfig}
+	for ctx.Err() == nil {
+		snap, _, err := f.read(ctx, configWait)
+		if err != nil {
+			_ = g.clock.Sleep(ctx, readBackoff)
+			continue
+		}
+		for _, r := range snap.Records {
+			g.applyConfig(r)
+		}
+		g.belief.configReadMs.Store(int64(g.clock.Now()))
+		if f.next == 0 {
+			// An empty topic cannot be followed from an offset.
+			_ = g.clock.Sleep(ctx, readBackoff)
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) applyConfig(r Record) {
+	if r.Key != g.decode.ConfigKey || len(r.Value) == 0 {
+		return
+	}
+	cfg, err := g.decode.Config(r.Value)
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"event": "configUnreadable", "offset": r.Offset}).Error(err)
+		return
+	}
+	if g.belief.setConfig(cfg) {
+		g.log.WithFields(logrus.Fields{"event": "config", "version": cfg.Version, "offset": r.Offset, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts)}).Info()
+	}
+}
+
+// followServers keeps the list of backend servers.
+func (g *Gateway) followServers(ctx context.Context) error {
+	f := &follower{g: g, topic: TopicServers}
+	list := servers.New()
+	confirmed := g.clock.Now()
+	for ctx.Err() == nil {
+		if g.clock.Now()-confirmed > confirmEvery {
+			f.next = 0
+		}
+		snap, whole, err := f.read(ctx, 0)
+		now := g.clock.Now()
+		if err != nil {
+			list.Away(now)
+			if list.Tick(now) {
+				g.listChanged(list)
+			}
+			_ = g.clock.Sleep(ctx, readBackoff)
+			continue
+		}
+		list.Back(now)
+		changed := g.applyServers(list, now, snap, whole)
+		if whole {
+			confirmed = now
+		}
+		if changed = list.Tick(now) || changed; changed || !g.belief.listed.Load() {
+			g.listChanged(list)
+		}
+		_ = g.clock.Sleep(ctx, serversEvery)
+	}
+	return nil
+}
+
+func (g *Gateway) applyServers(list *servers.List, now clock.Millis, snap Snapshot, whole bool) bool {
+	changed := false
+	var all []servers.Server
+	for _, r := range snap.Records {
+		if len(r.Value) == 0 {
+			changed = list.Remove(now, r.Key) || changed
+			continue
+		}
+		s, err := g.decode.Server(r.Key, r.Value)
+		if err != nil {
+			g.log.WithFields(logrus.Fields{"event": "entryUnreadable", "offset": r.Offset}).Warn(err)
+			continue
+		}
+		if whole {
+			all = append(all, s)
+			continue
+		}
+		changed = list.Put(s) || changed
+	}
+	if whole {
+		changed = list.Replace(now, all) || changed
+	}
+	return changed
+}
+
+func (g *Gateway) listChanged(list *servers.List) {
+	usable := list.Usable()
+	byPool := map[string]int{}
+	for _, s := range usable {
+		byPool[s.Pool]++
+	}
+	g.belief.setServers(usable)
+	g.metrics.servers(byPool)
+	f := logrus.Fields{"event": "servers", "usable": len(usable)}
+	for name, n := range byPool {
+		f["pool."+name] = n
+	}
+	g.log.WithFields(f).Info()
+}
--- /dev/null
+++ b/internal/role/gateway/gateway.go
@@ -0,0 +1,175 @@
+// Package gateway is an entry that reaches backend servers without sidecars,
+// where the platform's store holds the configuration, the list of servers and
+// all that must last.
+//
+// A gateway alone serves a request from end to end. The other gateways make it
+// better: they share the bound on repeated sends, agree on the home of a
+// prompt's shared parts, and take over the duties of one holder.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
+)
+
+const (
+	maxHeaderBytes = 64 << 10
+	// idleTimeout is how long a caller's connection may be idle: longer than
+	// any configuration lets callers use one.
+	idleTimeout   = 2 * time.Minute
+	headerTimeout = 10 * time.Second
+	sweepEvery    = 500 * clock.Millisecond
+)
+
+// Deps are the parts that a Gateway uses.
+type Deps struct {
+	Log    logrus.FieldLogger
+	Clock  clock.Clock
+	Codec  Codec
+	Store  Store
+	Duties Duties
+	Decode Decoder
+	// Process differs for each start of an instance.
+	Process string
+}
+
+// Gateway is the role. Create it with New and start it with Run.
+type Gateway struct {
+	name    string
+	process string
+	cfg     atomic.Pointer[settings.Gateway]
+	log     logrus.FieldLogger
+	clock   clock.Clock
+	codec   Codec
+	store   Store
+	duties  Duties
+	decode  Decoder
+	belief  *belief
+	usage   *counts
+	metrics *gatewayMetrics
+
+	callerLn, readyLn, metricsLn net.Listener
+
+	// draining: not ready; closing: each answer ends its connection; leaving:
+	// no request is taken any more.
+	draining, closing, leaving atomic.Bool
+	live                       atomic.Int32 // gateways that count usage
+}
+
+// New opens the gateway's addresses.
+func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
+	g := &Gateway{
+		name: cfg.Name, process: d.Process, log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
+		duties: d.Duties, decode: d.Decode, metrics: newMetrics(),
+	}
+	g.cfg.Store(&cfg)
+	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
+	g.belief.dialed = g.metrics.dialed
+	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS) * clock.Second)
+	var err error
+	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
+		return nil, errors.Wrap(err, "callerAddr")
+	}
+	if g.readyLn, err = net.Listen("tcp", cfg.ReadyAddr); err != nil {
+		return nil, errors.Wrap(err, "readyAddr")
+	}
+	if g.metricsLn, err = net.Listen("tcp", cfg.MetricsAddr); err != nil {
+		return nil, errors.Wrap(err, "metricsAddr")
+	}
+	return g, nil
+}
+
+func bound(cfg settings.Gateway) retry.Bound {
+	return retry.Bound{
+		Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack,
+		WindowMs: clock.Millis(cfg.Bounds.RetryWindowS * float64(clock.Second)),
+	}
+}
+
+// Configure puts changed settings in force. Addresses to listen on stay.
+func (g *Gateway) Configure(cfg settings.Gateway) {
+	g.cfg.Store(&cfg)
+	g.belief.setBound(bound(cfg))
+	g.log.WithField("event", "settings").Info("settings reloaded")
+}
+
+// Settings returns the settings in force.
+func (g *Gateway) Settings() settings.Gateway { return *g.cfg.Load() }
+
+// URL returns the base URL for callers.
+func (g *Gateway) URL() string { return "http://" + g.callerLn.Addr().String() }
+
+// ReadyURL returns the URL of the liveness check.
+func (g *Gateway) ReadyURL() string { return "http://" + g.readyLn.Addr().String() + "/readyz" }
+
+// entries returns how many gateways share the bound on repeated sends.
+func (g *Gateway) entries() int { return max(int(g.live.Load()), leastEntries) }
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	srv := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+	}
+	stopDrain := context.AfterFunc(ctx, func() {
+		g.drain(srv)
+		stop()
+	})
+	defer stopDrain()
+	g.log.WithFields(logrus.Fields{"event": "start", "role": "gateway", "process": g.process, "url": g.URL()}).Info("gateway started")
+	err := supervise.New(g.name, g.log, g.clock).Run(run,
+		supervise.Duty{Name: "config", Run: g.followConfig},
+		supervise.Duty{Name: "servers", Run: g.followServers},
+		supervise.Duty{Name: "usage", Run: g.publishUsage},
+		supervise.Duty{Name: "duties", Run: g.keepDuties},
+		supervise.Duty{Name: "sweep", Run: g.sweep},
+		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, g.readyLn, g.readyHandler()) }},
+		supervise.Duty{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, g.metricsLn, g.metrics.root.Handler) }},
+		supervise.Duty{Name: "callers", Run: func(ctx context.Context) error { return g.serveCallers(ctx, srv) }},
+	)
+	_ = g.metrics.root.Close()
+	g.log.WithFields(logrus.Fields{"event": "stop", "role": "gateway"}).Info("gateway stopped")
+	return err
+}
+
+func (g *Gateway) serveCallers(ctx context.Context, srv *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.Serve(g.callerLn)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// serve answers on a listener of the operators' until ctx ends.
+func serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	for g.clock.Sleep(ctx, sweepEvery) == nil {
+		g.belief.sweep()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/role/gateway/metrics.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/metrics"
+)
+
+// latencyBuckets are in the usual steps from 5 ms to 20 s.
+var latencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
+	4 * time.Second, 8 * time.Second, 20 * time.Second,
+}
+
+type gatewayMetrics struct {
+	root   *metrics.Root
+	dials  tally.Counter
+	holder tally.Gauge
+}
+
+func newMetrics() *gatewayMetrics {
+	root := metrics.New()
+	return &gatewayMetrics{root: root, dials: root.Counter("server_dials"), holder: root.Gauge("duty_held")}
+}
+
+func (m *gatewayMetrics) dialed() { m.dials.Inc(1) }
+
+func (m *gatewayMetrics) route(j *job) tally.Scope {
+	name := ""
+	if j.route != nil {
+		name = j.route.Name
+	}
+	return m.root.Tagged(map[string]string{"route": name})
+}
+
+func (m *gatewayMetrics) started(j *job) { m.route(j).Counter("requests").Inc(1) }
+
+func (m *gatewayMetrics) firstEvent(j *job, took clock.Millis) {
+	m.route(j).Histogram("first_event", latencyBuckets).RecordDuration(took.Duration())
+}
+
+func (m *gatewayMetrics) answered(j *job, status int, whole bool, took clock.Millis) {
+	s := m.route(j)
+	s.Tagged(map[string]string{"status": strconv.Itoa(status), "whole": strconv.FormatBool(whole)}).Counter("answers").Inc(1)
+	s.Histogram("answer", latencyBuckets).RecordDuration(took.Duration())
+}
+
+func (m *gatewayMetrics) refused(j *job, no *refusal) {
+	m.route(j).Tagged(map[string]string{"status": strconv.Itoa(no.status), "reason": no.reason}).Counter("refusals").Inc(1)
+}
+
+func (m *gatewayMetrics) storeRead(t Topic, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.root.Tagged(map[string]string{"topic": t.String(), "outcome": outcome}).Counter("store_reads").Inc(1)
+}
+
+func (m *gatewayMetrics) servers(byPool map[string]int) {
+	for name, n := range byPool {
+		m.root.Tagged(map[string]string{"pool": name}).Gauge("servers").Update(float64(n))
+	}
+}
+
+func (m *gatewayMetrics) duty(held bool) {
+	v := 0.0
+	if held {
+		v = 1
+	}
+	m.holder.Update(v)
+}
+
+func (m *gatewayMetrics) reported(err error) {
+	m.root.Tagged(map[string]string{"ok": strconv.FormatBool(err == nil)}).Counter("usage_reports").Inc(1)
+}
+
+// interrupted logs and counts a stream that ended before its end.
+func (g *Gateway) interrupted(j *job, reason string, events int) {
+	g.metrics.route(j).Counter("interrupted").Inc(1)
+	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": events, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Info()
+}
--- /dev/null
+++ b/internal/role/gateway/send.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/routing"
+)
+
+var (
+	errTimeout = errors.New("the route's timeout")
+	// errSlow is the cause with which a send ends that another server may
+	// still answer in time.
+	errSlow = errors.New("no answer within the time for one server")
+)
+
+// maxUnsent bounds the servers that one request fails to reach.
+const maxUnsent = 4
+
+// send is one request to one server.
+type send struct {
+	choice  place.Choice
+	ans     *direct.Answer
+	reply   Reply
+	sentMs  clock.Millis
+	begun   bool
+	cancel  context.CancelFunc
+	outcome retry.Outcome // when there is no answer to pass on
+	err     error
+	unsent  bool
+}
+
+// at converts a reading of the clock to the time of package time.
+func (g *Gateway) at(ms clock.Millis) time.Time {
+	return time.Now().Add((ms - g.clock.Now()).Duration())
+}
+
+func endToEnd(h http.Header) http.Header { return direct.EndToEnd(h) }
+
+// try sends j to the best server and waits for the head of its answer, for at
+// most patience if that is positive.
+func (g *Gateway) try(ctx context.Context, j *job, resumesAt string, patience clock.Millis) (*send, *refusal) {
+	now := g.clock.Now()
+	if j.timeoutMs-now < leastLeft {
+		return nil, g.giveUp(j, "noTimeLeft")
+	}
+	c, conns, ok := j.pool.choose(now, j.ask, j.exclude)
+	if !ok || conns == nil {
+		return nil, g.giveUp(j, "noServer")
+	}
+	s := &send{choice: c, sentMs: now}
+	j.log.WithFields(logrus.Fields{
+		"event": "placed", "route": j.route.Name, "server": c.ID, "cost": int64(c.Cost), "unread": c.Unread,
+		"config": j.cfg.Version, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
+	}).Info()
+	h := j.header.Clone()
+	g.codec.Forward(h, Send{
+		Server: c.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
+		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt,
+	})
+	sctx, cancel := context.WithCancelCause(ctx)
+	s.cancel = func() { cancel(nil) }
+	if patience > 0 {
+		t := time.AfterFunc(patience.Duration(), func() { cancel(errSlow) })
+		defer t.Stop()
+	}
+	ans, err := conns.Do(sctx, direct.Request{
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body,
+		Mine: func(status int, h http.Header) bool {
+			r := g.codec.Reply(status, h)
+			return r.RequestID == "" || r.RequestID == j.ID
+		},
+	})
+	if err != nil {
+		g.noAnswer(ctx, j, s, err)
+		return s, nil
+	}
+	j.sends++
+	s.ans, s.reply = ans, g.codec.Reply(ans.Status, ans.Header)
+	if s.reply.HasLoad {
+		j.pool.with(func(b *place.Book) { b.Load(g.clock.Now(), c.ID, s.reply.Running, s.reply.Waiting) })
+	}
+	if s.reply.NotRun {
+		s.outcome = retry.OutcomeNotRun
+		o := place.OutcomeFull
+		if s.reply.WrongServer {
+			o = place.OutcomeUnreached
+		}
+		g.end(j, s, o, "notRun")
+		return s, nil
+	}
+	j.ran = true
+	return s, nil
+}
+
+// maxPriority is the least urgent class of an engine.
+const maxPriority = 9
+
+// noAnswer judges a send without an answer.
+func (g *Gateway) noAnswer(ctx context.Context, j *job, s *send, err error) {
+	s.err = err
+	var notSent *direct.NotSentError
+	switch {
+	case ctx.Err() != nil:
+		s.unsent = errors.As(err, &notSent)
+		if !s.unsent {
+			j.sends++
+			j.ran = true
+		}
+		s.outcome = retry.OutcomeUnknown
+		o := place.OutcomeLeft
+		if errors.Is(context.Cause(ctx), errTimeout) {
+			o = place.OutcomeFailed
+		}
+		g.end(j, s, o, "ended")
+	case errors.As(err, &notSent):
+		s.unsent = true
+		s.outcome = retry.OutcomeNotRun
+		g.end(j, s, place.OutcomeUnreached, "notSent")
+	default:
+		j.sends++
+		j.ran = true
+		s.outcome = retry.OutcomeUnknown
+		g.end(j, s, place.OutcomeUnreached, "noAnswer")
+	}
+}
+
+// end closes a send and tells the book of its outcome.
+func (g *Gateway) end(j *job, s *send, o place.Outcome, reason string) {
+	now := g.clock.Now()
+	if s.ans != nil {
+		_ = s.ans.Body.Close()
+	}
+	s.cancel()
+	j.pool.with(func(b *place.Book) { b.Ended(now, s.choice, j.ask, o, s.begun, now-s.sentMs) })
+	f := logrus.Fields{"event": "sendEnded", "server": s.choice.ID, "outcome": o.String(), "reason": reason, "tookMs": int64(now - s.sentMs)}
+	if s.ans != nil {
+		f["status"] = s.ans.Status
+	}
+	l := j.log.WithFields(f)
+	if s.err != nil {
+		l = l.WithError(s.err)
+	}
+	l.Info()
+}
+
+// again decides whether j may be sent once more after s, and excludes the
+// server of s. delivered is the number of events that the caller has.
+func (g *Gateway) again(j *job, s *send, delivered int) bool {
+	now := g.clock.Now()
+	j.exclude = append(j.exclude, s.choice.ID)
+	if s.unsent {
+		return len(j.exclude) <= maxUnsent && now < j.timeoutMs-leastLeft
+	}
+	reason := retry.Against(now, retry.Attempt{
+		Outcome: s.outcome, Protected: !j.route.Repeatable(),
+		Delivered: delivered, Resumable: j.route.Resumable && j.route.Kind == routing.KindStream,
+		Number: j.sends, Bound: j.route.Attempts, DeadlineMs: j.timeoutMs - leastLeft,
+	}, 0)
+	if reason == "" {
+		j.pool.mu.Lock()
+		if !j.pool.retries.Take(now, g.entries()) {
+			reason = retry.ReasonBudget
+		}
+		j.pool.mu.Unlock()
+	}
+	j.log.WithFields(logrus.Fields{"event": "retry", "allowed": reason == "", "against": reason, "sends": j.sends}).Info()
+	return reason == ""
+}
+
+// count counts j for its account in the usage of the present window, once.
+func (g *Gateway) count(j *job) {
+	if j.counted || j.account == "" {
+		return
+	}
+	j.counted = true
+	g.usage.add(j.account, g.clock.Wall())
+}
