Place: shared parts are copied from a server known to hold them

Change: the source is a server that this entry knows to hold all shared parts; without one the home is asked, and the parts are taken to be read again.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -38,6 +38,11 @@
 	// rereadCost weighs a shared part that is read again against waiting: the
 	// time is lost for all requests of the server.
 	rereadCost = 1.5
+	// fetchCost weighs a shared part that is copied from another server: links
+	// carry it in a small part of the time of reading.
+	fetchCost = 0.1
+	// failingHome is the rate of failures from which a part's home is not used.
+	failingHome = 0.3
 	// cachePart is the part of a server's memory that is taken to hold shared parts.
 	cachePart = 0.5
 	// loadAgeMs is how long a told load counts.
@@ -188,6 +193,9 @@
 	ID string
 	// Unread are the prompt tokens that the server is expected to read.
 	Unread int
+	// FetchFrom is the server from whose memory shared parts are to be copied;
+	// empty for none.
+	FetchFrom string
 	// Cost is the estimate that decided, in tokens or milliseconds.
 	Cost float64
 }
@@ -197,14 +205,18 @@
 func (b *Book) Choose(now clock.Millis, r Request, exclude []string, rnd *rand.Rand) (c Choice, ok bool) {
 	best := math.Inf(1)
 	home := b.home(r)
+	if home != nil && (now < home.untilMs || home.fails > failingHome) {
+		home = nil
+	}
+	holder := b.holder(now, r)
 	for i, s := range b.ranked {
 		if slices.Contains(exclude, s.ID) {
 			continue
 		}
 		var cost float64
-		unread := 0
+		unread, fetch := 0, ""
 		if r.Engine {
-			cost, unread = b.engineCost(now, s, r, home, i < b.lane)
+			cost, unread, fetch = b.engineCost(now, s, r, home, holder, i < b.lane)
 		} else {
 			cost = b.plainCost(now, s)
 		}
@@ -216,7 +228,7 @@
 		cost *= 1 + rnd.Float64()*0.02
 		if cost < best {
 			best, ok = cost, true
-			c = Choice{ID: s.ID, Unread: unread, Cost: cost}
+			c = Choice{ID: s.ID, Unread: unread, FetchFrom: fetch, Cost: cost}
 		}
 	}
 	return c, ok
@@ -242,27 +254,53 @@
 	return best
 }
 
-func (b *Book) engineCost(now clock.Millis, s *state, r Request, home *state, inLane bool) (float64, int) {
-	kept := s.cache.kept(r.Parts)
-	if s == home {
+// holder returns a server that this entry knows to hold all shared parts of the
+// prompt, the least busy one; nil if there is none.
+func (b *Book) holder(now clock.Millis, r Request) *state {
+	all := shared(r.Parts)
+	if all == 0 {
+		return nil
+	}
+	var best *state
+	for _, s := range b.ranked {
+		if s.cache.kept(r.Parts) >= all && now >= s.untilMs && s.fails < failingHome && (best == nil || s.unread < best.unread) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state, inLane bool) (cost float64, unread int, fetch string) {
+	kept, all := s.cache.kept(r.Parts), shared(r.Parts)
+	again := 0.0
+	switch {
+	case kept >= all:
+	case s == home:
 		// Another entry's request has read the shared parts, or will soon.
-		kept = max(kept, shared(r.Parts))
+		kept = all
+	case holder != nil:
+		again = float64(all-kept) * fetchCost
+		kept, fetch = all, holder.ID
+	case home != nil:
+		// The home may hold the parts, or not yet.
+		again, fetch = float64(all-kept)*rereadCost, home.ID
+	default:
+		again = float64(all-kept) * rereadCost
 	}
-	unread := max(r.Prompt-kept, 0)
-	again := float64(max(shared(r.Parts)-kept, 0)) * rereadCost
+	unread = max(r.Prompt-kept, 0)
 	running, waiting := s.inFlight, 0
 	if now-s.loadMs < loadAgeMs {
 		running = max(s.running+s.inFlight-s.atLoad, s.inFlight)
 		waiting = s.waiting
 	}
-	cost := float64(s.unread) + float64(unread) + again + float64(running)*runningCost + float64(waiting)*waitingCost
+	cost = float64(s.unread) + float64(unread) + again + float64(running)*runningCost + float64(waiting)*waitingCost
 	if r.Tight != inLane && b.lane > 0 {
 		cost += laneCrossing
 	}
 	if s.Zone != b.zone {
 		cost += engineZoneCost
 	}
-	return cost * s.slow, unread
+	return cost * s.slow, unread, fetch
 }
 
 // shared returns the tokens of all parts but the request's own.
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -48,6 +48,7 @@
 	book    *place.Book
 	conns   map[servers.Key]*direct.Pool
 	starts  map[string]servers.Key
+	addrs   map[string]string
 	retries *retry.Window
 	rnd     *rand.Rand
 }
@@ -162,6 +163,7 @@
 	out := make([]place.Server, 0, len(list))
 	live := map[servers.Key]bool{}
 	starts := map[string]servers.Key{}
+	addrs := map[string]string{}
 	for _, s := range list {
 		ps := place.Server{ID: s.ID, Start: s.Start, Zone: s.Zone, Slots: s.Slots}
 		if p.engine {
@@ -170,6 +172,7 @@
 		out = append(out, ps)
 		live[s.Key()] = true
 		starts[s.ID] = s.Key()
+		addrs[s.ID] = s.Addr
 		if p.conns[s.Key()] == nil {
 			c := direct.NewPool(s.Addr, b.clock)
 			c.Dialed = b.dialed
@@ -183,7 +186,14 @@
 			delete(p.conns, k)
 		}
 	}
-	p.starts = starts
+	p.starts, p.addrs = starts, addrs
+}
+
+// addr returns the address of a server, or "".
+func (p *pool) addr(id string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addrs[id]
 }
 
 // choose picks the server for a request and its connections.
--- a/internal/role/gateway/codec.go
+++ b/internal/role/gateway/codec.go
@@ -33,6 +33,9 @@
 	Account    string
 	Engine     bool
 	Priority   int // 0 is the most urgent
+	// FetchFrom is the address of the server from which the shared parts of the
+	// prompt are copied; empty for none.
+	FetchFrom string
 	// ResumesAt is the id of the last event that was delivered; empty to leave
 	// the caller's.
 	ResumesAt string
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -58,13 +58,14 @@
 	}
 	s := &send{choice: c, sentMs: now}
 	j.log.WithFields(logrus.Fields{
-		"event": "placed", "route": j.route.Name, "server": c.ID, "cost": int64(c.Cost), "unread": c.Unread,
+		"event": "placed", "route": j.route.Name, "server": c.ID, "cost": int64(c.Cost), "unread": c.Unread, "fetchFrom": c.FetchFrom,
 		"config": j.cfg.Version, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
 	}).Info()
 	h := j.header.Clone()
 	g.codec.Forward(h, Send{
 		Server: c.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
 		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt,
+		FetchFrom: j.pool.addr(c.FetchFrom),
 	})
 	sctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
