--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -4,19 +4,16 @@
 	"context"
 	"net/http"
 
+	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-const (
-	// rotationOut is how long the platform may still send new connections after
-	// the gateway is no longer ready: two checks, a second apart, and a margin.
-	rotationOut = 3 * clock.Second
-	// lastTaken is how long after that requests are still taken on kept
-	// connections, which callers learn to leave from the answers.
-	lastTaken = 2 * clock.Second
-	// endMargin is the time that the process needs to end.
-	endMargin = 600 * clock.Millisecond
-)
+// endMargin is the time that the process needs to end.
+const endMargin = 600 * clock.Millisecond
+
+// closeAfter is when the listener closes: by then the platform sends no new
+// connections.
+const closeAfter = 5 * clock.Second
 
 // Ready reports why the gateway cannot serve; empty means that it can.
 func (g *Gateway) Ready() string {
@@ -39,21 +36,34 @@
 	})
 }
 
+// endsAfter is the time from the signal to the process's end.
+func (g *Gateway) endsAfter() clock.Millis {
+	return clock.Millis(g.Settings().Bounds.GraceS*float64(clock.Second)) - endMargin
+}
+
 // drain finishes the requests in flight: first the platform learns that the
-// gateway is not ready, then connections end with their answers, and at last
-// no request is taken.
+// gateway is not ready, connections end with their answers, and requests that
+// cannot end in time are refused.
 func (g *Gateway) drain(srv *http.Server) {
-	grace := clock.Millis(g.Settings().Bounds.GraceS*float64(clock.Second)) - endMargin
-	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration())
+	end := g.endsAfter()
+	ctx, cancel := context.WithTimeout(context.Background(), end.Duration())
 	defer cancel()
+	g.drainMs.Store(int64(g.clock.Now()))
 	g.draining.Store(true)
-	g.closing.Store(true)
 	g.log.WithField("event", "drain").Info("the gateway is no longer ready")
-	if g.clock.Sleep(ctx, rotationOut) == nil {
-		_ = g.clock.Sleep(ctx, lastTaken)
-	}
-	g.leaving.Store(true)
+	_ = g.clock.Sleep(ctx, min(closeAfter, end*2/3))
 	if err := srv.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "drainTimeout").Warn(err)
 	}
 }
+
+// leaves reports whether the gateway ends before j could.
+func (g *Gateway) leaves(j *job, now clock.Millis) bool {
+	if !g.draining.Load() {
+		return false
+	}
+	g.mu.Lock()
+	longest := g.durations.Longest(j.route.Name)
+	g.mu.Unlock()
+	return !drain.Takes(now-clock.Millis(g.drainMs.Load()), g.endsAfter(), longest, j.timeoutMs-now)
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
@@ -61,17 +63,21 @@
 
 	callerLn, readyLn, metricsLn net.Listener
 
-	// draining: not ready; closing: each answer ends its connection; leaving:
-	// no request is taken any more.
-	draining, closing, leaving atomic.Bool
-	live                       atomic.Int32 // gateways that count usage
+	// draining is set from the signal on, which came at drainMs: the gateway is
+	// not ready, and each answer ends its connection.
+	draining atomic.Bool
+	drainMs  atomic.Int64
+	live     atomic.Int32 // gateways that count usage
+
+	mu        sync.Mutex
+	durations *drain.Durations
 }
 
 // New opens the gateway's addresses.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	g := &Gateway{
 		name: cfg.Name, process: d.Process, log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
-		duties: d.Duties, decode: d.Decode, metrics: newMetrics(),
+		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -68,7 +68,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.closing.Load() {
+	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	j, no := g.admit(w, r)
@@ -116,9 +116,6 @@
 			j.priority = *a.Priority
 		}
 	}
-	if g.leaving.Load() {
-		return j, &refusal{http.StatusServiceUnavailable, "ending", drainWait}
-	}
 	j.deadlineMs = now + defaultDeadline
 	if j.DeadlineMs > 0 {
 		j.deadlineMs = now + j.DeadlineMs
@@ -127,6 +124,9 @@
 	if t := j.route.TimeoutMs; t > 0 {
 		j.timeoutMs = min(j.timeoutMs, now+t)
 	}
+	if g.leaves(j, now) {
+		return j, &refusal{http.StatusServiceUnavailable, "ending", drainWait}
+	}
 	if no := j.readBody(w); no != nil {
 		return j, no
 	}
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -144,4 +144,7 @@
 		"bytes": bytes, "whole": whole, "sends": j.sends, "tookMs": int64(took),
 	}).Info()
 	g.metrics.answered(j, s.ans.Status, whole, took)
+	g.mu.Lock()
+	g.durations.Add(j.route.Name, took)
+	g.mu.Unlock()
 }
