Schedulers beside the engines order the starts of all gateways

Change: role scheduler on the engines' machines (policy/batch, peer/turns): long prompts start one after the other, the engine reads for 0.62 of the time, what cannot end in time is refused at once. place works in ms: an order of the servers that all entries share keeps tight streams and long prompts apart. Tight requests are sent at once and announced. A gateway without a scheduler places by what it knows itself.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -38,6 +38,7 @@
 	addEntry,
 	addSidecar,
 	addGateway,
+	addScheduler,
 	addSolo,
 	addConfig,
 	addSheet,
--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -1,15 +1,10 @@
 package commands
 
 import (
-	"context"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/role/gateway"
@@ -25,9 +20,6 @@
 	memoryPart = 0.6
 	// gcPercent trades memory, of which a gateway needs little, for processor time.
 	gcPercent = 200
-	// watchEvery is the time between looks at the settings file, which may
-	// change without a signal.
-	watchEvery = clock.Second
 )
 
 type gatewayCommand struct {
@@ -67,54 +59,14 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
-	go c.watch(ctx, log, func(next settings.Gateway) {
+	go watchSettings(ctx, c.Settings, log, func() error {
+		next, err := settings.LoadGateway(c.Settings)
+		if err != nil {
+			return err
+		}
 		now.Store(&next)
 		g.Configure(next)
+		return nil
 	})
 	return g.Run(ctx)
 }
-
-// watch reads the settings again after SIGHUP and when the file has changed.
-func (c *gatewayCommand) watch(ctx context.Context, log *logrus.Logger, apply func(settings.Gateway)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	last := c.stamp()
-	tick := make(chan struct{})
-	go func() {
-		defer close(tick)
-		for (clock.System{}).Sleep(ctx, watchEvery) == nil {
-			select {
-			case tick <- struct{}{}:
-			case <-ctx.Done():
-			}
-		}
-	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		case <-tick:
-			if c.stamp() == last {
-				continue
-			}
-		}
-		last = c.stamp()
-		next, err := settings.LoadGateway(c.Settings)
-		if err != nil {
-			log.WithField("event", "settingsRejected").Error(err)
-			continue
-		}
-		apply(next)
-	}
-}
-
-// stamp tells versions of the settings file apart; empty if it cannot be read.
-func (c *gatewayCommand) stamp() string {
-	data, err := os.ReadFile(c.Settings)
-	if err != nil {
-		return ""
-	}
-	return string(data)
-}
--- /dev/null
+++ b/internal/cli/commands/watch.go
@@ -0,0 +1,54 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// watchEvery is the time between looks at the settings file, which may change
+// without a signal.
+const watchEvery = clock.Second
+
+// watchSettings calls reload after SIGHUP and when the file at path has
+// changed, until ctx ends. Settings that are rejected change nothing.
+func watchSettings(ctx context.Context, path string, log logrus.FieldLogger, reload func() error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(watchEvery.Duration())
+	defer tick.Stop()
+	last := content(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+			if content(path) == last {
+				continue
+			}
+		}
+		last = content(path)
+		if err := reload(); err != nil {
+			log.WithField("event", "settingsRejected").Error(err)
+			continue
+		}
+		log.WithField("event", "settings").Info("settings reloaded")
+	}
+}
+
+// content returns the file's content, or nothing if it cannot be read.
+func content(path string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -31,6 +31,9 @@
 	minLeaseMs      = 1 * clock.Second
 )
 
+// logLevels is the remedy for an unknown level.
+const logLevels = "must be one of panic, fatal, error, warn, info, debug, trace"
+
 // checker adds a problem to doc for each value that is not accepted.
 type checker struct {
 	doc *strictjson.Document
@@ -40,7 +43,7 @@
 	c.filled("name", f.Name)
 	c.filled("zone", f.Zone)
 	if _, err := logrus.ParseLevel(f.LogLevel); err != nil {
-		c.doc.Reject("logLevel", f.LogLevel, "must be one of panic, fatal, error, warn, info, debug, trace")
+		c.doc.Reject("logLevel", f.LogLevel, logLevels)
 	}
 	c.platform(f.Platform, f.Role)
 	oneOf(c, "policy.order", f.Policy.Order, OrderTiers, OrderFIFO)
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -39,6 +39,9 @@
 	CallerAddr  string `json:"callerAddr"`
 	ReadyAddr   string `json:"readyAddr"`
 	MetricsAddr string `json:"metricsAddr"`
+	// SchedulerPort is the port of the schedulers on the machines of model
+	// engines; 0 if there are none.
+	SchedulerPort float64 `json:"schedulerPort"`
 	// MemoryMb and MaxFiles are the limits of the process.
 	MemoryMb float64       `json:"memoryMb"`
 	MaxFiles float64       `json:"maxFiles"`
@@ -121,7 +124,7 @@
 	c.filled("name", g.Name)
 	c.filled("zone", g.Zone)
 	if _, err := logrus.ParseLevel(g.LogLevel); err != nil {
-		c.doc.Reject("logLevel", g.LogLevel, "must be one of panic, fatal, error, warn, info, debug, trace")
+		c.doc.Reject("logLevel", g.LogLevel, logLevels)
 	}
 	c.addr("callerAddr", g.CallerAddr)
 	c.addr("readyAddr", g.ReadyAddr)
@@ -130,6 +133,9 @@
 	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr)
 	c.peer("store.addr", g.Store.Addr)
 	c.peer("duties.addr", g.Duties.Addr)
+	if p := g.SchedulerPort; p < 0 || p > maxPort || p != float64(int(p)) {
+		c.doc.Reject("schedulerPort", p, "must be a whole number from 0 to 65535")
+	}
 	c.positive("memoryMb", g.MemoryMb)
 	c.positive("maxFiles", g.MaxFiles)
 	c.positive("duties.windowS", g.Duties.WindowS)
--- /dev/null
+++ b/internal/policy/batch/batch.go
@@ -0,0 +1,405 @@
+// Package batch decides when requests of all entries start at one model engine
+// that runs them in a batch.
+//
+// It answers the load of long prompts in a burst. An engine reads prompts in
+// chunks between the tokens of the running requests: while it reads without a
+// pause, each token takes as long as a chunk, and streams that could have ended
+// in time do not. So prompts start one after the other, and the engine reads
+// for a part of the time only (the duty); a request that cannot end in time is
+// refused at once, before it costs anything, and told when to come back.
+//
+// The most urgent requests go first; among them those that can still meet
+// their target, by target, and accounts that had more than their share last.
+// The package is a pure state machine with a single owner: time is an argument.
+package batch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// defaultSpeed is the prompt tokens read in a millisecond until it was observed.
+	defaultSpeed = 45.0
+	leastSpeed   = 2.0
+	mostSpeed    = 500.0
+	speedWeight  = 0.2
+	// observedTokens is the least prompt that tells the speed.
+	observedTokens = 3000
+	// defaultDuty is the part of the time in which the engine reads prompts: at
+	// about two thirds, a token takes three times as long as without reading.
+	defaultDuty = 0.62
+	// smallTokens are read within a step or two and start at once.
+	smallTokens = 1300
+	// pendingTokens bounds the prompts that were started and are not read yet:
+	// about four chunks.
+	pendingTokens = 8000
+	// tightSlots of the engine are kept for tight requests.
+	tightSlots = 8
+	// memoryPart of the engine's memory is for the requests' own tokens; the
+	// rest holds shared parts.
+	memoryPart = 0.75
+	// fairHalf is the time after which what an account was granted counts half.
+	fairHalf = 5 * clock.Second
+	// overShare is how many times the mean an account may have been granted
+	// before the others go first.
+	overShare = 2.0
+	// leastRetry and mostRetry bound the time after which to come back.
+	leastRetry = 200 * clock.Millisecond
+	mostRetry  = 5 * clock.Second
+	// checkEvery is the time between two checks whether waiting requests can
+	// still end in time.
+	checkEvery = 50 * clock.Millisecond
+	// tickEvery is the time between two looks at the queue.
+	tickEvery = 10 * clock.Millisecond
+)
+
+// Config describes the engine.
+type Config struct {
+	// Slots is the number of requests that it runs at a time.
+	Slots int
+	// MemoryTokens is its memory for prompts and answers.
+	MemoryTokens int
+	// Duty is the part of the time for reading prompts; 0 is the default.
+	Duty float64
+}
+
+// Request asks to start. Times are on the scheduler's clock.
+type Request struct {
+	ID      string
+	Entry   string
+	Account string
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Tight requests are of routes whose streams bear short pauses only.
+	Tight bool
+	// Unread are the prompt tokens to be read.
+	Unread int
+	// Tokens is the memory that the request needs for itself.
+	Tokens int
+	// TargetMs is until when the first event counts in full.
+	TargetMs clock.Millis
+	// DeadlineMs is until when the answer must have ended.
+	DeadlineMs clock.Millis
+	// NeedMs is how long the answer lasts from its first event.
+	NeedMs clock.Millis
+}
+
+// Action tells an entry about one of its requests.
+type Action struct {
+	Entry string
+	ID    string
+	// Granted requests are to be sent; the others will not be run.
+	Granted bool
+	// RetryAfterMs is when a refused request may come back.
+	RetryAfterMs clock.Millis
+}
+
+// Load is what entries need to know.
+type Load struct {
+	// FreeMs is the time until a prompt that came now would be started.
+	FreeMs clock.Millis `json:"freeMs"`
+	// ReadMs is the time that the started prompts still take.
+	ReadMs  clock.Millis `json:"readMs"`
+	Running int          `json:"running"`
+	Tight   int          `json:"tight"`
+	Waiting int          `json:"waiting"`
+	// Speed is the prompt tokens read in a millisecond while reading, and Rate
+	// that over time.
+	Speed float64 `json:"speed"`
+	Rate  float64 `json:"rate"`
+}
+
+type run struct {
+	Request
+	grantedMs clock.Millis
+	begun     bool
+	// alone tells that nothing else was pending when it was granted.
+	alone bool
+}
+
+type waiting struct {
+	Request
+	seq int
+}
+
+// Scheduler is the state machine.
+type Scheduler struct {
+	cfg     Config
+	speed   float64
+	running map[string]*run
+	queue   []*waiting
+	seq     int
+	// freeMs is when the duty allows the next prompt.
+	freeMs  clock.Millis
+	pending int // tokens of granted prompts that are not read yet
+	memory  int
+	tight   int
+	spent   map[string]float64
+	spentMs clock.Millis
+	// checkedMs is when the waiting requests were last checked.
+	checkedMs clock.Millis
+	out       []Action
+}
+
+// New returns an idle Scheduler.
+func New(cfg Config) *Scheduler {
+	if cfg.Duty <= 0 {
+		cfg.Duty = defaultDuty
+	}
+	return &Scheduler{cfg: cfg, speed: defaultSpeed, running: map[string]*run{}, spent: map[string]float64{}}
+}
+
+// SetConfig changes the description of the engine.
+func (s *Scheduler) SetConfig(cfg Config) {
+	if cfg.Duty <= 0 {
+		cfg.Duty = defaultDuty
+	}
+	s.cfg = cfg
+}
+
+func (s *Scheduler) rate() float64 { return s.speed * s.cfg.Duty }
+
+func (s *Scheduler) readMs(tokens int) clock.Millis {
+	return clock.Millis(float64(tokens) / s.speed)
+}
+
+// Ask asks for r to start.
+func (s *Scheduler) Ask(now clock.Millis, r Request) {
+	s.seq++
+	w := &waiting{r, s.seq}
+	if !s.feasible(now, w) {
+		s.refuse(now, w)
+		return
+	}
+	s.queue = append(s.queue, w)
+	s.dispatch(now)
+}
+
+// Adopt notes a request that runs already, as after a restart of the scheduler.
+func (s *Scheduler) Adopt(now clock.Millis, r Request, begun bool) {
+	if _, ok := s.running[r.ID]; ok {
+		return
+	}
+	s.start(now, r)
+	if begun {
+		s.Begun(now, r.ID)
+	}
+}
+
+// Cancel takes back a request that waits or was granted and not sent.
+func (s *Scheduler) Cancel(now clock.Millis, id string) {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.ID == id })
+	s.Done(now, id)
+}
+
+// Begun tells that the first event of a request has arrived.
+func (s *Scheduler) Begun(now clock.Millis, id string) {
+	r, ok := s.running[id]
+	if !ok || r.begun {
+		return
+	}
+	r.begun = true
+	s.pending -= r.Unread
+	if took := now - r.grantedMs; r.alone && r.Unread >= observedTokens && took > 0 {
+		seen := min(max(float64(r.Unread)/float64(took), leastSpeed), mostSpeed)
+		s.speed += (seen - s.speed) * speedWeight
+	}
+	s.dispatch(now)
+}
+
+// Done tells that a request has ended.
+func (s *Scheduler) Done(now clock.Millis, id string) {
+	r, ok := s.running[id]
+	if !ok {
+		return
+	}
+	delete(s.running, id)
+	if !r.begun {
+		s.pending -= r.Unread
+	}
+	s.memory -= r.Tokens
+	if r.Tight {
+		s.tight--
+	}
+	s.dispatch(now)
+}
+
+// DropEntry ends all requests of an entry that is gone.
+func (s *Scheduler) DropEntry(now clock.Millis, entry string) {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.Entry == entry })
+	for id, r := range s.running {
+		if r.Entry == entry {
+			s.Done(now, id)
+		}
+	}
+}
+
+// Tick acts on the passing of time: requests that can no longer end in time are
+// refused while another entry or a later try may still serve them.
+func (s *Scheduler) Tick(now clock.Millis) {
+	if now-s.checkedMs >= checkEvery {
+		s.checkedMs = now
+		for _, w := range slices.Clone(s.queue) {
+			if !s.feasible(now, w) {
+				s.queue = slices.DeleteFunc(s.queue, func(o *waiting) bool { return o == w })
+				s.refuse(now, w)
+			}
+		}
+	}
+	s.dispatch(now)
+}
+
+// NextTick returns when Tick is needed next; ok is false while nothing waits.
+func (s *Scheduler) NextTick(now clock.Millis) (at clock.Millis, ok bool) {
+	return now + tickEvery, len(s.queue) > 0
+}
+
+// Actions returns what entries are to be told since the last call.
+func (s *Scheduler) Actions() []Action {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Load returns the present load.
+func (s *Scheduler) Load(now clock.Millis) Load {
+	ahead := 0
+	for _, w := range s.queue {
+		ahead += w.Unread
+	}
+	return Load{
+		FreeMs:  max(s.freeMs-now, 0) + clock.Millis(float64(ahead)/s.rate()),
+		ReadMs:  s.readMs(max(s.pending, 0)),
+		Running: len(s.running), Tight: s.tight, Waiting: len(s.queue),
+		Speed: math.Round(s.speed*10) / 10, Rate: math.Round(s.rate()*10) / 10,
+	}
+}
+
+// feasible reports whether w would end in time behind what goes before it.
+func (s *Scheduler) feasible(now clock.Millis, w *waiting) bool {
+	ahead := 0
+	for _, o := range s.queue {
+		if s.less(now, o, w) {
+			ahead += o.Unread
+		}
+	}
+	wait := clock.Millis(float64(ahead) / s.rate())
+	if !s.small(w) {
+		wait += max(s.freeMs-now, 0)
+	}
+	return now+wait+s.readMs(w.Unread)+w.NeedMs <= w.DeadlineMs
+}
+
+func (s *Scheduler) refuse(now clock.Millis, w *waiting) {
+	after := min(max(s.Load(now).FreeMs/2, leastRetry), mostRetry)
+	s.out = append(s.out, Action{Entry: w.Entry, ID: w.ID, RetryAfterMs: after})
+}
+
+func (s *Scheduler) small(w *waiting) bool { return w.Tight || w.Unread <= smallTokens }
+
+// less orders the queue.
+func (s *Scheduler) less(now clock.Millis, a, b *waiting) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if la, lb := s.late(now, a), s.late(now, b); la != lb {
+		return !la
+	}
+	if oa, ob := s.over(a.Account), s.over(b.Account); oa != ob {
+		return !oa
+	}
+	if c := cmp.Compare(a.TargetMs, b.TargetMs); c != 0 {
+		return c < 0
+	}
+	return a.seq < b.seq
+}
+
+// late reports whether w cannot meet its target any more.
+func (s *Scheduler) late(now clock.Millis, w *waiting) bool {
+	return now+s.readMs(w.Unread) > w.TargetMs
+}
+
+// over reports whether an account was granted far more than the mean.
+func (s *Scheduler) over(account string) bool {
+	if len(s.spent) < 2 {
+		return false
+	}
+	sum := 0.0
+	for _, v := range s.spent {
+		sum += v
+	}
+	return s.spent[account] > overShare*sum/float64(len(s.spent))
+}
+
+// dispatch grants what may start now.
+func (s *Scheduler) dispatch(now clock.Millis) {
+	for len(s.queue) > 0 {
+		best := s.queue[0]
+		for _, w := range s.queue[1:] {
+			if s.less(now, w, best) {
+				best = w
+			}
+		}
+		if !s.fits(now, best) {
+			return
+		}
+		s.queue = slices.DeleteFunc(s.queue, func(o *waiting) bool { return o == best })
+		s.start(now, best.Request)
+		s.out = append(s.out, Action{Entry: best.Entry, ID: best.ID, Granted: true})
+	}
+}
+
+// fits reports whether the engine can take w now.
+func (s *Scheduler) fits(now clock.Millis, w *waiting) bool {
+	slots := s.cfg.Slots
+	if !w.Tight {
+		slots -= min(tightSlots, slots/4)
+	}
+	if slots > 0 && len(s.running) >= slots {
+		return false
+	}
+	if mem := int(float64(s.cfg.MemoryTokens) * memoryPart); mem > 0 && len(s.running) > 0 && s.memory+w.Tokens > mem {
+		return false
+	}
+	if s.small(w) || len(s.running) == 0 {
+		return true
+	}
+	if s.pending > 0 && s.pending+w.Unread > pendingTokens {
+		return false
+	}
+	return now >= s.freeMs
+}
+
+func (s *Scheduler) start(now clock.Millis, r Request) {
+	s.running[r.ID] = &run{Request: r, grantedMs: now, alone: s.pending <= 0}
+	for _, o := range s.running {
+		if o.ID != r.ID && !o.begun {
+			o.alone = false
+		}
+	}
+	s.pending += r.Unread
+	s.memory += r.Tokens
+	if r.Tight {
+		s.tight++
+	}
+	s.freeMs = max(s.freeMs, now) + clock.Millis(float64(r.Unread)/s.rate())
+	s.spend(now, r.Account, float64(r.Unread+r.Tokens))
+}
+
+// spend notes what an account was granted; old grants fade.
+func (s *Scheduler) spend(now clock.Millis, account string, tokens float64) {
+	if dt := now - s.spentMs; dt > 0 {
+		f := math.Exp2(-float64(dt) / float64(fairHalf))
+		for a, v := range s.spent {
+			if s.spent[a] = v * f; v*f < 1 {
+				delete(s.spent, a)
+			}
+		}
+		s.spentMs = now
+	}
+	s.spent[account] += tokens
+}
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -74,3 +74,13 @@
 	}
 	return since+expected < endMs
 }
+
+// Typical returns the median of the remembered durations, or 0.
+func (d *Durations) Typical(route string) clock.Millis {
+	w := d.byRoute[route]
+	if w == nil {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(w.last))
+	return sorted[len(sorted)/2]
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -3,40 +3,49 @@
 //
 // It answers three loads. Long prompts beside short ones: a server's batch
 // shares its steps, so a long prompt stalls every stream beside it; requests
-// of routes with tight pauses get a lane of servers of their own, which others
-// enter only when their own lane is far behind. Prompts with shared parts: a
-// part that a server has read is not read again, so each part has a home, the
-// same in all entries, that is left once waiting there costs more than reading
-// the part elsewhere. Servers that fail, hang or turn slow: what a server did
-// to real requests raises its cost, and it is tried again after a pause.
+// of routes with tight pauses gather from one end of an order of the servers
+// that all entries share, long prompts from the other end, and each avoids the
+// other. Prompts with shared parts: a part that a server has read is not read
+// again there, and can be copied from there; each part has a home, the same in
+// all entries, until a holder is known. Servers that fail, hang or turn slow:
+// what a server did to real requests raises its cost, and it is tried again
+// after a pause.
 //
-// Costs are in prompt tokens to be read before the request's first event. The
-// package is a pure state machine: time and randomness are arguments. A Book
-// is not safe for concurrent use.
+// Costs are in milliseconds until the request's first event. A scheduler beside
+// the server tells its load; without one the entry's own requests stand for it.
+// The package is a pure state machine: time and randomness are arguments. A
+// Book is not safe for concurrent use.
 package place
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
 
+	"github.com/damaskport/damaskport/internal/policy/batch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 const (
-	// laneShare is the part of an engine pool's servers that is kept for routes
-	// with tight pauses.
-	laneShare = 1.0 / 3
-	// laneCrossing is the cost, in tokens, of leaving the own lane: about half a
-	// second of reading at 50 tokens a millisecond.
-	laneCrossing = 25000
-	// runningCost is the cost of one running request: it slows each step.
-	runningCost = 150
-	// waitingCost is the cost of a request that waits at the server for others.
-	waitingCost = 2500
-	// rereadCost weighs a shared part that is read again against waiting: the
-	// time is lost for all requests of the server.
+	// orderSpan is the cost, in ms, between the two ends of the shared order.
+	orderSpan = 200.0
+	// tightRunningMs and runningMs are the costs of one running request to a
+	// tight request and to others: it slows each step.
+	tightRunningMs = 1.0
+	runningMs      = 3.0
+	// longTokens is the length from which a prompt stalls streams for longer
+	// than tight ones bear: three chunks within one event.
+	longTokens = 6000
+	// stallMs is the cost, in ms, of a stalled tight stream, and mixMs that of a
+	// short prompt beside one.
+	stallMs = 1000.0
+	mixMs   = 2.0
+	// queuedMs is the cost to a tight request of long prompts that wait there.
+	queuedMs = 300.0
+	// rereadCost weighs the time of a shared part that is read again: it is
+	// lost for all requests of the server.
 	rereadCost = 1.5
 	// fetchCost weighs a shared part that is copied from another server: links
 	// carry it in a small part of the time of reading.
@@ -45,6 +54,16 @@
 	failingHome = 0.3
 	// cachePart is the part of a server's memory that is taken to hold shared parts.
 	cachePart = 0.5
+	// assumedSpeed and assumedRate are the prompt tokens that a server without
+	// a scheduler is taken to read in a ms, while it reads and over time.
+	assumedSpeed = 45.0
+	assumedRate  = 28.0
+	// idleMs is the time to the next start at a server that counts as idle, and
+	// moveMs the cost up to which a waiting request moves to one.
+	idleMs = 20 * clock.Millisecond
+	moveMs = 700.0
+	// toldAgeMs is how long a scheduler's word counts.
+	toldAgeMs = 1500 * clock.Millisecond
 	// loadAgeMs is how long a told load counts.
 	loadAgeMs = 1500 * clock.Millisecond
 	// failWeight and okWeight move the rate of failures.
@@ -60,8 +79,10 @@
 	slowWeight = 0.15
 	// zoneCost is the cost of another availability zone, in milliseconds.
 	zoneCost = 1.5
-	// engineZoneCost is the same in tokens.
-	engineZoneCost = 300
+	// engineZoneMs and engineZoneTokenMs are the same for model engines, for a
+	// request and each token of its prompt: bytes between zones have their price.
+	engineZoneMs      = 15.0
+	engineZoneTokenMs = 0.008
 	// startServiceMs is the assumed time of a plain request at an unknown server.
 	startServiceMs = 30
 )
@@ -114,13 +135,18 @@
 	rank     uint32
 	inFlight int
 	// unread are the prompt tokens sent whose first event has not arrived.
-	unread  int
+	unread int
+	// since are the unread tokens of own requests after the last told load, and
+	// tight the own tight requests.
+	since   int
+	tight   int
+	toldMs  clock.Millis
+	told    batch.Load
 	cache   *cache
 	fails   float64
 	pause   clock.Millis
 	untilMs clock.Millis
 	timeMs  float64 // per plain request
-	slow    float64 // first events: time against the estimate
 	loadMs  clock.Millis
 	running int
 	waiting int
@@ -133,7 +159,6 @@
 	all  map[string]*state
 	// ranked are the servers in an order that all entries share.
 	ranked []*state
-	lane   int // the first of ranked are the lane for tight requests
 }
 
 // NewBook returns a Book without servers, for an entry of the zone.
@@ -144,34 +169,22 @@
 // Len returns the number of servers.
 func (b *Book) Len() int { return len(b.ranked) }
 
-// SetServers sets the servers that may take requests; lanes tells whether some
-// of them are kept for tight requests. A server that starts anew holds nothing.
-func (b *Book) SetServers(list []Server, lanes bool) {
+// SetServers sets the servers that may take requests. A server that starts
+// anew holds nothing.
+func (b *Book) SetServers(list []Server) {
 	next := make(map[string]*state, len(list))
 	b.ranked = b.ranked[:0]
 	for _, s := range list {
 		st, ok := b.all[s.ID]
 		if !ok || st.Start != s.Start {
-			st = &state{rank: hash("", s.ID), timeMs: startServiceMs, slow: 1, cache: newCache(int(float64(s.CacheTokens) * cachePart))}
+			st = &state{rank: hash("", s.ID), timeMs: startServiceMs, cache: newCache(int(float64(s.CacheTokens) * cachePart))}
 		}
 		st.Server = s
 		next[s.ID] = st
 		b.ranked = append(b.ranked, st)
 	}
 	b.all = next
-	slices.SortFunc(b.ranked, func(x, y *state) int {
-		if x.rank != y.rank {
-			if x.rank < y.rank {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
-	b.lane = 0
-	if n := len(b.ranked); lanes && n > 1 {
-		b.lane = max(1, int(math.Round(float64(n)*laneShare)))
-	}
+	slices.SortFunc(b.ranked, func(x, y *state) int { return cmp.Compare(x.rank, y.rank) })
 }
 
 func hash(a, b string) uint32 {
@@ -216,7 +229,7 @@
 		var cost float64
 		unread, fetch := 0, ""
 		if r.Engine {
-			cost, unread, fetch = b.engineCost(now, s, r, home, holder, i < b.lane)
+			cost, unread, fetch = b.engineCost(now, s, r, home, holder, i)
 		} else {
 			cost = b.plainCost(now, s)
 		}
@@ -234,19 +247,40 @@
 	return c, ok
 }
 
-// home returns the server that holds the last shared part of the prompt.
+// Idle reports whether another server than that of c, where r waits, could
+// start it now at no greater cost than waiting a little longer.
+func (b *Book) Idle(now clock.Millis, r Request, c Choice, exclude []string) bool {
+	for i, s := range b.ranked {
+		if s.ID == c.ID || now < s.untilMs || s.fails > failingHome || slices.Contains(exclude, s.ID) {
+			continue
+		}
+		l := s.load(now)
+		if l.Waiting > 0 || l.FreeMs > idleMs {
+			continue
+		}
+		if cost, _, _ := b.engineCost(now, s, r, b.home(r), b.holder(now, r), i); cost < moveMs {
+			return true
+		}
+	}
+	return false
+}
+
+// home returns the server that is to read the last shared part of the prompt
+// while no holder is known. Homes of tight requests' parts lie in the first
+// third of the order.
 func (b *Book) home(r Request) *state {
 	if len(r.Parts) < 2 || len(b.ranked) == 0 {
 		return nil
 	}
 	part := r.Parts[len(r.Parts)-2].ID
-	lane := b.ranked[b.lane:]
-	if r.Tight && b.lane > 0 {
-		lane = b.ranked[:b.lane]
+	third := (len(b.ranked) + 2) / 3
+	among := b.ranked[min(third, len(b.ranked)-1):]
+	if r.Tight {
+		among = b.ranked[:third]
 	}
 	var best *state
 	var top uint32
-	for _, s := range lane {
+	for _, s := range among {
 		if w := hash(part, s.ID); best == nil || w > top {
 			best, top = s, w
 		}
@@ -270,7 +304,7 @@
 	return best
 }
 
-func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state, inLane bool) (cost float64, unread int, fetch string) {
+func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state, i int) (cost float64, unread int, fetch string) {
 	kept, all := s.cache.kept(r.Parts), shared(r.Parts)
 	again := 0.0
 	switch {
@@ -288,19 +322,59 @@
 		again = float64(all-kept) * rereadCost
 	}
 	unread = max(r.Prompt-kept, 0)
-	running, waiting := s.inFlight, 0
-	if now-s.loadMs < loadAgeMs {
-		running = max(s.running+s.inFlight-s.atLoad, s.inFlight)
-		waiting = s.waiting
-	}
-	cost = float64(s.unread) + float64(unread) + again + float64(running)*runningCost + float64(waiting)*waitingCost
-	if r.Tight != inLane && b.lane > 0 {
-		cost += laneCrossing
+	l := s.load(now)
+	cost = (float64(unread) + again) / l.Speed
+	if r.Tight {
+		cost += b.tightCost(l, i)
+	} else {
+		cost += b.longCost(l, unread, len(b.ranked)-1-i)
 	}
 	if s.Zone != b.zone {
-		cost += engineZoneCost
+		cost += engineZoneMs + float64(r.Prompt)*engineZoneTokenMs
+	}
+	return cost, unread, fetch
+}
+
+// order returns the cost of being n places from the own end of the order.
+func (b *Book) order(n int) float64 { return orderSpan * float64(n) / float64(len(b.ranked)) }
+
+// tightCost is the cost of a tight request beside what a server has to do.
+func (b *Book) tightCost(l batch.Load, i int) float64 {
+	cost := float64(l.ReadMs) + float64(l.Running)*tightRunningMs + b.order(i)
+	if l.Waiting > 0 {
+		cost += queuedMs
+	}
+	return cost
+}
+
+// longCost is the cost of any other request there.
+func (b *Book) longCost(l batch.Load, unread, i int) float64 {
+	cost := float64(l.FreeMs) + float64(l.Running)*runningMs + b.order(i)
+	if unread > longTokens {
+		return cost + float64(l.Tight)*stallMs
+	}
+	return cost + float64(l.Tight)*mixMs
+}
+
+// load returns a server's load: what its scheduler told and the own requests
+// since then, or what the own requests and answers show.
+func (s *state) load(now clock.Millis) batch.Load {
+	if age := now - s.toldMs; s.toldMs > 0 && age < toldAgeMs {
+		l := s.told
+		l.FreeMs = max(l.FreeMs-age, 0) + clock.Millis(float64(s.since)/l.Rate)
+		l.ReadMs = max(l.ReadMs-age, 0) + clock.Millis(float64(s.since)/l.Speed)
+		l.Running, l.Tight = max(l.Running, s.inFlight), max(l.Tight, s.tight)
+		return l
+	}
+	l := batch.Load{
+		FreeMs: clock.Millis(float64(s.unread) / assumedRate), ReadMs: clock.Millis(float64(s.unread) / assumedSpeed),
+		Running: s.inFlight, Tight: s.tight, Speed: assumedSpeed, Rate: assumedRate,
 	}
-	return cost * s.slow, unread, fetch
+	if now-s.loadMs < loadAgeMs {
+		l.Running = max(s.running+s.inFlight-s.atLoad, s.inFlight)
+		l.Waiting = s.waiting
+	}
+	return l
 }
 
 // shared returns the tokens of all parts but the request's own.
@@ -326,22 +400,24 @@
 	return cost
 }
 
-// Sent tells that a request was sent by choice c.
-func (b *Book) Sent(c Choice) {
+// Sent tells that a request goes to the server of c.
+func (b *Book) Sent(c Choice, r Request) {
 	if s := b.all[c.ID]; s != nil {
 		s.inFlight++
 		s.unread += c.Unread
+		s.since += c.Unread
+		if r.Tight {
+			s.tight++
+		}
 	}
 }
 
 // Begun tells that the first event of a send arrived.
 func (b *Book) Begun(c Choice, r Request) {
-	s := b.all[c.ID]
-	if s == nil {
-		return
+	if s := b.all[c.ID]; s != nil {
+		s.unread = max(s.unread-c.Unread, 0)
+		s.cache.add(r.Parts)
 	}
-	s.unread = max(s.unread-c.Unread, 0)
-	s.cache.add(r.Parts)
 }
 
 // Ended tells how a send ended. begun tells that Begun was called for it.
@@ -351,6 +427,9 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
+	if r.Tight {
+		s.tight = max(s.tight-1, 0)
+	}
 	if !begun {
 		s.unread = max(s.unread-c.Unread, 0)
 	}
@@ -372,6 +451,27 @@
 	}
 }
 
+// Told tells the load that the scheduler beside a server tells, and the shared
+// parts that the server came to hold.
+func (b *Book) Told(now clock.Millis, id string, l batch.Load, parts []string) {
+	s := b.all[id]
+	if s == nil {
+		return
+	}
+	s.toldMs, s.told, s.since = now, l, 0
+	s.told.Speed, s.told.Rate = max(l.Speed, 1), max(l.Rate, 1)
+	for _, p := range parts {
+		s.cache.hold(p)
+	}
+}
+
+// Untold tells that the scheduler beside a server is out of reach.
+func (b *Book) Untold(id string) {
+	if s := b.all[id]; s != nil {
+		s.toldMs = 0
+	}
+}
+
 // Load tells the load that a server reported.
 func (b *Book) Load(now clock.Millis, id string, running, waiting int) {
 	if s := b.all[id]; s != nil {
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -30,6 +30,8 @@
 	configReadMs atomic.Int64
 	listed       atomic.Bool
 	dialed       func()
+	// engines is told the servers of a pool of model engines; it may be nil.
+	engines func(p *pool, list []servers.Server, cacheTokens int)
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -129,6 +131,9 @@
 	}
 	for name, p := range b.pools {
 		p.set(b, cfg.Pool(name), tight(cfg, name), byPool[name])
+		if c := cfg.Pool(name); c != nil && c.Engine && b.engines != nil {
+			b.engines(p, byPool[name], c.CacheTokens)
+		}
 	}
 }
 
@@ -179,7 +184,7 @@
 			p.conns[s.Key()] = c
 		}
 	}
-	p.book.SetServers(out, tightMs > 0)
+	p.book.SetServers(out)
 	for k, c := range p.conns {
 		if !live[k] {
 			c.Close()
@@ -189,23 +194,26 @@
 	p.starts, p.addrs = starts, addrs
 }
 
-// addr returns the address of a server, or "".
-func (p *pool) addr(id string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addrs[id]
-}
-
 // choose picks the server for a request and its connections.
-func (p *pool) choose(now clock.Millis, r place.Request, exclude []string) (place.Choice, *direct.Pool, bool) {
+func (p *pool) choose(now clock.Millis, r place.Request, exclude []string) (target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.book.Choose(now, r, exclude, p.rnd)
 	if !ok {
-		return c, nil, false
+		return target{}, false
 	}
-	p.book.Sent(c)
-	return c, p.conns[p.starts[c.ID]], true
+	p.book.Sent(c, r)
+	k := p.starts[c.ID]
+	return target{Choice: c, key: k, conns: p.conns[k], fetchAddr: p.addrs[c.FetchFrom]}, true
+}
+
+// target is a chosen server.
+type target struct {
+	place.Choice
+	key   servers.Key
+	conns *direct.Pool
+	// fetchAddr is the address from which shared parts are copied, or "".
+	fetchAddr string
 }
 
 // with runs f on the pool's book.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -69,19 +70,22 @@
 	drainMs  atomic.Int64
 	live     atomic.Int32 // gateways that count usage
 
-	mu        sync.Mutex
-	durations *drain.Durations
+	mu sync.Mutex
+	// durations are whole answers, streamed the times from the first event on.
+	durations, streamed *drain.Durations
+	schedulers          *schedulers
 }
 
 // New opens the gateway's addresses.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	g := &Gateway{
 		name: cfg.Name, process: d.Process, log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
-		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(),
+		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
 	g.belief.dialed = g.metrics.dialed
+	g.schedulers = &schedulers{g: g, byID: map[servers.Key]*schedulerHandle{}}
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS) * clock.Second)
 	var err error
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
@@ -107,7 +111,6 @@
 func (g *Gateway) Configure(cfg settings.Gateway) {
 	g.cfg.Store(&cfg)
 	g.belief.setBound(bound(cfg))
-	g.log.WithField("event", "settings").Info("settings reloaded")
 }
 
 // Settings returns the settings in force.
@@ -126,6 +129,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	g.belief.engines = func(p *pool, list []servers.Server, cacheTokens int) { g.schedulers.set(run, p, list, cacheTokens) }
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
--- /dev/null
+++ b/internal/role/gateway/placing.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/peer/turns"
+	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// maxAsked bounds the schedulers that refuse one request before it is refused.
+const maxAsked = 3
+
+// place finds a server for j, and its turn there if a scheduler orders the
+// starts.
+func (g *Gateway) place(ctx context.Context, j *job) (target, *turn, *refusal) {
+	var refused []string
+	var retryAfter clock.Millis
+	for {
+		now := g.clock.Now()
+		if j.timeoutMs-now < leastLeft {
+			return target{}, nil, g.giveUp(j, "noTimeLeft")
+		}
+		to, ok := j.pool.choose(now, j.ask, append(refused, j.exclude...))
+		if !ok && len(refused) > 0 {
+			return target{}, nil, g.overload(j, retryAfter)
+		}
+		if !ok || to.conns == nil {
+			return target{}, nil, g.giveUp(j, "noServer")
+		}
+		g.placed(j, to, now)
+		c := g.schedulers.of(to.key)
+		if !j.route.Engine || c == nil {
+			return to, nil, nil
+		}
+		r := g.reservation(j, to, now)
+		if j.ask.Tight {
+			return to, c.announce(r), nil
+		}
+		t := c.reserve(r)
+		if t == nil {
+			return to, nil, nil
+		}
+		v, err := t.await(ctx, func() bool {
+			better := false
+			j.pool.with(func(b *place.Book) { better = b.Idle(g.clock.Now(), j.ask, to.Choice, j.exclude) })
+			return better
+		})
+		if err == nil && (v.granted || v.lost) {
+			j.log.WithFields(logrus.Fields{"event": "turn", "server": to.ID, "granted": v.granted, "waitedMs": int64(g.clock.Now() - now)}).Info()
+			if v.lost {
+				t = nil
+			}
+			return to, t, nil
+		}
+		j.pool.with(func(b *place.Book) { b.Ended(g.clock.Now(), to.Choice, j.ask, place.OutcomeLeft, false, 0) })
+		if err != nil {
+			return target{}, nil, g.giveUp(j, "endedWaiting")
+		}
+		if v.moved {
+			continue
+		}
+		refused = append(refused, to.ID)
+		if retryAfter == 0 || v.retryAfter < retryAfter {
+			retryAfter = v.retryAfter
+		}
+		j.log.WithFields(logrus.Fields{"event": "notOffered", "server": to.ID, "retryAfterMs": int64(v.retryAfter), "asked": len(refused)}).Info()
+		if len(refused) >= maxAsked {
+			return target{}, nil, g.overload(j, retryAfter)
+		}
+	}
+}
+
+func (g *Gateway) placed(j *job, to target, now clock.Millis) {
+	j.log.WithFields(logrus.Fields{
+		"event": "placed", "route": j.route.Name, "server": to.ID, "cost": int64(to.Cost), "unread": to.Unread,
+		"fetchFrom": to.FetchFrom, "config": j.cfg.Version, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
+	}).Info()
+}
+
+// overload refuses a request that no server can end in time.
+func (g *Gateway) overload(j *job, retryAfter clock.Millis) *refusal {
+	if j.ran {
+		return g.giveUp(j, "overload")
+	}
+	return &refusal{http.StatusServiceUnavailable, "overload", retryAfter}
+}
+
+// reservation describes j to a scheduler.
+func (g *Gateway) reservation(j *job, to target, now clock.Millis) turns.Reservation {
+	g.mu.Lock()
+	need := g.streamed.Typical(j.route.Name)
+	g.mu.Unlock()
+	r := turns.Reservation{
+		ID: j.ID, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, Unread: to.Unread,
+		Tokens: to.Unread + j.OutputTokens, TargetMs: j.arrivedMs + j.route.TargetMs - now,
+		DeadlineMs: j.timeoutMs - now, NeedMs: need,
+	}
+	if n := len(j.Parts); n >= 2 {
+		r.Part = j.Parts[n-2].ID
+	}
+	return r
+}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -28,10 +28,12 @@
 // send is one request to one server.
 type send struct {
 	choice  place.Choice
+	turn    *turn // nil without a scheduler
 	ans     *direct.Answer
 	reply   Reply
 	sentMs  clock.Millis
 	begun   bool
+	beganMs clock.Millis
 	cancel  context.CancelFunc
 	outcome retry.Outcome // when there is no answer to pass on
 	err     error
@@ -52,20 +54,16 @@
 	if j.timeoutMs-now < leastLeft {
 		return nil, g.giveUp(j, "noTimeLeft")
 	}
-	c, conns, ok := j.pool.choose(now, j.ask, j.exclude)
-	if !ok || conns == nil {
-		return nil, g.giveUp(j, "noServer")
+	to, turn, no := g.place(ctx, j)
+	if no != nil {
+		return nil, no
 	}
-	s := &send{choice: c, sentMs: now}
-	j.log.WithFields(logrus.Fields{
-		"event": "placed", "route": j.route.Name, "server": c.ID, "cost": int64(c.Cost), "unread": c.Unread, "fetchFrom": c.FetchFrom,
-		"config": j.cfg.Version, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
-	}).Info()
+	now = g.clock.Now()
+	s := &send{choice: to.Choice, turn: turn, sentMs: now}
 	h := j.header.Clone()
 	g.codec.Forward(h, Send{
-		Server: c.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
-		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt,
-		FetchFrom: j.pool.addr(c.FetchFrom),
+		Server: to.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
+		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt, FetchFrom: to.fetchAddr,
 	})
 	sctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
@@ -73,7 +71,7 @@
 		t := time.AfterFunc(patience.Duration(), func() { cancel(errSlow) })
 		defer t.Stop()
 	}
-	ans, err := conns.Do(sctx, direct.Request{
+	ans, err := to.conns.Do(sctx, direct.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body,
 		Mine: func(status int, h http.Header) bool {
 			r := g.codec.Reply(status, h)
@@ -87,7 +85,7 @@
 	j.sends++
 	s.ans, s.reply = ans, g.codec.Reply(ans.Status, ans.Header)
 	if s.reply.HasLoad {
-		j.pool.with(func(b *place.Book) { b.Load(g.clock.Now(), c.ID, s.reply.Running, s.reply.Waiting) })
+		j.pool.with(func(b *place.Book) { b.Load(g.clock.Now(), to.ID, s.reply.Running, s.reply.Waiting) })
 	}
 	if s.reply.NotRun {
 		s.outcome = retry.OutcomeNotRun
@@ -141,6 +139,7 @@
 		_ = s.ans.Body.Close()
 	}
 	s.cancel()
+	s.turn.done()
 	j.pool.with(func(b *place.Book) { b.Ended(now, s.choice, j.ask, o, s.begun, now-s.sentMs) })
 	f := logrus.Fields{"event": "sendEnded", "server": s.choice.ID, "outcome": o.String(), "reason": reason, "tookMs": int64(now - s.sentMs)}
 	if s.ans != nil {
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -76,6 +76,9 @@
 	switch {
 	case err == nil:
 		g.end(j, s, place.OutcomeOK, "answered")
+		g.mu.Lock()
+		g.streamed.Add(j.route.Name, g.clock.Now()-s.beganMs)
+		g.mu.Unlock()
 		g.answered(j, s, x.bytes, true)
 		return true
 	case errors.Is(err, errCallerLeft) || ctx.Err() != nil:
@@ -142,6 +145,8 @@
 		s.begun = true
 		g.count(x.j)
 		now := g.clock.Now()
+		s.beganMs = now
+		s.turn.begun()
 		x.j.pool.with(func(b *place.Book) { b.Begun(s.choice, x.j.ask) })
 		g.metrics.firstEvent(x.j, now-x.j.arrivedMs)
 	}
