--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -38,7 +38,6 @@
 	addEntry,
 	addSidecar,
 	addGateway,
-	addScheduler,
 	addSolo,
 	addConfig,
 	addSheet,
--- /dev/null
+++ b/internal/control/turns/host.go
@@ -0,0 +1,351 @@
+// Package turns hosts the order in which gateways start their requests at model
+// engines.
+//
+// One goroutine owns the state: connections and a timer are its inputs. Nothing
+// of it must last: when an engine gets another host, the gateways announce to
+// it what runs.
+package turns
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/peer/turns"
+	"github.com/damaskport/damaskport/internal/policy/batch"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/ring"
+)
+
+const (
+	inputs = 4096
+	// loadEvery is the least time between two messages with loads to a
+	// connection, and loadPerLink what each further connection adds, so that a
+	// host's messages a second do not grow with the square of the gateways.
+	loadEvery   = 80 * clock.Millisecond
+	loadPerLink = 8 * clock.Millisecond
+	// beatEvery is the most, so that gateways can tell silence from idleness.
+	beatEvery = 700 * clock.Millisecond
+	// queueBeat is the same while a gateway's requests wait.
+	queueBeat = 120 * clock.Millisecond
+	// silentAfter is the silence after which a connection is closed.
+	silentAfter = 3 * clock.Second
+	// maxParts bounds the shared parts of an engine that are remembered for new
+	// connections.
+	maxParts = 4096
+	// idleEngine is how long an engine without requests is remembered.
+	idleEngine = 30 * clock.Second
+	// sweepEvery is the time between two looks for such engines.
+	sweepEvery = 5 * clock.Second
+)
+
+// Host orders the starts at the engines that gateways ask it about.
+type Host struct {
+	log   logrus.FieldLogger
+	clock clock.Clock
+	scope tally.Scope
+	in    *ring.Ring[input]
+	// OnCounts takes a gateway's usage counts; it must be set before Run.
+	OnCounts func(counts json.RawMessage) error
+
+	// Owned by the goroutine of Run.
+	engines map[string]*engine
+	links   map[*dispatch.Link]*client
+	where   map[string]*engine // by request
+	sweptMs clock.Millis
+}
+
+type engine struct {
+	turns.Engine
+	batch  *batch.Scheduler
+	parts  map[string]string // by request that has not begun
+	held   []string          // parts that the engine came to hold, in order
+	known  map[string]bool
+	usedMs clock.Millis
+}
+
+type client struct {
+	entry  string
+	toldMs clock.Millis
+	told   map[string]told // by engine
+}
+
+type told struct {
+	load  batch.Load
+	atMs  clock.Millis
+	start int64
+	parts int // of held
+}
+
+// input is one message of a connection; method is empty when it has ended.
+type input struct {
+	link   *dispatch.Link
+	method string
+	params json.RawMessage
+}
+
+// NewHost returns a Host without engines.
+func NewHost(log logrus.FieldLogger, c clock.Clock, scope tally.Scope) *Host {
+	return &Host{
+		log: log, clock: c, scope: scope, in: ring.New[input](inputs),
+		engines: map[string]*engine{}, links: map[*dispatch.Link]*client{}, where: map[string]*engine{},
+	}
+}
+
+// Accept takes connections from ln until ctx ends.
+func (h *Host) Accept(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		h.Serve(ctx, conn)
+	}
+}
+
+// Serve takes one connection in, until it or ctx ends.
+func (h *Host) Serve(ctx context.Context, conn net.Conn) {
+	l := dispatch.NewLink(conn, h.clock, func(l *dispatch.Link, method string, params json.RawMessage) (any, error) {
+		return nil, h.in.Put(ctx, input{l, method, params})
+	})
+	go func() {
+		select {
+		case <-l.Done():
+		case <-ctx.Done():
+			l.Close()
+		}
+		if err := h.in.Put(ctx, input{link: l}); err != nil {
+			h.log.WithField("event", "hostEnded").Debug(err)
+		}
+	}()
+}
+
+// Run applies the messages of all connections in their order until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(h.wait(h.clock.Now()).Duration())
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-h.in.C():
+			if err := h.apply(h.clock.Now(), in); err != nil {
+				h.log.WithFields(logrus.Fields{"event": "messageUnreadable", "method": in.method}).Warn(err)
+				in.link.Close()
+			}
+		case <-timer.C:
+			now := h.clock.Now()
+			for _, e := range h.engines {
+				e.batch.Tick(now)
+			}
+			h.sweep(now)
+		}
+		h.tell(h.clock.Now())
+	}
+}
+
+func (h *Host) wait(now clock.Millis) clock.Millis {
+	wait := loadEvery
+	for _, e := range h.engines {
+		if at, ok := e.batch.NextTick(now); ok {
+			wait = min(wait, at-now)
+		}
+	}
+	return max(wait, clock.Millisecond)
+}
+
+func (h *Host) apply(now clock.Millis, in input) error {
+	c := h.links[in.link]
+	if in.method == "" {
+		if c != nil {
+			h.drop(now, in.link, c)
+		}
+		return nil
+	}
+	if in.method == dispatch.MethodHello {
+		var m turns.Hello
+		if err := json.Unmarshal(in.params, &m); err != nil {
+			return err
+		}
+		for old, c := range h.links {
+			if c.entry == m.Entry {
+				h.drop(now, old, c)
+				old.Close()
+			}
+		}
+		h.links[in.link] = &client{entry: m.Entry, told: map[string]told{}}
+		h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
+		return nil
+	}
+	if c == nil {
+		return errors.New("the first message must be a greeting")
+	}
+	if in.method == dispatch.MethodReserve || in.method == turns.MethodAnnounce {
+		var r turns.Reservation
+		if err := json.Unmarshal(in.params, &r); err != nil {
+			return err
+		}
+		h.open(now, c, in.method, r)
+		return nil
+	}
+	if in.method == turns.MethodCounts {
+		return h.OnCounts(in.params)
+	}
+	var ref turns.Ref
+	if err := json.Unmarshal(in.params, &ref); err != nil {
+		return err
+	}
+	if e := h.where[ref.ID]; e != nil {
+		h.note(now, e, in.method, ref.ID)
+	}
+	return nil
+}
+
+// open takes a request in. Another start of the engine holds nothing.
+func (h *Host) open(now clock.Millis, c *client, method string, r turns.Reservation) {
+	e := h.engines[r.Engine.ID]
+	if e == nil || e.Start < r.Engine.Start {
+		e = &engine{
+			Engine: r.Engine, batch: batch.New(batch.Config{Slots: r.Engine.Slots, MemoryTokens: r.Engine.MemoryTokens}),
+			parts: map[string]string{}, known: map[string]bool{},
+		}
+		h.engines[r.Engine.ID] = e
+	}
+	e.usedMs = now
+	h.where[r.ID] = e
+	e.parts[r.ID] = r.Part
+	if method == dispatch.MethodReserve {
+		e.batch.Ask(now, r.Request(now, c.entry))
+		return
+	}
+	e.batch.Adopt(now, r.Request(now, c.entry), r.Begun)
+	if r.Begun {
+		e.hold(r.Part)
+	}
+}
+
+func (h *Host) note(now clock.Millis, e *engine, method, id string) {
+	e.usedMs = now
+	switch method {
+	case dispatch.MethodCancel:
+		e.batch.Cancel(now, id)
+	case turns.MethodBegun:
+		e.hold(e.parts[id])
+		e.batch.Begun(now, id)
+	case turns.MethodDone:
+		e.batch.Done(now, id)
+	}
+	if method != turns.MethodBegun {
+		delete(h.where, id)
+	}
+	delete(e.parts, id)
+}
+
+// drop ends what a gateway that is gone had here.
+func (h *Host) drop(now clock.Millis, l *dispatch.Link, c *client) {
+	delete(h.links, l)
+	h.log.WithFields(logrus.Fields{"event": "entryGone", "entry": c.entry}).Info()
+	for _, e := range h.engines {
+		for _, id := range e.batch.DropEntry(now, c.entry) {
+			delete(h.where, id)
+			delete(e.parts, id)
+		}
+	}
+}
+
+// hold notes a shared part that the engine has read.
+func (e *engine) hold(part string) {
+	if part == "" || e.known[part] || len(e.held) >= maxParts {
+		return
+	}
+	e.known[part] = true
+	e.held = append(e.held, part)
+}
+
+func (h *Host) sweep(now clock.Millis) {
+	if now-h.sweptMs < sweepEvery {
+		return
+	}
+	h.sweptMs = now
+	for id, e := range h.engines {
+		if e.batch.Idle() && now-e.usedMs > idleEngine {
+			delete(h.engines, id)
+		}
+	}
+}
+
+// tell sends the gateways what concerns them.
+func (h *Host) tell(now clock.Millis) {
+	byEntry := make(map[string]*dispatch.Link, len(h.links))
+	for l, c := range h.links {
+		byEntry[c.entry] = l
+	}
+	waiting := false
+	for _, e := range h.engines {
+		for _, a := range e.batch.Actions() {
+			h.act(byEntry[a.Entry], e, a)
+		}
+		_, ok := e.batch.NextTick(now)
+		waiting = waiting || ok
+	}
+	every := loadEvery + loadPerLink*clock.Millis(len(h.links))
+	for l, c := range h.links {
+		if now-c.toldMs < every {
+			continue
+		}
+		m := turns.Loads{Loads: h.changed(now, c)}
+		if len(m.Loads) == 0 && now-c.toldMs < beatEvery && !(waiting && now-c.toldMs >= queueBeat) {
+			continue
+		}
+		l.Notify(turns.MethodLoad, m)
+		c.toldMs = now
+		if now-l.Heard() > silentAfter {
+			l.Close()
+		}
+	}
+}
+
+func (h *Host) act(l *dispatch.Link, e *engine, a batch.Action) {
+	h.scope.Tagged(map[string]string{"granted": map[bool]string{true: "yes", false: "no"}[a.Granted]}).Counter("turns").Inc(1)
+	if !a.Granted {
+		delete(h.where, a.ID)
+		delete(e.parts, a.ID)
+	}
+	switch {
+	case l == nil:
+		h.log.WithFields(logrus.Fields{"event": "turnForNobody", "request": a.ID, "entry": a.Entry}).Warn()
+	case a.Granted:
+		l.Notify(dispatch.MethodOffer, turns.Ref{ID: a.ID})
+	default:
+		l.Notify(dispatch.MethodRefuse, turns.Refusal{ID: a.ID, RetryAfterMs: a.RetryAfterMs})
+	}
+}
+
+// changed returns the loads that a gateway does not know.
+func (h *Host) changed(now clock.Millis, c *client) []turns.Load {
+	var out []turns.Load
+	for id, e := range h.engines {
+		t := c.told[id]
+		load := e.batch.Load(now)
+		if t.start != e.Start {
+			t = told{start: e.Start}
+		} else if load.Near(t.load.After(now-t.atMs)) && t.parts == len(e.held) {
+			continue
+		}
+		out = append(out, turns.Load{Engine: id, Load: load, Parts: e.held[t.parts:]})
+		c.told[id] = told{load, now, e.Start, len(e.held)}
+	}
+	return out
+}
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -34,14 +34,13 @@
 	// Name is the instance's name, unique in the deployment.
 	Name string `json:"name"`
 	// Zone is the availability zone.
-	Zone        string `json:"zone"`
-	LogLevel    string `json:"logLevel"`
-	CallerAddr  string `json:"callerAddr"`
-	ReadyAddr   string `json:"readyAddr"`
+	Zone       string `json:"zone"`
+	LogLevel   string `json:"logLevel"`
+	CallerAddr string `json:"callerAddr"`
+	ReadyAddr  string `json:"readyAddr"`
+	// ControlAddr is the address for the other gateways.
+	ControlAddr string `json:"controlAddr"`
 	MetricsAddr string `json:"metricsAddr"`
-	// SchedulerPort is the port of the schedulers on the machines of model
-	// engines; 0 if there are none.
-	SchedulerPort float64 `json:"schedulerPort"`
 	// MemoryMb and MaxFiles are the limits of the process.
 	MemoryMb float64       `json:"memoryMb"`
 	MaxFiles float64       `json:"maxFiles"`
@@ -128,14 +127,13 @@
 	}
 	c.addr("callerAddr", g.CallerAddr)
 	c.addr("readyAddr", g.ReadyAddr)
+	c.addr("controlAddr", g.ControlAddr)
 	c.addr("metricsAddr", g.MetricsAddr)
 	c.differ("readyAddr", g.ReadyAddr, g.CallerAddr)
-	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr)
+	c.differ("controlAddr", g.ControlAddr, g.CallerAddr, g.ReadyAddr)
+	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr, g.ControlAddr)
 	c.peer("store.addr", g.Store.Addr)
 	c.peer("duties.addr", g.Duties.Addr)
-	if p := g.SchedulerPort; p < 0 || p > maxPort || p != float64(int(p)) {
-		c.doc.Reject("schedulerPort", p, "must be a whole number from 0 to 65535")
-	}
 	c.positive("memoryMb", g.MemoryMb)
 	c.positive("maxFiles", g.MaxFiles)
 	c.positive("duties.windowS", g.Duties.WindowS)
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -1,9 +1,11 @@
-// Package turns is the protocol between gateways and the scheduler beside a
-// model engine: JSON-RPC notifications over one connection that the gateway
-// dials (a dispatch.Link). Requests and answers do not pass through it.
+// Package turns is the protocol by which gateways order the starts of their
+// requests at model engines: JSON-RPC notifications over one connection from
+// each gateway to each other (a dispatch.Link). The gateway that accepted it
+// hosts the order of some engines. Requests and answers do not pass through it.
 //
-//	gateway -> scheduler  hello, reserve, announce, cancel, begun, done, heartbeat
-//	scheduler -> gateway  offer, refuse, load
+//	dialer -> host  hello, reserve, announce, cancel, begun, done, counts,
+//	                heartbeat
+//	host -> dialer  offer, refuse, load
 package turns
 
 import (
@@ -13,11 +15,14 @@
 
 // Methods beside those of the dispatch protocol.
 const (
-	// MethodAnnounce tells of a request that was sent without a reservation.
+	// MethodAnnounce tells of a request that was sent without a reservation, or
+	// whose engine has a new host.
 	MethodAnnounce = "announce"
 	MethodBegun    = "begun"
 	MethodDone     = "done"
 	MethodLoad     = "load"
+	// MethodCounts carries the dialer's usage counts, which the host keeps for it.
+	MethodCounts = "counts"
 )
 
 // Engine names one start of an engine and tells its size.
@@ -25,34 +30,32 @@
 	ID           string `json:"id"`
 	Start        int64  `json:"start"`
 	Slots        int    `json:"slots"`
-	MemoryTokens int    `json:"memoryTokens"`
+	MemoryTokens int    `json:"memory"`
 }
 
 // Hello opens a connection.
 type Hello struct {
-	Entry  string `json:"entry"`
-	Engine Engine `json:"engine"`
-	// Running are the entry's requests at the engine.
-	Running []Reservation `json:"running,omitempty"`
+	Entry string `json:"entry"`
 }
 
 // Reservation asks for a start at the engine. Times are relative to the
 // message, since clocks differ.
 type Reservation struct {
 	ID       string `json:"id"`
+	Engine   Engine `json:"engine"`
 	Account  string `json:"account,omitempty"`
 	Priority int    `json:"priority,omitempty"`
 	Tight    bool   `json:"tight,omitempty"`
 	Unread   int    `json:"unread"`
 	Tokens   int    `json:"tokens"`
 	// TargetMs, DeadlineMs and NeedMs are as in batch.Request.
-	TargetMs   clock.Millis `json:"targetMs"`
-	DeadlineMs clock.Millis `json:"deadlineMs"`
-	NeedMs     clock.Millis `json:"needMs,omitempty"`
+	TargetMs   clock.Millis `json:"target"`
+	DeadlineMs clock.Millis `json:"deadline"`
+	NeedMs     clock.Millis `json:"need,omitempty"`
 	// Part is the last shared part of the prompt, which the engine holds from
 	// the first event on.
 	Part string `json:"part,omitempty"`
-	// Begun is set in a Hello for requests whose first event has arrived.
+	// Begun is set in an announcement of a request whose first event has arrived.
 	Begun bool `json:"begun,omitempty"`
 }
 
@@ -75,9 +78,15 @@
 	RetryAfterMs clock.Millis `json:"retryAfterMs"`
 }
 
-// Load is the engine's load, and the shared parts that it came to hold since
+// Loads tells the load of engines that changed; none shows that the host lives.
+type Loads struct {
+	Loads []Load `json:"loads,omitempty"`
+}
+
+// Load is an engine's load, and the shared parts that it came to hold since
 // the last Load of the connection.
 type Load struct {
+	Engine string `json:"e"`
 	batch.Load
 	Parts []string `json:"parts,omitempty"`
 }
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -32,11 +32,14 @@
 	// defaultDuty is the part of the time in which the engine reads prompts: at
 	// about two thirds, a token takes three times as long as without reading.
 	defaultDuty = 0.62
+	// creditMs of reading may be saved up while nothing is read, so that a few
+	// prompts at once do not wait for the duty.
+	creditMs = 1000 * clock.Millisecond
 	// smallTokens are read within a step or two and start at once.
 	smallTokens = 1300
 	// pendingTokens bounds the prompts that were started and are not read yet:
-	// about four chunks.
-	pendingTokens = 8000
+	// one is at hand when another has been read.
+	pendingTokens = 16000
 	// tightSlots of the engine are kept for tight requests.
 	tightSlots = 8
 	// memoryPart of the engine's memory is for the requests' own tokens; the
@@ -98,19 +101,19 @@
 	RetryAfterMs clock.Millis
 }
 
-// Load is what entries need to know.
+// Load is what entries need to know. Its names are short, since it is sent often.
 type Load struct {
 	// FreeMs is the time until a prompt that came now would be started.
-	FreeMs clock.Millis `json:"freeMs"`
+	FreeMs clock.Millis `json:"f,omitempty"`
 	// ReadMs is the time that the started prompts still take.
-	ReadMs  clock.Millis `json:"readMs"`
-	Running int          `json:"running"`
-	Tight   int          `json:"tight"`
-	Waiting int          `json:"waiting"`
+	ReadMs  clock.Millis `json:"r,omitempty"`
+	Running int          `json:"n,omitempty"`
+	Tight   int          `json:"t,omitempty"`
+	Waiting int          `json:"w,omitempty"`
 	// Speed is the prompt tokens read in a millisecond while reading, and Rate
 	// that over time.
-	Speed float64 `json:"speed"`
-	Rate  float64 `json:"rate"`
+	Speed float64 `json:"s,omitempty"`
+	Rate  float64 `json:"v,omitempty"`
 }
 
 type run struct {
@@ -153,14 +156,6 @@
 	return &Scheduler{cfg: cfg, speed: defaultSpeed, running: map[string]*run{}, spent: map[string]float64{}}
 }
 
-// SetConfig changes the description of the engine.
-func (s *Scheduler) SetConfig(cfg Config) {
-	if cfg.Duty <= 0 {
-		cfg.Duty = defaultDuty
-	}
-	s.cfg = cfg
-}
-
 func (s *Scheduler) rate() float64 { return s.speed * s.cfg.Duty }
 
 func (s *Scheduler) readMs(tokens int) clock.Millis {
@@ -228,14 +223,23 @@
 	s.dispatch(now)
 }
 
-// DropEntry ends all requests of an entry that is gone.
-func (s *Scheduler) DropEntry(now clock.Millis, entry string) {
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.Entry == entry })
+// DropEntry ends all requests of an entry that is gone, and returns them.
+func (s *Scheduler) DropEntry(now clock.Millis, entry string) []string {
+	var ids []string
+	for _, w := range s.queue {
+		if w.Entry == entry {
+			ids = append(ids, w.ID)
+		}
+	}
 	for id, r := range s.running {
 		if r.Entry == entry {
-			s.Done(now, id)
+			ids = append(ids, id)
 		}
 	}
+	for _, id := range ids {
+		s.Cancel(now, id)
+	}
+	return ids
 }
 
 // Tick acts on the passing of time: requests that can no longer end in time are
@@ -258,6 +262,22 @@
 	return now + tickEvery, len(s.queue) > 0
 }
 
+// Idle reports whether nothing runs or waits.
+func (s *Scheduler) Idle() bool { return len(s.queue) == 0 && len(s.running) == 0 }
+
+// After returns the load as it is expected after d without new requests.
+func (l Load) After(d clock.Millis) Load {
+	l.FreeMs, l.ReadMs = max(l.FreeMs-d, 0), max(l.ReadMs-d, 0)
+	return l
+}
+
+// Near reports whether two loads lead to the same choices.
+func (l Load) Near(o Load) bool {
+	const ms, requests = 15, 1
+	return max(l.FreeMs-o.FreeMs, o.FreeMs-l.FreeMs) < ms && max(l.ReadMs-o.ReadMs, o.ReadMs-l.ReadMs) < ms &&
+		max(l.Running-o.Running, o.Running-l.Running) <= requests && l.Tight == o.Tight && l.Waiting == o.Waiting
+}
+
 // Actions returns what entries are to be told since the last call.
 func (s *Scheduler) Actions() []Action {
 	out := s.out
@@ -386,7 +406,7 @@
 	if r.Tight {
 		s.tight++
 	}
-	s.freeMs = max(s.freeMs, now) + clock.Millis(float64(r.Unread)/s.rate())
+	s.freeMs = max(s.freeMs, now-creditMs) + clock.Millis(float64(r.Unread)/s.rate())
 	s.spend(now, r.Account, float64(r.Unread+r.Tokens))
 }
 
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -11,8 +11,8 @@
 // what a server did to real requests raises its cost, and it is tried again
 // after a pause.
 //
-// Costs are in milliseconds until the request's first event. A scheduler beside
-// the server tells its load; without one the entry's own requests stand for it.
+// Costs are in milliseconds until the request's first event. The host of
+// an engine's order tells its load; without it the own requests stand for it.
 // The package is a pure state machine: time and randomness are arguments. A
 // Book is not safe for concurrent use.
 package place
@@ -54,16 +54,16 @@
 	failingHome = 0.3
 	// cachePart is the part of a server's memory that is taken to hold shared parts.
 	cachePart = 0.5
-	// assumedSpeed and assumedRate are the prompt tokens that a server without
-	// a scheduler is taken to read in a ms, while it reads and over time.
+	// assumedSpeed and assumedRate are the prompt tokens that a server is taken
+	// to read in a ms, while it reads and over time, until it was told.
 	assumedSpeed = 45.0
 	assumedRate  = 28.0
 	// idleMs is the time to the next start at a server that counts as idle, and
 	// moveMs the cost up to which a waiting request moves to one.
 	idleMs = 20 * clock.Millisecond
 	moveMs = 700.0
-	// toldAgeMs is how long a scheduler's word counts.
-	toldAgeMs = 1500 * clock.Millisecond
+	// toldAgeMs is how long a host's word counts: it tells changes only.
+	toldAgeMs = 10 * clock.Second
 	// loadAgeMs is how long a told load counts.
 	loadAgeMs = 1500 * clock.Millisecond
 	// failWeight and okWeight move the rate of failures.
@@ -356,13 +356,13 @@
 	return cost + float64(l.Tight)*mixMs
 }
 
-// load returns a server's load: what its scheduler told and the own requests
+// load returns a server's load: what its host told and the own requests
 // since then, or what the own requests and answers show.
 func (s *state) load(now clock.Millis) batch.Load {
 	if age := now - s.toldMs; s.toldMs > 0 && age < toldAgeMs {
-		l := s.told
-		l.FreeMs = max(l.FreeMs-age, 0) + clock.Millis(float64(s.since)/l.Rate)
-		l.ReadMs = max(l.ReadMs-age, 0) + clock.Millis(float64(s.since)/l.Speed)
+		l := s.told.After(age)
+		l.FreeMs += clock.Millis(float64(s.since) / l.Rate)
+		l.ReadMs += clock.Millis(float64(s.since) / l.Speed)
 		l.Running, l.Tight = max(l.Running, s.inFlight), max(l.Tight, s.tight)
 		return l
 	}
@@ -451,21 +451,26 @@
 	}
 }
 
-// Told tells the load that the scheduler beside a server tells, and the shared
-// parts that the server came to hold.
-func (b *Book) Told(now clock.Millis, id string, l batch.Load, parts []string) {
+// Told tells the load that a server's host tells.
+func (b *Book) Told(now clock.Millis, id string, l batch.Load) {
 	s := b.all[id]
 	if s == nil {
 		return
 	}
 	s.toldMs, s.told, s.since = now, l, 0
 	s.told.Speed, s.told.Rate = max(l.Speed, 1), max(l.Rate, 1)
-	for _, p := range parts {
-		s.cache.hold(p)
+}
+
+// Holds tells that a server came to hold shared parts.
+func (b *Book) Holds(id string, parts []string) {
+	if s := b.all[id]; s != nil {
+		for _, p := range parts {
+			s.cache.hold(p)
+		}
 	}
 }
 
-// Untold tells that the scheduler beside a server is out of reach.
+// Untold tells that a server has another host, which has told nothing yet.
 func (b *Book) Untold(id string) {
 	if s := b.all[id]; s != nil {
 		s.toldMs = 0
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -30,8 +31,6 @@
 	configReadMs atomic.Int64
 	listed       atomic.Bool
 	dialed       func()
-	// engines is told the servers of a pool of model engines; it may be nil.
-	engines func(p *pool, list []servers.Server, cacheTokens int)
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -49,7 +48,7 @@
 	tightMs clock.Millis
 	book    *place.Book
 	conns   map[servers.Key]*direct.Pool
-	starts  map[string]servers.Key
+	engines map[string]turns.Engine // all servers, by id
 	addrs   map[string]string
 	retries *retry.Window
 	rnd     *rand.Rand
@@ -77,7 +76,7 @@
 	p, ok := b.pools[name]
 	if !ok {
 		p = &pool{
-			name: name, book: place.NewBook(b.zone), conns: map[servers.Key]*direct.Pool{}, starts: map[string]servers.Key{},
+			name: name, book: place.NewBook(b.zone), conns: map[servers.Key]*direct.Pool{}, engines: map[string]turns.Engine{},
 			retries: retry.NewWindow(b.bound), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}
 		b.pools[name] = p
@@ -131,9 +130,6 @@
 	}
 	for name, p := range b.pools {
 		p.set(b, cfg.Pool(name), tight(cfg, name), byPool[name])
-		if c := cfg.Pool(name); c != nil && c.Engine && b.engines != nil {
-			b.engines(p, byPool[name], c.CacheTokens)
-		}
 	}
 }
 
@@ -167,7 +163,7 @@
 	p.engine = cfg != nil && cfg.Engine
 	out := make([]place.Server, 0, len(list))
 	live := map[servers.Key]bool{}
-	starts := map[string]servers.Key{}
+	engines := map[string]turns.Engine{}
 	addrs := map[string]string{}
 	for _, s := range list {
 		ps := place.Server{ID: s.ID, Start: s.Start, Zone: s.Zone, Slots: s.Slots}
@@ -176,7 +172,7 @@
 		}
 		out = append(out, ps)
 		live[s.Key()] = true
-		starts[s.ID] = s.Key()
+		engines[s.ID] = turns.Engine{ID: s.ID, Start: s.Start, Slots: s.Slots, MemoryTokens: ps.CacheTokens}
 		addrs[s.ID] = s.Addr
 		if p.conns[s.Key()] == nil {
 			c := direct.NewPool(s.Addr, b.clock)
@@ -191,7 +187,7 @@
 			delete(p.conns, k)
 		}
 	}
-	p.starts, p.addrs = starts, addrs
+	p.engines, p.addrs = engines, addrs
 }
 
 // choose picks the server for a request and its connections.
@@ -203,15 +199,15 @@
 		return target{}, false
 	}
 	p.book.Sent(c, r)
-	k := p.starts[c.ID]
-	return target{Choice: c, key: k, conns: p.conns[k], fetchAddr: p.addrs[c.FetchFrom]}, true
+	e := p.engines[c.ID]
+	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], fetchAddr: p.addrs[c.FetchFrom]}, true
 }
 
 // target is a chosen server.
 type target struct {
 	place.Choice
-	key   servers.Key
-	conns *direct.Pool
+	engine turns.Engine
+	conns  *direct.Pool
 	// fetchAddr is the address from which shared parts are copied, or "".
 	fetchAddr string
 }
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -8,8 +8,9 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-// endMargin is the time that the process needs to end.
-const endMargin = 600 * clock.Millisecond
+// endMargin is the time that the process needs to end: its last counts are
+// published in the first part of it.
+const endMargin = 900 * clock.Millisecond
 
 // closeAfter is when the listener closes: by then the platform sends no new
 // connections.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -23,7 +23,9 @@
 	collectEvery = 700 * clock.Millisecond
 	// reportMargin is how long before it is due a report is sent at the latest.
 	reportMargin = 2500 * clock.Millisecond
-	dutyIdle     = 1500 * clock.Millisecond
+	// goneAfter is how long a gateway that cannot be reached is waited for.
+	goneAfter = 3500 * clock.Millisecond
+	dutyIdle  = 1500 * clock.Millisecond
 	// claimSpread bounds the delay by which challengers differ.
 	claimSpread = 500 * clock.Millisecond
 	// actMargin is the least time left of a term for a call of a duty.
@@ -207,22 +209,33 @@
 	if err != nil {
 		return err
 	}
-	total, complete, running, stale := sum(snap.Records, window)
-	g.live.Store(int32(running))
-	h.drop(ctx, stale)
-	within := clock.Millis(g.Settings().Duties.ReportWithinS) * clock.Second
-	if !complete && g.clock.Wall() < g.usage.end(window)+within-reportMargin {
+	sum := g.collect(snap.Records, window)
+	h.drop(ctx, sum.stale)
+	if patience := h.patience(sum.late); g.clock.Wall() < g.usage.end(window)+patience {
 		return nil
 	}
-	u := Usage{Window: window, Counts: total}
+	u := Usage{Window: window, Counts: sum.total}
 	s := sealed{Usage: u}
 	return h.append(ctx, keySealed, s, h.t.Next(), func(offset int64) {
 		h.t.End(offset + 1)
 		h.sealed = &s
-		g.log.WithFields(logrus.Fields{"event": "usageSealed", "window": window, "accounts": len(total), "complete": complete, "running": running, "term": term}).Info()
+		g.log.WithFields(logrus.Fields{"event": "usageSealed", "window": window, "accounts": len(sum.total), "late": sum.late, "term": term}).Info()
 	})
 }
 
+// patience returns how long after a window's end its late publishers are
+// waited for: less if none of them can be reached, since they are likely gone.
+func (h *holder) patience(late []string) clock.Millis {
+	within := clock.Millis(h.g.Settings().Duties.ReportWithinS) * clock.Second
+	switch {
+	case len(late) == 0:
+		return 0
+	case h.g.board.anyUp(late):
+		return within - reportMargin
+	}
+	return min(goneAfter, within-reportMargin)
+}
+
 // dueWindow returns the first window that has not been sealed and whose report
 // is not yet late.
 func (h *holder) dueWindow(wall clock.Millis) int64 {
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -158,10 +158,13 @@
 func (g *Gateway) listChanged(list *servers.List) {
 	usable := list.Usable()
 	byPool := map[string]int{}
+	live := map[string]bool{}
 	for _, s := range usable {
+		live[s.ID] = true
 		byPool[s.Pool]++
 	}
 	g.belief.setServers(usable)
+	g.board.forget(live)
 	g.metrics.servers(byPool)
 	f := logrus.Fields{"event": "servers", "usable": len(usable)}
 	for name, n := range byPool {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -18,12 +18,12 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/control/turns"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
-	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -51,6 +51,7 @@
 type Gateway struct {
 	name    string
 	process string
+	startMs clock.Millis // wall
 	cfg     atomic.Pointer[settings.Gateway]
 	log     logrus.FieldLogger
 	clock   clock.Clock
@@ -62,30 +63,33 @@
 	usage   *counts
 	metrics *gatewayMetrics
 
-	callerLn, readyLn, metricsLn net.Listener
+	callerLn, readyLn, controlLn, metricsLn net.Listener
 
 	// draining is set from the signal on, which came at drainMs: the gateway is
 	// not ready, and each answer ends its connection.
 	draining atomic.Bool
 	drainMs  atomic.Int64
-	live     atomic.Int32 // gateways that count usage
+	live     atomic.Int32 // gateways, with this one
 
 	mu sync.Mutex
 	// durations are whole answers, streamed the times from the first event on.
 	durations, streamed *drain.Durations
-	schedulers          *schedulers
+	board               *board
+	host                *turns.Host
 }
 
 // New opens the gateway's addresses.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	g := &Gateway{
-		name: cfg.Name, process: d.Process, log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
+		name: cfg.Name, process: d.Process, startMs: d.Clock.Wall(), log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
 	g.belief.dialed = g.metrics.dialed
-	g.schedulers = &schedulers{g: g, byID: map[servers.Key]*schedulerHandle{}}
+	g.board = newBoard(g)
+	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
+	g.host.OnCounts = g.keepCopy
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS) * clock.Second)
 	var err error
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
@@ -94,6 +98,9 @@
 	if g.readyLn, err = net.Listen("tcp", cfg.ReadyAddr); err != nil {
 		return nil, errors.Wrap(err, "readyAddr")
 	}
+	if g.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
+		return nil, errors.Wrap(err, "controlAddr")
+	}
 	if g.metricsLn, err = net.Listen("tcp", cfg.MetricsAddr); err != nil {
 		return nil, errors.Wrap(err, "metricsAddr")
 	}
@@ -129,7 +136,6 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	g.belief.engines = func(p *pool, list []servers.Server, cacheTokens int) { g.schedulers.set(run, p, list, cacheTokens) }
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
@@ -144,8 +150,12 @@
 		supervise.Duty{Name: "config", Run: g.followConfig},
 		supervise.Duty{Name: "servers", Run: g.followServers},
 		supervise.Duty{Name: "usage", Run: g.publishUsage},
+		supervise.Duty{Name: "copies", Run: g.copyUsage},
 		supervise.Duty{Name: "duties", Run: g.keepDuties},
 		supervise.Duty{Name: "sweep", Run: g.sweep},
+		supervise.Duty{Name: "host", Run: g.host.Run},
+		supervise.Duty{Name: "accept", Run: func(ctx context.Context) error { return g.host.Accept(ctx, g.controlLn) }},
+		supervise.Duty{Name: "peers", Run: g.followPeers},
 		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, g.readyLn, g.readyHandler()) }},
 		supervise.Duty{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, g.metricsLn, g.metrics.root.Handler) }},
 		supervise.Duty{Name: "callers", Run: func(ctx context.Context) error { return g.serveCallers(ctx, srv) }},
--- /dev/null
+++ b/internal/role/gateway/peers.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// peersEvery is the time between two reads of what gateways publish.
+	peersEvery = 1500 * clock.Millisecond
+	// peerWindows is how many usage windows a gateway may miss to publish
+	// before it counts as gone.
+	peerWindows = 3
+)
+
+// seen is what a gateway published last.
+type seen struct {
+	published
+	key  string
+	atMs clock.Millis
+}
+
+// followPeers learns the other gateways from what they publish.
+func (g *Gateway) followPeers(ctx context.Context) error {
+	g.board.host(ctx)
+	f := &follower{g: g, topic: TopicUsage}
+	byName := map[string]seen{}
+	for ctx.Err() == nil {
+		snap, _, err := f.read(ctx, 0)
+		if err != nil {
+			_ = g.clock.Sleep(ctx, readBackoff)
+			continue
+		}
+		now := g.clock.Now()
+		for _, r := range snap.Records {
+			g.seePeer(byName, r, now)
+		}
+		addrs := map[string]string{}
+		for name, s := range byName {
+			if now-s.atMs > peerWindows*g.usage.windowMs {
+				delete(byName, name)
+				continue
+			}
+			addrs[name] = s.Control
+		}
+		g.live.Store(int32(len(addrs) + 1))
+		g.board.setPeers(ctx, addrs)
+		_ = g.clock.Sleep(ctx, peersEvery)
+	}
+	return nil
+}
+
+func (g *Gateway) seePeer(byName map[string]seen, r Record, now clock.Millis) {
+	name, _, ok := strings.Cut(r.Key, "/")
+	if !ok || name == g.name || len(r.Value) == 0 {
+		return
+	}
+	s := seen{key: r.Key, atMs: now}
+	if err := json.Unmarshal(r.Value, &s.published); err != nil {
+		g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
+		return
+	}
+	if s.Ended {
+		if byName[name].key == r.Key {
+			delete(byName, name)
+		}
+		return
+	}
+	if s.Control != "" {
+		byName[name] = s
+	}
+}
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -11,11 +11,10 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-// maxAsked bounds the schedulers that refuse one request before it is refused.
+// maxAsked bounds the engines that refuse one request before it is refused.
 const maxAsked = 3
 
-// place finds a server for j, and its turn there if a scheduler orders the
-// starts.
+// place finds a server for j, and its turn there if it is a model engine.
 func (g *Gateway) place(ctx context.Context, j *job) (target, *turn, *refusal) {
 	var refused []string
 	var retryAfter clock.Millis
@@ -32,15 +31,14 @@
 			return target{}, nil, g.giveUp(j, "noServer")
 		}
 		g.placed(j, to, now)
-		c := g.schedulers.of(to.key)
-		if !j.route.Engine || c == nil {
+		if !j.route.Engine {
 			return to, nil, nil
 		}
 		r := g.reservation(j, to, now)
 		if j.ask.Tight {
-			return to, c.announce(r), nil
+			return to, g.board.announce(j.pool, r), nil
 		}
-		t := c.reserve(r)
+		t := g.board.reserve(j.pool, r)
 		if t == nil {
 			return to, nil, nil
 		}
@@ -49,18 +47,15 @@
 			j.pool.with(func(b *place.Book) { better = b.Idle(g.clock.Now(), j.ask, to.Choice, j.exclude) })
 			return better
 		})
-		if err == nil && (v.granted || v.lost) {
-			j.log.WithFields(logrus.Fields{"event": "turn", "server": to.ID, "granted": v.granted, "waitedMs": int64(g.clock.Now() - now)}).Info()
-			if v.lost {
-				t = nil
-			}
+		if err == nil && v.granted {
+			j.log.WithFields(logrus.Fields{"event": "turn", "server": to.ID, "waitedMs": int64(g.clock.Now() - now)}).Info()
 			return to, t, nil
 		}
 		j.pool.with(func(b *place.Book) { b.Ended(g.clock.Now(), to.Choice, j.ask, place.OutcomeLeft, false, 0) })
 		if err != nil {
 			return target{}, nil, g.giveUp(j, "endedWaiting")
 		}
-		if v.moved {
+		if v.again {
 			continue
 		}
 		refused = append(refused, to.ID)
@@ -89,13 +84,13 @@
 	return &refusal{http.StatusServiceUnavailable, "overload", retryAfter}
 }
 
-// reservation describes j to a scheduler.
+// reservation describes j to the host of an engine.
 func (g *Gateway) reservation(j *job, to target, now clock.Millis) turns.Reservation {
 	g.mu.Lock()
 	need := g.streamed.Typical(j.route.Name)
 	g.mu.Unlock()
 	r := turns.Reservation{
-		ID: j.ID, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, Unread: to.Unread,
+		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, Unread: to.Unread,
 		Tokens: to.Unread + j.OutputTokens, TargetMs: j.arrivedMs + j.route.TargetMs - now,
 		DeadlineMs: j.timeoutMs - now, NeedMs: need,
 	}
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -75,6 +75,7 @@
 	err := x.copy(s)
 	switch {
 	case err == nil:
+		x.begin(s)
 		g.end(j, s, place.OutcomeOK, "answered")
 		g.mu.Lock()
 		g.streamed.Add(j.route.Name, g.clock.Now()-s.beganMs)
@@ -150,11 +151,7 @@
 		x.j.pool.with(func(b *place.Book) { b.Begun(s.choice, x.j.ask) })
 		g.metrics.firstEvent(x.j, now-x.j.arrivedMs)
 	}
-	if !x.begun {
-		x.begun = true
-		g.head(x.w, s)
-		x.w.WriteHeader(s.ans.Status)
-	}
+	x.begin(s)
 	n, err := x.w.Write(event)
 	x.bytes += int64(n)
 	if err == nil {
@@ -170,6 +167,16 @@
 	return nil
 }
 
+// begin hands over the head of the first send's answer.
+func (x *relay) begin(s *send) {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	x.g.head(x.w, s)
+	x.w.WriteHeader(s.ans.Status)
+}
+
 // refuse ends the stream with the gateway's own answer; behind events, the
 // connection is cut so that the end does not look complete.
 func (x *relay) refuse(no *refusal) {
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/turns.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"net"
-	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,153 +17,148 @@
 	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
-	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
-	schedulerDial = 500 * clock.Millisecond
-	// schedulerBeat shows that the gateway lives; schedulerSilent is the silence
-	// after which the scheduler counts as gone: it tells its load more often.
-	schedulerBeat   = 900 * clock.Millisecond
-	schedulerSilent = 1600 * clock.Millisecond
-	// queueSilent is the same for a scheduler with a queue.
-	queueSilent = 350 * clock.Millisecond
+	peerDial = 500 * clock.Millisecond
+	// peerBeat shows that the gateway lives; peerSilent is the silence after
+	// which another one is not asked any more: hosts tell something more often.
+	peerBeat   = 900 * clock.Millisecond
+	peerSilent = 1600 * clock.Millisecond
+	// queueSilent is the same for a host with a queue.
+	queueSilent = 450 * clock.Millisecond
 	// reviewEvery is the time between two looks for a better server.
 	reviewEvery = 120 * clock.Millisecond
 	firstRedial = 200 * clock.Millisecond
 	lastRedial  = 3 * clock.Second
 )
 
-// verdict is a scheduler's answer to a reservation.
+// verdict is a host's answer to a reservation.
 type verdict struct {
 	granted    bool
 	retryAfter clock.Millis
-	// lost tells that the scheduler is out of reach, moved that another server
-	// can start the request at once.
-	lost, moved bool
+	// again tells that a server is to be chosen again: the engine's host has
+	// changed, or another server could start the request at once.
+	again bool
 }
 
-// turn is a request's place at a scheduler.
+// turn is a request's place in the order of an engine.
 type turn struct {
-	c       *schedulerConn
+	b       *board
+	pool    *pool
 	r       turns.Reservation
+	askedMs clock.Millis
 	verdict chan verdict
+
+	// Guarded by the board.
+	peer    *peer
 	granted bool
-	askedMs clock.Millis
 }
 
-// schedulerConn keeps a connection to the scheduler beside one engine.
-type schedulerConn struct {
-	g      *Gateway
-	pool   *pool
-	engine turns.Engine
-	addr   string
+// peer is a gateway that hosts engines, also this one itself.
+type peer struct {
+	name string
+	addr string // empty for this gateway
+	stop context.CancelFunc
+	link *dispatch.Link
+	// up tells that engines are hosted there.
+	up bool
+}
+
+// board keeps the gateway's places at the hosts of all engines. An engine's
+// host is the gateway with the highest hash of both, of those that are up.
+type board struct {
+	g *Gateway
 
 	mu    sync.Mutex
-	link  *dispatch.Link
+	peers map[string]*peer
 	turns map[string]*turn
+	// pools are those of the engines that were asked for, by engine.
+	pools map[string]*pool
+	hosts map[string]*peer // computed, by engine
 }
 
-// schedulers keeps a connection to each engine's scheduler.
-type schedulers struct {
-	g    *Gateway
-	mu   sync.Mutex
-	byID map[servers.Key]*schedulerHandle
+func newBoard(g *Gateway) *board {
+	return &board{g: g, peers: map[string]*peer{}, turns: map[string]*turn{}, pools: map[string]*pool{}, hosts: map[string]*peer{}}
 }
 
-type schedulerHandle struct {
-	c    *schedulerConn
-	stop context.CancelFunc
-}
-
-// set brings the connections in line with the engines of a pool.
-func (s *schedulers) set(ctx context.Context, p *pool, list []servers.Server, cacheTokens int) {
-	port := int(s.g.Settings().SchedulerPort)
-	if port == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	live := map[servers.Key]bool{}
-	for _, srv := range list {
-		live[srv.Key()] = true
-		if s.byID[srv.Key()] != nil {
-			continue
-		}
-		at, err := netip.ParseAddrPort(srv.Addr)
-		if err != nil {
-			s.g.log.WithFields(logrus.Fields{"event": "serverAddr", "server": srv.ID}).Warn(err)
-			continue
-		}
-		cctx, stop := context.WithCancel(ctx)
-		c := &schedulerConn{
-			g: s.g, pool: p, addr: netip.AddrPortFrom(at.Addr(), uint16(port)).String(), turns: map[string]*turn{},
-			engine: turns.Engine{ID: srv.ID, Start: srv.Start, Slots: srv.Slots, MemoryTokens: cacheTokens},
+// setPeers sets the other gateways' addresses by name.
+func (b *board) setPeers(ctx context.Context, addrs map[string]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, p := range b.peers {
+		if p.addr != "" && addrs[name] != p.addr {
+			p.stop()
+			delete(b.peers, name)
 		}
-		s.byID[srv.Key()] = &schedulerHandle{c, stop}
-		go c.run(cctx)
 	}
-	for k, h := range s.byID {
-		if h.c.pool == p && !live[k] {
-			h.stop()
-			delete(s.byID, k)
+	for name, addr := range addrs {
+		if b.peers[name] == nil {
+			b.addLocked(ctx, name, addr)
 		}
 	}
+	b.remap()
 }
 
-// of returns the connection for a server, or nil.
-func (s *schedulers) of(k servers.Key) *schedulerConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h := s.byID[k]; h != nil {
-		return h.c
-	}
-	return nil
+// host makes the gateway itself a host of engines.
+func (b *board) host(ctx context.Context) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addLocked(ctx, b.g.name, "")
+}
+
+func (b *board) addLocked(ctx context.Context, name, addr string) {
+	pctx, stop := context.WithCancel(ctx)
+	p := &peer{name: name, addr: addr, stop: stop}
+	b.peers[name] = p
+	go b.keep(pctx, p)
 }
 
-// run keeps the connection until ctx ends.
-func (c *schedulerConn) run(ctx context.Context) {
-	backoff, failed := firstRedial, false
+// keep keeps a connection to a peer until ctx ends.
+func (b *board) keep(ctx context.Context, p *peer) {
+	backoff := firstRedial
 	for ctx.Err() == nil {
-		start := c.g.clock.Now()
-		err := c.session(ctx)
-		c.down()
+		start := b.g.clock.Now()
+		err := b.session(ctx, p)
+		b.down(p, err)
 		if ctx.Err() != nil {
 			return
 		}
-		if c.g.clock.Now()-start > lastRedial {
-			backoff, failed = firstRedial, false
+		if b.g.clock.Now()-start > lastRedial {
+			backoff = firstRedial
 		}
-		if !failed {
-			c.g.log.WithFields(logrus.Fields{"event": "schedulerLost", "server": c.engine.ID, "addr": c.addr}).Info(err)
-		}
-		failed = true
-		_ = c.g.clock.Sleep(ctx, backoff)
+		_ = b.g.clock.Sleep(ctx, backoff)
 		backoff = min(2*backoff, lastRedial)
 	}
 }
 
-func (c *schedulerConn) session(ctx context.Context) error {
-	d := net.Dialer{Timeout: schedulerDial.Duration()}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+func (b *board) dial(ctx context.Context, p *peer) (net.Conn, error) {
+	if p.addr == "" {
+		near, far := net.Pipe()
+		b.g.host.Serve(ctx, far)
+		return near, nil
+	}
+	d := net.Dialer{Timeout: peerDial.Duration()}
+	return d.DialContext(ctx, "tcp", p.addr)
+}
+
+func (b *board) session(ctx context.Context, p *peer) error {
+	conn, err := b.dial(ctx, p)
 	if err != nil {
 		return err
 	}
-	l := dispatch.NewLink(conn, c.g.clock, c.handle)
+	l := dispatch.NewLink(conn, b.g.clock, func(l *dispatch.Link, method string, params json.RawMessage) (any, error) {
+		return nil, b.handle(p, method, params)
+	})
 	defer l.Close()
-	c.mu.Lock()
-	c.link = l
-	h := turns.Hello{Entry: c.g.name, Engine: c.engine}
-	for _, t := range c.turns {
-		if t.granted {
-			h.Running = append(h.Running, t.r)
-		}
-	}
-	c.mu.Unlock()
-	l.Notify(dispatch.MethodHello, h)
-	c.g.log.WithFields(logrus.Fields{"event": "schedulerFound", "server": c.engine.ID, "addr": c.addr, "running": len(h.Running)}).Info()
+	l.Notify(dispatch.MethodHello, turns.Hello{Entry: b.g.name})
+	b.mu.Lock()
+	p.link = l
+	b.setUp(p, true)
+	b.mu.Unlock()
+	b.g.log.WithFields(logrus.Fields{"event": "peerFound", "peer": p.name}).Info()
 	for {
-		wait, cancel := context.WithTimeout(ctx, schedulerBeat.Duration())
+		wait, cancel := context.WithTimeout(ctx, peerBeat.Duration()/2)
 		select {
 		case <-ctx.Done():
 			cancel()
@@ -172,116 +169,262 @@
 		case <-wait.Done():
 			cancel()
 		}
-		if c.g.clock.Now()-l.Heard() > schedulerSilent {
+		if b.g.clock.Now()-l.Heard() > peerSilent {
 			return errors.New("connection is silent")
 		}
 		l.Notify(dispatch.MethodHeartbeat, turns.Ref{})
 	}
 }
 
-// down tells those that wait that the scheduler is out of reach.
-func (c *schedulerConn) down() {
-	c.mu.Lock()
-	c.link = nil
-	for id, t := range c.turns {
+// down takes a peer's engines away from it.
+func (b *board) down(p *peer, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.up {
+		b.g.log.WithFields(logrus.Fields{"event": "peerLost", "peer": p.name}).Info(err)
+	}
+	p.link = nil
+	b.setUp(p, false)
+}
+
+// setUp is called with the board locked.
+func (b *board) setUp(p *peer, up bool) {
+	if p.up != up {
+		p.up = up
+		b.remap()
+	}
+}
+
+// remap computes the engines' hosts anew. Requests that run are announced to a
+// new host; those that wait choose again.
+func (b *board) remap() {
+	for id := range b.hosts {
+		h := b.top(id)
+		if h == b.hosts[id] {
+			continue
+		}
+		b.hosts[id] = h
+		b.pools[id].with(func(k *place.Book) { k.Untold(id) })
+	}
+	for id, t := range b.turns {
+		h := b.hosts[t.r.Engine.ID]
+		if h == t.peer {
+			continue
+		}
+		old := t.peer
+		if old != nil && old.link != nil {
+			old.link.Notify(dispatch.MethodCancel, turns.Ref{ID: id})
+		}
+		t.peer = h
 		if !t.granted {
-			t.verdict <- verdict{lost: true}
-			delete(c.turns, id)
+			delete(b.turns, id)
+			t.verdict <- verdict{again: true}
+		} else if h != nil && h.link != nil {
+			h.link.Notify(turns.MethodAnnounce, t.r)
 		}
 	}
-	c.mu.Unlock()
-	c.pool.with(func(b *place.Book) { b.Untold(c.engine.ID) })
 }
 
-func (c *schedulerConn) handle(_ *dispatch.Link, method string, params json.RawMessage) (any, error) {
+// top returns the host of an engine among the peers that are up, or nil.
+func (b *board) top(engine string) *peer {
+	var best *peer
+	var most uint64
+	for _, p := range b.peers {
+		if !p.up {
+			continue
+		}
+		if w := weight(engine, p.name); best == nil || w > most {
+			best, most = p, w
+		}
+	}
+	return best
+}
+
+// weight is the rendezvous weight of a subject at a gateway.
+func weight(subject, gateway string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(subject))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(gateway))
+	return mix64(h.Sum64())
+}
+
+// mix64 spreads the last bytes of a hash to its high bits.
+func mix64(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// handle applies a message of a host.
+func (b *board) handle(p *peer, method string, params json.RawMessage) error {
 	switch method {
 	case turns.MethodLoad:
-		var l turns.Load
-		if err := json.Unmarshal(params, &l); err != nil {
-			return nil, err
+		var m turns.Loads
+		if err := json.Unmarshal(params, &m); err != nil {
+			return err
 		}
-		now := c.g.clock.Now()
-		c.pool.with(func(b *place.Book) { b.Told(now, c.engine.ID, l.Load, l.Parts) })
+		b.heard(p)
+		b.told(p, m.Loads)
 	case dispatch.MethodOffer:
 		var r turns.Ref
 		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, err
+			return err
 		}
-		c.settle(r.ID, verdict{granted: true})
+		b.settle(p, r.ID, verdict{granted: true})
 	case dispatch.MethodRefuse:
 		var r turns.Refusal
 		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, err
+			return err
 		}
-		c.settle(r.ID, verdict{retryAfter: r.RetryAfterMs})
+		b.settle(p, r.ID, verdict{retryAfter: r.RetryAfterMs})
+	}
+	return nil
+}
+
+// heard takes a peer back that was silent for a while.
+func (b *board) heard(p *peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.link != nil {
+		b.setUp(p, true)
+	}
+}
+
+func (b *board) told(p *peer, loads []turns.Load) {
+	now := b.g.clock.Now()
+	for _, l := range loads {
+		b.mu.Lock()
+		pool, mine := b.pools[l.Engine], b.hosts[l.Engine] == p
+		b.mu.Unlock()
+		if pool == nil {
+			continue
+		}
+		pool.with(func(k *place.Book) {
+			k.Holds(l.Engine, l.Parts)
+			if mine {
+				k.Told(now, l.Engine, l.Load)
+			}
+		})
 	}
-	return nil, nil
 }
 
-func (c *schedulerConn) settle(id string, v verdict) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.turns[id]
-	if t == nil || t.granted {
+func (b *board) settle(p *peer, id string, v verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.turns[id]
+	if t == nil || t.granted || t.peer != p {
 		return
 	}
 	t.granted = v.granted
 	if !v.granted {
-		delete(c.turns, id)
+		delete(b.turns, id)
 	}
 	t.verdict <- v
 }
 
-// reserve asks for a start; nil when the scheduler is out of reach.
-func (c *schedulerConn) reserve(r turns.Reservation) *turn {
-	return c.open(dispatch.MethodReserve, r, false)
+// reserve asks for a start; nil when no host is up.
+func (b *board) reserve(pool *pool, r turns.Reservation) *turn {
+	return b.open(pool, dispatch.MethodReserve, r)
 }
 
-// announce tells of a request that is sent at once; nil when the scheduler is
-// out of reach.
-func (c *schedulerConn) announce(r turns.Reservation) *turn {
-	return c.open(turns.MethodAnnounce, r, true)
+// announce tells of a request that is sent at once; nil when no host is up.
+func (b *board) announce(pool *pool, r turns.Reservation) *turn {
+	return b.open(pool, turns.MethodAnnounce, r)
 }
 
-func (c *schedulerConn) open(method string, r turns.Reservation, granted bool) *turn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.link == nil || c.link.Closed() {
+func (b *board) open(pool *pool, method string, r turns.Reservation) *turn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := r.Engine.ID
+	b.pools[id] = pool
+	h, ok := b.hosts[id]
+	if !ok {
+		h = b.top(id)
+		b.hosts[id] = h
+	}
+	if h == nil || h.link == nil {
 		return nil
 	}
-	t := &turn{c: c, r: r, verdict: make(chan verdict, 1), askedMs: c.g.clock.Now(), granted: granted}
-	c.turns[r.ID] = t
-	c.link.Notify(method, r)
+	t := &turn{
+		b: b, pool: pool, r: r, askedMs: b.g.clock.Now(), verdict: make(chan verdict, 1),
+		peer: h, granted: method == turns.MethodAnnounce,
+	}
+	b.turns[r.ID] = t
+	h.link.Notify(method, r)
 	return t
 }
 
+// forget drops what is known of engines that are gone.
+func (b *board) forget(live map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.hosts {
+		if !live[id] {
+			delete(b.hosts, id)
+			delete(b.pools, id)
+		}
+	}
+}
+
+// anyUp reports whether one of the named gateways can be reached.
+func (b *board) anyUp(names []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range names {
+		if p := b.peers[n]; p != nil && p.up {
+			return true
+		}
+	}
+	return false
+}
+
+// copy sends the counts to the gateways that hold copies: those with the
+// highest hash of both names, so that few change with the membership.
+func (b *board) copy(key string, p published) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var up []*peer
+	for _, q := range b.peers {
+		if q.up && q.addr != "" && q.link != nil {
+			up = append(up, q)
+		}
+	}
+	slices.SortFunc(up, func(x, y *peer) int { return cmp.Compare(weight(key, y.name), weight(key, x.name)) })
+	for _, q := range up[:min(len(up), copyHolders)] {
+		q.link.Notify(turns.MethodCounts, countsCopy{key, p})
+	}
+}
+
 // begun tells that the first event has arrived.
-func (t *turn) begun() { t.note(turns.MethodBegun, false) }
+func (t *turn) begun() { t.note(turns.MethodBegun) }
 
 // done tells that the request has ended.
-func (t *turn) done() { t.note(turns.MethodDone, true) }
+func (t *turn) done() { t.note(turns.MethodDone) }
 
 // cancel takes a reservation back.
-func (t *turn) cancel() { t.note(dispatch.MethodCancel, true) }
+func (t *turn) cancel() { t.note(dispatch.MethodCancel) }
 
-func (t *turn) note(method string, last bool) {
+func (t *turn) note(method string) {
 	if t == nil {
 		return
 	}
-	t.c.mu.Lock()
-	defer t.c.mu.Unlock()
-	t.r.Begun = true
-	if last {
-		delete(t.c.turns, t.r.ID)
+	t.b.mu.Lock()
+	defer t.b.mu.Unlock()
+	if method == turns.MethodBegun {
+		t.r.Begun = true
+	} else {
+		delete(t.b.turns, t.r.ID)
 	}
-	if t.c.link != nil {
-		t.c.link.Notify(method, turns.Ref{ID: t.r.ID})
+	if p := t.peer; p != nil && p.link != nil {
+		p.link.Notify(method, turns.Ref{ID: t.r.ID})
 	}
 }
 
-// await waits for the verdict. A scheduler with a queue tells its load all the
-// time; one that does not is taken to be out of reach. better is asked from
-// time to time whether another server is to be preferred.
+// await waits for the verdict. better is asked from time to time whether
+// another server could start the request at once.
 func (t *turn) await(ctx context.Context, better func() bool) (verdict, error) {
 	tick := time.NewTicker(reviewEvery.Duration())
 	defer tick.Stop()
@@ -293,23 +436,29 @@
 			t.cancel()
 			return verdict{}, context.Cause(ctx)
 		case <-tick.C:
-			switch {
-			case t.c.quiet(t.askedMs):
-				t.cancel()
-				return verdict{lost: true}, nil
-			case better():
+			if t.b.quiet(t) {
+				// The host's engines were given to others, and so was this turn.
+				continue
+			}
+			if better() {
 				t.cancel()
-				return verdict{moved: true}, nil
+				return verdict{again: true}, nil
 			}
 		}
 	}
 }
 
-// quiet reports whether nothing was heard of the scheduler for too long since.
-func (c *schedulerConn) quiet(since clock.Millis) bool {
-	c.mu.Lock()
-	l := c.link
-	c.mu.Unlock()
-	now := c.g.clock.Now()
-	return l == nil || now-since > queueSilent && now-l.Heard() > queueSilent
+// quiet takes the engines away from a host of which nothing was heard while t
+// waits there: a host with a queue tells its load all the time.
+func (b *board) quiet(t *turn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := t.peer
+	now := b.g.clock.Now()
+	if p == nil || p.link == nil || t.granted || now-t.askedMs <= queueSilent || now-p.link.Heard() <= queueSilent {
+		return false
+	}
+	b.g.log.WithFields(logrus.Fields{"event": "peerSilent", "peer": p.name, "silentMs": int64(now - p.link.Heard())}).Info()
+	b.setUp(p, false)
+	return true
 }
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -18,6 +20,13 @@
 	publishAfter = 300 * clock.Millisecond
 	// publishRetry is the pause after a failed publication.
 	publishRetry = 200 * clock.Millisecond
+	// lastPublish bounds the publication of a process that ends.
+	lastPublish = 500 * clock.Millisecond
+	// copyEvery is the time between two copies of the counts to other gateways;
+	// what began since the last one is lost with a killed process.
+	copyEvery = 400 * clock.Millisecond
+	// copyHolders is the number of gateways that get copies.
+	copyHolders = 3
 	// leastEntries is the number of gateways assumed before others are known.
 	leastEntries = 4
 )
@@ -26,12 +35,15 @@
 type counts struct {
 	windowMs clock.Millis
 
-	mu  sync.Mutex
-	all map[int64]map[string]int64
+	mu      sync.Mutex
+	all     map[int64]map[string]int64
+	changed bool
+	// copies are the counts of other processes, by key.
+	copies map[string]published
 }
 
 func newCounts(windowMs clock.Millis) *counts {
-	return &counts{windowMs: windowMs, all: map[int64]map[string]int64{}}
+	return &counts{windowMs: windowMs, all: map[int64]map[string]int64{}, copies: map[string]published{}}
 }
 
 func (c *counts) window(wall clock.Millis) int64 { return int64(wall / c.windowMs) }
@@ -50,15 +62,22 @@
 		delete(c.all, w-keptWindows)
 	}
 	m[account]++
+	c.changed = true
 }
 
 // published is what a gateway publishes of its counts.
 type published struct {
 	// Window is the last one that is complete.
 	Window  int64                      `json:"window"`
-	Windows map[int64]map[string]int64 `json:"windows"`
+	Windows map[int64]map[string]int64 `json:"windows,omitempty"`
+	// StartMs is the wall time at which the process started.
+	StartMs clock.Millis `json:"startMs"`
+	// Control is the address for the other gateways.
+	Control string `json:"control,omitempty"`
 	// Ended is set by a gateway that stops.
 	Ended bool `json:"ended,omitempty"`
+	// Copies are the counts of other processes, by key.
+	Copies map[string]published `json:"copies,omitempty"`
 }
 
 // snapshot returns the counts of the windows up to last.
@@ -71,15 +90,40 @@
 			p.Windows[w] = maps.Clone(m)
 		}
 	}
+	p.Copies = maps.Clone(c.copies)
 	return p
 }
 
+// keep keeps a copy of another process's counts.
+func (c *counts) keep(key string, p published, now int64) {
+	p.Copies, p.Control = nil, ""
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.copies[key] = p
+	for k, old := range c.copies {
+		if old.Window < now-keptWindows {
+			delete(c.copies, k)
+		}
+	}
+}
+
+// takeChanged reports whether counts were added since the last call.
+func (c *counts) takeChanged() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.changed
+	c.changed = false
+	return was
+}
+
 // usageKey is the key of this process's counts. A restarted instance has
 // another one, so that the counts of its earlier process stay.
 func (g *Gateway) usageKey() string { return g.name + "/" + g.process }
 
 // publishUsage publishes the counts once a window, and at the end.
 func (g *Gateway) publishUsage(ctx context.Context) error {
+	// The first one makes the gateway known to the others.
+	g.publish(ctx, g.usage.window(g.clock.Wall())-1, false)
 	for {
 		wall := g.clock.Wall()
 		due := g.usage.end(g.usage.window(wall)) + publishAfter + g.spread(publishAfter)
@@ -88,12 +132,42 @@
 		}
 		g.publish(ctx, g.usage.window(g.clock.Wall()-publishAfter/2)-1, false)
 	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), (2 * clock.Second).Duration())
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPublish.Duration())
 	defer cancel()
 	g.publish(last, g.usage.window(g.clock.Wall()), true)
 	return nil
 }
 
+// copyUsage copies the counts to other gateways, which publish them should this
+// process not come to it.
+func (g *Gateway) copyUsage(ctx context.Context) error {
+	for g.clock.Sleep(ctx, copyEvery) == nil {
+		if !g.usage.takeChanged() {
+			continue
+		}
+		p := g.usage.snapshot(g.usage.window(g.clock.Wall()) - 1)
+		p.Copies, p.StartMs = nil, g.startMs
+		g.board.copy(g.usageKey(), p)
+	}
+	return nil
+}
+
+// keepCopy takes in another gateway's counts.
+func (g *Gateway) keepCopy(data json.RawMessage) error {
+	var m countsCopy
+	if err := json.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	g.usage.keep(m.Key, m.Counts, g.usage.window(g.clock.Wall()))
+	return nil
+}
+
+// countsCopy is the message that copies counts.
+type countsCopy struct {
+	Key    string    `json:"key"`
+	Counts published `json:"counts"`
+}
+
 // spread returns a part of d that differs from gateway to gateway.
 func (g *Gateway) spread(d clock.Millis) clock.Millis {
 	h := uint32(0)
@@ -106,7 +180,7 @@
 func (g *Gateway) publish(ctx context.Context, last int64, ended bool) {
 	for try := 0; ctx.Err() == nil; try++ {
 		p := g.usage.snapshot(last)
-		p.Ended = ended
+		p.Ended, p.Control, p.StartMs = ended, g.Settings().ControlAddr, g.startMs
 		data, err := json.Marshal(p)
 		if err != nil {
 			g.log.WithField("event", "usageEncode").Error(err)
@@ -119,37 +193,69 @@
 			g.log.WithField("event", "usageNotPublished").Warn(err)
 		}
 		_ = g.clock.Sleep(ctx, publishRetry)
-		if g.usage.window(g.clock.Wall()) > last+2 {
-			return
+		if now := g.usage.window(g.clock.Wall()) - 1; !ended && now > last {
+			last = now
 		}
 	}
 }
 
-// sum adds up the published counts of a window. complete tells that no
-// process that still runs has yet to publish them.
-func sum(records []Record, window int64) (total map[string]int64, complete bool, running int, stale []string) {
-	total, complete = map[string]int64{}, true
+// collected is the sum of a window over all processes.
+type collected struct {
+	total map[string]int64
+	// late are the instances whose present process has yet to publish the window.
+	late []string
+	// stale are the keys that are no longer needed.
+	stale []string
+}
+
+// collect adds up a window over what all processes published, and what others
+// published for them.
+func (g *Gateway) collect(records []Record, window int64) collected {
+	out := collected{total: map[string]int64{}}
+	counts := map[string]map[string]int64{} // by process
+	merge := func(key string, p published) {
+		m := counts[key]
+		if m == nil {
+			m = map[string]int64{}
+			counts[key] = m
+		}
+		for a, n := range p.Windows[window] {
+			m[a] = max(m[a], n)
+		}
+	}
+	newest := map[string]published{}
 	for _, r := range records {
-		if !strings.Contains(r.Key, "/") || len(r.Value) == 0 {
+		name, _, ok := strings.Cut(r.Key, "/")
+		if !ok || len(r.Value) == 0 {
 			continue
 		}
 		var p published
-		if json.Unmarshal(r.Value, &p) != nil {
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
 			continue
 		}
-		for a, n := range p.Windows[window] {
-			total[a] += n
-		}
-		switch {
-		case p.Window < window-keptWindows:
-			stale = append(stale, r.Key)
-		case p.Ended:
-		default:
-			running++
-			if p.Window < window {
-				complete = false
-			}
+		merge(r.Key, p)
+		for key, c := range p.Copies {
+			merge(key, c)
+		}
+		if p.Window < window-keptWindows {
+			out.stale = append(out.stale, r.Key)
+		} else if p.StartMs >= newest[name].StartMs {
+			newest[name] = p
+		}
+	}
+	for key, c := range g.usage.snapshot(window).Copies {
+		merge(key, c)
+	}
+	for _, m := range counts {
+		for a, n := range m {
+			out.total[a] += n
+		}
+	}
+	for name, p := range newest {
+		if !p.Ended && p.Window < window {
+			out.late = append(out.late, name)
 		}
 	}
-	return total, complete, running, stale
+	return out
 }
