--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -30,16 +30,20 @@
 	// observedTokens is the least prompt that tells the speed.
 	observedTokens = 3000
 	// defaultDuty is the part of the time in which the engine reads prompts: at
-	// about two thirds, a token takes three times as long as without reading.
-	defaultDuty = 0.62
+	// three quarters, streams of usual length still end in two thirds of the
+	// time that callers wait.
+	defaultDuty = 0.75
 	// creditMs of reading may be saved up while nothing is read, so that a few
 	// prompts at once do not wait for the duty.
-	creditMs = 1000 * clock.Millisecond
+	creditMs = 400 * clock.Millisecond
 	// smallTokens are read within a step or two and start at once.
 	smallTokens = 1300
+	// urgentTokens are read ahead of less urgent prompts, which the engine itself
+	// sees to, and so start at once too.
+	urgentTokens = 8000
 	// pendingTokens bounds the prompts that were started and are not read yet:
 	// one is at hand when another has been read.
-	pendingTokens = 16000
+	pendingTokens = 12000
 	// tightSlots of the engine are kept for tight requests.
 	tightSlots = 8
 	// memoryPart of the engine's memory is for the requests' own tokens; the
@@ -141,6 +145,8 @@
 	pending int // tokens of granted prompts that are not read yet
 	memory  int
 	tight   int
+	// lowest is the least urgent priority that asked so far.
+	lowest  int
 	spent   map[string]float64
 	spentMs clock.Millis
 	// checkedMs is when the waiting requests were last checked.
@@ -166,6 +172,7 @@
 func (s *Scheduler) Ask(now clock.Millis, r Request) {
 	s.seq++
 	w := &waiting{r, s.seq}
+	s.lowest = max(s.lowest, r.Priority)
 	if !s.feasible(now, w) {
 		s.refuse(now, w)
 		return
@@ -319,7 +326,10 @@
 	s.out = append(s.out, Action{Entry: w.Entry, ID: w.ID, RetryAfterMs: after})
 }
 
-func (s *Scheduler) small(w *waiting) bool { return w.Tight || w.Unread <= smallTokens }
+// small reports whether w does not wait for its turn to be read.
+func (s *Scheduler) small(w *waiting) bool {
+	return w.Tight || w.Unread <= smallTokens || w.Priority < s.lowest && w.Unread <= urgentTokens
+}
 
 // less orders the queue.
 func (s *Scheduler) less(now clock.Millis, a, b *waiting) bool {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -90,7 +90,7 @@
 	g.board = newBoard(g)
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.host.OnCounts = g.keepCopy
-	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS) * clock.Second)
+	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
 		return nil, errors.Wrap(err, "callerAddr")
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// keptWindows is how many windows a gateway keeps its counts of.
-	keptWindows = 5
+	// keptBeyond is how many windows a gateway keeps its counts of beyond those
+	// whose report is not late yet.
+	keptBeyond = 3
 	// publishAfter is the time after a window's end until its counts are
 	// published: clocks may differ by some tenths of a second.
 	publishAfter = 300 * clock.Millisecond
@@ -34,6 +35,8 @@
 // counts holds the requests of each client account by window.
 type counts struct {
 	windowMs clock.Millis
+	// kept is the number of windows that are kept.
+	kept int64
 
 	mu      sync.Mutex
 	all     map[int64]map[string]int64
@@ -42,8 +45,8 @@
 	copies map[string]published
 }
 
-func newCounts(windowMs clock.Millis) *counts {
-	return &counts{windowMs: windowMs, all: map[int64]map[string]int64{}, copies: map[string]published{}}
+func newCounts(windowMs, reportWithin clock.Millis) *counts {
+	return &counts{windowMs: windowMs, kept: int64(reportWithin/windowMs) + keptBeyond, all: map[int64]map[string]int64{}, copies: map[string]published{}}
 }
 
 func (c *counts) window(wall clock.Millis) int64 { return int64(wall / c.windowMs) }
@@ -59,7 +62,7 @@
 	if m == nil {
 		m = map[string]int64{}
 		c.all[w] = m
-		delete(c.all, w-keptWindows)
+		delete(c.all, w-c.kept)
 	}
 	m[account]++
 	c.changed = true
@@ -86,7 +89,7 @@
 	defer c.mu.Unlock()
 	p := published{Window: last, Windows: map[int64]map[string]int64{}}
 	for w, m := range c.all {
-		if w > last-keptWindows {
+		if w > last-c.kept {
 			p.Windows[w] = maps.Clone(m)
 		}
 	}
@@ -101,7 +104,7 @@
 	defer c.mu.Unlock()
 	c.copies[key] = p
 	for k, old := range c.copies {
-		if old.Window < now-keptWindows {
+		if old.Window < now-c.kept {
 			delete(c.copies, k)
 		}
 	}
@@ -238,7 +241,7 @@
 		for key, c := range p.Copies {
 			merge(key, c)
 		}
-		if p.Window < window-keptWindows {
+		if p.Window < window-g.usage.kept {
 			out.stale = append(out.stale, r.Key)
 		} else if p.StartMs >= newest[name].StartMs {
 			newest[name] = p
