Urgency ranks by account, then by route

The account's priority replaced the route's, so both had the same class.

Change: routing.Config.Urgency ranks pairs; the rank is the class for the engine and the priority in the order of starts.

Ruled out: the config_change during the burst (no route changed); memory of the engine (class 1 for all of them in the log).

--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -20,7 +20,9 @@
 	// kept is the number of durations that a Durations remembers for a route.
 	kept = 64
 	// slowdown is by how much a request may last longer than those before it.
-	slowdown = 1.3
+	slowdown = 1.6
+	// enough is the number of durations that tell how long others last.
+	enough = 16
 )
 
 // Durations remembers how long the last requests of each route lasted. It is
@@ -52,10 +54,11 @@
 	w.next = (w.next + 1) % kept
 }
 
-// Longest returns the longest of the remembered durations, or 0.
+// Longest returns the longest of the remembered durations, or 0 if there are
+// too few of them.
 func (d *Durations) Longest(route string) clock.Millis {
 	w := d.byRoute[route]
-	if w == nil {
+	if w == nil || len(w.last) < enough {
 		return 0
 	}
 	return slices.Max(w.last)
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -226,7 +226,7 @@
 // patience returns how long after a window's end its late publishers are
 // waited for: less if none of them can be reached, since they are likely gone.
 func (h *holder) patience(late []string) clock.Millis {
-	within := clock.Millis(h.g.Settings().Duties.ReportWithinS) * clock.Second
+	within := h.g.reportWithin()
 	switch {
 	case len(late) == 0:
 		return 0
@@ -236,11 +236,16 @@
 	return min(goneAfter, within-reportMargin)
 }
 
+// reportWithin is the time after a window's end in which its report is due.
+func (g *Gateway) reportWithin() clock.Millis {
+	return clock.Millis(g.Settings().Duties.ReportWithinS * float64(clock.Second))
+}
+
 // dueWindow returns the first window that has not been sealed and whose report
 // is not yet late.
 func (h *holder) dueWindow(wall clock.Millis) int64 {
 	g := h.g
-	within := clock.Millis(g.Settings().Duties.ReportWithinS) * clock.Second
+	within := g.reportWithin()
 	first := g.usage.window(wall - within + reportMargin/2)
 	if h.sealed != nil {
 		return max(first, h.sealed.Usage.Window+1)
@@ -260,7 +265,7 @@
 	g.metrics.reported(err)
 	if err != nil {
 		l.Warn(err)
-		if g.clock.Wall() > g.usage.end(u.Window)+clock.Millis(g.Settings().Duties.ReportWithinS)*clock.Second {
+		if g.clock.Wall() > g.usage.end(u.Window)+g.reportWithin() {
 			h.told = u.Window
 		}
 		return g.clock.Sleep(ctx, readBackoff)
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -40,7 +40,7 @@
 	cfg     *routing.Config
 	route   *routing.Route
 	account string
-	// priority is the account's, or else the route's.
+	// priority is the rank of account and route; 0 is the most urgent.
 	priority int
 	pool     *pool
 	ask      place.Request
@@ -105,16 +105,14 @@
 	if j.route = cfg.Match(r.Host, path); j.route == nil {
 		return j, g.unknown(http.StatusNotFound, "noRoute")
 	}
-	j.priority = j.route.Priority
+	j.priority = cfg.Urgency(nil, j.route)
 	if cfg.KeysNeeded() && !j.route.Public {
 		a := cfg.ByKey(j.Key)
 		if a == nil {
 			return j, g.unknown(http.StatusUnauthorized, "unknownKey")
 		}
 		j.account = a.Name
-		if a.Priority != nil {
-			j.priority = *a.Priority
-		}
+		j.priority = cfg.Urgency(a, j.route)
 	}
 	j.deadlineMs = now + defaultDeadline
 	if j.DeadlineMs > 0 {
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -58,6 +58,12 @@
 	if no != nil {
 		return nil, no
 	}
+	if !j.ran && g.leaves(j, g.clock.Now()) {
+		// The time went into waiting for a turn.
+		turn.cancel()
+		j.pool.with(func(b *place.Book) { b.Ended(now, to.Choice, j.ask, place.OutcomeLeft, false, 0) })
+		return nil, &refusal{http.StatusServiceUnavailable, "ending", drainWait}
+	}
 	now = g.clock.Now()
 	s := &send{choice: to.Choice, turn: turn, sentMs: now}
 	h := j.header.Clone()
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -67,7 +67,7 @@
 type Account struct {
 	Name     string
 	Keys     []string
-	Priority *int // goes before the route's
+	Priority *int // compared before the routes' priorities; nil ranks last
 }
 
 // Config is one version of the configuration. It is immutable.
@@ -83,6 +83,9 @@
 	hosts map[string][]*Route // longest prefix first
 	pools map[string]*Pool
 	keys  map[string]*Account
+	// ranks are the pairs of an account's and a route's priority, in order.
+	ranks [][2]int
+	last  int // the account priority of accounts without one
 }
 
 // FieldError reports a field of the configuration that cannot be used.
@@ -119,6 +122,7 @@
 	for _, rs := range c.hosts {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	c.rank()
 	for i := range c.Accounts {
 		for _, k := range c.Accounts[i].Keys {
 			c.keys[k] = &c.Accounts[i]
@@ -127,6 +131,41 @@
 	return &c, nil
 }
 
+// rank orders the pairs of priorities that occur.
+func (c *Config) rank() {
+	last := 0
+	accounts := map[int]bool{}
+	for _, a := range c.Accounts {
+		if a.Priority != nil {
+			accounts[*a.Priority] = true
+			last = max(last, *a.Priority+1)
+		}
+	}
+	c.last = last
+	accounts[last] = true
+	seen := map[[2]int]bool{}
+	for _, r := range c.Routes {
+		for a := range accounts {
+			seen[[2]int{a, r.Priority}] = true
+		}
+	}
+	for pair := range seen {
+		c.ranks = append(c.ranks, pair)
+	}
+	slices.SortFunc(c.ranks, func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
+}
+
+// Urgency returns the rank of a request, 0 for the most urgent: by the
+// account's priority, then by the route's. The account may be nil.
+func (c *Config) Urgency(a *Account, r *Route) int {
+	pair := [2]int{c.last, r.Priority}
+	if a != nil && a.Priority != nil {
+		pair[0] = *a.Priority
+	}
+	n, _ := slices.BinarySearchFunc(c.ranks, pair, func(x, y [2]int) int { return slices.Compare(x[:], y[:]) })
+	return n
+}
+
 // Match returns the route with the longest prefix of path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	host = strings.ToLower(host)
