Tests of the decisions, played on their loads; a failing server is tried again

Change: failures fade with time (half in 1.5 s); the home counts only while no holder is known; an account is over its share from 1.5 times the mean, since of two accounts none can be over twice.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -52,8 +52,8 @@
 	// fairHalf is the time after which what an account was granted counts half.
 	fairHalf = 5 * clock.Second
 	// overShare is how many times the mean an account may have been granted
-	// before the others go first.
-	overShare = 2.0
+	// before the others go first; of two, that is three times the other's.
+	overShare = 1.5
 	// leastRetry and mostRetry bound the time after which to come back.
 	leastRetry = 200 * clock.Millisecond
 	mostRetry  = 5 * clock.Second
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -69,6 +69,11 @@
 	// failWeight and okWeight move the rate of failures.
 	failWeight = 0.3
 	okWeight   = 0.08
+	// failHalf is the time after which the rate counts half: a server that gets
+	// no requests must be tried again.
+	failHalf = 1500 * clock.Millisecond
+	// forgotten is the rate that no longer counts.
+	forgotten = 0.03
 	// failCost is the factor on the cost of a server that fails always.
 	failCost = 40
 	// firstPause and lastPause bound the time for which a server that could not
@@ -144,6 +149,7 @@
 	told    batch.Load
 	cache   *cache
 	fails   float64
+	failsMs clock.Millis
 	pause   clock.Millis
 	untilMs clock.Millis
 	timeMs  float64 // per plain request
@@ -218,7 +224,7 @@
 func (b *Book) Choose(now clock.Millis, r Request, exclude []string, rnd *rand.Rand) (c Choice, ok bool) {
 	best := math.Inf(1)
 	home := b.home(r)
-	if home != nil && (now < home.untilMs || home.fails > failingHome) {
+	if home != nil && (now < home.untilMs || home.failing(now) > failingHome) {
 		home = nil
 	}
 	holder := b.holder(now, r)
@@ -233,7 +239,7 @@
 		} else {
 			cost = b.plainCost(now, s)
 		}
-		cost *= 1 + s.fails*failCost
+		cost *= 1 + s.failing(now)*failCost
 		if now < s.untilMs {
 			cost = cost*10 + 1e6
 		}
@@ -251,7 +257,7 @@
 // start it now at no greater cost than waiting a little longer.
 func (b *Book) Idle(now clock.Millis, r Request, c Choice, exclude []string) bool {
 	for i, s := range b.ranked {
-		if s.ID == c.ID || now < s.untilMs || s.fails > failingHome || slices.Contains(exclude, s.ID) {
+		if s.ID == c.ID || now < s.untilMs || s.failing(now) > failingHome || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		l := s.load(now)
@@ -297,7 +303,7 @@
 	}
 	var best *state
 	for _, s := range b.ranked {
-		if s.cache.kept(r.Parts) >= all && now >= s.untilMs && s.fails < failingHome && (best == nil || s.unread < best.unread) {
+		if s.cache.kept(r.Parts) >= all && now >= s.untilMs && s.failing(now) < failingHome && (best == nil || s.unread < best.unread) {
 			best = s
 		}
 	}
@@ -309,7 +315,7 @@
 	again := 0.0
 	switch {
 	case kept >= all:
-	case s == home:
+	case s == home && holder == nil:
 		// Another entry's request has read the shared parts, or will soon.
 		kept = all
 	case holder != nil:
@@ -433,6 +439,7 @@
 	if !begun {
 		s.unread = max(s.unread-c.Unread, 0)
 	}
+	s.fails, s.failsMs = s.failing(now), now
 	switch o {
 	case OutcomeOK:
 		s.fails -= s.fails * okWeight
@@ -484,12 +491,16 @@
 	}
 }
 
-// Failing returns the rate of failures of a server, from 0 to 1.
-func (b *Book) Failing(id string) float64 {
-	if s := b.all[id]; s != nil {
+// failing returns the rate of failures, from 0 to 1; old ones fade.
+func (s *state) failing(now clock.Millis) float64 {
+	if s.fails == 0 || now <= s.failsMs {
 		return s.fails
 	}
-	return 0
+	f := s.fails * math.Exp2(-float64(now-s.failsMs)/float64(failHalf))
+	if f < forgotten {
+		return 0
+	}
+	return f
 }
 
 // String returns the outcome's name in logs.
--- /dev/null
+++ b/internal/policy/place/place_test.go
@@ -0,0 +1,200 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/damaskport/damaskport/internal/policy/batch"
+	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+func book(n int) *place.Book {
+	b := place.NewBook("a")
+	var list []place.Server
+	for i := range n {
+		list = append(list, place.Server{ID: fmt.Sprintf("s%d", i), Start: 1, Zone: "a", Slots: 64, CacheTokens: 400000})
+	}
+	b.SetServers(list)
+	return b
+}
+
+func rnd() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+var (
+	chat  = place.Request{Engine: true, Tight: true, Prompt: 700}
+	draft = place.Request{Engine: true, Prompt: 20000}
+)
+
+// send places r and notes it as sent.
+func send(t *testing.T, b *place.Book, now clock.Millis, r place.Request, rnd *rand.Rand) string {
+	t.Helper()
+	c, ok := b.Choose(now, r, nil, rnd)
+	if !ok {
+		t.Fatal("no server")
+	}
+	b.Sent(c, r)
+	return c.ID
+}
+
+// TestLongPromptsAndTightStreamsKeepApart plays both kinds at once, as they
+// come in a burst: no server must get both.
+func TestLongPromptsAndTightStreamsKeepApart(t *testing.T) {
+	b, r := book(9), rnd()
+	chats, drafts := map[string]int{}, map[string]int{}
+	for i := range 60 {
+		chats[send(t, b, 1, chat, r)]++
+		if i%5 == 0 {
+			drafts[send(t, b, 1, draft, r)]++
+		}
+	}
+	for id := range chats {
+		if drafts[id] > 0 {
+			t.Errorf("%s got %d chats and %d drafts", id, chats[id], drafts[id])
+		}
+	}
+	if len(chats) < 2 || len(drafts) < 4 {
+		t.Errorf("chats on %d servers, drafts on %d", len(chats), len(drafts))
+	}
+}
+
+// TestEntriesAgreeOnTheOrder has two entries, which know nothing of each other,
+// place both kinds.
+func TestEntriesAgreeOnTheOrder(t *testing.T) {
+	b1, b2, r := book(9), book(9), rnd()
+	chats := map[string]bool{}
+	for range 20 {
+		chats[send(t, b1, 1, chat, r)] = true
+	}
+	for range 4 {
+		if id := send(t, b2, 1, draft, r); chats[id] {
+			t.Errorf("the other entry's draft went to %s, which has chats", id)
+		}
+	}
+}
+
+// TestToldLoadMovesPrompts has a host tell that a server is far behind.
+func TestToldLoadMovesPrompts(t *testing.T) {
+	b, r := book(3), rnd()
+	c, _ := b.Choose(1, draft, nil, r)
+	b.Told(1, c.ID, batch.Load{FreeMs: 4000, Waiting: 3, Speed: 48, Rate: 30})
+	if again, _ := b.Choose(2, draft, nil, r); again.ID == c.ID {
+		t.Errorf("%s was chosen again, 4 s behind", c.ID)
+	}
+	if again, _ := b.Choose(5000, draft, nil, r); again.ID != c.ID {
+		t.Errorf("%s was chosen after the time had passed, want %s", again.ID, c.ID)
+	}
+}
+
+func parts(subject string, shared, own int) []place.Part {
+	return []place.Part{{ID: "common", Tokens: 500}, {ID: subject, Tokens: shared - 500}, {ID: "own", Tokens: own}}
+}
+
+// TestSharedPartsAreNotReadAgain sends prompts with a common subject, first to
+// a server of its choice, then past it.
+func TestSharedPartsAreNotReadAgain(t *testing.T) {
+	b, r := book(6), rnd()
+	req := place.Request{Engine: true, Prompt: 7000, Parts: parts("subject", 5000, 2000)}
+	c, _ := b.Choose(1, req, nil, r)
+	b.Sent(c, req)
+	b.Begun(c, req)
+	req.Parts = parts("subject", 5000, 2000)
+	req.Parts[2].ID = "another own"
+	same, _ := b.Choose(2, req, nil, r)
+	if same.ID != c.ID || same.Unread != 2000 {
+		t.Errorf("the next one goes to %s with %d tokens unread, want %s with 2000", same.ID, same.Unread, c.ID)
+	}
+	other, _ := b.Choose(2, req, []string{c.ID}, r)
+	if other.FetchFrom != c.ID || other.Unread != 2000 {
+		t.Errorf("elsewhere it copies from %q with %d tokens unread, want %s with 2000", other.FetchFrom, other.Unread, c.ID)
+	}
+}
+
+// TestHeldPartsAreKnownFromHosts has another entry's request read the parts.
+func TestHeldPartsAreKnownFromHosts(t *testing.T) {
+	b, r := book(6), rnd()
+	b.Holds("s3", []string{"subject"})
+	req := place.Request{Engine: true, Prompt: 7000, Parts: parts("subject", 5000, 2000)}
+	if c, _ := b.Choose(1, req, nil, r); c.ID != "s3" && c.FetchFrom != "s3" {
+		t.Errorf("choice %+v neither goes to s3 nor copies from it", c)
+	}
+}
+
+// TestNewStartHoldsNothing lists a server under a new start.
+func TestNewStartHoldsNothing(t *testing.T) {
+	b, r := book(1), rnd()
+	req := place.Request{Engine: true, Prompt: 7000, Parts: parts("subject", 5000, 2000)}
+	c, _ := b.Choose(1, req, nil, r)
+	b.Sent(c, req)
+	b.Begun(c, req)
+	b.SetServers([]place.Server{{ID: "s0", Start: 2, Zone: "a", Slots: 64, CacheTokens: 400000}})
+	b.Ended(2, c, req, place.OutcomeOK, true, 10)
+	if c, _ := b.Choose(2, req, nil, r); c.Unread != 2000 && c.Unread != 7000 || c.FetchFrom != "" {
+		t.Errorf("choice after a new start: %+v", c)
+	}
+}
+
+// TestFailingServerIsLeftAlone has one of three servers fail a part of its
+// requests while it takes all: the others must get nearly all.
+func TestFailingServerIsLeftAlone(t *testing.T) {
+	b, r := book(3), rnd()
+	req := place.Request{}
+	bad, chance := 0, rnd()
+	for now := clock.Millis(1); now < 20000; now += 20 {
+		c, _ := b.Choose(now, req, nil, r)
+		b.Sent(c, req)
+		o := place.OutcomeOK
+		if c.ID == "s1" {
+			bad++
+			if chance.Float64() < 0.45 {
+				o = place.OutcomeFailed
+			}
+		}
+		b.Ended(now+15, c, req, o, false, 30)
+	}
+	if bad > 1000/10 {
+		t.Errorf("the failing server got %d of 1000 requests", bad)
+	}
+}
+
+// TestUnreachedServerIsTriedAgain has a server out of reach for a while.
+func TestUnreachedServerIsTriedAgain(t *testing.T) {
+	b, r := book(2), rnd()
+	req := place.Request{}
+	var after int
+	for now := clock.Millis(1); now < 20000; now += 20 {
+		c, _ := b.Choose(now, req, nil, r)
+		b.Sent(c, req)
+		o := place.OutcomeOK
+		if c.ID == "s1" && now < 5000 {
+			o = place.OutcomeUnreached
+		}
+		if c.ID == "s1" && now > 10000 {
+			after++
+		}
+		b.Ended(now+15, c, req, o, false, 30)
+	}
+	if after < 50 {
+		t.Errorf("the server that is back got %d of 500 requests", after)
+	}
+}
+
+// TestSlowServerGetsLess has one of three servers take five times as long.
+func TestSlowServerGetsLess(t *testing.T) {
+	b, r := book(3), rnd()
+	req := place.Request{}
+	n := 0
+	for now := clock.Millis(1); now < 10000; now += 10 {
+		c, _ := b.Choose(now, req, nil, r)
+		b.Sent(c, req)
+		took := clock.Millis(30)
+		if c.ID == "s2" {
+			took, n = 150, n+1
+		}
+		b.Ended(now, c, req, place.OutcomeOK, false, took)
+	}
+	if n > 100 {
+		t.Errorf("the slow server got %d of 1000 requests", n)
+	}
+}
