Logs within a bound that never block, and the timeline of a request

Cause: lines were written by the requests' goroutines; a reader that stops would have stopped them, and nothing led from a request's id to its cause.

Change: logging.Sink (bounded ring, lines and bytes a second, room kept for warnings, dropped lines counted), damaskport explain REQUEST-ID [FILE...]; placed lines tell the age of the configuration and of the server's load.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -45,6 +45,7 @@
 	addStatus,
 	addLoad,
 	addReport,
+	addExplain,
 }
 
 // Execute runs the command line args and returns the exit code.
--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -1,10 +1,12 @@
 package commands
 
 import (
+	"context"
 	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/role/gateway"
@@ -39,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(c.o.out, cfg.LogLevel)
+	log, sink, err := logging.NewBounded(c.o.out, cfg.LogLevel, logging.Bound{LinesPerS: int(cfg.LogLinesPerS), BytesPerS: int(cfg.LogBytesPerS)})
 	if err != nil {
 		return err
 	}
@@ -68,5 +70,13 @@
 		g.Configure(next)
 		return nil
 	})
-	return g.Run(ctx)
+	lines, stopLines := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return sink.Run(lines) })
+	group.Go(func() error {
+		// The last lines tell of the stop.
+		defer stopLines()
+		return g.Run(ctx)
+	})
+	return group.Wait()
 }
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -25,6 +25,8 @@
 	defaultGraceS        = 8
 	defaultConfigMs      = 2000
 	defaultMemoryMb      = 256
+	defaultLogLines      = 600
+	defaultLogBytes      = 200 << 10
 	defaultMaxFiles      = 4096
 )
 
@@ -34,10 +36,13 @@
 	// Name is the instance's name, unique in the deployment.
 	Name string `json:"name"`
 	// Zone is the availability zone.
-	Zone       string `json:"zone"`
-	LogLevel   string `json:"logLevel"`
-	CallerAddr string `json:"callerAddr"`
-	ReadyAddr  string `json:"readyAddr"`
+	Zone     string `json:"zone"`
+	LogLevel string `json:"logLevel"`
+	// LogLinesPerS and LogBytesPerS bound what the process logs.
+	LogLinesPerS float64 `json:"logLinesPerS"`
+	LogBytesPerS float64 `json:"logBytesPerS"`
+	CallerAddr   string  `json:"callerAddr"`
+	ReadyAddr    string  `json:"readyAddr"`
 	// ControlAddr is the address for the other gateways.
 	ControlAddr string `json:"controlAddr"`
 	MetricsAddr string `json:"metricsAddr"`
@@ -83,7 +88,7 @@
 // DefaultGateway returns settings with every default set.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Role: RoleGateway, LogLevel: defaultLogLevel, MemoryMb: defaultMemoryMb, MaxFiles: defaultMaxFiles,
+		Role: RoleGateway, LogLevel: defaultLogLevel, LogLinesPerS: defaultLogLines, LogBytesPerS: defaultLogBytes, MemoryMb: defaultMemoryMb, MaxFiles: defaultMaxFiles,
 		Duties: GatewayDuties{WindowS: defaultWindowS, ReportWithinS: defaultReportWithinS, LeaseMs: defaultGatewayLease},
 		Bounds: GatewayBounds{
 			RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack, RetryWindowS: defaultRetryWindowS,
@@ -134,6 +139,8 @@
 	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr, g.ControlAddr)
 	c.peer("store.addr", g.Store.Addr)
 	c.peer("duties.addr", g.Duties.Addr)
+	c.positive("logLinesPerS", g.LogLinesPerS)
+	c.positive("logBytesPerS", g.LogBytesPerS)
 	c.positive("memoryMb", g.MemoryMb)
 	c.positive("maxFiles", g.MaxFiles)
 	c.positive("duties.windowS", g.Duties.WindowS)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -215,8 +215,11 @@
 	// FetchFrom is the server from whose memory shared parts are to be copied;
 	// empty for none.
 	FetchFrom string
-	// Cost is the estimate that decided, in tokens or milliseconds.
+	// Cost is the estimate that decided, in milliseconds.
 	Cost float64
+	// LoadAgeMs is the age of the server's load, as its host told it; -1 if
+	// nothing was told.
+	LoadAgeMs clock.Millis
 }
 
 // Choose returns the server with the least cost; ok is false when there is
@@ -247,7 +250,7 @@
 		cost *= 1 + rnd.Float64()*0.02
 		if cost < best {
 			best, ok = cost, true
-			c = Choice{ID: s.ID, Unread: unread, FetchFrom: fetch, Cost: cost}
+			c = Choice{ID: s.ID, Unread: unread, FetchFrom: fetch, Cost: cost, LoadAgeMs: s.toldAge(now)}
 		}
 	}
 	return c, ok
@@ -362,6 +365,13 @@
 	return cost + float64(l.Tight)*mixMs
 }
 
+func (s *state) toldAge(now clock.Millis) clock.Millis {
+	if s.toldMs == 0 {
+		return -1
+	}
+	return now - s.toldMs
+}
+
 // load returns a server's load: what its host told and the own requests
 // since then, or what the own requests and answers show.
 func (s *state) load(now clock.Millis) batch.Load {
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -182,7 +182,11 @@
 	if j.cfg != nil {
 		f["config"] = j.cfg.Version
 	}
-	j.log.WithFields(f).Info()
+	level := logrus.InfoLevel
+	if no.status >= http.StatusInternalServerError {
+		level = logrus.WarnLevel
+	}
+	j.log.WithFields(f).Log(level)
 	g.metrics.refused(j, no)
 	g.codec.Refuse(w.Header(), j.ID, no.retryAfter)
 	h := w.Header()
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -84,5 +84,5 @@
 // interrupted logs and counts a stream that ended before its end.
 func (g *Gateway) interrupted(j *job, reason string, events int) {
 	g.metrics.route(j).Counter("interrupted").Inc(1)
-	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": events, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Info()
+	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": events, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Warn()
 }
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -72,7 +72,8 @@
 func (g *Gateway) placed(j *job, to target, now clock.Millis) {
 	j.log.WithFields(logrus.Fields{
 		"event": "placed", "route": j.route.Name, "server": to.ID, "cost": int64(to.Cost), "unread": to.Unread,
-		"fetchFrom": to.FetchFrom, "config": j.cfg.Version, "priority": j.priority, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
+		"fetchFrom": to.FetchFrom, "loadAgeMs": int64(to.LoadAgeMs), "config": j.cfg.Version, "configAgeMs": int64(g.belief.configAge()),
+		"priority": j.priority, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
 	}).Info()
 }
 
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -155,6 +155,10 @@
 	if s.err != nil {
 		l = l.WithError(s.err)
 	}
+	if o == place.OutcomeFailed || o == place.OutcomeUnreached {
+		l.Warn()
+		return
+	}
 	l.Info()
 }
 
--- a/internal/runtime/logging/logging.go
+++ b/internal/runtime/logging/logging.go
@@ -7,6 +7,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat is RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w at the named level, such as "info".
 func New(w io.Writer, level string) (*logrus.Logger, error) {
 	l, err := logrus.ParseLevel(level)
@@ -19,7 +22,7 @@
 	log.SetFormatter(&logrus.TextFormatter{
 		DisableColors:   true,
 		FullTimestamp:   true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+		TimestampFormat: timeFormat,
 	})
 	return log, nil
 }
