Few gateways follow the store closely and tell the others

Change: three readers (rendezvous hash) follow configuration and servers and send a hint with each read; the others read when something changed, when no hint came for 1.3 s, or every 4 s. Four gateways wait for the duties. Publications are read every 4 s. The wait for a configuration follows the settings.

Ruled out: longer polls for all (a change must be in force within 2 s, also when a connection goes silent).

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -51,8 +51,9 @@
 	clock clock.Clock
 	scope tally.Scope
 	in    *ring.Ring[input]
-	// OnCounts takes a gateway's usage counts; it must be set before Run.
-	OnCounts func(counts json.RawMessage) error
+	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
+	// store; both must be set before Run.
+	OnCounts, OnHint func(data json.RawMessage) error
 
 	// Owned by the goroutine of Run.
 	engines map[string]*engine
@@ -200,8 +201,11 @@
 		h.open(now, c, in.method, r)
 		return nil
 	}
-	if in.method == turns.MethodCounts {
+	switch in.method {
+	case turns.MethodCounts:
 		return h.OnCounts(in.params)
+	case turns.MethodHint:
+		return h.OnHint(in.params)
 	}
 	var ref turns.Ref
 	if err := json.Unmarshal(in.params, &ref); err != nil {
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -4,7 +4,7 @@
 // hosts the order of some engines. Requests and answers do not pass through it.
 //
 //	dialer -> host  hello, reserve, announce, cancel, begun, done, counts,
-//	                heartbeat
+//	                hint, heartbeat
 //	host -> dialer  offer, refuse, load
 package turns
 
@@ -23,6 +23,8 @@
 	MethodLoad     = "load"
 	// MethodCounts carries the dialer's usage counts, which the host keeps for it.
 	MethodCounts = "counts"
+	// MethodHint tells what the dialer knows of the store.
+	MethodHint = "hint"
 )
 
 // Engine names one start of an engine and tells its size.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -28,6 +28,8 @@
 	dutyIdle  = 1500 * clock.Millisecond
 	// claimSpread bounds the delay by which challengers differ.
 	claimSpread = 500 * clock.Millisecond
+	// candidates is the number of gateways that wait to become the holder.
+	candidates = 4
 	// actMargin is the least time left of a term for a call of a duty.
 	actMargin = 700 * clock.Millisecond
 )
@@ -60,6 +62,12 @@
 		HandoverMs: lease/2 + claimMargin/2, SpreadMs: g.spread(claimSpread),
 	})}
 	for ctx.Err() == nil && !g.draining.Load() {
+		if _, held := h.t.Holds(g.clock.Now()); !held && !g.board.among(subjectHolders, candidates) {
+			// Enough others wait for the duties; their records need not be read.
+			h.loaded = false
+			_ = g.clock.Sleep(ctx, dutyIdle)
+			continue
+		}
 		if err := h.step(ctx); err != nil {
 			if !h.awayOnce {
 				g.log.WithField("event", "dutyStoreLost").Warn(err)
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// configWait is how long a read waits for a change. A connection that went
-	// silent costs this and the time-out of a call, within the 2 s in which
-	// changes must be in force.
-	configWait = 1 * clock.Second
+	// configMargin is the part of the time in which a configuration must be in
+	// force that a connection that went silent may cost beside the wait for a
+	// change: the time-out of a call and a little.
+	configMargin = 1 * clock.Second
 	// serversEvery is the time between two reads of the servers' entries, which
 	// change all the time; a drained server may get requests for 2 s.
 	serversEvery = 500 * clock.Millisecond
@@ -31,6 +31,8 @@
 	topic Topic
 	next  int64 // 0 until the topic was read whole
 	lost  bool
+	// readMs is when the store answered last.
+	readMs clock.Millis
 }
 
 // read returns the next records; whole tells that they are all keys.
@@ -59,15 +61,31 @@
 		f.g.log.WithFields(logrus.Fields{"event": "storeBack", "topic": f.topic.String()}).Info()
 	}
 	f.lost = false
-	f.next = snap.Next
+	f.next, f.readMs = snap.Next, f.g.clock.Now()
 	return snap, whole, nil
 }
 
+// configWait is how long a read waits for a change of the configuration.
+func (g *Gateway) configWait() clock.Millis {
+	return max(clock.Millis(g.Settings().Bounds.ConfigMs)-configMargin, readBackoff)
+}
+
+func (g *Gateway) configVersion() int64 {
+	if cfg := g.belief.config(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
 // followConfig keeps the newest configuration in force.
 func (g *Gateway) followConfig(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicConfig}
 	for ctx.Err() == nil {
-		snap, _, err := f.read(ctx, configWait)
+		if g.unchanged(ctx, serversEvery, f.readMs, func(h hint) bool { return h.Config > g.configVersion() }) {
+			g.belief.configReadMs.Store(int64(g.clock.Now()))
+			continue
+		}
+		snap, _, err := f.read(ctx, g.configWait())
 		if err != nil {
 			_ = g.clock.Sleep(ctx, readBackoff)
 			continue
@@ -103,7 +121,14 @@
 	f := &follower{g: g, topic: TopicServers}
 	list := servers.New()
 	confirmed := g.clock.Now()
+	var changedAt int64 // offset of the last record that changed the list
 	for ctx.Err() == nil {
+		if g.unchanged(ctx, serversEvery, f.readMs, func(h hint) bool { return h.Servers >= f.next }) {
+			if list.Tick(g.clock.Now()) {
+				g.listChanged(list)
+			}
+			continue
+		}
 		if g.clock.Now()-confirmed > confirmEvery {
 			f.next = 0
 		}
@@ -122,9 +147,15 @@
 		if whole {
 			confirmed = now
 		}
+		if changed {
+			changedAt = f.next - 1
+		}
 		if changed = list.Tick(now) || changed; changed || !g.belief.listed.Load() {
 			g.listChanged(list)
 		}
+		if g.board.among(subjectReaders, readers) {
+			g.board.hint(hint{Config: g.configVersion(), Servers: changedAt})
+		}
 		_ = g.clock.Sleep(ctx, serversEvery)
 	}
 	return nil
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -76,6 +76,7 @@
 	durations, streamed *drain.Durations
 	board               *board
 	host                *turns.Host
+	hints               *hints
 }
 
 // New opens the gateway's addresses.
@@ -89,7 +90,8 @@
 	g.belief.dialed = g.metrics.dialed
 	g.board = newBoard(g)
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
-	g.host.OnCounts = g.keepCopy
+	g.hints = newHints(d.Clock)
+	g.host.OnCounts, g.host.OnHint = g.keepCopy, g.hints.take
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// peersEvery is the time between two reads of what gateways publish.
-	peersEvery = 1500 * clock.Millisecond
+	// peersEvery is the time between two reads of what gateways publish, and
+	// firstPeersEvery that after the start, when all make themselves known.
+	peersEvery      = 4 * clock.Second
+	firstPeersEvery = 800 * clock.Millisecond
+	firstPeerReads  = 5
 	// peerWindows is how many usage windows a gateway may miss to publish
 	// before it counts as gone.
 	peerWindows = 3
@@ -30,7 +33,7 @@
 	g.board.host(ctx)
 	f := &follower{g: g, topic: TopicUsage}
 	byName := map[string]seen{}
-	for ctx.Err() == nil {
+	for reads := 0; ctx.Err() == nil; reads++ {
 		snap, _, err := f.read(ctx, 0)
 		if err != nil {
 			_ = g.clock.Sleep(ctx, readBackoff)
@@ -50,7 +53,11 @@
 		}
 		g.live.Store(int32(len(addrs) + 1))
 		g.board.setPeers(ctx, addrs)
-		_ = g.clock.Sleep(ctx, peersEvery)
+		every := peersEvery
+		if reads < firstPeerReads {
+			every = firstPeersEvery
+		}
+		_ = g.clock.Sleep(ctx, every)
 	}
 	return nil
 }
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/turns.go
@@ -381,6 +381,37 @@
 	return false
 }
 
+// Subjects by which gateways are chosen for a task.
+const (
+	subjectReaders = "readers"
+	subjectHolders = "holders"
+)
+
+// among reports whether this gateway is one of the n with the highest hash of
+// the subject, of those that are up.
+func (b *board) among(subject string, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own, above := weight(subject, b.g.name), 0
+	for _, p := range b.peers {
+		if p.up && p.name != b.g.name && weight(subject, p.name) > own {
+			above++
+		}
+	}
+	return above < n
+}
+
+// hint sends what this gateway knows of the store to all others.
+func (b *board) hint(h hint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.addr != "" && p.link != nil {
+			p.link.Notify(turns.MethodHint, h)
+		}
+	}
+}
+
 // copy sends the counts to the gateways that hold copies: those with the
 // highest hash of both names, so that few change with the membership.
 func (b *board) copy(key string, p published) {
