Place: lanes by the number of tight requests, random samples of many servers

Change: the first servers of the shared order take tight requests, one for each 20 of them; of more than 12 servers, 4 random ones and a holder of the shared parts are compared. Test: TestEntriesSpreadOverManyServers.

Ruled out: slower links as the cause of late chats (first events came in time).

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -3,9 +3,8 @@
 //
 // It answers three loads. Long prompts beside short ones: a server's batch
 // shares its steps, so a long prompt stalls every stream beside it; requests
-// of routes with tight pauses gather from one end of an order of the servers
-// that all entries share, long prompts from the other end, and each avoids the
-// other. Prompts with shared parts: a part that a server has read is not read
+// of routes with tight pauses gather on the first servers of an order that all
+// entries share, on as many as they need, and others on the rest. Prompts with shared parts: a part that a server has read is not read
 // again there, and can be copied from there; each part has a home, the same in
 // all entries, until a holder is known. Servers that fail, hang or turn slow:
 // what a server did to real requests raises its cost, and it is tried again
@@ -29,8 +28,15 @@
 )
 
 const (
-	// orderSpan is the cost, in ms, between the two ends of the shared order.
-	orderSpan = 200.0
+	// tightPerServer is the number of tight requests that a server of their lane
+	// is meant to run: under half of the usual batch, so that bursts fit.
+	tightPerServer = 20
+	// sampleAll is the number of servers up to which all are looked at, and
+	// sampled that of random ones beyond it.
+	sampleAll = 12
+	sampled   = 4
+	// crossing is the cost, in ms, from which a request looks beyond its lane.
+	crossing = 900.0
 	// tightRunningMs and runningMs are the costs of one running request to a
 	// tight request and to others: it slows each step.
 	tightRunningMs = 1.0
@@ -222,23 +228,76 @@
 	LoadAgeMs clock.Millis
 }
 
-// Choose returns the server with the least cost; ok is false when there is
-// none but the excluded ones.
+// Choose returns the server with the least cost of those that are looked at; ok
+// is false when there is none but the excluded ones. Of many servers a few
+// random ones are looked at, since all entries see the same load, some time
+// after it was so, and would all choose the same server.
 func (b *Book) Choose(now clock.Millis, r Request, exclude []string, rnd *rand.Rand) (c Choice, ok bool) {
+	if !r.Engine {
+		return b.least(now, r, b.ranked, exclude, rnd)
+	}
+	first := b.lane(now)
+	lane := b.ranked[first:]
+	if r.Tight || len(lane) == 0 {
+		lane = b.ranked[:first]
+	}
+	c, ok = b.least(now, r, b.sample(lane, r, rnd), exclude, rnd)
+	if !ok || c.Cost > crossing {
+		if other, found := b.least(now, r, b.ranked, exclude, rnd); found && (!ok || other.Cost < c.Cost) {
+			return other, true
+		}
+	}
+	return c, ok
+}
+
+// lane returns how many servers, from the start of the order, tight requests
+// are gathered on: as many as their number needs.
+func (b *Book) lane(now clock.Millis) int {
+	tight := 0
+	for _, s := range b.ranked {
+		tight += s.load(now).Tight
+	}
+	n := len(b.ranked)
+	return min(tight/tightPerServer+1, n-n/2)
+}
+
+// sample returns the servers to look at: all of a few, else random ones and
+// those that hold the shared parts.
+func (b *Book) sample(lane []*state, r Request, rnd *rand.Rand) []*state {
+	if len(lane) <= sampleAll {
+		return lane
+	}
+	out := make([]*state, 0, sampled+1)
+	for range sampled {
+		out = append(out, lane[rnd.IntN(len(lane))])
+	}
+	if all := shared(r.Parts); all > 0 {
+		at := rnd.IntN(len(lane))
+		for i := range lane {
+			if s := lane[(at+i)%len(lane)]; s.cache.kept(r.Parts) >= all {
+				return append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// least returns the server of list with the least cost.
+func (b *Book) least(now clock.Millis, r Request, list []*state, exclude []string, rnd *rand.Rand) (c Choice, ok bool) {
 	best := math.Inf(1)
 	home := b.home(r)
 	if home != nil && (now < home.untilMs || home.failing(now) > failingHome) {
 		home = nil
 	}
 	holder := b.holder(now, r)
-	for i, s := range b.ranked {
+	for _, s := range list {
 		if slices.Contains(exclude, s.ID) {
 			continue
 		}
 		var cost float64
 		unread, fetch := 0, ""
 		if r.Engine {
-			cost, unread, fetch = b.engineCost(now, s, r, home, holder, i)
+			cost, unread, fetch = b.engineCost(now, s, r, home, holder)
 		} else {
 			cost = b.plainCost(now, s)
 		}
@@ -259,7 +318,7 @@
 // Idle reports whether another server than that of c, where r waits, could
 // start it now at no greater cost than waiting a little longer.
 func (b *Book) Idle(now clock.Millis, r Request, c Choice, exclude []string) bool {
-	for i, s := range b.ranked {
+	for _, s := range b.ranked {
 		if s.ID == c.ID || now < s.untilMs || s.failing(now) > failingHome || slices.Contains(exclude, s.ID) {
 			continue
 		}
@@ -267,7 +326,7 @@
 		if l.Waiting > 0 || l.FreeMs > idleMs {
 			continue
 		}
-		if cost, _, _ := b.engineCost(now, s, r, b.home(r), b.holder(now, r), i); cost < moveMs {
+		if cost, _, _ := b.engineCost(now, s, r, b.home(r), b.holder(now, r)); cost < moveMs {
 			return true
 		}
 	}
@@ -313,7 +372,7 @@
 	return best
 }
 
-func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state, i int) (cost float64, unread int, fetch string) {
+func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state) (cost float64, unread int, fetch string) {
 	kept, all := s.cache.kept(r.Parts), shared(r.Parts)
 	again := 0.0
 	switch {
@@ -334,9 +393,9 @@
 	l := s.load(now)
 	cost = (float64(unread) + again) / l.Speed
 	if r.Tight {
-		cost += b.tightCost(l, i)
+		cost += tightCost(l)
 	} else {
-		cost += b.longCost(l, unread, len(b.ranked)-1-i)
+		cost += longCost(l, unread)
 	}
 	if s.Zone != b.zone {
 		cost += engineZoneMs + float64(r.Prompt)*engineZoneTokenMs
@@ -344,12 +403,9 @@
 	return cost, unread, fetch
 }
 
-// order returns the cost of being n places from the own end of the order.
-func (b *Book) order(n int) float64 { return orderSpan * float64(n) / float64(len(b.ranked)) }
-
 // tightCost is the cost of a tight request beside what a server has to do.
-func (b *Book) tightCost(l batch.Load, i int) float64 {
-	cost := float64(l.ReadMs) + float64(l.Running)*tightRunningMs + b.order(i)
+func tightCost(l batch.Load) float64 {
+	cost := float64(l.ReadMs) + float64(l.Running)*tightRunningMs
 	if l.Waiting > 0 {
 		cost += queuedMs
 	}
@@ -357,8 +413,8 @@
 }
 
 // longCost is the cost of any other request there.
-func (b *Book) longCost(l batch.Load, unread, i int) float64 {
-	cost := float64(l.FreeMs) + float64(l.Running)*runningMs + b.order(i)
+func longCost(l batch.Load, unread int) float64 {
+	cost := float64(l.FreeMs) + float64(l.Running)*runningMs
 	if unread > longTokens {
 		return cost + float64(l.Tight)*stallMs
 	}
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -27,7 +27,7 @@
 	draft = place.Request{Engine: true, Prompt: 20000}
 )
 
-// send places r and notes it as sent.
+// send places r and notes it as sent; short prompts are read at once.
 func send(t *testing.T, b *place.Book, now clock.Millis, r place.Request, rnd *rand.Rand) string {
 	t.Helper()
 	c, ok := b.Choose(now, r, nil, rnd)
@@ -35,6 +35,9 @@
 		t.Fatal("no server")
 	}
 	b.Sent(c, r)
+	if r.Prompt <= chat.Prompt {
+		b.Begun(c, r)
+	}
 	return c.ID
 }
 
@@ -74,6 +77,25 @@
 	}
 }
 
+// TestEntriesSpreadOverManyServers has many entries place at once by the same
+// load, which is old by the time: they must not all choose the same server.
+func TestEntriesSpreadOverManyServers(t *testing.T) {
+	r := rnd()
+	got := map[string]int{}
+	for range 28 {
+		b := book(50)
+		for i := range 50 {
+			b.Told(1, fmt.Sprintf("s%d", i), batch.Load{FreeMs: clock.Millis(i), Speed: 48, Rate: 30})
+		}
+		got[send(t, b, 2, draft, r)]++
+	}
+	for id, n := range got {
+		if n > 6 {
+			t.Errorf("%d of 28 entries chose %s", n, id)
+		}
+	}
+}
+
 // TestToldLoadMovesPrompts has a host tell that a server is far behind.
 func TestToldLoadMovesPrompts(t *testing.T) {
 	b, r := book(3), rnd()
