Engines read less while tight requests run beside; small ones do not wait

Change: while tight requests run, an engine reads for 0.3 of the time and has 6,000 tokens at hand; what only a full engine holds up is sent elsewhere after 0.3 s; lengths are the callers' estimates. Answered streams log their first event and longest pause.

Tests: TestFullEngineSendsSmallOnesElsewhere.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -33,6 +33,11 @@
 	// three quarters, streams of usual length still end in two thirds of the
 	// time that callers wait.
 	defaultDuty = 0.75
+	// tightDuty is the same while tight requests run: their streams bear about
+	// three chunks within one event.
+	tightDuty = 0.3
+	// tightPending is the prompt tokens that may be at hand beside them.
+	tightPending = 6000
 	// creditMs of reading may be saved up while nothing is read, so that a few
 	// prompts at once do not wait for the duty.
 	creditMs = 400 * clock.Millisecond
@@ -44,11 +49,12 @@
 	// pendingTokens bounds the prompts that were started and are not read yet:
 	// one is at hand when another has been read.
 	pendingTokens = 12000
-	// tightSlots of the engine are kept for tight requests.
+	// tightSlots of the engine are kept for tight and small requests.
 	tightSlots = 8
 	// memoryPart of the engine's memory is for the requests' own tokens; the
-	// rest holds shared parts.
-	memoryPart = 0.75
+	// rest holds shared parts. Small requests may use smallMemoryPart.
+	memoryPart      = 0.75
+	smallMemoryPart = 0.92
 	// fairHalf is the time after which what an account was granted counts half.
 	fairHalf = 5 * clock.Second
 	// overShare is how many times the mean an account may have been granted
@@ -57,6 +63,9 @@
 	// leastRetry and mostRetry bound the time after which to come back.
 	leastRetry = 200 * clock.Millisecond
 	mostRetry  = 5 * clock.Second
+	// smallPatience is how long a request waits that nothing but a full engine
+	// holds up: another engine may have room.
+	smallPatience = 300 * clock.Millisecond
 	// checkEvery is the time between two checks whether waiting requests can
 	// still end in time.
 	checkEvery = 50 * clock.Millisecond
@@ -130,7 +139,8 @@
 
 type waiting struct {
 	Request
-	seq int
+	seq     int
+	askedMs clock.Millis
 }
 
 // Scheduler is the state machine.
@@ -162,7 +172,13 @@
 	return &Scheduler{cfg: cfg, speed: defaultSpeed, running: map[string]*run{}, spent: map[string]float64{}}
 }
 
-func (s *Scheduler) rate() float64 { return s.speed * s.cfg.Duty }
+// rate returns the prompt tokens read in a ms over time.
+func (s *Scheduler) rate() float64 {
+	if s.tight > 0 {
+		return s.speed * min(tightDuty, s.cfg.Duty)
+	}
+	return s.speed * s.cfg.Duty
+}
 
 func (s *Scheduler) readMs(tokens int) clock.Millis {
 	return clock.Millis(float64(tokens) / s.speed)
@@ -171,7 +187,7 @@
 // Ask asks for r to start.
 func (s *Scheduler) Ask(now clock.Millis, r Request) {
 	s.seq++
-	w := &waiting{r, s.seq}
+	w := &waiting{r, s.seq, now}
 	s.lowest = max(s.lowest, r.Priority)
 	if !s.feasible(now, w) {
 		s.refuse(now, w)
@@ -255,7 +271,7 @@
 	if now-s.checkedMs >= checkEvery {
 		s.checkedMs = now
 		for _, w := range slices.Clone(s.queue) {
-			if !s.feasible(now, w) {
+			if !s.feasible(now, w) || s.small(w) && now-w.askedMs > smallPatience {
 				s.queue = slices.DeleteFunc(s.queue, func(o *waiting) bool { return o == w })
 				s.refuse(now, w)
 			}
@@ -385,20 +401,25 @@
 
 // fits reports whether the engine can take w now.
 func (s *Scheduler) fits(now clock.Millis, w *waiting) bool {
-	slots := s.cfg.Slots
-	if !w.Tight {
+	slots, part := s.cfg.Slots, smallMemoryPart
+	if !s.small(w) {
 		slots -= min(tightSlots, slots/4)
+		part = memoryPart
 	}
 	if slots > 0 && len(s.running) >= slots {
 		return false
 	}
-	if mem := int(float64(s.cfg.MemoryTokens) * memoryPart); mem > 0 && len(s.running) > 0 && s.memory+w.Tokens > mem {
+	if mem := int(float64(s.cfg.MemoryTokens) * part); mem > 0 && len(s.running) > 0 && s.memory+w.Tokens > mem {
 		return false
 	}
 	if s.small(w) || len(s.running) == 0 {
 		return true
 	}
-	if s.pending > 0 && s.pending+w.Unread > pendingTokens {
+	most := pendingTokens
+	if s.tight > 0 {
+		most = tightPending
+	}
+	if s.pending > 0 && s.pending+w.Unread > most {
 		return false
 	}
 	return now >= s.freeMs
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -171,6 +171,29 @@
 	}
 }
 
+// TestFullEngineSendsSmallOnesElsewhere fills the engine's slots with long
+// streams: a small request must not wait there for its whole time.
+func TestFullEngineSendsSmallOnesElsewhere(t *testing.T) {
+	s := batch.New(batch.Config{Slots: 4, MemoryTokens: 475000})
+	for i := range 4 {
+		ask(s, 0, fmt.Sprint(i), func(r *batch.Request) { r.Unread, r.Priority = 500, 0 })
+	}
+	if n := len(granted(s)); n != 4 {
+		t.Fatalf("%d of 4 small requests started", n)
+	}
+	ask(s, 0, "fifth", func(r *batch.Request) { r.Unread, r.DeadlineMs = 500, 3000 })
+	for now := clock.Millis(10); now < 3000; now += 10 {
+		s.Tick(now)
+		for _, a := range s.Actions() {
+			if a.ID != "fifth" || a.Granted || now > 500 {
+				t.Errorf("at %d: %+v, want a refusal of the fifth within 500 ms", now, a)
+			}
+			return
+		}
+	}
+	t.Error("no verdict")
+}
+
 // TestHeavyAccountGoesLast has one account ask for far more than another one:
 // its next prompts, though they asked first, start behind the other's.
 func TestHeavyAccountGoesLast(t *testing.T) {
--- a/internal/role/gateway/codec.go
+++ b/internal/role/gateway/codec.go
@@ -21,7 +21,10 @@
 	PromptTokens int
 	// OutputTokens is the most that the caller takes.
 	OutputTokens int
-	Parts        []Part
+	// ExpectedTokens is the caller's estimate of the answer's length; 0 if it
+	// gives none.
+	ExpectedTokens int
+	Parts          []Part
 	// ResumesAt is the id of the last event that the caller has.
 	ResumesAt string
 }
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -85,6 +85,16 @@
 	return &refusal{http.StatusServiceUnavailable, "overload", retryAfter}
 }
 
+// expectedTokens returns the length that the answer is expected to have: the
+// caller's estimate, or a part of the most that the caller takes.
+func (j *job) expectedTokens() int {
+	const usualPart = 3
+	if j.ExpectedTokens > 0 {
+		return min(j.ExpectedTokens, j.OutputTokens)
+	}
+	return j.OutputTokens / usualPart
+}
+
 // reservation describes j to the host of an engine.
 func (g *Gateway) reservation(j *job, to target, now clock.Millis) turns.Reservation {
 	g.mu.Lock()
@@ -92,7 +102,7 @@
 	g.mu.Unlock()
 	r := turns.Reservation{
 		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, Unread: to.Unread,
-		Tokens: to.Unread + j.OutputTokens, TargetMs: j.arrivedMs + j.route.TargetMs - now,
+		Tokens: to.Unread + j.expectedTokens(), TargetMs: j.arrivedMs + j.route.TargetMs - now,
 		DeadlineMs: j.timeoutMs - now, NeedMs: need,
 	}
 	if n := len(j.Parts); n >= 2 {
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -8,9 +8,11 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 // eventBuffer holds the lines of one read; longer lines are joined.
@@ -30,6 +32,9 @@
 	events int
 	bytes  int64
 	lastID string
+	// firstMs is the time to the first event, lastMs when the last one came, and
+	// pauseMs the longest time between two.
+	firstMs, lastMs, pauseMs clock.Millis
 }
 
 // errCallerLeft reports a caller that no longer reads.
@@ -80,6 +85,7 @@
 		g.mu.Lock()
 		g.streamed.Add(j.route.Name, g.clock.Now()-s.beganMs)
 		g.mu.Unlock()
+		j.log = j.log.WithFields(logrus.Fields{"events": x.events, "firstMs": int64(x.firstMs), "pauseMs": int64(x.pauseMs)})
 		g.answered(j, s, x.bytes, true)
 		return true
 	case errors.Is(err, errCallerLeft) || ctx.Err() != nil:
@@ -160,6 +166,13 @@
 	if err != nil {
 		return errors.Wrap(errCallerLeft, err.Error())
 	}
+	now := g.clock.Now()
+	if x.events == 0 {
+		x.firstMs = now - x.j.arrivedMs
+	} else {
+		x.pauseMs = max(x.pauseMs, now-x.lastMs)
+	}
+	x.lastMs = now
 	x.events++
 	if id != "" {
 		x.lastID = id
