--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -52,8 +52,11 @@
 	scope tally.Scope
 	in    *ring.Ring[input]
 	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
-	// store; both must be set before Run.
+	// store; both must be set
+	// before Run.
 	OnCounts, OnHint func(data json.RawMessage) error
+	// OnBeat takes the time of day that a gateway tells; it must be set before Run.
+	OnBeat func(entry string, wall clock.Millis)
 
 	// Owned by the goroutine of Run.
 	engines map[string]*engine
@@ -206,6 +209,13 @@
 		return h.OnCounts(in.params)
 	case turns.MethodHint:
 		return h.OnHint(in.params)
+	case dispatch.MethodHeartbeat:
+		var b turns.Beat
+		if err := json.Unmarshal(in.params, &b); err != nil {
+			return err
+		}
+		h.OnBeat(c.entry, b.WallMs)
+		return nil
 	}
 	var ref turns.Ref
 	if err := json.Unmarshal(in.params, &ref); err != nil {
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -40,6 +40,12 @@
 	Entry string `json:"entry"`
 }
 
+// Beat shows that the dialer lives.
+type Beat struct {
+	// WallMs is the time of day by the dialer alone.
+	WallMs clock.Millis `json:"wallMs"`
+}
+
 // Reservation asks for a start at the engine. Times are relative to the
 // message, since clocks differ.
 type Reservation struct {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -55,6 +55,7 @@
 	cfg     atomic.Pointer[settings.Gateway]
 	log     logrus.FieldLogger
 	clock   clock.Clock
+	wall    *clock.Voted // is clock
 	codec   Codec
 	store   Store
 	duties  Duties
@@ -81,8 +82,9 @@
 
 // New opens the gateway's addresses.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
+	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
-		name: cfg.Name, process: d.Process, startMs: d.Clock.Wall(), log: d.Log, clock: d.Clock, codec: d.Codec, store: d.Store,
+		name: cfg.Name, process: d.Process, startMs: wall.Wall(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
@@ -92,6 +94,11 @@
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.hints = newHints(d.Clock)
 	g.host.OnCounts, g.host.OnHint = g.keepCopy, g.hints.take
+	g.host.OnBeat = func(entry string, wall clock.Millis) {
+		if entry != g.name {
+			g.wall.Vote(entry, wall)
+		}
+	}
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/turns.go
@@ -172,7 +172,7 @@
 		if b.g.clock.Now()-l.Heard() > peerSilent {
 			return errors.New("connection is silent")
 		}
-		l.Notify(dispatch.MethodHeartbeat, turns.Ref{})
+		l.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
 	}
 }
 
