--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -223,6 +223,10 @@
 	}
 	if e := h.where[ref.ID]; e != nil {
 		h.note(now, e, in.method, ref.ID)
+		if ref.Unreached {
+			h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
+			e.batch.Unreached(now)
+		}
 	}
 	return nil
 }
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -78,6 +78,8 @@
 // Ref names a request.
 type Ref struct {
 	ID string `json:"id"`
+	// Unreached is set in a done of a request that could not reach the engine.
+	Unreached bool `json:"unreached,omitempty"`
 }
 
 // Refusal tells that a reservation was dropped.
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -63,9 +63,16 @@
 	// leastRetry and mostRetry bound the time after which to come back.
 	leastRetry = 200 * clock.Millisecond
 	mostRetry  = 5 * clock.Second
-	// smallPatience is how long a request waits that nothing but a full engine
-	// holds up: another engine may have room.
+	// smallPatience is how long a request waits at the least that nothing but a
+	// full engine holds up, and smallPart the part of its time that it waits at
+	// the most: another engine may have room.
 	smallPatience = 300 * clock.Millisecond
+	smallPart     = 4
+	// unreachedMs is how long an engine that could not be reached counts as far
+	// behind, and starts nothing.
+	unreachedMs = 700 * clock.Millisecond
+	// farBehind is the load that is told meanwhile.
+	farBehind = 5 * clock.Second
 	// checkEvery is the time between two checks whether waiting requests can
 	// still end in time.
 	checkEvery = 50 * clock.Millisecond
@@ -159,6 +166,8 @@
 	lowest  int
 	spent   map[string]float64
 	spentMs clock.Millis
+	// downMs is until when the engine counts as out of reach.
+	downMs clock.Millis
 	// checkedMs is when the waiting requests were last checked.
 	checkedMs clock.Millis
 	out       []Action
@@ -246,6 +255,16 @@
 	s.dispatch(now)
 }
 
+// Unreached tells that an entry could not reach the engine: those that wait are
+// refused, so that they go elsewhere instead of finding out one by one.
+func (s *Scheduler) Unreached(now clock.Millis) {
+	s.downMs = now + unreachedMs
+	for _, w := range s.queue {
+		s.out = append(s.out, Action{Entry: w.Entry, ID: w.ID, RetryAfterMs: leastRetry})
+	}
+	s.queue = nil
+}
+
 // DropEntry ends all requests of an entry that is gone, and returns them.
 func (s *Scheduler) DropEntry(now clock.Millis, entry string) []string {
 	var ids []string
@@ -271,7 +290,7 @@
 	if now-s.checkedMs >= checkEvery {
 		s.checkedMs = now
 		for _, w := range slices.Clone(s.queue) {
-			if !s.feasible(now, w) || s.small(w) && now-w.askedMs > smallPatience {
+			if !s.feasible(now, w) || s.small(w) && now-w.askedMs > max(smallPatience, (w.DeadlineMs-w.askedMs)/smallPart) {
 				s.queue = slices.DeleteFunc(s.queue, func(o *waiting) bool { return o == w })
 				s.refuse(now, w)
 			}
@@ -314,8 +333,12 @@
 	for _, w := range s.queue {
 		ahead += w.Unread
 	}
+	down := clock.Millis(0)
+	if now < s.downMs {
+		down = farBehind
+	}
 	return Load{
-		FreeMs:  max(s.freeMs-now, 0) + clock.Millis(float64(ahead)/s.rate()),
+		FreeMs:  down + max(s.freeMs-now, 0) + clock.Millis(float64(ahead)/s.rate()),
 		ReadMs:  s.readMs(max(s.pending, 0)),
 		Running: len(s.running), Tight: s.tight, Waiting: len(s.queue),
 		Speed: math.Round(s.speed*10) / 10, Rate: math.Round(s.rate()*10) / 10,
@@ -401,6 +424,9 @@
 
 // fits reports whether the engine can take w now.
 func (s *Scheduler) fits(now clock.Millis, w *waiting) bool {
+	if now < s.downMs {
+		return false
+	}
 	slots, part := s.cfg.Slots, smallMemoryPart
 	if !s.small(w) {
 		slots -= min(tightSlots, slots/4)
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -105,6 +105,10 @@
 		Tokens: to.Unread + j.expectedTokens(), TargetMs: j.arrivedMs + j.route.TargetMs - now,
 		DeadlineMs: j.timeoutMs - now, NeedMs: need,
 	}
+	if j.ran {
+		// What was delivered is worth finishing, however late it began.
+		r.NeedMs = 0
+	}
 	if n := len(j.Parts); n >= 2 {
 		r.Part = j.Parts[n-2].ID
 	}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -145,7 +145,7 @@
 		_ = s.ans.Body.Close()
 	}
 	s.cancel()
-	s.turn.done()
+	s.turn.done(o == place.OutcomeUnreached && s.unsent)
 	j.pool.with(func(b *place.Book) { b.Ended(now, s.choice, j.ask, o, s.begun, now-s.sentMs) })
 	f := logrus.Fields{"event": "sendEnded", "server": s.choice.ID, "outcome": o.String(), "reason": reason, "tookMs": int64(now - s.sentMs)}
 	if s.ans != nil {
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/turns.go
@@ -430,15 +430,16 @@
 }
 
 // begun tells that the first event has arrived.
-func (t *turn) begun() { t.note(turns.MethodBegun) }
+func (t *turn) begun() { t.note(turns.MethodBegun, false) }
 
-// done tells that the request has ended.
-func (t *turn) done() { t.note(turns.MethodDone) }
+// done tells that the request has ended; unreached tells that it could not
+// reach the engine.
+func (t *turn) done(unreached bool) { t.note(turns.MethodDone, unreached) }
 
 // cancel takes a reservation back.
-func (t *turn) cancel() { t.note(dispatch.MethodCancel) }
+func (t *turn) cancel() { t.note(dispatch.MethodCancel, false) }
 
-func (t *turn) note(method string) {
+func (t *turn) note(method string, unreached bool) {
 	if t == nil {
 		return
 	}
@@ -450,7 +451,7 @@
 		delete(t.b.turns, t.r.ID)
 	}
 	if p := t.peer; p != nil && p.link != nil {
-		p.link.Notify(method, turns.Ref{ID: t.r.ID})
+		p.link.Notify(method, turns.Ref{ID: t.r.ID, Unreached: unreached})
 	}
 }
 
