--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -219,6 +219,19 @@
 	f(p.book)
 }
 
+// retriesLeft returns the repeated sends left by pool.
+func (b *belief) retriesLeft(now clock.Millis, entries int) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.pools))
+	for name, p := range b.pools {
+		p.mu.Lock()
+		out[name] = p.retries.Left(now, entries)
+		p.mu.Unlock()
+	}
+	return out
+}
+
 // sweep closes the idle connections that have come to their end.
 func (b *belief) sweep() {
 	b.mu.Lock()
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -102,6 +102,7 @@
 	g := h.g
 	if !h.loaded {
 		snap, err := g.store.Newest(ctx, TopicDuty)
+		g.metrics.storeRead(TopicDuty, err)
 		if err != nil {
 			return err
 		}
@@ -133,6 +134,7 @@
 		return nil
 	}
 	snap, err := g.store.Read(ctx, TopicDuty, h.t.Next(), wait)
+	g.metrics.storeRead(TopicDuty, err)
 	if err != nil {
 		return err
 	}
@@ -186,6 +188,7 @@
 		return err
 	}
 	offset, err := h.g.store.Append(ctx, TopicDuty, key, data, asOf)
+	h.g.metrics.storeWrite(TopicDuty, err)
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
 		h.loaded = false
@@ -214,6 +217,7 @@
 	}
 	h.nextMs = now + collectEvery
 	snap, err := g.store.Newest(ctx, TopicUsage)
+	g.metrics.storeRead(TopicUsage, err)
 	if err != nil {
 		return err
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -43,6 +43,8 @@
 	Store  Store
 	Duties Duties
 	Decode Decoder
+	// Dropped returns the number of log lines that were dropped; it may be nil.
+	Dropped func() int64
 	// Process differs for each start of an instance.
 	Process string
 }
@@ -51,6 +53,7 @@
 type Gateway struct {
 	name    string
 	process string
+	dropped func() int64
 	startMs clock.Millis // wall
 	cfg     atomic.Pointer[settings.Gateway]
 	log     logrus.FieldLogger
@@ -84,7 +87,7 @@
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
-		name: cfg.Name, process: d.Process, startMs: wall.Wall(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
+		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
@@ -138,6 +141,9 @@
 // ReadyURL returns the URL of the liveness check.
 func (g *Gateway) ReadyURL() string { return "http://" + g.readyLn.Addr().String() + "/readyz" }
 
+// MetricsURL returns the URL of the metrics.
+func (g *Gateway) MetricsURL() string { return "http://" + g.metricsLn.Addr().String() + "/metrics" }
+
 // entries returns how many gateways share the bound on repeated sends.
 func (g *Gateway) entries() int { return max(int(g.live.Load()), leastEntries) }
 
@@ -196,9 +202,23 @@
 	return nil
 }
 
+// gauge updates the metrics that tell a state.
+func (g *Gateway) gauge() {
+	m := g.metrics.root
+	m.Gauge("config_version").Update(float64(g.configVersion()))
+	m.Gauge("config_age_ms").Update(float64(g.belief.configAge()))
+	for name, left := range g.belief.retriesLeft(g.clock.Now(), g.entries()) {
+		m.Tagged(map[string]string{"pool": name}).Gauge("retries_left").Update(float64(left))
+	}
+	if g.dropped != nil {
+		m.Gauge("log_dropped").Update(float64(g.dropped()))
+	}
+}
+
 func (g *Gateway) sweep(ctx context.Context) error {
 	for g.clock.Sleep(ctx, sweepEvery) == nil {
 		g.belief.sweep()
+		g.gauge()
 	}
 	return nil
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -55,12 +55,20 @@
 	m.route(j).Tagged(map[string]string{"status": strconv.Itoa(no.status), "reason": no.reason}).Counter("refusals").Inc(1)
 }
 
-func (m *gatewayMetrics) storeRead(t Topic, err error) {
+// turn counts a wait for a start at an engine.
+func (m *gatewayMetrics) turn(j *job, waited clock.Millis) {
+	m.route(j).Histogram("turn_wait", latencyBuckets).RecordDuration(waited.Duration())
+}
+
+func (m *gatewayMetrics) storeRead(t Topic, err error)  { m.storeCall("store_reads", t, err) }
+func (m *gatewayMetrics) storeWrite(t Topic, err error) { m.storeCall("store_writes", t, err) }
+
+func (m *gatewayMetrics) storeCall(name string, t Topic, err error) {
 	outcome := "ok"
 	if err != nil {
 		outcome = "failed"
 	}
-	m.root.Tagged(map[string]string{"topic": t.String(), "outcome": outcome}).Counter("store_reads").Inc(1)
+	m.root.Tagged(map[string]string{"topic": t.String(), "outcome": outcome}).Counter(name).Inc(1)
 }
 
 func (m *gatewayMetrics) servers(byPool map[string]int) {
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -48,6 +48,7 @@
 			return better
 		})
 		if err == nil && v.granted {
+			g.metrics.turn(j, g.clock.Now()-now)
 			j.log.WithFields(logrus.Fields{"event": "turn", "server": to.ID, "waitedMs": int64(g.clock.Now() - now)}).Info()
 			return to, t, nil
 		}
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -189,7 +189,9 @@
 			g.log.WithField("event", "usageEncode").Error(err)
 			return
 		}
-		if _, err = g.store.Append(ctx, TopicUsage, g.usageKey(), data, -1); err == nil {
+		_, err = g.store.Append(ctx, TopicUsage, g.usageKey(), data, -1)
+		g.metrics.storeWrite(TopicUsage, err)
+		if err == nil {
 			return
 		}
 		if try == 0 {
--- a/internal/runtime/logging/bounded.go
+++ b/internal/runtime/logging/bounded.go
@@ -34,7 +34,8 @@
 	w       io.Writer
 	bound   Bound
 	lines   *ring.Ring[[]byte]
-	dropped atomic.Int64
+	dropped atomic.Int64 // since they were told last
+	total   atomic.Int64 // dropped since the start
 	// taken and bytes count what was taken in the second that began at since.
 	since, taken, bytes atomic.Int64
 }
@@ -71,9 +72,13 @@
 func (s *Sink) put(line []byte, urgent bool) {
 	if !s.admit(time.Now(), len(line), urgent) || !s.lines.TryPut(line) {
 		s.dropped.Add(1)
+		s.total.Add(1)
 	}
 }
 
+// Dropped returns the number of lines that were dropped since the start.
+func (s *Sink) Dropped() int64 { return s.total.Load() }
+
 // admit counts a line against the bound. Callers that meet at the turn of a
 // second may let a few lines more pass.
 func (s *Sink) admit(now time.Time, n int, urgent bool) bool {
