--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -102,6 +102,23 @@
 	return p
 }
 
+// StartLogged starts the program damaskport, whose log is its standard output.
+func StartLogged(t testing.TB, name string, args ...string) *Proc {
+	t.Helper()
+	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(p.end)
+	return p
+}
+
 func (p *Proc) watch(out io.Reader) {
 	scanner := bufio.NewScanner(out)
 	for scanner.Scan() {
