--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -76,10 +76,11 @@
 	n := 0
 	for i := range 4000 {
 		id := fmt.Sprintf("request-%d", i)
-		if r.Choose(id) != r.Choose(id) {
+		got, again := r.Choose(id), r.Choose(id)
+		if got != again {
 			t.Fatal("one id leads to two pools")
 		}
-		if r.Choose(id) == "p" {
+		if got == "p" {
 			n++
 		}
 	}
--- a/internal/state/tenure/tenure_test.go
+++ b/internal/state/tenure/tenure_test.go
@@ -1,7 +1,6 @@
 package tenure_test
 
 import (
-	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -42,94 +41,118 @@
 	at   clock.Millis
 }
 
+// act is a call of a duty.
+type act struct {
+	who string
+	at  clock.Millis
+}
+
+// game plays processes on one log.
+type game struct {
+	t      *rapid.T
+	log    *log
+	names  []string
+	procs  map[string]*tenure.Tenure
+	asleep map[string]clock.Millis
+	late   []delayed
+	term   int64 // of the last act
+	acts   []act
+}
+
+func (g *game) read(now clock.Millis, n string) {
+	g.procs[n].End(g.log.end)
+	g.procs[n].Seen(now, g.log.offset, g.log.last)
+}
+
+// land lets the late writes take effect that are due.
+func (g *game) land(now clock.Millis) {
+	kept := g.late[:0]
+	for _, d := range g.late {
+		if d.at <= now {
+			g.log.append(d.r, d.asOf)
+			continue
+		}
+		kept = append(kept, d)
+	}
+	g.late = kept
+}
+
+// write sends the next record: its answer may be lost, or it is done later.
+func (g *game) write(now clock.Millis, n string) {
+	r, asOf := g.procs[n].Write(now)
+	switch rapid.IntRange(0, 9).Draw(g.t, "write") {
+	case 0:
+		g.log.append(r, asOf)
+	case 1:
+		g.late = append(g.late, delayed{r, asOf, now + clock.Millis(rapid.IntRange(100, 4000).Draw(g.t, "late"))})
+	default:
+		if at, ok := g.log.append(r, asOf); ok {
+			g.procs[n].Appended(now, at, r)
+		} else {
+			g.read(now, n)
+		}
+	}
+}
+
+// step lets one process act.
+func (g *game) step(now clock.Millis, n string) {
+	p := g.procs[n]
+	switch rapid.IntRange(0, 60).Draw(g.t, "event "+n) {
+	case 0:
+		g.asleep[n] = now + clock.Millis(rapid.IntRange(100, 6000).Draw(g.t, "sleep"))
+		return
+	case 1:
+		if r, asOf, ok := p.Release(now); ok {
+			g.log.append(r, asOf)
+		}
+		return
+	}
+	if rapid.IntRange(0, 3).Draw(g.t, "reads") > 0 {
+		g.read(now, n)
+	}
+	if now >= p.DueMs(now) {
+		g.write(now, n)
+	}
+	term, ok := p.Holds(now)
+	if !ok {
+		return
+	}
+	for _, o := range g.names {
+		if _, also := g.procs[o].Holds(now); o != n && also && now >= g.asleep[o] {
+			g.t.Fatalf("%s and %s hold at %d", n, o, now)
+		}
+	}
+	if term < g.term {
+		g.t.Fatalf("term %d after %d", term, g.term)
+	}
+	g.term = term
+	g.acts = append(g.acts, act{n, now})
+}
+
 // TestOneHolder plays processes that read late, lose answers, stop for a while,
 // release and have writes take effect seconds later: no two hold at one time,
 // terms do not fall from act to act, and A, B, A takes longer than a lease.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := &log{offset: -1}
-		names := []string{"a", "b", "c"}
-		procs := map[string]*tenure.Tenure{}
-		asleep := map[string]clock.Millis{}
-		for _, n := range names {
-			procs[n] = tenure.New(config(n))
-		}
-		var late []delayed
-		var lastTerm int64
-		type act struct {
-			who string
-			at  clock.Millis
-		}
-		var acts []act
-		read := func(now clock.Millis, n string) {
-			procs[n].End(l.end)
-			procs[n].Seen(now, l.offset, l.last)
+		g := &game{t: t, log: &log{offset: -1}, names: []string{"a", "b", "c"}, procs: map[string]*tenure.Tenure{}, asleep: map[string]clock.Millis{}}
+		for _, n := range g.names {
+			g.procs[n] = tenure.New(config(n))
 		}
 		for now := clock.Millis(1); now < 40*clock.Second; now += 50 {
-			for i := 0; i < len(late); i++ {
-				if late[i].at <= now {
-					l.append(late[i].r, late[i].asOf)
-					late = append(late[:i], late[i+1:]...)
-					i--
+			g.land(now)
+			for _, n := range g.names {
+				if now >= g.asleep[n] {
+					g.step(now, n)
 				}
 			}
-			for _, n := range names {
-				p := procs[n]
-				if now < asleep[n] {
-					continue
-				}
-				switch rapid.IntRange(0, 60).Draw(t, "event "+n) {
-				case 0:
-					asleep[n] = now + clock.Millis(rapid.IntRange(100, 6000).Draw(t, "sleep"))
-					continue
-				case 1:
-					if r, asOf, ok := p.Release(now); ok {
-						l.append(r, asOf)
-					}
-					continue
-				}
-				if rapid.IntRange(0, 3).Draw(t, "reads") > 0 {
-					read(now, n)
-				}
-				if now >= p.DueMs(now) {
-					r, asOf := p.Write(now)
-					switch rapid.IntRange(0, 9).Draw(t, "write") {
-					case 0: // the answer is lost
-						l.append(r, asOf)
-					case 1: // done later
-						late = append(late, delayed{r, asOf, now + clock.Millis(rapid.IntRange(100, 4000).Draw(t, "late"))})
-					default:
-						if at, ok := l.append(r, asOf); ok {
-							p.Appended(now, at, r)
-						} else {
-							read(now, n)
-						}
-					}
-				}
-				term, ok := p.Holds(now)
-				if !ok {
-					continue
-				}
-				for _, o := range names {
-					if _, also := procs[o].Holds(now); o != n && also && now >= asleep[o] {
-						t.Fatalf("%s and %s hold at %d", n, o, now)
-					}
-				}
-				if term < lastTerm {
-					t.Fatalf("term %d after %d", term, lastTerm)
-				}
-				lastTerm = term
-				acts = append(acts, act{n, now})
-			}
 		}
-		prev := map[string]clock.Millis{}
-		for i, a := range acts {
-			if i > 0 && acts[i-1].who != a.who {
-				if before, ok := prev[a.who]; ok && a.at-before < lease {
-					t.Fatal(fmt.Sprintf("%s acts %d ms after it did, with others between", a.who, a.at-before))
-				}
+		last := map[string]clock.Millis{}
+		for i, a := range g.acts {
+			before, ok := last[a.who]
+			if ok && g.acts[i-1].who != a.who && a.at-before < lease {
+				t.Fatalf("%s acts %d ms after it did, with others between", a.who, a.at-before)
 			}
-			prev[a.who] = a.at
+			last[a.who] = a.at
 		}
 	})
 }
