Gateway settings are checked by config check; one loop keeps a link

Cause: duplicates found the loop that keeps a link alive in the entry and the gateway; config check knew no settings of a gateway.

--- a/internal/cli/commands/config.go
+++ b/internal/cli/commands/config.go
@@ -75,6 +75,10 @@
 			return "configuration", err
 		}
 	}
+	if settings.Role(doc.Text("role")) == settings.RoleGateway {
+		_, err := settings.ParseGateway(name, data)
+		return "settings", err
+	}
 	_, err = settings.Parse(name, data)
 	return "settings", err
 }
--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -128,6 +128,29 @@
 	return err
 }
 
+// Keep sends beats until the link or ctx ends, or nothing was heard for too
+// long. period returns the time between two beats and the silence to bear.
+func (l *Link) Keep(ctx context.Context, period func() (every, silence clock.Millis), beat func()) error {
+	for {
+		every, silence := period()
+		wait, cancel := context.WithTimeout(ctx, every.Duration())
+		select {
+		case <-ctx.Done():
+			cancel()
+			return ctx.Err()
+		case <-l.Done():
+			cancel()
+			return errors.New("connection closed")
+		case <-wait.Done():
+			cancel()
+		}
+		if l.clock.Now()-l.Heard() > silence {
+			return errors.New("connection is silent")
+		}
+		beat()
+	}
+}
+
 // Heard returns when the last message arrived.
 func (l *Link) Heard() clock.Millis {
 	return clock.Millis(l.heard.Load())
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -80,23 +80,10 @@
 	if err := p.greet(ctx, l); err != nil {
 		return err
 	}
-	for {
-		wait, cancel := context.WithTimeout(ctx, p.e.peers.heartbeatEvery().Duration())
-		select {
-		case <-ctx.Done():
-			cancel()
-			return ctx.Err()
-		case <-l.Done():
-			cancel()
-			return errors.New("connection closed")
-		case <-wait.Done():
-			cancel()
-		}
-		if p.e.clock.Now()-l.Heard() > silentHeartbeat*p.e.peers.heartbeatEvery() {
-			return errors.New("connection is silent")
-		}
-		p.beat(l)
-	}
+	return l.Keep(ctx, func() (every, silence clock.Millis) {
+		every = p.e.peers.heartbeatEvery()
+		return every, silentHeartbeat * every
+	}, func() { p.beat(l) })
 }
 
 func (p *peer) greet(ctx context.Context, l *dispatch.Link) error {
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/turns.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
@@ -23,7 +22,7 @@
 	peerDial = 500 * clock.Millisecond
 	// peerBeat shows that the gateway lives; peerSilent is the silence after
 	// which another one is not asked any more: hosts tell something more often.
-	peerBeat   = 900 * clock.Millisecond
+	peerBeat   = 450 * clock.Millisecond
 	peerSilent = 1600 * clock.Millisecond
 	// queueSilent is the same for a host with a queue.
 	queueSilent = 450 * clock.Millisecond
@@ -157,23 +156,9 @@
 	b.setUp(p, true)
 	b.mu.Unlock()
 	b.g.log.WithFields(logrus.Fields{"event": "peerFound", "peer": p.name}).Info()
-	for {
-		wait, cancel := context.WithTimeout(ctx, peerBeat.Duration()/2)
-		select {
-		case <-ctx.Done():
-			cancel()
-			return ctx.Err()
-		case <-l.Done():
-			cancel()
-			return errors.New("connection closed")
-		case <-wait.Done():
-			cancel()
-		}
-		if b.g.clock.Now()-l.Heard() > peerSilent {
-			return errors.New("connection is silent")
-		}
+	return l.Keep(ctx, func() (every, silence clock.Millis) { return peerBeat, peerSilent }, func() {
 		l.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
-	}
+	})
 }
 
 // down takes a peer's engines away from it.
