--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -2,18 +2,18 @@
 // reaches servers directly.
 //
 // It answers three loads. Long prompts beside short ones: a server's batch
-// shares its steps, so a long prompt stalls every stream beside it; requests
-// of routes with tight pauses gather on the first servers of an order that all
-// entries share, on as many as they need, and others on the rest. Prompts with shared parts: a part that a server has read is not read
-// again there, and can be copied from there; each part has a home, the same in
-// all entries, until a holder is known. Servers that fail, hang or turn slow:
-// what a server did to real requests raises its cost, and it is tried again
-// after a pause.
+// shares its steps, so a long prompt stalls every stream beside it; requests of
+// routes with tight pauses gather on the first servers of an order that all
+// entries share, on as many as they need, and others on the rest. Prompts with
+// shared parts: a part that a server has read is not read again there, and can
+// be copied from there; each part has a home, the same in all entries, until a
+// holder is known. Servers that fail, hang or turn slow: what a server did to
+// real requests raises its cost, and it is tried again after a pause.
 //
-// Costs are in milliseconds until the request's first event. The host of
-// an engine's order tells its load; without it the own requests stand for it.
-// The package is a pure state machine: time and randomness are arguments. A
-// Book is not safe for concurrent use.
+// Costs are in milliseconds until the request's first event. The host of an
+// engine's order tells its load; without it the own requests stand for it. The
+// package is a pure state machine: time and randomness are arguments. A Book is
+// not safe for concurrent use.
 package place
 
 import (
@@ -127,9 +127,6 @@
 	CacheTokens int
 }
 
-// Outcome is how a send ended.
-type Outcome int
-
 // Outcomes of sends.
 const (
 	// OutcomeOK is a whole answer.
@@ -378,205 +375,3 @@
 	}
 	return best
 }
-
-func (b *Book) engineCost(now clock.Millis, s *state, r Request, home, holder *state) (cost float64, unread int, fetch string) {
-	kept, all := s.cache.kept(r.Parts), shared(r.Parts)
-	again := 0.0
-	switch {
-	case kept >= all:
-	case s == home && holder == nil:
-		// Another entry's request has read the shared parts, or will soon.
-		kept = all
-	case holder != nil:
-		again = float64(all-kept) * fetchCost
-		kept, fetch = all, holder.ID
-	case home != nil:
-		// The home may hold the parts, or not yet.
-		again, fetch = float64(all-kept)*rereadCost, home.ID
-	default:
-		again = float64(all-kept) * rereadCost
-	}
-	unread = max(r.Prompt-kept, 0)
-	l := s.load(now)
-	cost = (float64(unread) + again) / l.Speed
-	if r.Tight {
-		cost += tightCost(l)
-	} else {
-		cost += longCost(l, unread)
-	}
-	if s.Zone != b.zone {
-		cost += engineZoneMs + float64(r.Prompt)*engineZoneTokenMs
-	}
-	return cost, unread, fetch
-}
-
-// tightCost is the cost of a tight request beside what a server has to do.
-func tightCost(l batch.Load) float64 {
-	cost := float64(l.ReadMs) + float64(l.Running)*tightRunningMs
-	if l.Waiting > 0 {
-		cost += queuedMs
-	}
-	return cost
-}
-
-// longCost is the cost of any other request there.
-func longCost(l batch.Load, unread int) float64 {
-	cost := float64(l.FreeMs) + float64(l.Running)*runningMs
-	if unread > longTokens {
-		return cost + float64(l.Tight)*stallMs
-	}
-	return cost + float64(l.Tight)*mixMs
-}
-
-func (s *state) toldAge(now clock.Millis) clock.Millis {
-	if s.toldMs == 0 {
-		return -1
-	}
-	return now - s.toldMs
-}
-
-// load returns a server's load: what its host told and the own requests
-// since then, or what the own requests and answers show.
-func (s *state) load(now clock.Millis) batch.Load {
-	if age := now - s.toldMs; s.toldMs > 0 && age < toldAgeMs {
-		l := s.told.After(age)
-		l.FreeMs += clock.Millis(float64(s.since) / l.Rate)
-		l.ReadMs += clock.Millis(float64(s.since) / l.Speed)
-		l.Running, l.Tight = max(l.Running, s.inFlight), max(l.Tight, s.tight)
-		return l
-	}
-	l := batch.Load{
-		FreeMs: clock.Millis(float64(s.unread) / assumedRate), ReadMs: clock.Millis(float64(s.unread) / assumedSpeed),
-		Running: s.inFlight, Tight: s.tight, Speed: assumedSpeed, Rate: assumedRate,
-	}
-	if now-s.loadMs < loadAgeMs {
-		l.Running = max(s.running+s.inFlight-s.atLoad, s.inFlight)
-		l.Waiting = s.waiting
-	}
-	return l
-}
-
-// shared returns the tokens of all parts but the request's own.
-func shared(parts []Part) int {
-	n := 0
-	for i := 0; i+1 < len(parts); i++ {
-		n += parts[i].Tokens
-	}
-	return n
-}
-
-func (b *Book) plainCost(now clock.Millis, s *state) float64 {
-	load := s.inFlight
-	if now-s.loadMs < loadAgeMs {
-		load = max(load, s.running+s.waiting+s.inFlight-s.atLoad)
-	}
-	queued := float64(max(load+1-max(s.Slots, 1), 0)) / float64(max(s.Slots, 1))
-	// A server that is nearly full may be slower; the load orders the others.
-	cost := s.timeMs * (1 + queued + 0.1*float64(load)/float64(max(s.Slots, 1)))
-	if s.Zone != b.zone {
-		cost += zoneCost
-	}
-	return cost
-}
-
-// Sent tells that a request goes to the server of c.
-func (b *Book) Sent(c Choice, r Request) {
-	if s := b.all[c.ID]; s != nil {
-		s.inFlight++
-		s.unread += c.Unread
-		s.since += c.Unread
-		if r.Tight {
-			s.tight++
-		}
-	}
-}
-
-// Begun tells that the first event of a send arrived.
-func (b *Book) Begun(now clock.Millis, c Choice, r Request) {
-	if s := b.all[c.ID]; s != nil {
-		s.unread = max(s.unread-c.Unread, 0)
-		s.cache.add(now, r.Parts)
-	}
-}
-
-// Ended tells how a send ended. begun tells that Begun was called for it.
-func (b *Book) Ended(now clock.Millis, c Choice, r Request, o Outcome, begun bool, tookMs clock.Millis) {
-	s := b.all[c.ID]
-	if s == nil {
-		return
-	}
-	s.inFlight = max(s.inFlight-1, 0)
-	if r.Tight {
-		s.tight = max(s.tight-1, 0)
-	}
-	if !begun {
-		s.unread = max(s.unread-c.Unread, 0)
-	}
-	s.fails, s.failsMs = s.failing(now), now
-	switch o {
-	case OutcomeOK:
-		s.fails -= s.fails * okWeight
-		s.pause, s.untilMs = 0, 0
-		if !r.Engine {
-			s.timeMs += (float64(tookMs) - s.timeMs) * slowWeight
-		}
-	case OutcomeFull:
-		s.untilMs = max(s.untilMs, now+firstPause/2)
-	case OutcomeFailed:
-		s.fails += (1 - s.fails) * failWeight
-	case OutcomeUnreached:
-		s.fails += (1 - s.fails) * failWeight
-		s.pause = min(max(2*s.pause, firstPause), lastPause)
-		s.untilMs = now + s.pause
-	}
-}
-
-// Told tells the load that a server's host tells.
-func (b *Book) Told(now clock.Millis, id string, l batch.Load) {
-	s := b.all[id]
-	if s == nil {
-		return
-	}
-	s.toldMs, s.told, s.since = now, l, 0
-	s.told.Speed, s.told.Rate = max(l.Speed, 1), max(l.Rate, 1)
-}
-
-// Holds tells that a server used shared parts.
-func (b *Book) Holds(now clock.Millis, id string, parts []string) {
-	if s := b.all[id]; s != nil {
-		for _, p := range parts {
-			s.cache.hold(now, p)
-		}
-	}
-}
-
-// Untold tells that a server has another host, which has told nothing yet.
-func (b *Book) Untold(id string) {
-	if s := b.all[id]; s != nil {
-		s.toldMs = 0
-	}
-}
-
-// Load tells the load that a server reported.
-func (b *Book) Load(now clock.Millis, id string, running, waiting int) {
-	if s := b.all[id]; s != nil {
-		s.loadMs, s.running, s.waiting, s.atLoad = now, running, waiting, s.inFlight
-	}
-}
-
-// failing returns the rate of failures, from 0 to 1; old ones fade.
-func (s *state) failing(now clock.Millis) float64 {
-	if s.fails == 0 || now <= s.failsMs {
-		return s.fails
-	}
-	f := s.fails * math.Exp2(-float64(now-s.failsMs)/float64(failHalf))
-	if f < forgotten {
-		return 0
-	}
-	return f
-}
-
-// String returns the outcome's name in logs.
-func (o Outcome) String() string {
-	return [...]string{"ok", "full", "failed", "unreached", "left"}[o]
-}
--- a/internal/role/gateway/turns.go
+++ b/internal/role/gateway/board.go
@@ -8,7 +8,6 @@
 	"net"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -32,28 +31,6 @@
 	lastRedial  = 3 * clock.Second
 )
 
-// verdict is a host's answer to a reservation.
-type verdict struct {
-	granted    bool
-	retryAfter clock.Millis
-	// again tells that a server is to be chosen again: the engine's host has
-	// changed, or another server could start the request at once.
-	again bool
-}
-
-// turn is a request's place in the order of an engine.
-type turn struct {
-	b       *board
-	pool    *pool
-	r       turns.Reservation
-	askedMs clock.Millis
-	verdict chan verdict
-
-	// Guarded by the board.
-	peer    *peer
-	granted bool
-}
-
 // peer is a gateway that hosts engines, also this one itself.
 type peer struct {
 	name string
@@ -296,52 +273,6 @@
 	}
 }
 
-func (b *board) settle(p *peer, id string, v verdict) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.turns[id]
-	if t == nil || t.granted || t.peer != p {
-		return
-	}
-	t.granted = v.granted
-	if !v.granted {
-		delete(b.turns, id)
-	}
-	t.verdict <- v
-}
-
-// reserve asks for a start; nil when no host is up.
-func (b *board) reserve(pool *pool, r turns.Reservation) *turn {
-	return b.open(pool, dispatch.MethodReserve, r)
-}
-
-// announce tells of a request that is sent at once; nil when no host is up.
-func (b *board) announce(pool *pool, r turns.Reservation) *turn {
-	return b.open(pool, turns.MethodAnnounce, r)
-}
-
-func (b *board) open(pool *pool, method string, r turns.Reservation) *turn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	id := r.Engine.ID
-	b.pools[id] = pool
-	h, ok := b.hosts[id]
-	if !ok {
-		h = b.top(id)
-		b.hosts[id] = h
-	}
-	if h == nil || h.link == nil {
-		return nil
-	}
-	t := &turn{
-		b: b, pool: pool, r: r, askedMs: b.g.clock.Now(), verdict: make(chan verdict, 1),
-		peer: h, granted: method == turns.MethodAnnounce,
-	}
-	b.turns[r.ID] = t
-	h.link.Notify(method, r)
-	return t
-}
-
 // forget drops what is known of engines that are gone.
 func (b *board) forget(live map[string]bool) {
 	b.mu.Lock()
@@ -413,69 +344,3 @@
 		q.link.Notify(turns.MethodCounts, countsCopy{key, p})
 	}
 }
-
-// begun tells that the first event has arrived.
-func (t *turn) begun() { t.note(turns.MethodBegun, false) }
-
-// done tells that the request has ended; unreached tells that it could not
-// reach the engine.
-func (t *turn) done(unreached bool) { t.note(turns.MethodDone, unreached) }
-
-// cancel takes a reservation back.
-func (t *turn) cancel() { t.note(dispatch.MethodCancel, false) }
-
-func (t *turn) note(method string, unreached bool) {
-	if t == nil {
-		return
-	}
-	t.b.mu.Lock()
-	defer t.b.mu.Unlock()
-	if method == turns.MethodBegun {
-		t.r.Begun = true
-	} else {
-		delete(t.b.turns, t.r.ID)
-	}
-	if p := t.peer; p != nil && p.link != nil {
-		p.link.Notify(method, turns.Ref{ID: t.r.ID, Unreached: unreached})
-	}
-}
-
-// await waits for the verdict. better is asked from time to time whether
-// another server could start the request at once.
-func (t *turn) await(ctx context.Context, better func() bool) (verdict, error) {
-	tick := time.NewTicker(reviewEvery.Duration())
-	defer tick.Stop()
-	for {
-		select {
-		case v := <-t.verdict:
-			return v, nil
-		case <-ctx.Done():
-			t.cancel()
-			return verdict{}, context.Cause(ctx)
-		case <-tick.C:
-			if t.b.quiet(t) {
-				// The host's engines were given to others, and so was this turn.
-				continue
-			}
-			if better() {
-				t.cancel()
-				return verdict{again: true}, nil
-			}
-		}
-	}
-}
-
-// quiet takes the engines away from a host of which nothing was heard while t
-// waits there: a host with a queue tells its load all the time.
-func (b *board) quiet(t *turn) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := t.peer
-	now := b.g.clock.Now()
-	if p == nil || p.link == nil || t.granted || now-t.askedMs <= queueSilent || now-p.link.Heard() <= queueSilent {
-		return false
-	}
-	b.g.log.WithFields(logrus.Fields{"event": "peerSilent", "peer": p.name, "silentMs": int64(now - p.link.Heard())}).Info()
-	b.setUp(p, false)
-	return true
-}
