Gateway: no wrapper around direct.EndToEnd; an unused method is gone

Cause: reading the whole change: endToEnd only called direct.EndToEnd, and place.Book.Len had no caller.

Ruled out: removing the settings maxFiles and bounds.drainMs, which are checked and documented but decide nothing yet: settings files that name them would be rejected.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -178,9 +178,6 @@
 	return &Book{zone: zone, all: map[string]*state{}}
 }
 
-// Len returns the number of servers.
-func (b *Book) Len() int { return len(b.ranked) }
-
 // SetServers sets the servers that may take requests. A server that starts
 // anew holds nothing.
 func (b *Book) SetServers(list []Server) {
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
@@ -128,7 +129,7 @@
 	if no := j.readBody(w); no != nil {
 		return j, no
 	}
-	j.header = endToEnd(r.Header)
+	j.header = direct.EndToEnd(r.Header)
 	j.pool = g.belief.pool(j.route.Choose(j.ID))
 	j.ask = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Parts: j.Parts}
 	j.pool.mu.Lock()
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -127,7 +128,7 @@
 // head copies the head of the server's answer.
 func (g *Gateway) head(w http.ResponseWriter, s *send) {
 	h := w.Header()
-	for k, v := range endToEnd(s.ans.Header) {
+	for k, v := range direct.EndToEnd(s.ans.Header) {
 		h[k] = v
 	}
 	if _, ok := h["Content-Type"]; !ok {
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -45,8 +45,6 @@
 	return time.Now().Add((ms - g.clock.Now()).Duration())
 }
 
-func endToEnd(h http.Header) http.Header { return direct.EndToEnd(h) }
-
 // try sends j to the best server and waits for the head of its answer, for at
 // most patience if that is positive.
 func (g *Gateway) try(ctx context.Context, j *job, resumesAt string, patience clock.Millis) (*send, *refusal) {
