Entry: a change of the list no longer holds up protected requests for ever

The log of e2 ends with listedLeaving of the first of two leaving servers, its lease duty goes on, and all 8 requests in flight hang until their callers give up. peers.reconcile told the router under peers.mu (peers.mu, then router.mu); router.choose of a protected request reads peers.pool under router.mu (router.mu, then peers.mu). Both at once wait for ever.

Change: reconcile collects the changed peers under the lock and tells them after it. A comment holds the order.

Ruled out: load (the lease duty of the same process kept its time), the sidecars (answers were whole), the bounded log (lines of other duties came after).

Conclusion: a real fault, not load; traced and mended.

--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -40,6 +40,7 @@
 type peers struct {
 	e      *Entry
 	lister InstanceLister
+	// mu is taken inside the router's lock, never around it.
 	mu     sync.RWMutex
 	byName map[string]*member
 	// pools holds the connected sidecars by pool.
@@ -96,11 +97,21 @@
 		ps.version, ps.list = version, list.Instances
 		ps.wanted = ps.subset(list)
 	}
-	wanted := ps.wanted
-	defer ps.changed()
+	for _, p := range ps.connect(ctx, now, wg) {
+		p.report()
+		p.beatNow()
+	}
+	ps.changed()
+}
+
+// connect starts and stops connections, and returns the peers that the list
+// now calls leaving, or no longer does. They are told of it without mu, which
+// the router takes inside its own lock.
+func (ps *peers) connect(ctx context.Context, now clock.Millis, wg *sync.WaitGroup) []*peer {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	for _, in := range wanted {
+	var changed []*peer
+	for _, in := range ps.wanted {
 		m := ps.byName[in.Name]
 		if m != nil && m.peer.instance.Address != in.Address {
 			m.stop()
@@ -110,7 +121,9 @@
 			m = ps.start(ctx, in, wg)
 		}
 		m.seenAt = now
-		ps.markLeaving(m.peer, in.State == membership.StateLeaving)
+		if m.peer.markLeaving(in.State == membership.StateLeaving) {
+			changed = append(changed, m.peer)
+		}
 	}
 	for name, m := range ps.byName {
 		if now-m.seenAt > forgetAfter {
@@ -118,14 +131,16 @@
 			delete(ps.byName, name)
 		}
 	}
+	return changed
 }
 
-func (ps *peers) markLeaving(p *peer, leaving bool) {
-	if p.listedLeaving.Swap(leaving) != leaving {
-		p.e.log.WithFields(logrus.Fields{"event": "listedLeaving", "peer": p.instance.Name, "leaving": leaving}).Info("list changed")
-		p.report()
-		p.beatNow()
+// markLeaving notes what the list says and reports whether it is new.
+func (p *peer) markLeaving(leaving bool) bool {
+	if p.listedLeaving.Swap(leaving) == leaving {
+		return false
 	}
+	p.e.log.WithFields(logrus.Fields{"event": "listedLeaving", "peer": p.instance.Name, "leaving": leaving}).Info("list changed")
+	return true
 }
 
 func (ps *peers) start(ctx context.Context, in membership.Instance, wg *sync.WaitGroup) *member {
