--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -186,26 +185,6 @@
 	return b.c.Close()
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// EndToEnd returns a copy of h without the headers that concern one connection.
-func EndToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
 // SetReadDeadline bounds the next reads of the answer's body.
 func (a *Answer) SetReadDeadline(t time.Time) error {
 	if b, ok := a.Body.(*body); ok {
--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -22,10 +22,7 @@
 	headerFencing = "X-Fencing-Number"
 )
 
-const (
-	maxEventBytes = 1 << 20
-	maxErrorBytes = 64 << 10
-)
+const maxErrorBytes = 64 << 10
 
 // ErrTruncated reports a stream that ended without its end mark.
 var ErrTruncated = errors.New("engine stream ended without its end mark")
@@ -174,11 +171,6 @@
 	return out, err
 }
 
-// Buffered returns the number of bytes that can be read without waiting.
-func (r *Reader) Buffered() int {
-	return r.r.Buffered()
-}
-
 // Stream is the answer to one attempt.
 type Stream struct {
 	events *Reader
@@ -190,10 +182,8 @@
 	return s.events.Next()
 }
 
-// Buffered returns the number of bytes that can be read without waiting.
-func (s *Stream) Buffered() int {
-	return s.events.Buffered()
-}
+// Ready reports whether a further event can be had without waiting.
+func (s *Stream) Ready() bool { return s.events.Ready() }
 
 // Close releases the connection.
 func (s *Stream) Close() error {
--- a/internal/backend/engine/events.go
+++ b/internal/backend/engine/events.go
@@ -1,12 +1,13 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/stream/sse"
 )
 
 // Event is the data of one server-sent event.
@@ -28,71 +29,37 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
-// Reader splits a stream of server-sent events.
+// Reader reads the events of an engine.
 type Reader struct {
-	r    *bufio.Reader
-	data []byte
+	events *sse.Scanner
 }
 
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, 8<<10)}
+	return &Reader{events: sse.NewScanner(r)}
 }
 
-var (
-	dataField = []byte("data:")
-	doneMark  = []byte("[DONE]")
-)
+var doneMark = []byte("[DONE]")
 
 // Next returns the next event. At the end of input it returns ErrTruncated
 // unless the end mark was the last event, and then io.EOF.
 func (r *Reader) Next() (Event, error) {
-	r.data = r.data[:0]
 	for {
-		line, err := r.r.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return Event{}, endOf(err)
+		event, err := r.events.Next()
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return Event{}, ErrTruncated
 		}
 		if err != nil {
-			if line, err = r.long(line); err != nil {
-				return Event{}, err
-			}
-		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 && len(r.data) > 0 {
-			return parse(r.data)
+			return Event{}, err
 		}
-		if rest, ok := bytes.CutPrefix(line, dataField); ok {
-			if len(r.data) > 0 {
-				r.data = append(r.data, '\n')
-			}
-			r.data = append(r.data, bytes.TrimPrefix(rest, []byte(" "))...)
+		if data := sse.Data(event); len(data) > 0 {
+			return parse(data)
 		}
 	}
 }
 
-func endOf(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return ErrTruncated
-	}
-	return err
-}
-
-// long reads the rest of a line that exceeds the buffer.
-func (r *Reader) long(start []byte) ([]byte, error) {
-	line := bytes.Clone(start)
-	for len(line) < maxEventBytes {
-		part, err := r.r.ReadSlice('\n')
-		line = append(line, part...)
-		if err == nil {
-			return line, nil
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, endOf(err)
-		}
-	}
-	return nil, errors.New("event exceeds the size limit")
-}
+// Ready reports whether a further event can be had without waiting.
+func (r *Reader) Ready() bool { return r.events.Ready() }
 
 type chunk struct {
 	Choices []struct {
--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 )
@@ -37,21 +36,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-var (
-	eventHead = []byte("data: ")
-	eventTail = []byte("\n\n")
-)
-
-// WriteEvent writes one server-sent event.
-func WriteEvent(w io.Writer, data []byte) error {
-	for _, part := range [][]byte{eventHead, data, eventTail} {
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Continuation makes the chunks of later attempts continue those of the
 // first: they keep its id and repeat nothing. The zero value is ready.
 type Continuation struct {
--- a/internal/caller/openai/errors.go
+++ b/internal/caller/openai/errors.go
@@ -3,65 +3,78 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/stream/sse"
 )
 
-// Error is an answer that is no success, in the protocol's shape with two
-// more fields: notRun and unknown.
-type Error struct {
-	Status  int    `json:"-"`
+// Types of errors.
+const (
+	typeInvalidRequest = "invalid_request_error"
+	typeAuthentication = "authentication_error"
+	typePermission     = "permission_error"
+	typeOverloaded     = "overloaded_error"
+	typeServer         = "server_error"
+)
+
+// errorBody is a failure in the protocol's shape with two more fields: notRun
+// and unknown.
+type errorBody struct {
 	Message string `json:"message"`
 	Type    string `json:"type"`
 	Param   string `json:"param,omitempty"`
 	Code    string `json:"code"`
-	// NotRun is true when no backend server ran the request or ever will.
-	NotRun bool `json:"notRun,omitempty"`
-	// Unknown is true when a protected request may have run.
-	Unknown bool `json:"unknown,omitempty"`
-	// RetryAfterMs tells the caller when to come back; 0 gives no advice.
-	RetryAfterMs clock.Millis `json:"-"`
+	NotRun  bool   `json:"notRun,omitempty"`
+	Unknown bool   `json:"unknown,omitempty"`
 }
 
-// Error returns the code and the message.
-func (e *Error) Error() string { return e.Code + ": " + e.Message }
+type envelope struct {
+	Error errorBody `json:"error"`
+}
 
-// Types of errors.
-const (
-	TypeInvalidRequest = "invalid_request_error"
-	TypeAuthentication = "authentication_error"
-	TypePermission     = "permission_error"
-	TypeOverloaded     = "overloaded_error"
-	TypeServer         = "server_error"
-)
+func enclose(f *exchange.Failure) envelope {
+	return envelope{errorBody{
+		Message: f.Message, Type: errorType(f.Status), Param: f.Param, Code: f.Code, NotRun: f.NotRun, Unknown: f.Unknown,
+	}}
+}
 
-type envelope struct {
-	Error *Error `json:"error"`
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return typeAuthentication
+	case status == http.StatusForbidden:
+		return typePermission
+	case status == http.StatusTooManyRequests:
+		return typeOverloaded
+	case status >= http.StatusInternalServerError:
+		return typeServer
+	}
+	return typeInvalidRequest
 }
 
-// WriteError answers with e.
-func WriteError(w http.ResponseWriter, e *Error) {
+// Codec answers callers with failures. It implements exchange.Codec.
+type Codec struct{}
+
+// Refuse answers with f.
+func (Codec) Refuse(w http.ResponseWriter, f *exchange.Failure) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	if e.RetryAfterMs > 0 {
-		h.Set("Retry-After", strconv.FormatInt(int64((e.RetryAfterMs+clock.Second-1)/clock.Second), 10))
+	if f.RetryAfterMs > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((f.RetryAfterMs+clock.Second-1)/clock.Second), 10))
 	}
-	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(envelope{e})
+	w.WriteHeader(f.Status)
+	_ = json.NewEncoder(w).Encode(enclose(f))
 }
 
-// EncodeError returns the JSON of e, for an error inside a stream.
-func EncodeError(e *Error) []byte {
-	data, err := json.Marshal(envelope{e})
+// Break writes f as an event.
+func (Codec) Break(w io.Writer, f *exchange.Failure) {
+	data, err := json.Marshal(enclose(f))
 	if err != nil {
-		return []byte(`{"error":{"message":"internal error","type":"server_error","code":"internal"}}`)
+		data = []byte(`{"error":{"message":"internal error","type":"server_error","code":"internal"}}`)
 	}
-	return data
-}
-
-// BadRequest returns an error for a request that cannot be understood.
-func BadRequest(code, param, message string) *Error {
-	return &Error{Status: http.StatusBadRequest, Type: TypeInvalidRequest, Code: code, Param: param, Message: message, NotRun: true}
+	_, _ = w.Write(sse.Append(nil, data))
 }
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 )
 
 const (
@@ -40,21 +42,21 @@
 	} `json:"stream_options"`
 }
 
-// Decode reads the body of a chat completion. Errors are of type *Error.
+// Decode reads the body of a chat completion. Errors are of type *exchange.Failure.
 func Decode(data []byte) (Request, error) {
 	var b body
 	if err := json.Unmarshal(data, &b); err != nil {
 		return Request{}, decodeError(err)
 	}
 	if b.Model == "" {
-		return Request{}, BadRequest("missingModel", "model", "model must be given")
+		return Request{}, exchange.BadRequest("missingModel", "model", "model must be given")
 	}
 	messages := bytes.TrimSpace(b.Messages)
 	if len(messages) < 3 || messages[0] != '[' {
-		return Request{}, BadRequest("missingMessages", "messages", "messages must be a list that is not empty")
+		return Request{}, exchange.BadRequest("missingMessages", "messages", "messages must be a list that is not empty")
 	}
 	if b.MaxTokens < 0 || b.MaxCompletionTokens < 0 {
-		return Request{}, BadRequest("badMaxTokens", "max_tokens", "the number of tokens must not be negative")
+		return Request{}, exchange.BadRequest("badMaxTokens", "max_tokens", "the number of tokens must not be negative")
 	}
 	return Request{
 		Model:        b.Model,
@@ -81,14 +83,14 @@
 	return out
 }
 
-func decodeError(err error) *Error {
+func decodeError(err error) *exchange.Failure {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		return BadRequest("malformedJson", "", fmt.Sprintf("the body is no JSON: byte %d: %v", syntax.Offset, err))
+		return exchange.BadRequest("malformedJson", "", fmt.Sprintf("the body is no JSON: byte %d: %v", syntax.Offset, err))
 	}
 	var typ *json.UnmarshalTypeError
 	if errors.As(err, &typ) {
-		return BadRequest("wrongType", typ.Field, fmt.Sprintf("%s must not be a %s", typ.Field, typ.Value))
+		return exchange.BadRequest("wrongType", typ.Field, fmt.Sprintf("%s must not be a %s", typ.Field, typ.Value))
 	}
-	return BadRequest("malformedJson", "", err.Error())
+	return exchange.BadRequest("malformedJson", "", err.Error())
 }
--- a/internal/role/entry/answer.go
+++ b/internal/role/entry/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 )
@@ -38,17 +39,16 @@
 }
 
 // passError hands an engine's error answer to the caller.
-func (x *exchange) passError(ans *answer) (dispatch.End, *openai.Error) {
+func (x *chat) passError(ans *answer) (dispatch.End, *exchange.Failure) {
 	data, err := io.ReadAll(io.LimitReader(ans.res.Body, maxErrorBodyBytes))
 	if err != nil || ans.end() != dispatch.EndComplete {
 		return dispatch.EndFailed, nil
 	}
-	if x.streaming {
+	if x.caller.Progress().Begun {
 		return dispatch.EndFailed, lost(x.j, "the model engine refused to continue the answer")
 	}
-	x.w.Header().Set("Content-Type", ans.res.Header.Get("Content-Type"))
-	x.w.WriteHeader(ans.res.StatusCode)
-	_, _ = x.w.Write(data)
+	x.caller.Head(ans.res.StatusCode, http.Header{"Content-Type": {ans.res.Header.Get("Content-Type")}})
+	_ = x.caller.Write(data, true)
 	return dispatch.EndComplete, nil
 }
 
--- a/internal/role/entry/auth.go
+++ b/internal/role/entry/auth.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
@@ -49,7 +49,7 @@
 }
 
 // authenticate returns the key of the caller and its account.
-func authenticate(d *directory.Directory, r *http.Request) (directory.Key, directory.Account, *openai.Error) {
+func authenticate(d *directory.Directory, r *http.Request) (directory.Key, directory.Account, *exchange.Failure) {
 	text := shownKey(r)
 	if text == "" {
 		return directory.Key{}, directory.Account{}, unauthorized("missingKey", "no key was given; send it as Authorization: Bearer KEY")
@@ -68,12 +68,12 @@
 	return k, a, nil
 }
 
-func unauthorized(code, message string) *openai.Error {
-	return &openai.Error{Status: http.StatusUnauthorized, Type: openai.TypeAuthentication, Code: code, Message: message, NotRun: true}
+func unauthorized(code, message string) *exchange.Failure {
+	return &exchange.Failure{Status: http.StatusUnauthorized, Code: code, Message: message, NotRun: true}
 }
 
-func forbidden(code, param, message string) *openai.Error {
-	return &openai.Error{Status: http.StatusForbidden, Type: openai.TypePermission, Code: code, Param: param, Message: message, NotRun: true}
+func forbidden(code, param, message string) *exchange.Failure {
+	return &exchange.Failure{Status: http.StatusForbidden, Code: code, Param: param, Message: message, NotRun: true}
 }
 
 // forwardHeader returns the header that may go on to a backend server:
@@ -81,16 +81,9 @@
 func forwardHeader(h http.Header) http.Header {
 	out := http.Header{}
 	drop := map[string]bool{
-		"Authorization": true, "Proxy-Authorization": true, headerIdempotency: true, "Connection": true, "Keep-Alive": true,
-		"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-		"Expect": true, "X-Api-Key": true, "Api-Key": true, "Cookie": true,
+		"Authorization": true, headerIdempotency: true, "Expect": true, "X-Api-Key": true, "Api-Key": true, "Cookie": true,
 	}
-	for _, v := range h["Connection"] {
-		for _, name := range strings.Split(v, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for k, v := range h {
+	for k, v := range exchange.EndToEnd(h) {
 		// Some servers read an underscore in a name as a hyphen.
 		name := http.CanonicalHeaderKey(strings.ReplaceAll(k, "_", "-"))
 		if !drop[name] && !strings.HasPrefix(name, "X-Damaskport-") && !strings.HasPrefix(name, "Damaskport-") {
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -36,9 +36,9 @@
 }
 
 // run returns the answer of a backend server to the job's next attempt.
-// Errors are of type *openai.Error and final.
-func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *openai.Error) {
-	var last *openai.Error
+// Errors are of type *exchange.Failure and final.
+func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *exchange.Failure) {
+	var last *exchange.Failure
 	for round := 0; round < maxRounds && j.failures < maxAttempts; round++ {
 		c := d.e.router.choose(j)
 		if p := c.direct; p != nil {
@@ -76,7 +76,7 @@
 
 // attemptError is a failed attempt and what it allows.
 type attemptError struct {
-	err *openai.Error
+	err *exchange.Failure
 	// full: the sidecar has no slot, but may be asked for one.
 	full bool
 	// again: another sidecar may be tried.
@@ -87,7 +87,7 @@
 
 func final(e *attemptError) bool { return e != nil && !e.full && !e.again }
 
-func (e *attemptError) unwrap() *openai.Error {
+func (e *attemptError) unwrap() *exchange.Failure {
 	if e == nil {
 		return nil
 	}
--- a/internal/role/entry/failure.go
+++ b/internal/role/entry/failure.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 )
 
@@ -14,32 +14,32 @@
 var errWithdrawn = errors.New("key withdrawn")
 
 // unavailable is the answer when no backend server was reached.
-func unavailable(message string) *openai.Error {
-	return &openai.Error{
-		Status: http.StatusServiceUnavailable, Type: openai.TypeServer, Code: "unavailable", NotRun: true,
+func unavailable(message string) *exchange.Failure {
+	return &exchange.Failure{
+		Status: http.StatusServiceUnavailable, Code: "unavailable", NotRun: true,
 		Message: message, RetryAfterMs: defaultRetryAfter,
 	}
 }
 
-func internalError(err error) *openai.Error {
-	return &openai.Error{Status: http.StatusInternalServerError, Type: openai.TypeServer, Code: "internal", NotRun: true, Message: err.Error()}
+func internalError(err error) *exchange.Failure {
+	return &exchange.Failure{Status: http.StatusInternalServerError, Code: "internal", NotRun: true, Message: err.Error()}
 }
 
 // lost is the answer when an attempt may have run without its answer arriving.
-func lost(j *job, message string) *openai.Error {
+func lost(j *job, message string) *exchange.Failure {
 	if j.request.Protected {
-		return &openai.Error{
-			Status: http.StatusGatewayTimeout, Type: openai.TypeServer, Code: dispatch.CodeUnknown, Unknown: true,
+		return &exchange.Failure{
+			Status: http.StatusGatewayTimeout, Code: dispatch.CodeUnknown, Unknown: true,
 			Message: message + "; the request may have run",
 		}
 	}
-	return &openai.Error{
-		Status: http.StatusBadGateway, Type: openai.TypeServer, Code: "interrupted", Message: message, RetryAfterMs: defaultRetryAfter,
+	return &exchange.Failure{
+		Status: http.StatusBadGateway, Code: "interrupted", Message: message, RetryAfterMs: defaultRetryAfter,
 	}
 }
 
 // stopped is the answer to a request whose context has ended.
-func stopped(ctx context.Context, j *job) *openai.Error {
+func stopped(ctx context.Context, j *job) *exchange.Failure {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		e := unauthorized("invalidKey", "the key has been withdrawn")
 		e.NotRun = j.attempts == 0
@@ -49,8 +49,8 @@
 }
 
 // refusalError turns a sidecar's refusal into an answer to the caller.
-func refusalError(j *job, r dispatch.Refusal) *openai.Error {
-	e := &openai.Error{Code: r.Code, Message: r.Message, NotRun: r.NotRun, Unknown: r.Unknown && j.request.Protected, RetryAfterMs: r.RetryAfterMs}
+func refusalError(j *job, r dispatch.Refusal) *exchange.Failure {
+	e := &exchange.Failure{Code: r.Code, Message: r.Message, NotRun: r.NotRun, Unknown: r.Unknown && j.request.Protected, RetryAfterMs: r.RetryAfterMs}
 	switch r.Code {
 	case dispatch.CodeFull, dispatch.CodeOfferLapsed:
 		return overloaded(max(r.RetryAfterMs, defaultRetryAfter))
@@ -59,13 +59,13 @@
 	case dispatch.CodeKeyWithdrawn:
 		return unauthorized("invalidKey", "the key has been withdrawn")
 	case dispatch.CodeDuplicate, dispatch.CodeAlreadyDone:
-		e.Status, e.Type = http.StatusConflict, openai.TypeInvalidRequest
+		e.Status = http.StatusConflict
 	case dispatch.CodeUnknown:
-		e.Status, e.Type = http.StatusGatewayTimeout, openai.TypeServer
+		e.Status = http.StatusGatewayTimeout
 	case dispatch.CodeBadRequest:
-		e.Status, e.Type = http.StatusBadRequest, openai.TypeInvalidRequest
+		e.Status = http.StatusBadRequest
 	default:
-		e.Status, e.Type = http.StatusServiceUnavailable, openai.TypeServer
+		e.Status = http.StatusServiceUnavailable
 		e.RetryAfterMs = max(e.RetryAfterMs, defaultRetryAfter)
 	}
 	return e
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -4,10 +4,14 @@
 	"context"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/damaskport/damaskport/internal/backend/engine"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/stream/sse"
 )
 
 // maxAttempts bounds the failed attempts of one chat completion.
@@ -32,22 +36,17 @@
 		return
 	}
 	e.metrics.started(j.class.Name)
-	x := &exchange{e: e, w: w, rc: http.NewResponseController(w), j: j, req: req}
-	failure = x.run(q.ctx)
-	e.finished(q, j, failure)
-	if failure != nil {
-		x.fail(failure)
-	}
+	exchange.Run(q.ctx, &chat{e: e, q: q, caller: exchange.NewCaller(w, openai.Codec{}, e.clock, j.arrived), j: j, req: req})
 }
 
 // chatJob builds the job of a chat completion.
-func (e *Entry) chatJob(q *query, r *http.Request, body []byte) (*job, openai.Request, *openai.Error) {
+func (e *Entry) chatJob(q *query, r *http.Request, body []byte) (*job, openai.Request, *exchange.Failure) {
 	req, err := openai.Decode(body)
 	if err != nil {
-		return nil, req, asError(err)
+		return nil, req, asFailure(err)
 	}
 	if carriesKey(q.dir, nil, "", body) {
-		return nil, req, openai.BadRequest("keyInRequest", "", "the body holds a key, which no backend server may see")
+		return nil, req, exchange.BadRequest("keyInRequest", "", "the body holds a key, which no backend server may see")
 	}
 	class, failure := q.class(r.Header.Get(headerClass))
 	if failure != nil {
@@ -55,8 +54,8 @@
 	}
 	pool, ok := q.dir.PoolByModel(req.Model, class.Pools)
 	if !ok {
-		return nil, req, &openai.Error{
-			Status: http.StatusNotFound, Type: openai.TypeInvalidRequest, Code: "modelNotFound", Param: "model", NotRun: true,
+		return nil, req, &exchange.Failure{
+			Status: http.StatusNotFound, Code: "modelNotFound", Param: "model", NotRun: true,
 			Message: "the model " + quote(req.Model) + " does not exist or class " + quote(class.Name) + " may not use it",
 		}
 	}
@@ -67,17 +66,17 @@
 	}, req, nil
 }
 
-// exchange is the answering of one chat completion over one or more attempts.
-type exchange struct {
-	e   *Entry
-	w   http.ResponseWriter
-	rc  *http.ResponseController
-	j   *job
-	req openai.Request
-	// streaming is true once the head of a streamed answer is out.
-	streaming bool
-	whole     *openai.Assembler
-	rewrite   openai.Continuation
+// chat is the answering of one chat completion over one or more attempts. It
+// implements exchange.Steps.
+type chat struct {
+	e       *Entry
+	q       *query
+	caller  *exchange.Caller
+	j       *job
+	req     openai.Request
+	whole   *openai.Assembler
+	rewrite openai.Continuation
+	buf     []byte // of one event
 	// firstAt is when the first token arrived; 0 is not yet.
 	firstAt clock.Millis
 	// attemptAt and attemptTokens tell the pace of the present attempt.
@@ -87,37 +86,61 @@
 	interruptedAt clock.Millis
 }
 
-// run carries the job through its attempts until the answer is complete.
-func (x *exchange) run(ctx context.Context) *openai.Error {
+// endedError is the end of an attempt before that of its answer.
+type endedError struct{ end dispatch.End }
+
+// Error returns the end.
+func (e *endedError) Error() string { return "the attempt ended: " + string(e.end) }
+
+// Send brings the job to a sidecar.
+func (x *chat) Send(ctx context.Context) (*answer, *exchange.Failure) {
 	for x.j.failures < maxAttempts {
 		clear(x.j.tried)
 		ans, failure := x.e.dispatcher.run(ctx, x.j)
-		if failure != nil && x.waitToResume(ctx, failure) {
-			continue
-		}
-		if failure != nil {
-			return failure
-		}
-		x.interruptedAt = 0
-		end, failure := x.relay(ctx, ans)
-		ans.close()
-		x.notePace(ans.peer)
-		if failure != nil {
-			return failure
-		}
-		if end == dispatch.EndComplete {
-			x.e.retries.success(x.j.pool.Name)
-			return nil
+		if failure == nil {
+			x.interruptedAt = 0
+			return ans, nil
 		}
-		if failure := x.again(ctx, ans, end); failure != nil {
-			return failure
+		if !x.waitToResume(ctx, failure) {
+			return nil, failure
 		}
 	}
-	return lost(x.j, "the answer was interrupted too often")
+	return nil, lost(x.j, "the answer was interrupted too often")
+}
+
+// Pass hands the answer of one attempt to the caller.
+func (x *chat) Pass(ctx context.Context, ans *answer) error {
+	end, failure := x.relay(ctx, ans)
+	ans.close()
+	x.notePace(ans.peer)
+	if failure != nil {
+		return failure
+	}
+	if end != dispatch.EndComplete {
+		return &endedError{end}
+	}
+	x.e.retries.success(x.j.pool.Name)
+	x.e.finished(x.q, x.j, nil)
+	return nil
+}
+
+// Again decides whether an attempt that ended early may be followed by another.
+func (x *chat) Again(ctx context.Context, ans *answer, err error) *exchange.Failure {
+	var ended *endedError
+	if !errors.As(err, &ended) {
+		return asFailure(err)
+	}
+	return x.again(ctx, ans, ended.end)
+}
+
+// Fail ends the exchange with a failure; inside a stream it is an event.
+func (x *chat) Fail(f *exchange.Failure) {
+	x.e.finished(x.q, x.j, f)
+	x.caller.Fail(f)
 }
 
 // relay passes one attempt's answer to the caller and returns its end.
-func (x *exchange) relay(ctx context.Context, ans *answer) (dispatch.End, *openai.Error) {
+func (x *chat) relay(ctx context.Context, ans *answer) (dispatch.End, *exchange.Failure) {
 	if ans.res.StatusCode != http.StatusOK {
 		return x.passError(ans)
 	}
@@ -137,14 +160,14 @@
 			}
 			return dispatch.EndComplete, x.finish()
 		}
-		if failure := x.pass(ev, events.Buffered() == 0); failure != nil {
+		if failure := x.pass(ev, events.Ready()); failure != nil {
 			return dispatch.EndCancelled, failure
 		}
 	}
 }
 
 // pass hands one event to the caller, or to the whole answer being assembled.
-func (x *exchange) pass(ev engine.Event, flush bool) *openai.Error {
+func (x *chat) pass(ev engine.Event, more bool) *exchange.Failure {
 	data, keep := x.rewrite.Rewrite(ev.Data, ev.Tokens)
 	if !keep {
 		return nil
@@ -165,17 +188,20 @@
 		return nil
 	}
 	x.begin()
-	if err := openai.WriteEvent(x.w, data); err != nil {
+	if err := x.write(data, more); err != nil {
 		return lost(x.j, "the caller has left")
 	}
-	if flush {
-		_ = x.rc.Flush()
-	}
 	return nil
 }
 
+// write hands over one event of a stream.
+func (x *chat) write(data []byte, more bool) error {
+	x.buf = sse.Append(x.buf[:0], data)
+	return x.caller.Write(x.buf, more)
+}
+
 // noteToken counts tokens that are about to be delivered.
-func (x *exchange) noteToken(n int) {
+func (x *chat) noteToken(n int) {
 	now := x.e.clock.Now()
 	if x.firstAt == 0 {
 		x.firstAt = now
@@ -190,7 +216,7 @@
 }
 
 // notePace tells the router the time per token of the attempt that has ended.
-func (x *exchange) notePace(p *peer) {
+func (x *chat) notePace(p *peer) {
 	const fewest = 8 // tokens below which the pace says little
 	if x.attemptTokens >= fewest {
 		took := x.e.clock.Now() - x.attemptAt
@@ -199,22 +225,17 @@
 	x.attemptTokens = 0
 }
 
-func (x *exchange) begin() {
-	if x.streaming {
-		return
-	}
-	x.streaming = true
-	h := x.w.Header()
-	h.Set("Content-Type", "text/event-stream")
-	h.Set("Cache-Control", "no-cache")
-	x.w.WriteHeader(http.StatusOK)
-}
+// streamHead is the head of a streamed answer.
+var streamHead = http.Header{"Content-Type": {"text/event-stream"}, "Cache-Control": {"no-cache"}}
 
-// finish ends a complete answer.
-func (x *exchange) finish() *openai.Error {
+func (x *chat) begin() { x.caller.Head(http.StatusOK, streamHead) }
+
+// finish ends a complete answer. A caller that has left meanwhile has no use
+// for its end.
+func (x *chat) finish() *exchange.Failure {
 	if x.req.Stream {
 		x.begin()
-		_ = openai.WriteEvent(x.w, []byte("[DONE]"))
+		_ = x.write([]byte("[DONE]"), true)
 		return nil
 	}
 	if x.whole == nil {
@@ -224,19 +245,7 @@
 	if err != nil {
 		return internalError(err)
 	}
-	x.w.Header().Set("Content-Type", "application/json")
-	_, _ = x.w.Write(data)
+	x.caller.Head(http.StatusOK, http.Header{"Content-Type": {"application/json"}})
+	_ = x.caller.Write(data, true)
 	return nil
 }
-
-// fail ends the exchange with an error. Inside a stream the error is an event,
-// and the connection is cut so that the end never looks like a clean one.
-func (x *exchange) fail(failure *openai.Error) {
-	if !x.streaming {
-		openai.WriteError(x.w, failure)
-		return
-	}
-	_ = openai.WriteEvent(x.w, openai.EncodeError(failure))
-	_ = x.rc.Flush()
-	panic(http.ErrAbortHandler)
-}
--- a/internal/role/entry/plain.go
+++ b/internal/role/entry/plain.go
@@ -1,17 +1,18 @@
 package entry
 
 import (
-	"io"
+	"context"
 	"net/http"
 	"slices"
 
+	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
-const copyBytes = 16 << 10
-
 // servePlain answers a request to a plain service under its path prefix.
 func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
 	q, done, failure := e.open(w, r)
@@ -26,22 +27,67 @@
 		return
 	}
 	e.metrics.started(j.class.Name)
-	ans, failure := e.dispatcher.run(q.ctx, j)
-	if failure != nil {
-		e.finished(q, j, failure)
-		openai.WriteError(w, failure)
-		return
-	}
+	exchange.Run(q.ctx, &plain{e: e, q: q, caller: exchange.NewCaller(w, openai.Codec{}, e.clock, j.arrived), j: j})
+}
+
+// plain is the answering of one request to a plain service. It implements
+// exchange.Steps.
+type plain struct {
+	e      *Entry
+	q      *query
+	caller *exchange.Caller
+	j      *job
+}
+
+// Send brings the job to a sidecar.
+func (x *plain) Send(ctx context.Context) (*answer, *exchange.Failure) {
+	return x.e.dispatcher.run(ctx, x.j)
+}
+
+// Pass hands the service's answer over as it arrives.
+func (x *plain) Pass(_ context.Context, ans *answer) error {
 	defer ans.close()
-	e.metrics.answered(j.class.Name, j.onTime(e.clock.Now()))
-	e.copyPlain(w, q, j, ans)
+	x.e.metrics.answered(x.j.class.Name, x.j.onTime(x.e.clock.Now()))
+	guard := x.e.progressGuard(ans)
+	defer guard.stop()
+	h := exchange.EndToEnd(ans.res.Header)
+	h.Del(dispatch.HeaderResult)
+	h.Del(dispatch.HeaderAttempt)
+	x.caller.Head(ans.res.StatusCode, h)
+	if err := x.caller.Copy(ans.res.Body, guard.alive); err != nil {
+		return err
+	}
+	if end := ans.end(); end != dispatch.EndComplete {
+		return &endedError{end}
+	}
+	x.e.retries.success(x.j.pool.Name)
+	x.e.finished(x.q, x.j, nil)
+	return nil
+}
+
+// Again never sends a request again whose answer has begun.
+func (x *plain) Again(_ context.Context, _ *answer, err error) *exchange.Failure {
+	if errors.Is(err, exchange.ErrCallerLeft) {
+		return lost(x.j, "the caller has left")
+	}
+	return lost(x.j, "the answer was interrupted")
+}
+
+// Fail ends the exchange. An answer that has begun is cut, so that it never
+// looks whole.
+func (x *plain) Fail(f *exchange.Failure) {
+	x.e.finished(x.q, x.j, f)
+	if x.caller.Progress().Begun {
+		x.caller.Cut()
+	}
+	x.caller.Fail(f)
 }
 
 // plainJob builds the job of a request to a plain service.
-func (e *Entry) plainJob(q *query, w http.ResponseWriter, r *http.Request) (*job, *openai.Error) {
+func (e *Entry) plainJob(q *query, w http.ResponseWriter, r *http.Request) (*job, *exchange.Failure) {
 	route, ok := q.dir.Route(r.URL.Path)
 	if !ok {
-		return nil, &openai.Error{Status: http.StatusNotFound, Type: openai.TypeInvalidRequest, Code: "noRoute", NotRun: true, Message: "no route is configured for " + quote(r.URL.Path)}
+		return nil, &exchange.Failure{Status: http.StatusNotFound, Code: "noRoute", NotRun: true, Message: "no route is configured for " + quote(r.URL.Path)}
 	}
 	if len(route.Accounts) > 0 && !slices.Contains(route.Accounts, q.account.Name) {
 		return nil, forbidden("routeNotAllowed", "", "the client account may not use this route")
@@ -58,7 +104,7 @@
 	header, path := forwardHeader(r.Header), forwardPath(r.URL)
 	key := r.Header.Get(headerIdempotency)
 	if carriesKey(q.dir, header, path, body) || holdsKey(q.dir, []byte(key)) || holdsKey(q.dir, []byte(r.Method)) {
-		return nil, openai.BadRequest("keyInRequest", "", "the request holds a key in a place that the backend server would see")
+		return nil, exchange.BadRequest("keyInRequest", "", "the request holds a key in a place that the backend server would see")
 	}
 	j := &job{
 		id: e.newID(), account: q.account, class: class, keyID: q.key.ID, pool: pool, body: body,
@@ -83,48 +129,3 @@
 func protected(route directory.Route, method string) bool {
 	return slices.Contains(route.ProtectedMethods, method)
 }
-
-// copyPlain streams the service's answer. An answer that breaks off is cut, so
-// that it never looks whole.
-func (e *Entry) copyPlain(w http.ResponseWriter, q *query, j *job, ans *answer) {
-	guard := e.progressGuard(ans)
-	defer guard.stop()
-	h := w.Header()
-	for k, v := range ans.res.Header {
-		if !isInternal(k) {
-			h[k] = v
-		}
-	}
-	w.WriteHeader(ans.res.StatusCode)
-	rc := http.NewResponseController(w)
-	buf := make([]byte, copyBytes)
-	for {
-		n, err := ans.res.Body.Read(buf)
-		guard.alive()
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				e.finished(q, j, lost(j, "the caller has left"))
-				return
-			}
-			_ = rc.Flush()
-		}
-		if err == io.EOF && ans.end() == dispatch.EndComplete {
-			e.retries.success(j.pool.Name)
-			e.finished(q, j, nil)
-			return
-		}
-		if err != nil {
-			e.finished(q, j, lost(j, "the answer was interrupted"))
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-// isInternal reports whether a header belongs to the data connection only.
-func isInternal(name string) bool {
-	switch name {
-	case dispatch.HeaderResult, dispatch.HeaderAttempt, "Trailer", "Connection", "Transfer-Encoding":
-		return true
-	}
-	return false
-}
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
@@ -59,7 +57,7 @@
 }
 
 // open authenticates a request. done must be called when it has been served.
-func (e *Entry) open(_ http.ResponseWriter, r *http.Request) (q *query, done func(), failure *openai.Error) {
+func (e *Entry) open(_ http.ResponseWriter, r *http.Request) (q *query, done func(), failure *exchange.Failure) {
 	d := e.store.Current()
 	if !e.store.Ready() {
 		return nil, nil, unavailable("the entry has no configuration yet")
@@ -82,44 +80,12 @@
 }
 
 // readBody reads the body within the configured size and time.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *openai.Error) {
-	if r.ContentLength > e.cfg.MaxBodyBytes {
-		return nil, tooLarge(e.cfg.MaxBodyBytes)
-	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(e.cfg.BodyTimeoutMs.Duration()))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.cfg.MaxBodyBytes))
-	if err != nil {
-		return nil, bodyError(r, len(data), err)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	return data, nil
-}
-
-func tooLarge(limit int64) *openai.Error {
-	return &openai.Error{
-		Status: http.StatusRequestEntityTooLarge, Type: openai.TypeInvalidRequest, Code: "bodyTooLarge", NotRun: true,
-		Message: fmt.Sprintf("the body exceeds %d bytes", limit),
-	}
-}
-
-func bodyError(r *http.Request, n int, err error) *openai.Error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return tooLarge(large.Limit)
-	}
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return &openai.Error{
-			Status: http.StatusRequestTimeout, Type: openai.TypeInvalidRequest, Code: "bodyTimeout", NotRun: true,
-			Message: fmt.Sprintf("the body was not received in time: %d bytes arrived", n),
-		}
-	}
-	return openai.BadRequest("bodyCutShort", "", fmt.Sprintf("the body was cut short: %d of %d bytes arrived", n, r.ContentLength))
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *exchange.Failure) {
+	return exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: e.cfg.MaxBodyBytes, Time: e.cfg.BodyTimeoutMs.Duration()})
 }
 
 // class returns the class that the caller names, or the account's default.
-func (q *query) class(name string) (directory.Class, *openai.Error) {
+func (q *query) class(name string) (directory.Class, *exchange.Failure) {
 	if name == "" {
 		name = q.account.Classes[0]
 	}
@@ -132,7 +98,7 @@
 
 // classForPool returns the class that the caller names, or the account's first
 // class that may use the pool.
-func (q *query) classForPool(name string, pool directory.Pool) (directory.Class, *openai.Error) {
+func (q *query) classForPool(name string, pool directory.Pool) (directory.Class, *exchange.Failure) {
 	if name != "" {
 		c, failure := q.class(name)
 		if failure == nil && !slices.Contains(c.Pools, pool.Name) {
@@ -149,18 +115,18 @@
 }
 
 // fail answers a request that was not accepted.
-func (e *Entry) fail(w http.ResponseWriter, r *http.Request, q *query, failure *openai.Error) {
+func (e *Entry) fail(w http.ResponseWriter, r *http.Request, q *query, failure *exchange.Failure) {
 	account := ""
 	if q != nil {
 		account = q.account.Name
 	}
 	e.metrics.refused(failure.Code)
 	e.log.WithFields(logrus.Fields{"event": "refused", "method": r.Method, "account": account, "status": failure.Status, "code": failure.Code}).Info(failure.Message)
-	openai.WriteError(w, failure)
+	openai.Codec{}.Refuse(w, failure)
 }
 
 // finished logs and counts a request that was served or given up.
-func (e *Entry) finished(q *query, j *job, failure *openai.Error) {
+func (e *Entry) finished(q *query, j *job, failure *exchange.Failure) {
 	took := e.clock.Now() - q.arrived
 	code := "ok"
 	if failure != nil {
@@ -176,12 +142,12 @@
 	}).Info("request finished")
 }
 
-func asError(err error) *openai.Error {
-	var e *openai.Error
+func asFailure(err error) *exchange.Failure {
+	var e *exchange.Failure
 	if errors.As(err, &e) {
 		return e
 	}
-	return openai.BadRequest("badRequest", "", err.Error())
+	return exchange.BadRequest("badRequest", "", err.Error())
 }
 
 func quote(s string) string {
--- a/internal/role/entry/reserve.go
+++ b/internal/role/entry/reserve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
@@ -148,9 +148,9 @@
 }
 
 // overloaded is the answer to a request that is shed.
-func overloaded(retryAfter clock.Millis) *openai.Error {
-	return &openai.Error{
-		Status: 429, Type: openai.TypeOverloaded, Code: "overloaded", NotRun: true, RetryAfterMs: retryAfter,
+func overloaded(retryAfter clock.Millis) *exchange.Failure {
+	return &exchange.Failure{
+		Status: 429, Code: "overloaded", NotRun: true, RetryAfterMs: retryAfter,
 		Message: "the request cannot meet its class's target now",
 	}
 }
--- a/internal/role/entry/resume.go
+++ b/internal/role/entry/resume.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -21,7 +21,7 @@
 // waitToResume waits before a stream that has begun is tried again although no
 // server took it: the caller has part of the answer, and servers that are being
 // replaced come back. It reports false once the stream is given up.
-func (x *exchange) waitToResume(ctx context.Context, failure *openai.Error) bool {
+func (x *chat) waitToResume(ctx context.Context, failure *exchange.Failure) bool {
 	if x.j.delivered == 0 || !x.j.preemptible || !failure.NotRun || failure.RetryAfterMs == 0 {
 		return false
 	}
@@ -36,7 +36,7 @@
 }
 
 // again decides whether an attempt that ended early may be followed by another.
-func (x *exchange) again(ctx context.Context, ans *answer, end dispatch.End) *openai.Error {
+func (x *chat) again(ctx context.Context, ans *answer, end dispatch.End) *exchange.Failure {
 	if ctx.Err() != nil {
 		return stopped(ctx, x.j)
 	}
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -6,10 +6,9 @@
 	"net/http"
 	"strings"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
@@ -38,6 +37,7 @@
 type job struct {
 	Call
 	r       *http.Request
+	caller  *exchange.Caller
 	cfg     *routing.Config
 	route   *routing.Route
 	account string
@@ -60,21 +60,15 @@
 	counted bool
 }
 
-// refusal is the gateway's own final answer.
-type refusal struct {
-	status     int
-	reason     string
-	retryAfter clock.Millis
-}
-
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	j, no := g.admit(w, r)
+	j.caller = exchange.NewCaller(w, callerCodec{g.codec, j.ID}, g.clock, j.arrivedMs)
 	if no != nil {
-		g.refuse(w, j, no)
+		g.fail(j, no)
 		return
 	}
 	g.metrics.started(j)
@@ -86,20 +80,20 @@
 		defer stop()
 	}
 	if j.route.Kind == routing.KindStream {
-		g.stream(ctx, w, j)
+		exchange.Run(ctx, &relay{g: g, j: j})
 		return
 	}
-	g.plain(ctx, w, j)
+	exchange.Run(ctx, &plain{g: g, j: j})
 }
 
 // admit authenticates and classifies a request, and reads its body.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *exchange.Failure) {
 	now := g.clock.Now()
 	j := &job{Call: g.codec.Call(r.Header), r: r, arrivedMs: now}
 	j.log = g.log.WithField("request", j.ID)
 	cfg := g.belief.config()
 	if cfg == nil {
-		return j, &refusal{http.StatusServiceUnavailable, "noConfig", unknownWait}
+		return j, notRun(http.StatusServiceUnavailable, "noConfig", unknownWait)
 	}
 	j.cfg = cfg
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -124,12 +118,13 @@
 		j.timeoutMs = min(j.timeoutMs, now+t)
 	}
 	if g.leaves(j, now) {
-		return j, &refusal{http.StatusServiceUnavailable, "ending", drainWait}
+		return j, notRun(http.StatusServiceUnavailable, "ending", drainWait)
 	}
-	if no := j.readBody(w); no != nil {
+	body, no := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: cfg.MaxBodyBytes})
+	if no != nil {
 		return j, no
 	}
-	j.header = direct.EndToEnd(r.Header)
+	j.body, j.header = body, exchange.EndToEnd(r.Header)
 	j.pool = g.belief.pool(j.route.Choose(j.ID))
 	j.ask = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Parts: j.Parts}
 	j.pool.mu.Lock()
@@ -141,69 +136,70 @@
 
 // unknown refuses a route or key that the configuration lacks. A configuration
 // that has not been confirmed lately may be an old one.
-func (g *Gateway) unknown(status int, reason string) *refusal {
+func (g *Gateway) unknown(status int, reason string) *exchange.Failure {
 	if g.belief.configAge() > staleConfig {
-		return &refusal{http.StatusServiceUnavailable, reason + "StaleConfig", unknownWait}
+		return notRun(http.StatusServiceUnavailable, reason+"StaleConfig", unknownWait)
 	}
-	return &refusal{status, reason, 0}
+	return notRun(status, reason, 0)
 }
 
-func (j *job) readBody(w http.ResponseWriter) *refusal {
-	body := j.r.Body
-	if j.cfg.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(w, body, j.cfg.MaxBodyBytes)
-	}
-	if n := j.r.ContentLength; n > 0 && (j.cfg.MaxBodyBytes <= 0 || n <= j.cfg.MaxBodyBytes) {
-		j.body = make([]byte, n)
-		if _, err := io.ReadFull(body, j.body); err != nil {
-			return &refusal{http.StatusBadRequest, "bodyCut", 0}
-		}
-		// The reader finds the end now, so that the server watches for the
-		// caller's leaving.
-		_, _ = body.Read(make([]byte, 1))
-		return nil
-	}
-	data, err := io.ReadAll(body)
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return &refusal{http.StatusRequestEntityTooLarge, "bodyTooLarge", 0}
-	}
-	if err != nil {
-		return &refusal{http.StatusBadRequest, "bodyCut", 0}
-	}
-	j.body = data
-	return nil
+// notRun returns the failure of a request that no server has run.
+func notRun(status int, code string, retryAfter clock.Millis) *exchange.Failure {
+	return &exchange.Failure{Status: status, Code: code, NotRun: true, RetryAfterMs: retryAfter}
+}
+
+// callerCodec answers one caller with failures. It implements exchange.Codec.
+type callerCodec struct {
+	codec Codec
+	id    string // of the caller's request
 }
 
-// refuse gives the gateway's own answer.
-func (g *Gateway) refuse(w http.ResponseWriter, j *job, no *refusal) {
-	f := logrus.Fields{"event": "refused", "status": no.status, "reason": no.reason, "retryAfterMs": int64(no.retryAfter), "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}
+// Refuse answers with f.
+func (c callerCodec) Refuse(w http.ResponseWriter, f *exchange.Failure) {
+	h := w.Header()
+	c.codec.Refuse(h, c.id, f.RetryAfterMs)
+	h.Set("Content-Type", "application/json")
+	w.WriteHeader(f.Status)
+	_, _ = io.WriteString(w, `{"error":"`+f.Code+`"}`)
+}
+
+// Break writes nothing: a stream of events has none for failures.
+func (callerCodec) Break(io.Writer, *exchange.Failure) {}
+
+// fail logs, counts and gives the final answer of a request without a
+// server's. Behind a part of an answer it does not return.
+func (g *Gateway) fail(j *job, f *exchange.Failure) {
+	if j.caller.Progress().Begun {
+		g.interrupted(j, f.Code)
+		j.caller.Fail(f)
+	}
+	fields := logrus.Fields{
+		"event": "refused", "status": f.Status, "reason": f.Code, "retryAfterMs": int64(f.RetryAfterMs), "sends": j.sends,
+		"tookMs": int64(g.clock.Now() - j.arrivedMs),
+	}
 	if j.route != nil {
-		f["route"] = j.route.Name
+		fields["route"] = j.route.Name
 	}
 	if j.cfg != nil {
-		f["config"] = j.cfg.Version
+		fields["config"] = j.cfg.Version
 	}
 	level := logrus.InfoLevel
-	if no.status >= http.StatusInternalServerError {
+	if f.Status >= http.StatusInternalServerError {
 		level = logrus.WarnLevel
 	}
-	j.log.WithFields(f).Log(level)
-	g.metrics.refused(j, no)
-	g.codec.Refuse(w.Header(), j.ID, no.retryAfter)
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	w.WriteHeader(no.status)
-	_, _ = io.WriteString(w, `{"error":"`+no.reason+`"}`)
+	j.log.WithFields(fields).Log(level)
+	g.metrics.refused(j, f)
+	j.caller.Fail(f)
 }
 
 // giveUp returns the final answer of a request without a server's answer: a
 // request that has not run says so and when to come back.
-func (g *Gateway) giveUp(j *job, reason string) *refusal {
+func (g *Gateway) giveUp(j *job, reason string) *exchange.Failure {
 	switch {
 	case !j.ran:
-		return &refusal{http.StatusServiceUnavailable, reason, busyWait}
+		return notRun(http.StatusServiceUnavailable, reason, busyWait)
 	case g.clock.Now() >= j.timeoutMs-leastLeft:
-		return &refusal{http.StatusGatewayTimeout, reason, 0}
+		return &exchange.Failure{Status: http.StatusGatewayTimeout, Code: reason}
 	}
-	return &refusal{http.StatusBadGateway, reason, 0}
+	return &exchange.Failure{Status: http.StatusBadGateway, Code: reason}
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/metrics"
 )
@@ -51,8 +52,8 @@
 	s.Histogram("answer", latencyBuckets).RecordDuration(took.Duration())
 }
 
-func (m *gatewayMetrics) refused(j *job, no *refusal) {
-	m.route(j).Tagged(map[string]string{"status": strconv.Itoa(no.status), "reason": no.reason}).Counter("refusals").Inc(1)
+func (m *gatewayMetrics) refused(j *job, no *exchange.Failure) {
+	m.route(j).Tagged(map[string]string{"status": strconv.Itoa(no.Status), "reason": no.Code}).Counter("refusals").Inc(1)
 }
 
 // turn counts a wait for a start at an engine.
@@ -90,7 +91,7 @@
 }
 
 // interrupted logs and counts a stream that ended before its end.
-func (g *Gateway) interrupted(j *job, reason string, events int) {
+func (g *Gateway) interrupted(j *job, reason string) {
 	g.metrics.route(j).Counter("interrupted").Inc(1)
-	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": events, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Warn()
+	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": j.caller.Progress().Writes, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Warn()
 }
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -15,7 +16,7 @@
 const maxAsked = 3
 
 // place finds a server for j, and its turn there if it is a model engine.
-func (g *Gateway) place(ctx context.Context, j *job) (target, *turn, *refusal) {
+func (g *Gateway) place(ctx context.Context, j *job) (target, *turn, *exchange.Failure) {
 	var refused []string
 	var retryAfter clock.Millis
 	for {
@@ -86,11 +87,11 @@
 }
 
 // overload refuses a request that no server can end in time.
-func (g *Gateway) overload(j *job, retryAfter clock.Millis) *refusal {
+func (g *Gateway) overload(j *job, retryAfter clock.Millis) *exchange.Failure {
 	if j.ran {
 		return g.giveUp(j, "overload")
 	}
-	return &refusal{http.StatusServiceUnavailable, "overload", retryAfter}
+	return notRun(http.StatusServiceUnavailable, "overload", retryAfter)
 }
 
 // expectedTokens returns the length that the answer is expected to have: the
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -47,7 +48,7 @@
 
 // try sends j to the best server and waits for the head of its answer, for at
 // most patience if that is positive.
-func (g *Gateway) try(ctx context.Context, j *job, resumesAt string, patience clock.Millis) (*send, *refusal) {
+func (g *Gateway) try(ctx context.Context, j *job, resumesAt string, patience clock.Millis) (*send, *exchange.Failure) {
 	now := g.clock.Now()
 	if j.timeoutMs-now < leastLeft {
 		return nil, g.giveUp(j, "noTimeLeft")
@@ -60,7 +61,7 @@
 		// The time went into waiting for a turn.
 		turn.cancel()
 		j.pool.with(func(b *place.Book) { b.Ended(now, to.Choice, j.ask, place.OutcomeLeft, false, 0) })
-		return nil, &refusal{http.StatusServiceUnavailable, "ending", drainWait}
+		return nil, notRun(http.StatusServiceUnavailable, "ending", drainWait)
 	}
 	now = g.clock.Now()
 	s := &send{choice: to.Choice, turn: turn, sentMs: now}
--- a/internal/role/sidecar/data.go
+++ b/internal/role/sidecar/data.go
@@ -75,6 +75,7 @@
 	// tokens counts what the server generated in this attempt.
 	tokens       int
 	promptTokens int
+	buf          []byte // of one event
 	// mu orders the keep-alive answers before the head of the answer.
 	mu    sync.Mutex
 	begun bool
--- a/internal/role/sidecar/model.go
+++ b/internal/role/sidecar/model.go
@@ -11,6 +11,7 @@
 
 	"github.com/damaskport/damaskport/internal/backend/engine"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/stream/sse"
 )
 
 const (
@@ -84,7 +85,7 @@
 		if e.Done {
 			return nil
 		}
-		if stream.Buffered() == 0 {
+		if !stream.Ready() {
 			if err := a.rc.Flush(); err != nil {
 				return err
 			}
@@ -103,18 +104,10 @@
 	}
 }
 
-var (
-	eventHead = []byte("data: ")
-	eventTail = []byte("\n\n")
-)
-
 func (a *attempt) writeEvent(data []byte) error {
-	for _, part := range [][]byte{eventHead, data, eventTail} {
-		if _, err := a.w.Write(part); err != nil {
-			return err
-		}
-	}
-	return nil
+	a.buf = sse.Append(a.buf[:0], data)
+	_, err := a.w.Write(a.buf)
+	return err
 }
 
 // abandon ends an attempt whose stream broke or was stopped.
