Gateways: few read the store, beats within a budget, gentle in an outage

Each gateway beat to each other one twice a second, read what all of them publish each 4 s, and read the servers' records at each change.

Change: beats go often only to hosts that have requests of the gateway, else within 1 KB/s for all links; a host answers them and tells its queue only to those that wait in it. Readers of the store pass on the records that changed the list, and the digest of the members. After failed calls pauses double up to 1.8 s, for readers 0.45 s, and end when the store answers anyone. Loads are told anew when they differ by an eighth.

Ruled out: fewer readers (one that is cut off leaves the others blind for 1.3 s).

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -31,12 +31,9 @@
 	// host's messages a second do not grow with the square of the gateways.
 	loadEvery   = 80 * clock.Millisecond
 	loadPerLink = 8 * clock.Millisecond
-	// beatEvery is the most, so that gateways can tell silence from idleness.
-	beatEvery = 700 * clock.Millisecond
-	// queueBeat is the same while a gateway's requests wait.
+	// queueBeat is the most while a gateway has requests here and some wait, so
+	// that it can tell silence from a queue.
 	queueBeat = 120 * clock.Millisecond
-	// silentAfter is the silence after which a connection is closed.
-	silentAfter = 3 * clock.Second
 	// maxParts bounds the shared parts of an engine that are remembered for new
 	// connections.
 	maxParts = 4096
@@ -62,7 +59,7 @@
 	// Owned by the goroutine of Run.
 	engines map[string]*engine
 	links   map[*dispatch.Link]*client
-	where   map[string]*engine // by request
+	where   map[string]place // by request
 	sweptMs clock.Millis
 }
 
@@ -80,6 +77,16 @@
 	entry  string
 	toldMs clock.Millis
 	told   map[string]told // by engine
+	// open is the number of requests that the gateway has here.
+	open int
+	// asked tells that a beat waits for an answer.
+	asked bool
+}
+
+// place is where a request is, and whose it is.
+type place struct {
+	engine *engine
+	client *client
 }
 
 type told struct {
@@ -100,7 +107,7 @@
 func NewHost(log logrus.FieldLogger, c clock.Clock, scope tally.Scope) *Host {
 	return &Host{
 		log: log, clock: c, scope: scope, in: ring.New[input](inputs),
-		engines: map[string]*engine{}, links: map[*dispatch.Link]*client{}, where: map[string]*engine{},
+		engines: map[string]*engine{}, links: map[*dispatch.Link]*client{}, where: map[string]place{},
 	}
 }
 
@@ -216,6 +223,7 @@
 		if err := json.Unmarshal(in.params, &b); err != nil {
 			return err
 		}
+		c.asked = true
 		h.OnBeat(c.entry, b.WallMs)
 		return nil
 	}
@@ -223,7 +231,8 @@
 	if err := json.Unmarshal(in.params, &ref); err != nil {
 		return err
 	}
-	if e := h.where[ref.ID]; e != nil {
+	if at, ok := h.where[ref.ID]; ok {
+		e := at.engine
 		h.note(now, e, in.method, ref.ID)
 		if ref.Unreached {
 			h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
@@ -244,7 +253,9 @@
 		h.engines[r.Engine.ID] = e
 	}
 	e.usedMs = now
-	h.where[r.ID] = e
+	h.forget(r.ID)
+	h.where[r.ID] = place{e, c}
+	c.open++
 	e.parts[r.ID] = r.Part
 	if method == dispatch.MethodReserve {
 		e.batch.Ask(now, r.Request(now, c.entry))
@@ -268,18 +279,26 @@
 		e.batch.Done(now, id)
 	}
 	if method != turns.MethodBegun {
-		delete(h.where, id)
+		h.forget(id)
 	}
 	delete(e.parts, id)
 }
 
+// forget drops a request.
+func (h *Host) forget(id string) {
+	if at, ok := h.where[id]; ok {
+		at.client.open--
+		delete(h.where, id)
+	}
+}
+
 // drop ends what a gateway that is gone had here.
 func (h *Host) drop(now clock.Millis, l *dispatch.Link, c *client) {
 	delete(h.links, l)
 	h.log.WithFields(logrus.Fields{"event": "entryGone", "entry": c.entry}).Info()
 	for _, e := range h.engines {
 		for _, id := range e.batch.DropEntry(now, c.entry) {
-			delete(h.where, id)
+			h.forget(id)
 			delete(e.parts, id)
 		}
 	}
@@ -342,12 +361,24 @@
 			continue
 		}
 		m := turns.Loads{Loads: h.changed(now, c)}
-		if len(m.Loads) == 0 && now-c.toldMs < beatEvery && !(waiting && now-c.toldMs >= queueBeat) {
-			continue
+		queued := waiting && c.open > 0 && now-c.toldMs >= queueBeat
+		if len(m.Loads) > 0 || c.asked || queued {
+			l.Notify(turns.MethodLoad, m)
+			c.toldMs, c.asked = now, false
+		}
+	}
+	h.closeSilent(now)
+}
+
+// closeSilent closes the connections of gateways that show no sign of life.
+func (h *Host) closeSilent(now clock.Millis) {
+	idle := turns.IdleSilence(len(h.links))
+	for l, c := range h.links {
+		bound := idle
+		if c.open > 0 {
+			bound = turns.ActiveSilence
 		}
-		l.Notify(turns.MethodLoad, m)
-		c.toldMs = now
-		if now-l.Heard() > silentAfter {
+		if now-l.Heard() > bound {
 			l.Close()
 		}
 	}
@@ -356,7 +387,7 @@
 func (h *Host) act(l *dispatch.Link, e *engine, a batch.Action) {
 	h.scope.Tagged(map[string]string{"granted": map[bool]string{true: "yes", false: "no"}[a.Granted]}).Counter("turns").Inc(1)
 	if !a.Granted {
-		delete(h.where, a.ID)
+		h.forget(a.ID)
 		delete(e.parts, a.ID)
 	}
 	switch {
--- /dev/null
+++ b/internal/control/turns/host_test.go
@@ -0,0 +1,163 @@
+package turns_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	control "github.com/damaskport/damaskport/internal/control/turns"
+	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/peer/turns"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/logging"
+)
+
+// gateway is one connection to a host.
+type gateway struct {
+	link    *dispatch.Link
+	loads   atomic.Int64
+	offered chan string
+}
+
+func startHost(t *testing.T) (*control.Host, context.Context) {
+	t.Helper()
+	h := control.NewHost(logging.Discard(), clock.System{}, tally.NoopScope)
+	h.OnBeat = func(string, clock.Millis) {}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return h, ctx
+}
+
+func connect(ctx context.Context, t *testing.T, h *control.Host, name string) *gateway {
+	t.Helper()
+	near, far := net.Pipe()
+	h.Serve(ctx, far)
+	g := &gateway{offered: make(chan string, 1)}
+	g.link = dispatch.NewLink(near, clock.System{}, func(_ *dispatch.Link, method string, params json.RawMessage) (any, error) {
+		switch method {
+		case turns.MethodLoad:
+			g.loads.Add(1)
+		case dispatch.MethodOffer:
+			var r turns.Ref
+			if err := json.Unmarshal(params, &r); err != nil {
+				return nil, err
+			}
+			g.offered <- r.ID
+		}
+		return nil, nil
+	})
+	t.Cleanup(g.link.Close)
+	g.link.Notify(dispatch.MethodHello, turns.Hello{Entry: name})
+	return g
+}
+
+func request(id string, tokens int) turns.Reservation {
+	return turns.Reservation{
+		ID: id, Engine: turns.Engine{ID: "m1", Start: 1, Slots: 1, MemoryTokens: 100_000},
+		Unread: tokens, Tokens: tokens, TargetMs: clock.Minute, DeadlineMs: clock.Minute,
+	}
+}
+
+// TestIdleLinksAreQuiet has a queue at one engine beside gateways that have no
+// request there: the queue is told to those that wait in it only.
+func TestIdleLinksAreQuiet(t *testing.T) {
+	const idle, watch = 12, 2 * time.Second
+	h, ctx := startHost(t)
+	var others []*gateway
+	for i := range idle {
+		others = append(others, connect(ctx, t, h, fmt.Sprint("idle", i)))
+	}
+	busy := connect(ctx, t, h, "busy")
+	first := request("r0", 100)
+	first.Tokens = 90_000
+	busy.link.Notify(dispatch.MethodReserve, first)
+	busy.link.Notify(turns.MethodBegun, turns.Ref{ID: <-busy.offered})
+	for i := range 2 {
+		// The engine's memory is taken, so that the load stays as it is.
+		busy.link.Notify(dispatch.MethodReserve, request(fmt.Sprint("r", i+1), 50_000))
+	}
+	time.Sleep(clock.Second.Duration()) // the load of the start is told to all
+	before := busy.loads.Load()
+	var sum int64
+	for _, g := range others {
+		sum -= g.loads.Load()
+	}
+	time.Sleep(watch)
+	for _, g := range others {
+		sum += g.loads.Load()
+	}
+	if n := busy.loads.Load() - before; n < 5 {
+		t.Errorf("%d messages in %v to the gateway that waits", n, watch)
+	}
+	if sum > 2*idle {
+		t.Errorf("%d messages in %v to %d gateways without requests", sum, watch, idle)
+	}
+}
+
+// TestBeatsAreAnswered has a gateway without requests ask whether the host lives.
+func TestBeatsAreAnswered(t *testing.T) {
+	h, ctx := startHost(t)
+	g := connect(ctx, t, h, "a")
+	g.link.Notify(dispatch.MethodHeartbeat, turns.Beat{})
+	deadline := time.Now().Add(5 * time.Second)
+	for g.loads.Load() == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("no answer to a beat")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSilentGatewayFreesItsPlaces has a gateway that started a request say
+// nothing more, without closing its connection: the next one starts.
+func TestSilentGatewayFreesItsPlaces(t *testing.T) {
+	h, ctx := startHost(t)
+	silent, next := connect(ctx, t, h, "silent"), connect(ctx, t, h, "next")
+	silent.link.Notify(dispatch.MethodReserve, request("r1", 50_000))
+	if id := <-silent.offered; id != "r1" {
+		t.Fatal(id)
+	}
+	next.link.Notify(dispatch.MethodReserve, request("r2", 60_000))
+	at := time.Now()
+	ctx2, cancel := context.WithTimeout(t.Context(), 3*turns.ActiveSilence.Duration())
+	defer cancel()
+	for {
+		select {
+		case <-next.offered:
+			if took := time.Since(at); took < turns.ActiveSilence.Duration()/2 {
+				t.Errorf("started after %v beside the first one", took)
+			}
+			return
+		case <-ctx2.Done():
+			t.Fatalf("not started after %v", time.Since(at))
+		case <-time.After(turns.ActiveBeat.Duration()):
+			next.link.Notify(dispatch.MethodHeartbeat, turns.Beat{})
+		}
+	}
+}
+
+func TestBeatsStayWithinABudget(t *testing.T) {
+	const beatBytes = 240
+	for _, n := range []int{1, 4, 28, 100, 360} {
+		perSecond := float64(n*beatBytes) / (float64(turns.IdleBeat(n)) / float64(clock.Second))
+		if perSecond > 1100 {
+			t.Errorf("%d links: %.0f bytes a second", n, perSecond)
+		}
+		if turns.IdleBeat(n) < turns.ActiveBeat || turns.IdleSilence(n) <= 2*turns.IdleBeat(n) {
+			t.Errorf("%d links: beats each %d ms, silence %d ms", n, turns.IdleBeat(n), turns.IdleSilence(n))
+		}
+	}
+}
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -40,7 +40,32 @@
 	Entry string `json:"entry"`
 }
 
-// Beat shows that the dialer lives.
+const (
+	// ActiveBeat is the time between beats on a link whose host has requests of
+	// the dialer, and ActiveSilence what the host bears there before it frees
+	// their places.
+	ActiveBeat    = 900 * clock.Millisecond
+	ActiveSilence = 3 * clock.Second
+	// beatBytes is the size of a beat and of its answer on the wire, with the
+	// heads of the packets.
+	beatBytes = 240
+	// beatBudget is what a gateway spends on beats to all others, in bytes a
+	// second: half of the control traffic of an instance.
+	beatBudget = 1000
+	// silentBeats is how many beats a link without requests may miss.
+	silentBeats = 3
+)
+
+// IdleBeat returns the time between beats on a link without requests, for a
+// gateway with so many links: all of them together stay within a budget.
+func IdleBeat(links int) clock.Millis {
+	return max(clock.Millis(links*beatBytes)*clock.Second/beatBudget, ActiveBeat)
+}
+
+// IdleSilence returns the silence to bear on a link without requests.
+func IdleSilence(links int) clock.Millis { return silentBeats * IdleBeat(links) }
+
+// Beat shows that the dialer lives; the host answers with loads.
 type Beat struct {
 	// WallMs is the time of day by the dialer alone.
 	WallMs clock.Millis `json:"wallMs"`
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -314,11 +314,19 @@
 	return l
 }
 
+// nearPart is the part of a load within which two are alike: a longer queue
+// changes a choice less with each request.
+const nearPart = 8
+
 // Near reports whether two loads lead to the same choices.
 func (l Load) Near(o Load) bool {
 	const ms, requests = 15, 1
-	return max(l.FreeMs-o.FreeMs, o.FreeMs-l.FreeMs) < ms && max(l.ReadMs-o.ReadMs, o.ReadMs-l.ReadMs) < ms &&
-		max(l.Running-o.Running, o.Running-l.Running) <= requests && l.Tight == o.Tight && l.Waiting == o.Waiting
+	return near(l.FreeMs, o.FreeMs, ms) && near(l.ReadMs, o.ReadMs, ms) && near(l.Running, o.Running, requests) &&
+		l.Tight == o.Tight && near(l.Waiting, o.Waiting, 0)
+}
+
+func near[T ~int | ~int64](a, b, least T) bool {
+	return max(a-b, b-a) <= max(least, max(a, b)/nearPart)
 }
 
 // Actions returns what entries are to be told since the last call.
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -19,11 +19,8 @@
 
 const (
 	peerDial = 500 * clock.Millisecond
-	// peerBeat shows that the gateway lives; peerSilent is the silence after
-	// which another one is not asked any more: hosts tell something more often.
-	peerBeat   = 450 * clock.Millisecond
-	peerSilent = 1600 * clock.Millisecond
-	// queueSilent is the same for a host with a queue.
+	// queueSilent is the silence after which a host with a queue is not asked any
+	// more: it tells something more often.
 	queueSilent = 450 * clock.Millisecond
 	// reviewEvery is the time between two looks for a better server.
 	reviewEvery = 120 * clock.Millisecond
@@ -39,6 +36,8 @@
 	link *dispatch.Link
 	// up tells that engines are hosted there.
 	up bool
+	// beatMs is when the last beat was sent.
+	beatMs clock.Millis
 }
 
 // board keeps the gateway's places at the hosts of all engines. An engine's
@@ -131,11 +130,49 @@
 	b.mu.Lock()
 	p.link = l
 	b.setUp(p, true)
+	b.beatLocked(p, b.g.clock.Now())
 	b.mu.Unlock()
 	b.g.log.WithFields(logrus.Fields{"event": "peerFound", "peer": p.name}).Info()
-	return l.Keep(ctx, func() (every, silence clock.Millis) { return peerBeat, peerSilent }, func() {
-		l.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
-	})
+	return l.Keep(ctx, func() (every, silence clock.Millis) {
+		n := b.size()
+		return turns.IdleBeat(n), turns.IdleSilence(n)
+	}, func() {})
+}
+
+// beats shows the hosts that this gateway lives: often to those that have
+// requests of it or are silent, else within a budget.
+func (b *board) beats(ctx context.Context) error {
+	for b.g.clock.Sleep(ctx, turns.ActiveBeat) == nil {
+		b.beat(b.g.clock.Now())
+	}
+	return nil
+}
+
+func (b *board) beat(now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	active := map[*peer]bool{}
+	for _, t := range b.turns {
+		active[t.peer] = true
+	}
+	idle := turns.IdleBeat(len(b.peers))
+	for _, p := range b.peers {
+		if p.link != nil && (active[p] || !p.up || now-p.beatMs >= idle) {
+			b.beatLocked(p, now)
+		}
+	}
+}
+
+func (b *board) beatLocked(p *peer, now clock.Millis) {
+	p.beatMs = now
+	p.link.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
+}
+
+// size returns the number of gateways, with this one.
+func (b *board) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.peers)
 }
 
 // down takes a peer's engines away from it.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -46,11 +46,12 @@
 	t      *tenure.Tenure
 	sealed *sealed // the last one in the store
 	// told is the last window whose report was accepted.
-	told     int64
-	nextMs   clock.Millis // of the next collection
-	held     bool
-	loaded   bool
-	awayOnce bool
+	told   int64
+	nextMs clock.Millis // of the next collection
+	held   bool
+	loaded bool
+	// failures counts the failed calls of the store since it answered.
+	failures int
 }
 
 // keepDuties takes part in the election of the holder and acts while it holds.
@@ -69,15 +70,15 @@
 			continue
 		}
 		if err := h.step(ctx); err != nil {
-			if !h.awayOnce {
+			if h.failures == 0 {
 				g.log.WithField("event", "dutyStoreLost").Warn(err)
 			}
-			h.awayOnce = true
+			h.failures++
 			h.loaded = false
-			_ = g.clock.Sleep(ctx, readBackoff)
+			g.outagePause(ctx, h.failures)
 			continue
 		}
-		h.awayOnce = false
+		h.failures = 0
 	}
 	h.release()
 	return nil
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -18,8 +18,6 @@
 	// serversEvery is the time between two reads of the servers' entries, which
 	// change all the time; a drained server may get requests for 2 s.
 	serversEvery = 500 * clock.Millisecond
-	// readBackoff is the pause after a failed read.
-	readBackoff = 150 * clock.Millisecond
 	// confirmEvery is the time between whole reads of the servers' entries,
 	// which bring what the records missed.
 	confirmEvery = 10 * clock.Second
@@ -31,8 +29,10 @@
 	topic Topic
 	next  int64 // 0 until the topic was read whole
 	lost  bool
-	// readMs is when the store answered last.
-	readMs clock.Millis
+	// readMs is when the store answered last, and failures counts the reads
+	// since then.
+	readMs   clock.Millis
+	failures int
 }
 
 // read returns the next records; whole tells that they are all keys.
@@ -55,16 +55,21 @@
 			f.g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": f.topic.String()}).Warn(err)
 		}
 		f.lost = true
+		f.failures++
 		return snap, whole, err
 	}
+	f.g.outage.over()
 	if f.lost {
 		f.g.log.WithFields(logrus.Fields{"event": "storeBack", "topic": f.topic.String()}).Info()
 	}
-	f.lost = false
+	f.lost, f.failures = false, 0
 	f.next, f.readMs = snap.Next, f.g.clock.Now()
 	return snap, whole, nil
 }
 
+// pause waits after a failed read.
+func (f *follower) pause(ctx context.Context) { f.g.outagePause(ctx, f.failures) }
+
 // configWait is how long a read waits for a change of the configuration.
 func (g *Gateway) configWait() clock.Millis {
 	return max(clock.Millis(g.Settings().Bounds.ConfigMs)-configMargin, readBackoff)
@@ -81,13 +86,13 @@
 func (g *Gateway) followConfig(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicConfig}
 	for ctx.Err() == nil {
-		if g.unchanged(ctx, serversEvery, f.readMs, func(h hint) bool { return h.Config > g.configVersion() }) {
+		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, configUnchecked, func(h hint) bool { return h.Config > g.configVersion() }) {
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 			continue
 		}
 		snap, _, err := f.read(ctx, g.configWait())
 		if err != nil {
-			_ = g.clock.Sleep(ctx, readBackoff)
+			f.pause(ctx)
 			continue
 		}
 		for _, r := range snap.Records {
@@ -116,17 +121,21 @@
 	}
 }
 
+// serverList is the list of backend servers as the store has it.
+type serverList struct {
+	*servers.List
+	// asOf is the offset through which all changes are in the list.
+	asOf int64
+}
+
 // followServers keeps the list of backend servers.
 func (g *Gateway) followServers(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicServers}
-	list := servers.New()
+	list := &serverList{List: servers.New()}
 	confirmed := g.clock.Now()
-	var changedAt int64 // offset of the last record that changed the list
 	for ctx.Err() == nil {
-		if g.unchanged(ctx, serversEvery, f.readMs, func(h hint) bool { return h.Servers >= f.next }) {
-			if list.Tick(g.clock.Now()) {
-				g.listChanged(list)
-			}
+		g.applyTold(list)
+		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, listsUnchecked, func(h hint) bool { return h.Servers > list.asOf }) {
 			continue
 		}
 		if g.clock.Now()-confirmed > confirmEvery {
@@ -137,36 +146,69 @@
 		if err != nil {
 			list.Away(now)
 			if list.Tick(now) {
-				g.listChanged(list)
+				g.listChanged(list.List)
 			}
-			_ = g.clock.Sleep(ctx, readBackoff)
+			f.pause(ctx)
 			continue
 		}
 		list.Back(now)
-		changed := g.applyServers(list, now, snap, whole)
 		if whole {
 			confirmed = now
 		}
-		if changed {
-			changedAt = f.next - 1
-		}
-		if changed = list.Tick(now) || changed; changed || !g.belief.listed.Load() {
-			g.listChanged(list)
-		}
-		if g.board.among(subjectReaders, readers) {
-			g.board.hint(hint{Config: g.configVersion(), Servers: changedAt})
-		}
+		g.applyRead(list, now, snap, whole)
 		_ = g.clock.Sleep(ctx, serversEvery)
 	}
 	return nil
 }
 
-func (g *Gateway) applyServers(list *servers.List, now clock.Millis, snap Snapshot, whole bool) bool {
-	changed := false
+// applyTold applies what readers told of the list.
+func (g *Gateway) applyTold(list *serverList) {
+	now := g.clock.Now()
+	records, asOf := g.hints.serverChanges(list.asOf)
+	list.asOf = asOf
+	changes := g.applyServers(list.List, now, Snapshot{Records: records}, false)
+	if list.Tick(now) || len(changes) > 0 {
+		g.listChanged(list.List)
+	}
+}
+
+// applyRead applies what was read of the store, and tells the others if this
+// gateway is a reader.
+func (g *Gateway) applyRead(list *serverList, now clock.Millis, snap Snapshot, whole bool) {
+	before := list.asOf
+	changes := g.applyServers(list.List, now, snap, whole)
+	lapsed := list.Tick(now)
+	switch {
+	case whole && len(changes) > 0, lapsed:
+		// No single record tells it: the others have to read.
+		list.asOf = snap.Next - 1
+		before, changes = list.asOf, nil
+		g.listChanged(list.List)
+	case len(changes) > 0:
+		list.asOf = changes[len(changes)-1].Offset
+		g.listChanged(list.List)
+	case !g.belief.listed.Load():
+		g.listChanged(list.List)
+	}
+	if g.board.among(subjectReaders, readers) {
+		g.board.hint(hint{
+			Config: g.configVersion(), Servers: list.asOf, Since: before, Changes: changes, Gateways: g.gateways.Load(),
+		})
+		return
+	}
+	list.asOf = max(list.asOf, snap.Next-1)
+}
+
+// applyServers returns the records that changed the list; of a whole list, any
+// if one did.
+func (g *Gateway) applyServers(list *servers.List, now clock.Millis, snap Snapshot, whole bool) []Record {
+	var changes []Record
 	var all []servers.Server
 	for _, r := range snap.Records {
 		if len(r.Value) == 0 {
-			changed = list.Remove(now, r.Key) || changed
+			if list.Remove(now, r.Key) {
+				changes = append(changes, r)
+			}
 			continue
 		}
 		s, err := g.decode.Server(r.Key, r.Value)
@@ -178,12 +220,14 @@
 			all = append(all, s)
 			continue
 		}
-		changed = list.Put(s) || changed
+		if list.Put(s) {
+			changes = append(changes, r)
+		}
 	}
-	if whole {
-		changed = list.Replace(now, all) || changed
+	if whole && list.Replace(now, all) {
+		changes = snap.Records
 	}
-	return changed
+	return changes
 }
 
 func (g *Gateway) listChanged(list *servers.List) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -74,6 +74,9 @@
 	draining atomic.Bool
 	drainMs  atomic.Int64
 	live     atomic.Int32 // gateways, with this one
+	// gateways is the digest of their names and addresses.
+	gateways atomic.Uint64
+	outage   *outage
 
 	mu sync.Mutex
 	// durations are whole answers, streamed the times from the first event on.
@@ -96,6 +99,7 @@
 	g.board = newBoard(g)
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.hints = newHints(d.Clock)
+	g.outage = newOutage()
 	g.host.OnCounts, g.host.OnHint = g.keepCopy, g.hints.take
 	g.host.OnBeat = func(entry string, wall clock.Millis) {
 		if entry != g.name {
@@ -171,6 +175,7 @@
 		supervise.Duty{Name: "host", Run: g.host.Run},
 		supervise.Duty{Name: "accept", Run: func(ctx context.Context) error { return g.host.Accept(ctx, g.controlLn) }},
 		supervise.Duty{Name: "peers", Run: g.followPeers},
+		supervise.Duty{Name: "beats", Run: g.board.beats},
 		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, g.readyLn, g.readyHandler()) }},
 		supervise.Duty{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, g.metricsLn, g.metrics.root.Handler) }},
 		supervise.Duty{Name: "callers", Run: func(ctx context.Context) error { return g.serveCallers(ctx, srv) }},
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -14,9 +14,12 @@
 	readers = 3
 	// hintAge is how long a hint counts: readers send one with each read.
 	hintAge = 1300 * clock.Millisecond
-	// uncheckedMost is the most time between two reads of a gateway that is told
-	// of changes.
-	uncheckedMost = 4 * clock.Second
+	// configUnchecked is the most time between two reads of the configuration by
+	// a gateway that is told of changes. Lists are told whole and read less.
+	configUnchecked = 4 * clock.Second
+	listsUnchecked  = 20 * clock.Second
+	// maxPendingHints bounds the hints with changes that wait to be applied.
+	maxPendingHints = 64
 )
 
 // hint tells what a reader of the store knows.
@@ -25,6 +28,11 @@
 	Config int64 `json:"config"`
 	// Servers is the offset of the last record that changed the list of servers.
 	Servers int64 `json:"servers"`
+	// Changes are the records behind Since, up to Servers, that changed it.
+	Since   int64    `json:"since"`
+	Changes []Record `json:"changes,omitempty"`
+	// Gateways is the digest of the gateways and their addresses.
+	Gateways uint64 `json:"gateways"`
 }
 
 // hints are the last ones of other gateways. It is safe for concurrent use.
@@ -32,7 +40,8 @@
 	clock clock.Clock
 
 	mu      sync.Mutex
-	newest  hint
+	newest  hint // without changes
+	pending []hint
 	atMs    clock.Millis
 	changed chan struct{}
 }
@@ -49,10 +58,17 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.atMs = h.clock.Now()
-	if m.Config > h.newest.Config || m.Servers > h.newest.Servers {
-		h.newest.Config = max(h.newest.Config, m.Config)
-		h.newest.Servers = max(h.newest.Servers, m.Servers)
+	now := h.clock.Now()
+	first := h.atMs == 0 || now-h.atMs >= hintAge
+	h.atMs = now
+	if len(m.Changes) > 0 && len(h.pending) < maxPendingHints {
+		h.pending = append(h.pending, m)
+	}
+	news := first || m.Config > h.newest.Config || m.Servers > h.newest.Servers || m.Gateways != h.newest.Gateways
+	h.newest.Config = max(h.newest.Config, m.Config)
+	h.newest.Servers = max(h.newest.Servers, m.Servers)
+	h.newest.Gateways = m.Gateways
+	if news {
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
@@ -67,12 +83,28 @@
 	return h.newest, h.changed, h.atMs != 0 && h.clock.Now()-h.atMs < hintAge
 }
 
+// serverChanges takes the changes that go on from a list as of an offset, and
+// returns the offset that the list is at with them.
+func (h *hints) serverChanges(asOf int64) ([]Record, int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Record
+	for _, p := range h.pending {
+		if p.Since <= asOf && asOf < p.Servers {
+			out = append(out, p.Changes...)
+			asOf = p.Servers
+		}
+	}
+	h.pending = nil
+	return out, asOf
+}
+
 // unchanged waits while readers tell that there is nothing new, for d at most,
-// and reports whether that is so. A gateway that is a reader itself, or is told
-// nothing, must read the store.
-func (g *Gateway) unchanged(ctx context.Context, d clock.Millis, lastRead clock.Millis, news func(h hint) bool) bool {
+// and reports whether that is so. A gateway that is a reader itself, is told
+// nothing, or did not read for longer than most, must read the store.
+func (g *Gateway) unchanged(ctx context.Context, d, sinceRead, most clock.Millis, news func(h hint) bool) bool {
 	h, changed, told := g.hints.current()
-	if !told || g.board.among(subjectReaders, readers) || news(h) || g.clock.Now()-lastRead > uncheckedMost {
+	if !told || g.board.among(subjectReaders, readers) || news(h) || sinceRead > most {
 		return false
 	}
 	wait, cancel := context.WithTimeout(ctx, d.Duration())
--- /dev/null
+++ b/internal/role/gateway/outage.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// readBackoff is the pause after the first failed call of the store; it
+	// doubles with each further one.
+	readBackoff = 150 * clock.Millisecond
+	// longestPause is the most, and longestReaderPause that of a gateway whose
+	// reads tell the others that the store is back.
+	longestPause       = 1800 * clock.Millisecond
+	longestReaderPause = 450 * clock.Millisecond
+)
+
+// outage wakes all that wait for the store once one call of it succeeds.
+type outage struct {
+	mu   sync.Mutex
+	back chan struct{}
+}
+
+func newOutage() *outage { return &outage{back: make(chan struct{})} }
+
+// over tells that the store answered.
+func (o *outage) over() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.back)
+	o.back = make(chan struct{})
+}
+
+// isOver returns a channel that is closed with the next answer of the store.
+func (o *outage) isOver() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.back
+}
+
+// outagePause waits before a call of the store that failed is made again. It
+// ends early when the store answers another call of this gateway, or a reader
+// tells that it has answered.
+func (g *Gateway) outagePause(ctx context.Context, failures int) {
+	longest := longestPause
+	if g.board.among(subjectReaders, readers) {
+		longest = longestReaderPause
+	}
+	d := min(readBackoff<<min(max(failures-1, 0), 8), longest)
+	// Gateways that lost the store together do not come back together.
+	d = d/2 + clock.Millis(rand.Int64N(int64(d)))
+	over := g.outage.isOver()
+	_, told, _ := g.hints.current()
+	wait, cancel := context.WithTimeout(ctx, min(d, longest).Duration())
+	defer cancel()
+	select {
+	case <-wait.Done():
+	case <-over:
+	case <-told:
+	}
+}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -33,26 +33,23 @@
 	g.board.host(ctx)
 	f := &follower{g: g, topic: TopicUsage}
 	byName := map[string]seen{}
-	for reads := 0; ctx.Err() == nil; reads++ {
+	for reads := 0; ctx.Err() == nil; {
+		told := func(h hint) bool { return h.Gateways != g.gateways.Load() }
+		if reads >= firstPeerReads && g.unchanged(ctx, peersEvery, g.clock.Now()-f.readMs, listsUnchecked, told) {
+			g.refresh(byName)
+			continue
+		}
 		snap, _, err := f.read(ctx, 0)
 		if err != nil {
-			_ = g.clock.Sleep(ctx, readBackoff)
+			f.pause(ctx)
 			continue
 		}
+		reads++
 		now := g.clock.Now()
 		for _, r := range snap.Records {
 			g.seePeer(byName, r, now)
 		}
-		addrs := map[string]string{}
-		for name, s := range byName {
-			if now-s.atMs > peerWindows*g.usage.windowMs {
-				delete(byName, name)
-				continue
-			}
-			addrs[name] = s.Control
-		}
-		g.live.Store(int32(len(addrs) + 1))
-		g.board.setPeers(ctx, addrs)
+		g.setPeers(ctx, byName)
 		every := peersEvery
 		if reads < firstPeerReads {
 			every = firstPeersEvery
@@ -62,6 +59,44 @@
 	return nil
 }
 
+// refresh notes that a reader knows the same gateways.
+func (g *Gateway) refresh(byName map[string]seen) {
+	if h, _, ok := g.hints.current(); !ok || h.Gateways != g.gateways.Load() {
+		return
+	}
+	now := g.clock.Now()
+	for name, s := range byName {
+		s.atMs = now
+		byName[name] = s
+	}
+}
+
+// setPeers takes the gateways that are not gone as the present ones.
+func (g *Gateway) setPeers(ctx context.Context, byName map[string]seen) {
+	now := g.clock.Now()
+	addrs := map[string]string{}
+	for name, s := range byName {
+		if now-s.atMs > peerWindows*g.usage.windowMs {
+			delete(byName, name)
+			continue
+		}
+		addrs[name] = s.Control
+	}
+	g.live.Store(int32(len(addrs) + 1))
+	g.gateways.Store(digest(addrs, g.name, g.Settings().ControlAddr))
+	g.board.setPeers(ctx, addrs)
+}
+
+// digest returns a number that differs for different sets of gateways: the
+// given ones and one more.
+func digest(addrs map[string]string, name, addr string) uint64 {
+	sum := weight(name, addr)
+	for n, a := range addrs {
+		sum += weight(n, a)
+	}
+	return sum
+}
+
 func (g *Gateway) seePeer(byName map[string]seen, r Record, now clock.Millis) {
 	name, _, ok := strings.Cut(r.Key, "/")
 	if !ok || name == g.name || len(r.Value) == 0 {
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -31,9 +31,9 @@
 
 // Record is one record of a topic. Without a value it drops the key.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Offset int64  `json:"offset"`
 }
 
 // Snapshot is the newest record of each key, or records in their order.
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -19,8 +19,6 @@
 	// publishAfter is the time after a window's end until its counts are
 	// published: clocks may differ by some tenths of a second.
 	publishAfter = 300 * clock.Millisecond
-	// publishRetry is the pause after a failed publication.
-	publishRetry = 200 * clock.Millisecond
 	// lastPublish bounds the publication of a process that ends.
 	lastPublish = 500 * clock.Millisecond
 	// copyEvery is the time between two copies of the counts to other gateways;
@@ -192,12 +190,13 @@
 		_, err = g.store.Append(ctx, TopicUsage, g.usageKey(), data, -1)
 		g.metrics.storeWrite(TopicUsage, err)
 		if err == nil {
+			g.outage.over()
 			return
 		}
 		if try == 0 {
 			g.log.WithField("event", "usageNotPublished").Warn(err)
 		}
-		_ = g.clock.Sleep(ctx, publishRetry)
+		g.outagePause(ctx, try+1)
 		if now := g.usage.window(g.clock.Wall()) - 1; !ended && now > last {
 			last = now
 		}
