--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -42,9 +42,9 @@
 
 const (
 	// ActiveBeat is the time between beats on a link whose host has requests of
-	// the dialer, and ActiveSilence what the host bears there before it frees
-	// their places.
-	ActiveBeat    = 900 * clock.Millisecond
+	// the dialer.
+	ActiveBeat = 900 * clock.Millisecond
+	// ActiveSilence is what the host bears there before it frees their places.
 	ActiveSilence = 3 * clock.Second
 	// beatBytes is the size of a beat and of its answer on the wire, with the
 	// heads of the packets.
