Gateways: hints carry few changes, gaps are read whole; one entry's cut stays its own

A gap was filled by all records since a read up to 20 s old, though servers write anew each 1.2 s. A host told each gateway each queue that differed by an eighth. An entry without a way to an engine took it from all others each time it tried.

Changes: a hint carries up to 1,500 bytes of changes; after 1.5 s the newest records are read instead of all; copies of counts hold two windows; loads are told from a quarter on, speed and rate only when they change; the word of an entry whose engine serves others counts for itself for 10 s.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -236,7 +236,7 @@
 		h.note(now, e, in.method, ref.ID)
 		if ref.Unreached {
 			h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
-			e.batch.Unreached(now)
+			e.batch.Unreached(now, c.entry)
 		}
 	}
 	return nil
@@ -411,7 +411,11 @@
 		} else if load.Near(t.load.After(now-t.atMs)) && t.uses == e.uses {
 			continue
 		}
-		out = append(out, turns.Load{Engine: id, Load: load, Parts: e.usedSince(t.uses)})
+		m := turns.Load{Engine: id, Load: load, Parts: e.usedSince(t.uses)}
+		if load.Speed == t.load.Speed && load.Rate == t.load.Rate {
+			m.Speed, m.Rate = 0, 0
+		}
+		out = append(out, m)
 		c.told[id] = told{load, now, e.Start, e.uses}
 	}
 	return out
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -119,7 +119,8 @@
 }
 
 // Load is an engine's load, and the shared parts that it used since the last
-// Load of the connection, the last used one last.
+// Load of the connection, the last used one last. Without speed and rate, they
+// are as in the Load before.
 type Load struct {
 	Engine string `json:"e"`
 	batch.Load
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -72,6 +72,12 @@
 	// unreachedMs is how long an engine that could not be reached counts as far
 	// behind, and starts nothing.
 	unreachedMs = 700 * clock.Millisecond
+	// unreachedSettle is the time in which requests may still begin that an engine
+	// answered before it went away.
+	unreachedSettle = 60 * clock.Millisecond
+	// doubtMs is how long an entry is not believed that was contradicted: the way
+	// from it to the engine is cut, not the engine.
+	doubtMs = 10 * clock.Second
 	// farBehind is the load that is told meanwhile.
 	farBehind = 5 * clock.Second
 	// checkEvery is the time between two checks whether waiting requests can
@@ -167,8 +173,12 @@
 	lowest  int
 	spent   map[string]float64
 	spentMs clock.Millis
-	// downMs is until when the engine counts as out of reach.
-	downMs clock.Millis
+	// downMs is until when the engine counts as out of reach, since downAtMs by
+	// the word of downBy.
+	downMs, downAtMs clock.Millis
+	downBy           string
+	// doubted are the entries whose word was contradicted, and when.
+	doubted map[string]clock.Millis
 	// checkedMs is when the waiting requests were last checked.
 	checkedMs clock.Millis
 	out       []Action
@@ -179,7 +189,7 @@
 	if cfg.Duty <= 0 {
 		cfg.Duty = defaultDuty
 	}
-	return &Scheduler{cfg: cfg, speed: defaultSpeed, running: map[string]*run{}, spent: map[string]float64{}}
+	return &Scheduler{cfg: cfg, speed: defaultSpeed, running: map[string]*run{}, spent: map[string]float64{}, doubted: map[string]clock.Millis{}}
 }
 
 // rate returns the prompt tokens read in a ms over time.
@@ -232,6 +242,7 @@
 	}
 	r.begun = true
 	s.pending -= r.Unread
+	s.alive(now, r.Entry)
 	if took := now - r.grantedMs; r.alone && r.Unread >= observedTokens && took > 0 {
 		seen := min(max(float64(r.Unread)/float64(took), leastSpeed), mostSpeed)
 		s.speed += (seen - s.speed) * speedWeight
@@ -257,13 +268,32 @@
 }
 
 // Unreached tells that an entry could not reach the engine: those that wait are
-// refused, so that they go elsewhere instead of finding out one by one.
-func (s *Scheduler) Unreached(now clock.Millis) {
-	s.downMs = now + unreachedMs
-	for _, w := range s.queue {
+// refused, so that they go elsewhere instead of finding out one by one. If the
+// engine serves others meanwhile, that entry's only.
+func (s *Scheduler) Unreached(now clock.Millis, entry string) {
+	at, doubted := s.doubted[entry]
+	doubted = doubted && now-at < doubtMs
+	if !doubted {
+		s.downMs, s.downAtMs, s.downBy = now+unreachedMs, now, entry
+	}
+	queue := s.queue
+	s.queue = nil
+	for _, w := range queue {
+		if doubted && w.Entry != entry {
+			s.queue = append(s.queue, w)
+			continue
+		}
 		s.out = append(s.out, Action{Entry: w.Entry, ID: w.ID, RetryAfterMs: leastRetry})
 	}
-	s.queue = nil
+}
+
+// alive notes that a request of an entry began: an engine that another entry
+// could not reach serves.
+func (s *Scheduler) alive(now clock.Millis, entry string) {
+	if now < s.downMs && entry != s.downBy && now-s.downAtMs > unreachedSettle {
+		s.downMs = now
+		s.doubted[s.downBy] = now
+	}
 }
 
 // DropEntry ends all requests of an entry that is gone, and returns them.
@@ -316,11 +346,11 @@
 
 // nearPart is the part of a load within which two are alike: a longer queue
 // changes a choice less with each request.
-const nearPart = 8
+const nearPart = 4
 
 // Near reports whether two loads lead to the same choices.
 func (l Load) Near(o Load) bool {
-	const ms, requests = 15, 1
+	const ms, requests = 30, 1
 	return near(l.FreeMs, o.FreeMs, ms) && near(l.ReadMs, o.ReadMs, ms) && near(l.Running, o.Running, requests) &&
 		l.Tight == o.Tight && near(l.Waiting, o.Waiting, 0)
 }
--- a/internal/policy/place/outcome.go
+++ b/internal/policy/place/outcome.go
@@ -68,8 +68,11 @@
 	if s == nil {
 		return
 	}
+	if l.Speed == 0 && l.Rate == 0 {
+		l.Speed, l.Rate = s.told.Speed, s.told.Rate
+	}
+	l.Speed, l.Rate = max(l.Speed, 1), max(l.Rate, 1)
 	s.toldMs, s.told, s.since = now, l, 0
-	s.told.Speed, s.told.Rate = max(l.Speed, 1), max(l.Rate, 1)
 }
 
 // Holds tells that a server used shared parts.
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -18,6 +18,9 @@
 	// serversEvery is the time between two reads of the servers' entries, which
 	// change all the time; a drained server may get requests for 2 s.
 	serversEvery = 500 * clock.Millisecond
+	// renewedAfter is the time in which most servers write their entry anew: the
+	// records since an earlier read are more than the newest ones.
+	renewedAfter = 1500 * clock.Millisecond
 	// confirmEvery is the time between whole reads of the servers' entries,
 	// which bring what the records missed.
 	confirmEvery = 10 * clock.Second
@@ -138,7 +141,7 @@
 		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, listsUnchecked, func(h hint) bool { return h.Servers > list.asOf }) {
 			continue
 		}
-		if g.clock.Now()-confirmed > confirmEvery {
+		if now := g.clock.Now(); now-confirmed > confirmEvery || now-f.readMs > renewedAfter {
 			f.next = 0
 		}
 		snap, whole, err := f.read(ctx, 0)
@@ -191,9 +194,9 @@
 		g.listChanged(list.List)
 	}
 	if g.board.among(subjectReaders, readers) {
-		g.board.hint(hint{
-			Config: g.configVersion(), Servers: list.asOf, Since: before, Changes: changes, Gateways: g.gateways.Load(),
-		})
+		h := newHint(before, list.asOf, changes)
+		h.Config, h.Gateways = g.configVersion(), g.gateways.Load()
+		g.board.hint(h)
 		return
 	}
 	list.asOf = max(list.asOf, snap.Next-1)
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -18,6 +18,9 @@
 	// a gateway that is told of changes. Lists are told whole and read less.
 	configUnchecked = 4 * clock.Second
 	listsUnchecked  = 20 * clock.Second
+	// maxHintBytes bounds the changes in a hint: of more, each gateway reads them
+	// itself, once instead of from each reader.
+	maxHintBytes = 1500
 	// maxPendingHints bounds the hints with changes that wait to be applied.
 	maxPendingHints = 64
 )
@@ -35,6 +38,19 @@
 	Gateways uint64 `json:"gateways"`
 }
 
+// newHint returns what a reader tells of the servers: the changes behind since,
+// or, when there are too many, only that there are some.
+func newHint(since, upTo int64, changes []Record) hint {
+	size := 0
+	for _, r := range changes {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size > maxHintBytes {
+		return hint{Servers: upTo, Since: upTo}
+	}
+	return hint{Servers: upTo, Since: since, Changes: changes}
+}
+
 // hints are the last ones of other gateways. It is safe for concurrent use.
 type hints struct {
 	clock clock.Clock
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -95,11 +95,29 @@
 	return p
 }
 
-// keep keeps a copy of another process's counts.
+// recent returns the counts of the last complete window and the present one;
+// those before are published by then.
+func (c *counts) recent(last int64) published {
+	p := c.snapshot(last)
+	p.Copies = nil
+	maps.DeleteFunc(p.Windows, func(w int64, _ map[string]int64) bool { return w < last })
+	return p
+}
+
+// keep keeps a copy of another process's counts, beside the earlier windows
+// that it told.
 func (c *counts) keep(key string, p published, now int64) {
 	p.Copies, p.Control = nil, ""
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p.Windows == nil {
+		p.Windows = map[int64]map[string]int64{}
+	}
+	for w, m := range c.copies[key].Windows {
+		if _, ok := p.Windows[w]; !ok && w > now-c.kept {
+			p.Windows[w] = m
+		}
+	}
 	c.copies[key] = p
 	for k, old := range c.copies {
 		if old.Window < now-c.kept {
@@ -146,8 +164,8 @@
 		if !g.usage.takeChanged() {
 			continue
 		}
-		p := g.usage.snapshot(g.usage.window(g.clock.Wall()) - 1)
-		p.Copies, p.StartMs = nil, g.startMs
+		p := g.usage.recent(g.usage.window(g.clock.Wall()) - 1)
+		p.StartMs = g.startMs
 		g.board.copy(g.usageKey(), p)
 	}
 	return nil
