Gateways: members have a topic of their own

Cause: addresses stood in the records of usage, so that each gateway read all counts, and copies of counts, to learn where the others are: some kB a record and gateway, worst when all start at once.

Change: keyed.members holds one short record a gateway, written each 12 s and dropped at the end; only the holder of the duties reads usage.

Ruled out: none; taken from the records' sizes.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -174,6 +174,7 @@
 		supervise.Duty{Name: "sweep", Run: g.sweep},
 		supervise.Duty{Name: "host", Run: g.host.Run},
 		supervise.Duty{Name: "accept", Run: func(ctx context.Context) error { return g.host.Accept(ctx, g.controlLn) }},
+		supervise.Duty{Name: "member", Run: g.keepMember},
 		supervise.Duty{Name: "peers", Run: g.followPeers},
 		supervise.Duty{Name: "beats", Run: g.board.beats},
 		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, g.readyLn, g.readyHandler()) }},
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -16,22 +15,57 @@
 	peersEvery      = 4 * clock.Second
 	firstPeersEvery = 800 * clock.Millisecond
 	firstPeerReads  = 5
-	// peerWindows is how many usage windows a gateway may miss to publish
-	// before it counts as gone.
-	peerWindows = 3
+	// memberEvery is the time between two records by which a gateway shows that
+	// it lives, and goneAfterMs the age of one from which it counts as gone.
+	memberEvery = 12 * clock.Second
+	goneAfterMs = 30 * clock.Second
 )
 
-// seen is what a gateway published last.
+// member is what a gateway tells the others of itself.
+type member struct {
+	// Control is its address for them.
+	Control string `json:"control"`
+}
+
+// seen is a gateway, and when it showed that it lives.
 type seen struct {
-	published
-	key  string
+	member
 	atMs clock.Millis
 }
 
-// followPeers learns the other gateways from what they publish.
+// keepMember makes the gateway known to the others until ctx ends.
+func (g *Gateway) keepMember(ctx context.Context) error {
+	data, err := json.Marshal(member{Control: g.Settings().ControlAddr})
+	if err != nil {
+		return err
+	}
+	for failures := 0; ctx.Err() == nil; {
+		_, err := g.store.Append(ctx, TopicMembers, g.name, data, -1)
+		g.metrics.storeWrite(TopicMembers, err)
+		if err == nil {
+			failures = 0
+			g.outage.over()
+			_ = g.clock.Sleep(ctx, memberEvery)
+			continue
+		}
+		if failures == 0 && ctx.Err() == nil {
+			g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": TopicMembers.String()}).Warn(err)
+		}
+		failures++
+		g.outagePause(ctx, failures)
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPublish.Duration())
+	defer cancel()
+	if _, err := g.store.Append(last, TopicMembers, g.name, nil, -1); err != nil {
+		g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": TopicMembers.String()}).Warn(err)
+	}
+	return nil
+}
+
+// followPeers learns the other gateways from the store.
 func (g *Gateway) followPeers(ctx context.Context) error {
 	g.board.host(ctx)
-	f := &follower{g: g, topic: TopicUsage}
+	f := &follower{g: g, topic: TopicMembers}
 	byName := map[string]seen{}
 	for reads := 0; ctx.Err() == nil; {
 		told := func(h hint) bool { return h.Gateways != g.gateways.Load() }
@@ -76,7 +110,7 @@
 	now := g.clock.Now()
 	addrs := map[string]string{}
 	for name, s := range byName {
-		if now-s.atMs > peerWindows*g.usage.windowMs {
+		if now-s.atMs > goneAfterMs {
 			delete(byName, name)
 			continue
 		}
@@ -98,22 +132,17 @@
 }
 
 func (g *Gateway) seePeer(byName map[string]seen, r Record, now clock.Millis) {
-	name, _, ok := strings.Cut(r.Key, "/")
-	if !ok || name == g.name || len(r.Value) == 0 {
+	if r.Key == g.name {
 		return
 	}
-	s := seen{key: r.Key, atMs: now}
-	if err := json.Unmarshal(r.Value, &s.published); err != nil {
-		g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
+	if len(r.Value) == 0 {
+		delete(byName, r.Key)
 		return
 	}
-	if s.Ended {
-		if byName[name].key == r.Key {
-			delete(byName, name)
-		}
+	s := seen{atMs: now}
+	if err := json.Unmarshal(r.Value, &s.member); err != nil || s.Control == "" {
+		g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
 		return
 	}
-	if s.Control != "" {
-		byName[name] = s
-	}
+	byName[r.Key] = s
 }
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -22,11 +22,13 @@
 	TopicDuty
 	// TopicUsage holds each entry's counts.
 	TopicUsage
+	// TopicMembers holds where the entries reach each other.
+	TopicMembers
 )
 
 // String returns the topic's name in logs.
 func (t Topic) String() string {
-	return [...]string{"config", "servers", "duty", "usage"}[t]
+	return [...]string{"config", "servers", "duty", "usage", "members"}[t]
 }
 
 // Record is one record of a topic. Without a value it drops the key.
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -73,8 +73,6 @@
 	Windows map[int64]map[string]int64 `json:"windows,omitempty"`
 	// StartMs is the wall time at which the process started.
 	StartMs clock.Millis `json:"startMs"`
-	// Control is the address for the other gateways.
-	Control string `json:"control,omitempty"`
 	// Ended is set by a gateway that stops.
 	Ended bool `json:"ended,omitempty"`
 	// Copies are the counts of other processes, by key.
@@ -107,7 +105,7 @@
 // keep keeps a copy of another process's counts, beside the earlier windows
 // that it told.
 func (c *counts) keep(key string, p published, now int64) {
-	p.Copies, p.Control = nil, ""
+	p.Copies = nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p.Windows == nil {
@@ -141,7 +139,7 @@
 
 // publishUsage publishes the counts once a window, and at the end.
 func (g *Gateway) publishUsage(ctx context.Context) error {
-	// The first one makes the gateway known to the others.
+	// The holder waits for those that it knows of.
 	g.publish(ctx, g.usage.window(g.clock.Wall())-1, false)
 	for {
 		wall := g.clock.Wall()
@@ -199,7 +197,7 @@
 func (g *Gateway) publish(ctx context.Context, last int64, ended bool) {
 	for try := 0; ctx.Err() == nil; try++ {
 		p := g.usage.snapshot(last)
-		p.Ended, p.Control, p.StartMs = ended, g.Settings().ControlAddr, g.startMs
+		p.Ended, p.StartMs = ended, g.startMs
 		data, err := json.Marshal(p)
 		if err != nil {
 			g.log.WithField("event", "usageEncode").Error(err)
