Gateway: maxFiles and bounds.drainMs decide

Cause: both settings were checked and documented and decided nothing.

Change: the list of servers is read in a quarter of the time that a leaving server serves (500 ms at most, as before at the default of 2 s); from 0.4 of the files on, answers end the connections of callers, so that files are left for the servers.

Ruled out: a limit on accepting (callers would hang), refusals (nothing is wrong with the request).

--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -77,7 +77,8 @@
 	RetryRatio   float64 `json:"retryRatio"`
 	RetrySlack   float64 `json:"retrySlack"`
 	RetryWindowS float64 `json:"retryWindowS"`
-	// DrainMs is how long a server that leaves still serves.
+	// DrainMs is how long a server that leaves still serves; the list of servers
+	// is read in a part of it.
 	DrainMs float64 `json:"drainMs"`
 	// GraceS is the time from SIGTERM to SIGKILL.
 	GraceS float64 `json:"graceS"`
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -15,9 +15,11 @@
 	// force that a connection that went silent may cost beside the wait for a
 	// change: the time-out of a call and a little.
 	configMargin = 1 * clock.Second
-	// serversEvery is the time between two reads of the servers' entries, which
-	// change all the time; a drained server may get requests for 2 s.
+	// serversEvery is the most time between two reads of the servers' entries,
+	// and serversPart the part of the time that a leaving server still serves:
+	// a read, a hint and a request on its way fit into it.
 	serversEvery = 500 * clock.Millisecond
+	serversPart  = 4
 	// renewedAfter is the time in which most servers write their entry anew: the
 	// records since an earlier read are more than the newest ones.
 	renewedAfter = 1500 * clock.Millisecond
@@ -73,6 +75,11 @@
 // pause waits after a failed read.
 func (f *follower) pause(ctx context.Context) { f.g.outagePause(ctx, f.failures) }
 
+// listEvery is the time between two reads of the servers' entries.
+func (g *Gateway) listEvery() clock.Millis {
+	return max(min(clock.Millis(g.Settings().Bounds.DrainMs)/serversPart, serversEvery), clock.Millisecond)
+}
+
 // configWait is how long a read waits for a change of the configuration.
 func (g *Gateway) configWait() clock.Millis {
 	return max(clock.Millis(g.Settings().Bounds.ConfigMs)-configMargin, readBackoff)
@@ -138,7 +145,7 @@
 	confirmed := g.clock.Now()
 	for ctx.Err() == nil {
 		g.applyTold(list)
-		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, listsUnchecked, func(h hint) bool { return h.Servers > list.asOf }) {
+		if g.unchanged(ctx, g.listEvery(), g.clock.Now()-f.readMs, listsUnchecked, func(h hint) bool { return h.Servers > list.asOf }) {
 			continue
 		}
 		if now := g.clock.Now(); now-confirmed > confirmEvery || now-f.readMs > renewedAfter {
@@ -159,7 +166,7 @@
 			confirmed = now
 		}
 		g.applyRead(list, now, snap, whole)
-		_ = g.clock.Sleep(ctx, serversEvery)
+		_ = g.clock.Sleep(ctx, g.listEvery())
 	}
 	return nil
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -33,6 +33,10 @@
 	idleTimeout   = 2 * time.Minute
 	headerTimeout = 10 * time.Second
 	sweepEvery    = 500 * clock.Millisecond
+	// callerFiles is the part of the open files up to which callers keep their
+	// connections: each may need one to a server, and the store and the other
+	// gateways some.
+	callerFiles = 0.4
 )
 
 // Deps are the parts that a Gateway uses.
@@ -73,6 +77,7 @@
 	// not ready, and each answer ends its connection.
 	draining atomic.Bool
 	drainMs  atomic.Int64
+	open     atomic.Int64 // connections of callers
 	live     atomic.Int32 // gateways, with this one
 	// gateways is the digest of their names and addresses.
 	gateways atomic.Uint64
@@ -157,7 +162,7 @@
 	defer stop()
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.connState,
 	}
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
@@ -186,6 +191,22 @@
 	return err
 }
 
+// connState counts the connections of callers.
+func (g *Gateway) connState(_ net.Conn, st http.ConnState) {
+	switch st {
+	case http.StateNew:
+		g.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.open.Add(-1)
+	}
+}
+
+// crowded reports whether callers hold more connections than leave files for
+// the way to the servers: each further answer ends its connection.
+func (g *Gateway) crowded() bool {
+	return float64(g.open.Load()) > callerFiles*g.Settings().MaxFiles
+}
+
 func (g *Gateway) serveCallers(ctx context.Context, srv *http.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -62,7 +62,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() {
+	if g.draining.Load() || g.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	j, no := g.admit(w, r)
