Proof harness: processes have groups of their own

The system sends SIGHUP to stopped processes of a group that loses its last parent, and sidecars end by it.

Change: each process is started in its own group.

Ruled out: the path of requests (the same subtest passes alone), load.

--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -89,7 +89,7 @@
 	t.Helper()
 	p := &Proc{t: t, name: name, cmd: exec.Command(program, args...), lines: make(chan string, 64), ended: make(chan struct{})}
 	p.cmd.Stderr = &p.log
-	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	prepare(p.cmd)
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -102,12 +102,19 @@
 	return p
 }
 
+// prepare gives a process its environment and a group of its own: when a
+// shell leaves, the system hangs up on the stopped processes of its group.
+func prepare(cmd *exec.Cmd) {
+	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+}
+
 // StartLogged starts the program damaskport, whose log is its standard output.
 func StartLogged(t testing.TB, name string, args ...string) *Proc {
 	t.Helper()
 	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
-	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	prepare(p.cmd)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
