Gateways: a host that leaves a beat without an answer is left

Cause: since beats keep to a budget, a silent host was left only after three of them (9 s with 13 gateways) by gateways without a waiting request: what it had told of its engines went on counting, and made them look idle.

Change: a beat without an answer for 0.9 s and 16 ms a link takes the engines away; the connection stays, since the host may wake.

TestSilentHostIsLeft fails without it: all seven others count on the host after 4.5 s.

--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -65,6 +65,16 @@
 // IdleSilence returns the silence to bear on a link without requests.
 func IdleSilence(links int) clock.Millis { return silentBeats * IdleBeat(links) }
 
+// answerPerLink is what each link adds to the time in which a host answers a
+// beat: twice what it adds to the pause between two loads.
+const answerPerLink = 16 * clock.Millisecond
+
+// AnswerWithin returns the time after which a beat without an answer shows that
+// the host is silent, for a gateway with so many links.
+func AnswerWithin(links int) clock.Millis {
+	return ActiveBeat + clock.Millis(links)*answerPerLink
+}
+
 // Beat shows that the dialer lives; the host answers with loads.
 type Beat struct {
 	// WallMs is the time of day by the dialer alone.
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -36,8 +36,9 @@
 	link *dispatch.Link
 	// up tells that engines are hosted there.
 	up bool
-	// beatMs is when the last beat was sent.
-	beatMs clock.Millis
+	// beatMs is when the last beat was sent, and openMs when the first one since
+	// the host was heard.
+	beatMs, openMs clock.Millis
 }
 
 // board keeps the gateway's places at the hosts of all engines. An engine's
@@ -157,13 +158,37 @@
 	}
 	idle := turns.IdleBeat(len(b.peers))
 	for _, p := range b.peers {
-		if p.link != nil && (active[p] || !p.up || now-p.beatMs >= idle) {
+		if p.link == nil {
+			continue
+		}
+		if p.up && p.unanswered(now) > turns.AnswerWithin(len(b.peers)) {
+			b.lost(p, now)
+		}
+		if active[p] || !p.up || now-p.beatMs >= idle {
 			b.beatLocked(p, now)
 		}
 	}
 }
 
+// unanswered returns how long a beat has been without an answer.
+func (p *peer) unanswered(now clock.Millis) clock.Millis {
+	if p.link.Heard() >= p.openMs {
+		return 0
+	}
+	return now - p.openMs
+}
+
+// lost takes the engines away from a host that is silent; its connection stays,
+// since it may wake.
+func (b *board) lost(p *peer, now clock.Millis) {
+	b.g.log.WithFields(logrus.Fields{"event": "peerSilent", "peer": p.name, "silentMs": int64(now - p.link.Heard())}).Info()
+	b.setUp(p, false)
+}
+
 func (b *board) beatLocked(p *peer, now clock.Millis) {
+	if p.link.Heard() >= p.openMs {
+		p.openMs = now
+	}
 	p.beatMs = now
 	p.link.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
 }
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -126,9 +126,8 @@
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
 	}
 	j.caller.Head(s.ans.Status, h)
-	more := err == nil && len(data) == wholeBytes
 	err = j.caller.Write(data, true)
-	if err == nil && more {
+	if err == nil && len(data) == wholeBytes {
 		err = j.caller.Copy(s.ans.Body, func() {})
 	}
 	o := place.OutcomeOK
--- a/internal/role/gateway/turn.go
+++ b/internal/role/gateway/turn.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -140,7 +138,6 @@
 	if p == nil || p.link == nil || t.granted || now-t.askedMs <= queueSilent || now-p.link.Heard() <= queueSilent {
 		return false
 	}
-	b.g.log.WithFields(logrus.Fields{"event": "peerSilent", "peer": p.name, "silentMs": int64(now - p.link.Heard())}).Info()
-	b.setUp(p, false)
+	b.lost(p, now)
 	return true
 }
