One way to serve, to accept and to redial; dead parts of backend/direct are gone

Cause: reading the change again. The gateway wrote anew what entry, sidecar, admin and solo each had: serving on a listener until a context ends (seven copies), accepting links (two), redialling a peer with a growing pause (two). backend/direct had a field, an option and a method that nobody used. The copy of counts each 0.4 s cloned all windows and the copies of others, to drop them.

Change: supervise.Serve, supervise.Accept, dispatch.Redial; the dead parts are removed; the copy takes its two windows. No behaviour, bound or test changes.

Ruled out: one list of hop-by-hop headers for sidecar and exchange: the sidecar passes Content-Length on, so the logic differs.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -54,7 +54,6 @@
 	// sinceMs is when the connection became idle.
 	sinceMs clock.Millis
 	idleMs  clock.Millis
-	reused  bool
 	// tainted is set once an answer to another request arrived.
 	tainted bool
 }
@@ -138,14 +137,13 @@
 
 // get returns an idle connection that is alive, or a new one. The most lately
 // used one goes first, so that the others can end.
-func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
-	for !fresh {
+func (p *Pool) get(ctx context.Context) (*conn, error) {
+	for {
 		c := p.pop()
 		if c == nil {
 			break
 		}
 		if p.clock.Now()-c.sinceMs < c.idleMs && c.alive() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -27,8 +26,6 @@
 	Body   []byte
 	// Mine reports whether an answer with these headers belongs to the request.
 	Mine func(status int, h http.Header) bool
-	// Fresh asks for a connection that no request used before.
-	Fresh bool
 }
 
 // Answer is a backend server's answer. Its body must be closed.
@@ -40,15 +37,13 @@
 	Length int64
 	// Framed tells that the end of the body can be told from a cut.
 	Framed bool
-	// Reused tells that the connection served a request before.
-	Reused bool
 }
 
 // Do sends r once. The error is a *NotSentError when no byte of it reached the
 // server; after any other error it may have run. Ending ctx closes the
 // connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, r Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Fresh)
+	c, err := p.get(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +77,7 @@
 	b := &body{ReadCloser: res.Body, c: c, pool: p, stop: stop, written: &written, keep: !res.Close && framed(res)}
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Body: b, Length: res.ContentLength,
-		Framed: framed(res), Reused: c.reused,
+		Framed: framed(res),
 	}, nil
 }
 
@@ -184,11 +179,3 @@
 	}
 	return b.c.Close()
 }
-
-// SetReadDeadline bounds the next reads of the answer's body.
-func (a *Answer) SetReadDeadline(t time.Time) error {
-	if b, ok := a.Body.(*body); ok {
-		return b.c.SetReadDeadline(t)
-	}
-	return nil
-}
--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -22,6 +22,7 @@
 	"github.com/damaskport/damaskport/internal/policy/batch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/ring"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
 const (
@@ -113,18 +114,7 @@
 
 // Accept takes connections from ln until ctx ends.
 func (h *Host) Accept(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		conn, err := ln.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		h.Serve(ctx, conn)
-	}
+	return supervise.Accept(ctx, ln, func(conn net.Conn) { h.Serve(ctx, conn) })
 }
 
 // Serve takes one connection in, until it or ctx ends.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -129,7 +129,7 @@
 	defer stopDrain()
 	e.log.WithFields(logrus.Fields{"event": "start", "role": "entry", "url": e.URL()}).Info("entry started")
 	duties := append([]supervise.Duty{
-		{Name: "callers", Run: func(ctx context.Context) error { return e.serveCallers(ctx, srv) }},
+		{Name: "callers", Run: func(ctx context.Context) error { return supervise.Serve(ctx, srv, e.callerLn) }},
 		{Name: "peers", Run: e.peers.Run},
 		{Name: "config", Run: e.watchConfig},
 	}, e.duties...)
@@ -161,17 +161,6 @@
 	})
 }
 
-func (e *Entry) serveCallers(ctx context.Context, srv *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	err := srv.Serve(e.callerLn)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 // drain finishes the requests in flight. It still takes requests for a short
 // while, each as the last one on its connection, since callers and balancers
 // may have sent some before they saw that the entry is not ready.
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -50,21 +50,12 @@
 
 // run keeps a connection to the sidecar until ctx ends.
 func (p *peer) run(ctx context.Context) error {
-	backoff := firstRedial
-	for ctx.Err() == nil {
-		start := p.e.clock.Now()
-		err := p.session(ctx)
+	dispatch.Redial(ctx, p.e.clock, firstRedial, lastRedial, p.session, func(err error, pause clock.Millis) {
 		p.down()
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() == nil {
+			p.e.log.WithFields(logrus.Fields{"event": "peerDown", "peer": p.instance.Name, "redialMs": int64(pause)}).Info(err)
 		}
-		if p.e.clock.Now()-start > lastRedial {
-			backoff = firstRedial
-		}
-		p.e.log.WithFields(logrus.Fields{"event": "peerDown", "peer": p.instance.Name, "redialMs": int64(backoff)}).Info(err)
-		_ = p.e.clock.Sleep(ctx, backoff)
-		backoff = min(2*backoff, lastRedial)
-	}
+	})
 	return nil
 }
 
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -92,20 +92,9 @@
 
 // keep keeps a connection to a peer until ctx ends.
 func (b *board) keep(ctx context.Context, p *peer) {
-	backoff := firstRedial
-	for ctx.Err() == nil {
-		start := b.g.clock.Now()
-		err := b.session(ctx, p)
-		b.down(p, err)
-		if ctx.Err() != nil {
-			return
-		}
-		if b.g.clock.Now()-start > lastRedial {
-			backoff = firstRedial
-		}
-		_ = b.g.clock.Sleep(ctx, backoff)
-		backoff = min(2*backoff, lastRedial)
-	}
+	dispatch.Redial(ctx, b.g.clock, firstRedial, lastRedial,
+		func(ctx context.Context) error { return b.session(ctx, p) },
+		func(err error, _ clock.Millis) { b.down(p, err) })
 }
 
 func (b *board) dial(ctx context.Context, p *peer) (net.Conn, error) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -182,9 +182,11 @@
 		supervise.Duty{Name: "member", Run: g.keepMember},
 		supervise.Duty{Name: "peers", Run: g.followPeers},
 		supervise.Duty{Name: "beats", Run: g.board.beats},
-		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, g.readyLn, g.readyHandler()) }},
-		supervise.Duty{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, g.metricsLn, g.metrics.root.Handler) }},
-		supervise.Duty{Name: "callers", Run: func(ctx context.Context) error { return g.serveCallers(ctx, srv) }},
+		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return supervise.Serve(ctx, operators(g.readyHandler()), g.readyLn) }},
+		supervise.Duty{Name: "metrics", Run: func(ctx context.Context) error {
+			return supervise.Serve(ctx, operators(g.metrics.root.Handler), g.metricsLn)
+		}},
+		supervise.Duty{Name: "callers", Run: func(ctx context.Context) error { return supervise.Serve(ctx, srv, g.callerLn) }},
 	)
 	_ = g.metrics.root.Close()
 	g.log.WithFields(logrus.Fields{"event": "stop", "role": "gateway"}).Info("gateway stopped")
@@ -207,26 +209,9 @@
 	return float64(g.open.Load()) > callerFiles*g.Settings().MaxFiles
 }
 
-func (g *Gateway) serveCallers(ctx context.Context, srv *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	err := srv.Serve(g.callerLn)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
-// serve answers on a listener of the operators' until ctx ends.
-func serve(ctx context.Context, ln net.Listener, h http.Handler) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+// operators returns a server for the operators.
+func operators(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 }
 
 // gauge updates the metrics that tell a state.
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -83,23 +83,29 @@
 func (c *counts) snapshot(last int64) published {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	p := c.since(last-c.kept+1, last)
+	p.Copies = maps.Clone(c.copies)
+	return p
+}
+
+// since returns the counts of the windows from first on, of which last is the
+// last complete one. The caller holds mu.
+func (c *counts) since(first, last int64) published {
 	p := published{Window: last, Windows: map[int64]map[string]int64{}}
 	for w, m := range c.all {
-		if w > last-c.kept {
+		if w >= first {
 			p.Windows[w] = maps.Clone(m)
 		}
 	}
-	p.Copies = maps.Clone(c.copies)
 	return p
 }
 
 // recent returns the counts of the last complete window and the present one;
 // those before are published by then.
 func (c *counts) recent(last int64) published {
-	p := c.snapshot(last)
-	p.Copies = nil
-	maps.DeleteFunc(p.Windows, func(w int64, _ map[string]int64) bool { return w < last })
-	return p
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since(last, last)
 }
 
 // keep keeps a copy of another process's counts, beside the earlier windows
--- a/internal/role/process/admin.go
+++ b/internal/role/process/admin.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
 const adminHeaderTimeout = 5 * time.Second
@@ -33,11 +33,5 @@
 
 // Run serves until ctx ends.
 func (a *AdminServer) Run(ctx context.Context) error {
-	srv := &http.Server{Handler: a.mux, ReadHeaderTimeout: adminHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return supervise.Serve(ctx, &http.Server{Handler: a.mux, ReadHeaderTimeout: adminHeaderTimeout}, a.ln)
 }
--- a/internal/role/sidecar/admin.go
+++ b/internal/role/sidecar/admin.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/pkg/errors"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
 // serveAdmin serves the operators' address: /healthz, /readyz and /metrics.
@@ -23,13 +23,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.Handle("GET /metrics", s.metrics.Handler)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(s.adminLn); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return supervise.Serve(ctx, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, s.adminLn)
 }
 
 // AdminURL returns the base URL of the operators' address, or "" without one.
--- a/internal/role/sidecar/control.go
+++ b/internal/role/sidecar/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
 // silentAfter is the silence after which a control connection is closed.
@@ -24,19 +25,11 @@
 
 // serve accepts connections until ctx ends.
 func (c *control) serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		conn, err := ln.Accept()
-		if ctx.Err() != nil {
-			c.closeAll()
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		go c.keep(ctx, dispatch.NewLink(conn, c.s.clock, c.handle))
+	err := supervise.Accept(ctx, ln, func(conn net.Conn) { go c.keep(ctx, dispatch.NewLink(conn, c.s.clock, c.handle)) })
+	if ctx.Err() != nil {
+		c.closeAll()
 	}
+	return err
 }
 
 // keep watches one connection until it ends or goes silent.
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -159,7 +159,7 @@
 	duties := append([]supervise.Duty{
 		{Name: "core", Run: s.runCore},
 		{Name: "control", Run: func(ctx context.Context) error { return s.control.serve(ctx, s.controlLn) }},
-		{Name: "data", Run: s.serveData},
+		{Name: "data", Run: func(ctx context.Context) error { return supervise.Serve(ctx, s.data, s.dataLn) }},
 		{Name: "config", Run: s.watchConfig},
 		{Name: "admin", Run: s.serveAdmin},
 	}, s.duties...)
@@ -188,17 +188,6 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func (s *Sidecar) serveData(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.data.Close() })
-	defer stop()
-	err := s.data.Serve(s.dataLn)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 // watchConfig applies withdrawn keys and tells entries the new version.
 func (s *Sidecar) watchConfig(ctx context.Context) error {
 	changed := s.store.Subscribe()
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -18,6 +18,7 @@
 	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
+	"github.com/damaskport/damaskport/internal/runtime/supervise"
 	"github.com/damaskport/damaskport/internal/standin/engine"
 	"github.com/damaskport/damaskport/internal/standin/platform"
 	"github.com/damaskport/damaskport/internal/standin/service"
@@ -143,13 +144,7 @@
 }
 
 func (srv server) serve(ctx context.Context) error {
-	h := &http.Server{Handler: srv.h}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Serve(srv.ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return supervise.Serve(ctx, &http.Server{Handler: srv.h}, srv.ln)
 }
 
 func (s *Solo) listen(h http.Handler) (string, error) {
