Gateways: an entry that cannot keep up takes a part and says so

Cause: machines that turn slow under a burst took every request that came.

Ruled out: the lateness of a timer as measure (the scheduler runs what a timer wakes first); the least delay of four samples (samples that pile up are read together, and the last is always short: noticed after 8 s in one gateway).

Change: policy/admission takes a part of the new requests by the delay of ready work and the use of the link, the urgent first; the rest is refused at once as not run. The gateway is not ready meanwhile, ends connections, and tells the other gateways, which host engines elsewhere. Silence of others is judged with the own delay added.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -54,6 +54,9 @@
 	// store; both must be set
 	// before Run.
 	OnCounts, OnHint func(data json.RawMessage) error
+	// Overloaded reports whether engines had better be hosted elsewhere; it must be
+	// set before Run.
+	Overloaded func() bool
 	// OnBeat takes the time of day that a gateway tells; it must be set before Run.
 	OnBeat func(entry string, wall clock.Millis)
 
@@ -80,8 +83,8 @@
 	told   map[string]told // by engine
 	// open is the number of requests that the gateway has here.
 	open int
-	// asked tells that a beat waits for an answer.
-	asked bool
+	// asked tells that a beat waits for an answer, and overloaded what was told.
+	asked, overloaded bool
 }
 
 // place is where a request is, and whose it is.
@@ -345,16 +348,17 @@
 		_, ok := e.batch.NextTick(now)
 		waiting = waiting || ok
 	}
+	overloaded := h.Overloaded()
 	every := loadEvery + loadPerLink*clock.Millis(len(h.links))
 	for l, c := range h.links {
 		if now-c.toldMs < every {
 			continue
 		}
-		m := turns.Loads{Loads: h.changed(now, c)}
+		m := turns.Loads{Loads: h.changed(now, c), Overloaded: overloaded}
 		queued := waiting && c.open > 0 && now-c.toldMs >= queueBeat
-		if len(m.Loads) > 0 || c.asked || queued {
+		if len(m.Loads) > 0 || c.asked || queued || c.overloaded != overloaded {
 			l.Notify(turns.MethodLoad, m)
-			c.toldMs, c.asked = now, false
+			c.toldMs, c.asked, c.overloaded = now, false, overloaded
 		}
 	}
 	h.closeSilent(now)
--- a/internal/control/turns/host_test.go
+++ b/internal/control/turns/host_test.go
@@ -29,6 +29,7 @@
 	t.Helper()
 	h := control.NewHost(logging.Discard(), clock.System{}, tally.NoopScope)
 	h.OnBeat = func(string, clock.Millis) {}
+	h.Overloaded = func() bool { return false }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -47,8 +47,11 @@
 	ControlAddr string `json:"controlAddr"`
 	MetricsAddr string `json:"metricsAddr"`
 	// MemoryMb and MaxFiles are the limits of the process.
-	MemoryMb float64       `json:"memoryMb"`
-	MaxFiles float64       `json:"maxFiles"`
+	MemoryMb float64 `json:"memoryMb"`
+	MaxFiles float64 `json:"maxFiles"`
+	// LinkMbps is the capacity of the machine's link in Mbit/s; 0 if it is not
+	// known.
+	LinkMbps float64       `json:"linkMbps"`
 	Store    StoreClient   `json:"store"`
 	Duties   GatewayDuties `json:"duties"`
 	Bounds   GatewayBounds `json:"bounds"`
@@ -144,6 +147,7 @@
 	c.positive("logBytesPerS", g.LogBytesPerS)
 	c.positive("memoryMb", g.MemoryMb)
 	c.positive("maxFiles", g.MaxFiles)
+	c.notNegative("linkMbps", g.LinkMbps)
 	c.positive("duties.windowS", g.Duties.WindowS)
 	c.positive("duties.reportWithinS", g.Duties.ReportWithinS)
 	c.positive("duties.leaseMs", g.Duties.LeaseMs)
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -126,6 +126,9 @@
 // Loads tells the load of engines that changed; none shows that the host lives.
 type Loads struct {
 	Loads []Load `json:"loads,omitempty"`
+	// Overloaded tells that the host's processor or link cannot keep up: engines
+	// had better be hosted elsewhere.
+	Overloaded bool `json:"overloaded,omitempty"`
 }
 
 // Load is an engine's load, and the shared parts that it used since the last
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -34,8 +34,9 @@
 	addr string // empty for this gateway
 	stop context.CancelFunc
 	link *dispatch.Link
-	// up tells that engines are hosted there.
-	up bool
+	// up tells that engines are hosted there, and overloaded that it had better
+	// not be.
+	up, overloaded bool
 	// beatMs is when the last beat was sent, and openMs when the first one since
 	// the host was heard.
 	beatMs, openMs clock.Millis
@@ -150,7 +151,7 @@
 		if p.link == nil {
 			continue
 		}
-		if p.up && p.unanswered(now) > turns.AnswerWithin(len(b.peers)) {
+		if p.up && p.unanswered(now) > turns.AnswerWithin(len(b.peers))+b.g.gate.delay() {
 			b.lost(p, now)
 		}
 		if active[p] || !p.up || now-p.beatMs >= idle {
@@ -196,7 +197,7 @@
 	if p.up {
 		b.g.log.WithFields(logrus.Fields{"event": "peerLost", "peer": p.name}).Info(err)
 	}
-	p.link = nil
+	p.link, p.overloaded = nil, false
 	b.setUp(p, false)
 }
 
@@ -238,15 +239,16 @@
 	}
 }
 
-// top returns the host of an engine among the peers that are up, or nil.
+// top returns the host of an engine among the peers that are up, or nil: an
+// overloaded one only if all are.
 func (b *board) top(engine string) *peer {
 	var best *peer
 	var most uint64
 	for _, p := range b.peers {
-		if !p.up {
+		if !p.up || best != nil && p.overloaded && !best.overloaded {
 			continue
 		}
-		if w := weight(engine, p.name); best == nil || w > most {
+		if w := weight(engine, p.name); best == nil || best.overloaded && !p.overloaded || w > most {
 			best, most = p, w
 		}
 	}
@@ -279,7 +281,7 @@
 		if err := json.Unmarshal(params, &m); err != nil {
 			return err
 		}
-		b.heard(p)
+		b.heard(p, m.Overloaded)
 		b.told(p, m.Loads)
 	case dispatch.MethodOffer:
 		var r turns.Ref
@@ -297,13 +299,22 @@
 	return nil
 }
 
-// heard takes a peer back that was silent for a while.
-func (b *board) heard(p *peer) {
+// heard takes a peer back that was silent for a while, and notes whether it is
+// overloaded.
+func (b *board) heard(p *peer, overloaded bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.link != nil {
-		b.setUp(p, true)
+	if p.link == nil {
+		return
 	}
+	if p.overloaded != overloaded {
+		p.overloaded = overloaded
+		b.g.log.WithFields(logrus.Fields{"event": "peerOverloaded", "peer": p.name, "overloaded": overloaded}).Info()
+		if p.up {
+			b.remap()
+		}
+	}
+	b.setUp(p, true)
 }
 
 func (b *board) told(p *peer, loads []turns.Load) {
@@ -359,9 +370,13 @@
 func (b *board) among(subject string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own, above := weight(subject, b.g.name), 0
+	own, above, overloaded := weight(subject, b.g.name), 0, b.g.overloaded()
 	for _, p := range b.peers {
-		if p.up && p.name != b.g.name && weight(subject, p.name) > own {
+		if !p.up || p.name == b.g.name {
+			continue
+		}
+		// Those that keep up come first.
+		if p.overloaded == overloaded && weight(subject, p.name) > own || overloaded && !p.overloaded {
 			above++
 		}
 	}
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -21,6 +21,8 @@
 	switch {
 	case g.draining.Load():
 		return "draining"
+	case g.overloaded():
+		return "overloaded"
 	case g.belief.config() == nil:
 		return "no configuration yet"
 	case !g.belief.listed.Load():
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -82,6 +82,7 @@
 	// gateways is the digest of their names and addresses.
 	gateways atomic.Uint64
 	outage   *outage
+	gate     *gate
 
 	mu sync.Mutex
 	// durations are whole answers, streamed the times from the first event on.
@@ -105,6 +106,7 @@
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.hints = newHints(d.Clock)
 	g.outage = newOutage()
+	g.host.Overloaded = g.overloaded
 	g.host.OnCounts, g.host.OnHint = g.keepCopy, g.hints.take
 	g.host.OnBeat = func(entry string, wall clock.Millis) {
 		if entry != g.name {
@@ -113,6 +115,9 @@
 	}
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
+	if g.gate, err = newGate(cfg.LinkMbps); err != nil {
+		return nil, err
+	}
 	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
 		return nil, errors.Wrap(err, "callerAddr")
 	}
@@ -139,6 +144,7 @@
 func (g *Gateway) Configure(cfg settings.Gateway) {
 	g.cfg.Store(&cfg)
 	g.belief.setBound(bound(cfg))
+	g.gate.setLink(cfg.LinkMbps)
 }
 
 // Settings returns the settings in force.
@@ -177,6 +183,8 @@
 		supervise.Duty{Name: "copies", Run: g.copyUsage},
 		supervise.Duty{Name: "duties", Run: g.keepDuties},
 		supervise.Duty{Name: "sweep", Run: g.sweep},
+		supervise.Duty{Name: "probe", Run: g.probe},
+		supervise.Duty{Name: "measure", Run: g.measure},
 		supervise.Duty{Name: "host", Run: g.host.Run},
 		supervise.Duty{Name: "accept", Run: func(ctx context.Context) error { return g.host.Accept(ctx, g.controlLn) }},
 		supervise.Duty{Name: "member", Run: g.keepMember},
@@ -209,6 +217,10 @@
 	return float64(g.open.Load()) > callerFiles*g.Settings().MaxFiles
 }
 
+// overloaded reports whether this gateway's processor or link cannot keep up, so
+// that callers and the other gateways had better turn elsewhere.
+func (g *Gateway) overloaded() bool { return g.gate.away.Load() }
+
 // operators returns a server for the operators.
 func operators(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -20,9 +20,9 @@
 	unknownWait = 500 * clock.Millisecond
 	// busyWait is the Retry-After when no server could take a request.
 	busyWait = 700 * clock.Millisecond
-	// drainWait is the Retry-After of an entry that is about to end: the caller
-	// reaches another one at once.
-	drainWait = 50 * clock.Millisecond
+	// elsewhereWait is the Retry-After of an entry that is about to end or cannot
+	// keep up: the caller reaches another one at once.
+	elsewhereWait = 50 * clock.Millisecond
 	// staleConfig is the age of the configuration from which a route or a key
 	// that it lacks may exist all the same: changes are in force within 2 s.
 	staleConfig = 2 * clock.Second
@@ -62,7 +62,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() || g.crowded() {
+	if g.draining.Load() || g.crowded() || g.overloaded() {
 		w.Header().Set("Connection", "close")
 	}
 	j, no := g.admit(w, r)
@@ -118,7 +118,10 @@
 		j.timeoutMs = min(j.timeoutMs, now+t)
 	}
 	if g.leaves(j, now) {
-		return j, notRun(http.StatusServiceUnavailable, "ending", drainWait)
+		return j, notRun(http.StatusServiceUnavailable, "ending", elsewhereWait)
+	}
+	if !g.gate.takes(j.priority) {
+		return j, notRun(http.StatusServiceUnavailable, "entryOverloaded", elsewhereWait)
 	}
 	body, no := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: cfg.MaxBodyBytes})
 	if no != nil {
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -23,11 +23,12 @@
 	root   *metrics.Root
 	dials  tally.Counter
 	holder tally.Gauge
+	delay  tally.Histogram
 }
 
 func newMetrics() *gatewayMetrics {
 	root := metrics.New()
-	return &gatewayMetrics{root: root, dials: root.Counter("server_dials"), holder: root.Gauge("duty_held")}
+	return &gatewayMetrics{root: root, dials: root.Counter("server_dials"), holder: root.Gauge("duty_held"), delay: root.Histogram("processor_delay", latencyBuckets)}
 }
 
 func (m *gatewayMetrics) dialed() { m.dials.Inc(1) }
@@ -56,6 +57,9 @@
 	m.route(j).Tagged(map[string]string{"status": strconv.Itoa(no.Status), "reason": no.Code}).Counter("refusals").Inc(1)
 }
 
+// delayed notes how long ready work waited for the processor.
+func (m *gatewayMetrics) delayed(d clock.Millis) { m.delay.RecordDuration(d.Duration()) }
+
 // turn counts a wait for a start at an engine.
 func (m *gatewayMetrics) turn(j *job, waited clock.Millis) {
 	m.route(j).Histogram("turn_wait", latencyBuckets).RecordDuration(waited.Duration())
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -61,7 +61,7 @@
 		// The time went into waiting for a turn.
 		turn.cancel()
 		j.pool.with(func(b *place.Book) { b.Ended(now, to.Choice, j.ask, place.OutcomeLeft, false, 0) })
-		return nil, notRun(http.StatusServiceUnavailable, "ending", drainWait)
+		return nil, notRun(http.StatusServiceUnavailable, "ending", elsewhereWait)
 	}
 	now = g.clock.Now()
 	s := &send{choice: to.Choice, turn: turn, sentMs: now}
@@ -88,6 +88,7 @@
 		return s, nil
 	}
 	j.sends++
+	g.gate.carry(len(j.body))
 	s.ans, s.reply = ans, g.codec.Reply(ans.Status, ans.Header)
 	if s.reply.HasLoad {
 		j.pool.with(func(b *place.Book) { b.Load(g.clock.Now(), to.ID, s.reply.Running, s.reply.Waiting) })
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -128,6 +128,7 @@
 		g.metrics.firstEvent(x.j, now-x.j.arrivedMs)
 	}
 	x.begin(s)
+	g.gate.carry(len(event))
 	if err := x.j.caller.Write(event, more); err != nil {
 		return err
 	}
--- a/internal/role/gateway/turn.go
+++ b/internal/role/gateway/turn.go
@@ -135,7 +135,9 @@
 	defer b.mu.Unlock()
 	p := t.peer
 	now := b.g.clock.Now()
-	if p == nil || p.link == nil || t.granted || now-t.askedMs <= queueSilent || now-p.link.Heard() <= queueSilent {
+	// What arrives is read late by as much as anything that is ready waits.
+	silent := queueSilent + b.g.gate.delay()
+	if p == nil || p.link == nil || t.granted || now-t.askedMs <= silent || now-p.link.Heard() <= silent {
 		return false
 	}
 	b.lost(p, now)
