--- a/internal/proof/answers/answers_test.go
+++ b/internal/proof/answers/answers_test.go
@@ -62,6 +62,9 @@
 	{name: "freezeSidecar", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Freeze() }, mend: func(s *cluster.Sidecar) { s.Thaw() }},
 	{name: "cutControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Cut() }, mend: nothing},
 	{name: "silentControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Blackhole() }, mend: nothing},
+	{name: "cutData", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.Cut() }, mend: func(s *cluster.Sidecar) { s.DataRelay.Restore() }},
+	{name: "silentData", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.Silence() }, mend: nothing},
+	{name: "dataOneWay", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.OneWay(cluster.FromTarget) }, mend: func(s *cluster.Sidecar) { s.DataRelay.Restore() }},
 	{name: "logDown", inject: func(c *cluster.Cluster, _ *cluster.Sidecar) {
 		c.SetFault(c.Platform, fault.Fault{Path: "/v1/", Kind: fault.KindFail, Status: http.StatusServiceUnavailable})
 	}, mend: nothing},
@@ -71,7 +74,7 @@
 func start(t *testing.T) *cluster.Cluster {
 	t.Helper()
 	return cluster.Start(t, cluster.Options{
-		Entries: 1, Engines: 2,
+		Entries: 1, Engines: 2, RelayData: true,
 		EngineArgs: []string{"--token-ms", "10", "--prefill-ms-per-ktoken", "0"},
 		Edit: func(f *settings.File) {
 			if f.Sidecar != nil {
@@ -140,6 +143,9 @@
 	})
 	f.mend(struck)
 	<-done
+	if struck.DataRelay.Carried() == 0 {
+		t.Error("no request went through the relay of data connections")
+	}
 	for i, r := range replies {
 		check(t, nonce(i), r, stream, f.mayFail)
 	}
--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -58,6 +58,8 @@
 	PlatformArgs []string
 	EngineArgs   []string
 	ServiceArgs  []string
+	// RelayData puts relays between entries and the sidecars' data addresses.
+	RelayData bool
 	// Edit changes the settings of each process, if set.
 	Edit func(f *settings.File)
 	// Instances returns the list of instances that an entry sees; nil is all.
@@ -101,7 +103,9 @@
 	// ControlRelay the entries' control connections and PlatformRelay the
 	// sidecar's connections to the platform.
 	ServerRelay, ControlRelay, PlatformRelay *Relay
-	instance                                 platform.Instance
+	// DataRelay carries the entries' data connections; nil without RelayData.
+	DataRelay *Relay
+	instance  platform.Instance
 }
 
 // Start runs a cluster and waits until every entry serves requests.
@@ -187,13 +191,25 @@
 // AddSidecar starts a sidecar with its backend server and lists it.
 func (c *Cluster) AddSidecar(name, pool string) *Sidecar {
 	c.t.Helper()
-	s := &Sidecar{Name: name, Pool: pool}
 	if pool == servicePool {
-		s.Server = c.standin(name+"-server", append([]string{"service", "--name", name}, c.opts.ServiceArgs...))
-	} else {
-		args := []string{"engine", "--name", name, "--model", Model, "--slots", fmt.Sprint(c.opts.Slots)}
-		s.Server = c.standin(name+"-server", append(args, c.opts.EngineArgs...))
+		return c.beside(c.standin(name+"-server", append([]string{"service", "--name", name}, c.opts.ServiceArgs...)), name, pool)
 	}
+	args := []string{"engine", "--name", name, "--model", Model, "--slots", fmt.Sprint(c.opts.Slots)}
+	return c.beside(c.standin(name+"-server", append(args, c.opts.EngineArgs...)), name, pool)
+}
+
+// Replace starts another sidecar beside the server of s and lists it in the
+// place of s, whose process is left as it is.
+func (c *Cluster) Replace(s *Sidecar, name string) *Sidecar {
+	c.t.Helper()
+	c.send(http.MethodDelete, c.Platform.URL+"/admin/instances/"+s.Name, nil)
+	return c.beside(s.Server, name, s.Pool)
+}
+
+// beside starts a sidecar of a server and lists it.
+func (c *Cluster) beside(server *Standin, name, pool string) *Sidecar {
+	c.t.Helper()
+	s := &Sidecar{Name: name, Pool: pool, Server: server}
 	s.ServerRelay = NewRelay(c.t, hostPort(s.Server.URL))
 	s.PlatformRelay = NewRelay(c.t, hostPort(c.Platform.URL))
 	file := defaults(settings.RoleSidecar, name, s.PlatformRelay)
@@ -201,12 +217,28 @@
 	file.Sidecar.Pool, file.Sidecar.ServerURL, file.Sidecar.Slots = pool, s.ServerRelay.URL(), c.opts.Slots
 	s.Proc = c.damaskport(file)
 	s.ControlRelay = NewRelay(c.t, s.value("controlAddr"))
+	if c.opts.RelayData {
+		s.relayData(c.t)
+	}
 	s.instance = platform.Instance{Name: name, Role: "backend", Pool: pool, Zone: "a", Address: s.ControlRelay.Addr()}
 	c.Sidecars = append(c.Sidecars, s)
 	c.List(s, platform.StateLive)
 	return s
 }
 
+// relayData has entries be told the address of a relay for the data address.
+func (s *Sidecar) relayData(t testing.TB) {
+	s.DataRelay = NewRelay(t, "")
+	told := regexp.MustCompile(`"dataUrl":"http://[0-9.:]+"`)
+	s.ControlRelay.rewrite = func(p []byte) []byte {
+		return told.ReplaceAllFunc(p, func(m []byte) []byte {
+			addr := hostPort(strings.Trim(strings.TrimPrefix(string(m), `"dataUrl":`), `"`))
+			s.DataRelay.retarget(addr)
+			return []byte(`"dataUrl":"` + s.DataRelay.URL() + `"`)
+		})
+	}
+}
+
 // AddEntry starts an entry and lists it.
 func (c *Cluster) AddEntry(name string) *Entry {
 	c.t.Helper()
@@ -311,10 +343,12 @@
 func (c *Cluster) Executions() []service.Execution {
 	c.t.Helper()
 	var all []service.Execution
+	seen := map[*Standin]bool{} // two sidecars may be beside one service
 	for _, s := range c.Sidecars {
-		if s.Pool != servicePool {
+		if s.Pool != servicePool || seen[s.Server] {
 			continue
 		}
+		seen[s.Server] = true
 		var report service.Report
 		c.Get(s.Server.URL+"/admin/executions", &report)
 		all = append(all, report.Executions...)
--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -36,7 +36,8 @@
 	binaries.dir = dir
 	binaries.damaskport = filepath.Join(dir, "damaskport")
 	binaries.standin = filepath.Join(dir, "damaskport-standin")
-	args := []string{"build"}
+	// The time of day of programs under test can be put wrong.
+	args := []string{"build", "-tags", "clockskew"}
 	if raceEnabled {
 		args = append(args, "-race")
 	}
@@ -110,11 +111,14 @@
 }
 
 // StartLogged starts the program damaskport, whose log is its standard output.
-func StartLogged(t testing.TB, name string, args ...string) *Proc {
+// Its time of day is off by the milliseconds in the file skewPath, if there is
+// one.
+func StartLogged(t testing.TB, name, skewPath string, args ...string) *Proc {
 	t.Helper()
 	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	prepare(p.cmd)
+	p.cmd.Env = append(p.cmd.Env, "DAMASKPORT_CLOCK_SKEW="+skewPath)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -5,22 +5,40 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Relay passes TCP connections on to a target until it is told to fail.
 type Relay struct {
-	target string
-	ln     net.Listener
+	ln net.Listener
+	// rewrite changes what comes from the target, if set.
+	rewrite func(p []byte) []byte
 
-	mu    sync.Mutex
-	conns map[*relayed]bool
-	down  bool
-	hold  bool
+	mu     sync.Mutex
+	target string
+	conns  map[*relayed]bool
+	down   bool
+	// hold are the silent directions of new connections.
+	hold  [2]bool
+	delay atomic.Int64 // time.Duration
+	// carried counts the connections that reached the target.
+	carried atomic.Int64
 }
 
+// Direction is one of the two in which a connection carries data.
+type Direction int
+
+// Directions of a connection.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
 type relayed struct {
 	in, out net.Conn
-	silent  atomic.Bool
+	silent  [2]atomic.Bool // by Direction
+	delay   *atomic.Int64
+	rewrite func(p []byte) []byte
 }
 
 // NewRelay listens on loopback and passes connections on to target, host:port.
@@ -42,9 +60,19 @@
 // Addr returns the address to dial, host:port.
 func (r *Relay) Addr() string { return r.ln.Addr().String() }
 
+// Carried returns the number of connections that reached the target so far.
+func (r *Relay) Carried() int64 { return r.carried.Load() }
+
 // URL returns the base URL to dial.
 func (r *Relay) URL() string { return "http://" + r.Addr() }
 
+// retarget has new connections go to another target.
+func (r *Relay) retarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // Cut closes all connections and refuses new ones until Restore.
 func (r *Relay) Cut() {
 	r.mu.Lock()
@@ -61,23 +89,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		c.silent.Store(true)
+		c.silent[ToTarget].Store(true)
+		c.silent[FromTarget].Store(true)
 	}
 }
 
+// OneWay drops all that existing and new connections carry in one direction,
+// without closing them, until Restore.
+func (r *Relay) OneWay(d Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hold[d] = true
+	for c := range r.conns {
+		c.silent[d].Store(true)
+	}
+}
+
+// Delay holds back all that connections carry by d until Restore.
+func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Blackhole silences existing and new connections until Restore.
 func (r *Relay) Blackhole() {
 	r.Silence()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hold = true
+	r.hold = [2]bool{true, true}
 }
 
 // Restore lets new connections through again.
 func (r *Relay) Restore() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.down, r.hold = false, false
+	r.down, r.hold = false, [2]bool{}
+	r.delay.Store(0)
 }
 
 func (r *Relay) accept() {
@@ -93,23 +137,25 @@
 func (r *Relay) serve(in net.Conn) {
 	defer in.Close()
 	r.mu.Lock()
-	down, hold := r.down, r.hold
+	down, hold, target := r.down, r.hold, r.target
 	r.mu.Unlock()
 	if down {
 		return
 	}
-	out, err := net.Dial("tcp", r.target)
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		return
 	}
-	c := &relayed{in: in, out: out}
-	c.silent.Store(hold)
+	r.carried.Add(1)
+	c := &relayed{in: in, out: out, delay: &r.delay, rewrite: r.rewrite}
+	c.silent[ToTarget].Store(hold[ToTarget])
+	c.silent[FromTarget].Store(hold[FromTarget])
 	r.mu.Lock()
 	r.conns[c] = true
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { c.pass(in, out) })
-	wg.Go(func() { c.pass(out, in) })
+	wg.Go(func() { c.pass(in, out, ToTarget) })
+	wg.Go(func() { c.pass(out, in, FromTarget) })
 	wg.Wait()
 	c.close()
 	r.mu.Lock()
@@ -124,13 +170,20 @@
 
 // pass copies from one end to the other. The end of a silent connection is
 // not passed on.
-func (c *relayed) pass(from, to net.Conn) {
+func (c *relayed) pass(from, to net.Conn, d Direction) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		silent := c.silent.Load()
+		if wait := time.Duration(c.delay.Load()); wait > 0 {
+			time.Sleep(wait)
+		}
+		silent := c.silent[d].Load()
 		if n > 0 && !silent {
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			data := buf[:n]
+			if d == FromTarget && c.rewrite != nil {
+				data = c.rewrite(data)
+			}
+			if _, werr := to.Write(data); werr != nil {
 				err = werr
 			}
 		}
--- a/internal/proof/duties/duties_test.go
+++ b/internal/proof/duties/duties_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/proof/cluster"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/standin/fault"
 	"github.com/damaskport/damaskport/internal/standin/platform"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -119,6 +121,64 @@
 	}
 }
 
+// TestLateCallsOfAFormerHolder holds a holder's call between its last check of
+// the lease and its effect, until another entry has taken the duty and made the
+// call too. The platform carries out what arrives, whatever its term.
+func TestLateCallsOfAFormerHolder(t *testing.T) {
+	for call, lease := range map[string]string{"/v1/capacity/orders": "capacity", "/v1/usage": "usage"} {
+		t.Run(strings.ReplaceAll(call[1:], "/", "."), func(t *testing.T) {
+			c := start(t)
+			held := fault.Fault{Path: call, Method: http.MethodPost, Kind: fault.KindFreeze, Count: 1}
+			c.SetFault(c.Platform, held)
+			for i := range 10 {
+				if r := c.Call(c.Entries[i%3], cluster.ChatRequest(fmt.Sprintf("l%d", i), tokens, true)); r.Status != http.StatusOK {
+					t.Fatalf("request: %v", r)
+				}
+			}
+			const servers = 4
+			if _, err := c.Change(c.Entries[0], directory.Op{SetPool: &directory.Pool{
+				Name: pool, Kind: directory.PoolModel, Model: cluster.Model, Slots: 8, MinServers: servers, MaxServers: servers,
+			}}); err != nil {
+				t.Fatal(err)
+			}
+			c.Until("a call is held", func() bool { return len(c.Faults(c.Platform)) == 0 })
+			frozen := freezeHolder(t, c, lease)
+			want := generated(c)
+			c.Until("another entry does the duty", func() bool {
+				return started(c.State()) >= servers-2 && reported(c.State()) >= want
+			})
+			c.ClearFaults(c.Platform)
+			frozen.Thaw()
+			time.Sleep(3 * leaseMs.Duration())
+			st := c.State()
+			if diff := cmp.Diff(servers-2, started(st)); diff != "" {
+				t.Errorf("servers started: %s\n%+v", diff, st.Orders)
+			}
+			checkReports(t, st.Usage)
+			if diff := cmp.Diff(want, reported(st)); diff != "" {
+				t.Errorf("tokens reported: %s", diff)
+			}
+		})
+	}
+}
+
+// freezeHolder freezes the entry that holds the lease and waits for the answer
+// of a held call.
+func freezeHolder(t *testing.T, c *cluster.Cluster, lease string) *cluster.Entry {
+	t.Helper()
+	var holder *cluster.Entry
+	for _, e := range c.Entries {
+		if strings.Contains(e.Log(), "event=leaseTaken lease="+lease) {
+			holder = e
+		}
+	}
+	if holder == nil {
+		t.Fatalf("no entry took the lease %s", lease)
+	}
+	holder.Freeze()
+	return holder
+}
+
 // TestUsageIsReportedOnce disturbs the reporters while windows end: every
 // repeat of a report has the figures of the first, and all tokens are reported.
 func TestUsageIsReportedOnce(t *testing.T) {
--- a/internal/runtime/clock/clock.go
+++ b/internal/runtime/clock/clock.go
@@ -54,7 +54,7 @@
 
 // Wall returns the time since the Unix epoch.
 func (System) Wall() Millis {
-	return Millis(time.Now().UnixMilli())
+	return Millis(time.Now().UnixMilli()) + skew()
 }
 
 // Sleep waits for d or until ctx ends.
