Order of starts: prompts beside tight streams leave a step free

Cause: chats of both grown sites are late by pauses just above what they bear (on grown Vienna 251 to 274 ms of 250). The logs show a draft of 13,741 tokens, or short prompts in a row, beside them: an event whose every step reads a chunk takes that long, and one free step in it is enough.

Ruled out: the duty (it bounds what is read over time, not in a row), and chats that cross to drafts' engines (late ones are on the lane's engines too).

Change: tight requests say what pause they bear. Beside two of them or more, the host lets prompts be read in a row for 0.85 of it, and tells one that takes longer by itself to go elsewhere after 0.3 s. A row goes on over pauses shorter than a step.

--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -89,8 +89,10 @@
 	Account  string `json:"account,omitempty"`
 	Priority int    `json:"priority,omitempty"`
 	Tight    bool   `json:"tight,omitempty"`
-	Unread   int    `json:"unread"`
-	Tokens   int    `json:"tokens"`
+	// PauseMs is as in batch.Request.
+	PauseMs clock.Millis `json:"pause,omitempty"`
+	Unread  int          `json:"unread"`
+	Tokens  int          `json:"tokens"`
 	// TargetMs, DeadlineMs and NeedMs are as in batch.Request.
 	TargetMs   clock.Millis `json:"target"`
 	DeadlineMs clock.Millis `json:"deadline"`
@@ -105,7 +107,7 @@
 // Request converts r at the time of the message's arrival.
 func (r Reservation) Request(now clock.Millis, entry string) batch.Request {
 	return batch.Request{
-		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, Tight: r.Tight, Unread: r.Unread, Tokens: r.Tokens,
+		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, Tight: r.Tight, PauseMs: r.PauseMs, Unread: r.Unread, Tokens: r.Tokens,
 		TargetMs: now + r.TargetMs, DeadlineMs: now + r.DeadlineMs, NeedMs: r.NeedMs,
 	}
 }
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -39,6 +39,14 @@
 	tightDuty = 0.3
 	// tightPending is the prompt tokens that may be at hand beside them.
 	tightPending = 6000
+	// rowPart is the part of the pause that tight streams bear in which prompts may
+	// be read in a row: an event then has a step without one. stepMs is the time
+	// of a step, after which the next row may begin.
+	rowPart = 0.85
+	stepMs  = 20 * clock.Millisecond
+	// fewTight is the number of tight streams that a prompt may stall which takes
+	// longer by itself: it is worth about as much as they are.
+	fewTight = 1
 	// creditMs of reading may be saved up while nothing is read, so that a few
 	// prompts at once do not wait for the duty.
 	creditMs = 400 * clock.Millisecond
@@ -104,8 +112,10 @@
 	Account string
 	// Priority is 0 for the most urgent.
 	Priority int
-	// Tight requests are of routes whose streams bear short pauses only.
-	Tight bool
+	// Tight requests are of routes whose streams bear short pauses only, of
+	// PauseMs at the most.
+	Tight   bool
+	PauseMs clock.Millis
 	// Unread are the prompt tokens to be read.
 	Unread int
 	// Tokens is the memory that the request needs for itself.
@@ -169,6 +179,9 @@
 	pending int // tokens of granted prompts that are not read yet
 	memory  int
 	tight   int
+	// pauseMs is the pause that the tight streams bear. Prompts are read in a row
+	// since rowMs, or were until idleMs.
+	pauseMs, rowMs, idleMs clock.Millis
 	// lowest is the least urgent priority that asked so far.
 	lowest  int
 	spent   map[string]float64
@@ -241,7 +254,7 @@
 		return
 	}
 	r.begun = true
-	s.pending -= r.Unread
+	s.read(now, r.Unread)
 	s.alive(now, r.Entry)
 	if took := now - r.grantedMs; r.alone && r.Unread >= observedTokens && took > 0 {
 		seen := min(max(float64(r.Unread)/float64(took), leastSpeed), mostSpeed)
@@ -258,7 +271,7 @@
 	}
 	delete(s.running, id)
 	if !r.begun {
-		s.pending -= r.Unread
+		s.read(now, r.Unread)
 	}
 	s.memory -= r.Tokens
 	if r.Tight {
@@ -267,6 +280,13 @@
 	s.dispatch(now)
 }
 
+// read notes that so many tokens are no longer to be read.
+func (s *Scheduler) read(now clock.Millis, tokens int) {
+	if s.pending -= tokens; s.pending <= 0 {
+		s.idleMs = now
+	}
+}
+
 // Unreached tells that an entry could not reach the engine: those that wait are
 // refused, so that they go elsewhere instead of finding out one by one. If the
 // engine serves others meanwhile, that entry's only.
@@ -321,7 +341,7 @@
 	if now-s.checkedMs >= checkEvery {
 		s.checkedMs = now
 		for _, w := range slices.Clone(s.queue) {
-			if !s.feasible(now, w) || s.small(w) && now-w.askedMs > max(smallPatience, (w.DeadlineMs-w.askedMs)/smallPart) {
+			if !s.feasible(now, w) || s.misplaced(now, w) {
 				s.queue = slices.DeleteFunc(s.queue, func(o *waiting) bool { return o == w })
 				s.refuse(now, w)
 			}
@@ -467,6 +487,40 @@
 	}
 }
 
+// misplaced reports whether w has waited for long enough where another engine
+// may have room, or may read it without stalling tight streams.
+func (s *Scheduler) misplaced(now clock.Millis, w *waiting) bool {
+	waited := now - w.askedMs
+	return s.small(w) && waited > max(smallPatience, (w.DeadlineMs-w.askedMs)/smallPart) || s.stalls(w) && waited > smallPatience
+}
+
+// row returns how long prompts may be read in a row beside tight streams; ok is
+// false while there are none.
+func (s *Scheduler) row() (ms clock.Millis, ok bool) {
+	return clock.Millis(float64(s.pauseMs) * rowPart), s.tight > 0 && s.pauseMs > 0
+}
+
+// stalls reports whether w alone would stall tight streams.
+func (s *Scheduler) stalls(w *waiting) bool {
+	row, ok := s.row()
+	return ok && !w.Tight && s.tight > fewTight && s.readMs(w.Unread) > row
+}
+
+// leavesGap reports whether tight streams get their events in time if w is read
+// now.
+func (s *Scheduler) leavesGap(now clock.Millis, w *waiting) bool {
+	row, ok := s.row()
+	switch {
+	case !ok || w.Tight:
+		return true
+	case s.stalls(w):
+		return false
+	case s.pending > 0 || now-s.idleMs < stepMs:
+		return now-s.rowMs+s.readMs(s.pending+w.Unread) <= row
+	}
+	return true
+}
+
 // fits reports whether the engine can take w now.
 func (s *Scheduler) fits(now clock.Millis, w *waiting) bool {
 	if now < s.downMs {
@@ -483,6 +537,9 @@
 	if mem := int(float64(s.cfg.MemoryTokens) * part); mem > 0 && len(s.running) > 0 && s.memory+w.Tokens > mem {
 		return false
 	}
+	if !s.leavesGap(now, w) {
+		return false
+	}
 	if s.small(w) || len(s.running) == 0 {
 		return true
 	}
@@ -503,10 +560,14 @@
 			o.alone = false
 		}
 	}
+	if s.pending <= 0 && now-s.idleMs >= stepMs {
+		s.rowMs = now
+	}
 	s.pending += r.Unread
 	s.memory += r.Tokens
 	if r.Tight {
 		s.tight++
+		s.pauseMs = r.PauseMs
 	}
 	s.freeMs = max(s.freeMs, now-creditMs) + clock.Millis(float64(r.Unread)/s.rate())
 	s.spend(now, r.Account, float64(r.Unread+r.Tokens))
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -110,7 +110,7 @@
 	need := g.streamed.Typical(j.route.Name)
 	g.mu.Unlock()
 	r := turns.Reservation{
-		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, Unread: to.Unread,
+		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, PauseMs: j.route.PauseMs, Unread: to.Unread,
 		Tokens: to.Unread + j.expectedTokens(), TargetMs: j.arrivedMs + j.route.TargetMs - now,
 		DeadlineMs: j.timeoutMs - now, NeedMs: need,
 	}
