Gateways: one duty asks for all while the store is away

Change: while the duty that follows the configuration has no answer, the others pause for 3.6 s or until its first answer, which wakes them; it then reads without waiting for a change.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -75,7 +75,7 @@
 			}
 			h.failures++
 			h.loaded = false
-			g.outagePause(ctx, h.failures)
+			g.outagePause(ctx, h.failures, false)
 			continue
 		}
 		h.failures = 0
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -61,8 +61,14 @@
 		}
 		f.lost = true
 		f.failures++
+		if f.topic == TopicConfig {
+			f.g.outage.probed.Store(true)
+		}
 		return snap, whole, err
 	}
+	if f.topic == TopicConfig {
+		f.g.outage.probed.Store(false)
+	}
 	f.g.outage.over()
 	if f.lost {
 		f.g.log.WithFields(logrus.Fields{"event": "storeBack", "topic": f.topic.String()}).Info()
@@ -73,7 +79,9 @@
 }
 
 // pause waits after a failed read.
-func (f *follower) pause(ctx context.Context) { f.g.outagePause(ctx, f.failures) }
+func (f *follower) pause(ctx context.Context) {
+	f.g.outagePause(ctx, f.failures, f.topic == TopicConfig)
+}
 
 // listEvery is the time between two reads of the servers' entries.
 func (g *Gateway) listEvery() clock.Millis {
@@ -100,7 +108,12 @@
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 			continue
 		}
-		snap, _, err := f.read(ctx, g.configWait())
+		wait := g.configWait()
+		if f.lost {
+			// The other duties wait for the answer.
+			wait = 0
+		}
+		snap, _, err := f.read(ctx, wait)
 		if err != nil {
 			f.pause(ctx)
 			continue
--- a/internal/role/gateway/outage.go
+++ b/internal/role/gateway/outage.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
@@ -16,10 +17,16 @@
 	// reads tell the others that the store is back.
 	longestPause       = 1800 * clock.Millisecond
 	longestReaderPause = 450 * clock.Millisecond
+	// probedPause is the pause of those for whom another duty asks: they wake with
+	// its first answer, and ask by themselves in case only its topic is away.
+	probedPause = 3600 * clock.Millisecond
 )
 
 // outage wakes all that wait for the store once one call of it succeeds.
 type outage struct {
+	// probed tells that the duty that follows the configuration asks for all.
+	probed atomic.Bool
+
 	mu   sync.Mutex
 	back chan struct{}
 }
@@ -43,13 +50,16 @@
 
 // outagePause waits before a call of the store that failed is made again. It
 // ends early when the store answers another call of this gateway, or a reader
-// tells that it has answered.
-func (g *Gateway) outagePause(ctx context.Context, failures int) {
+// tells that it has answered. probes tells that the caller asks for all duties.
+func (g *Gateway) outagePause(ctx context.Context, failures int, probes bool) {
 	longest := longestPause
 	if g.board.among(subjectReaders, readers) {
 		longest = longestReaderPause
 	}
 	d := min(readBackoff<<min(max(failures-1, 0), 8), longest)
+	if !probes && g.outage.probed.Load() {
+		d, longest = probedPause, probedPause
+	}
 	// Gateways that lost the store together do not come back together.
 	d = d/2 + clock.Millis(rand.Int64N(int64(d)))
 	over := g.outage.isOver()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -52,7 +52,7 @@
 			g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": TopicMembers.String()}).Warn(err)
 		}
 		failures++
-		g.outagePause(ctx, failures)
+		g.outagePause(ctx, failures, false)
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPublish.Duration())
 	defer cancel()
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -218,7 +218,7 @@
 		if try == 0 {
 			g.log.WithField("event", "usageNotPublished").Warn(err)
 		}
-		g.outagePause(ctx, try+1)
+		g.outagePause(ctx, try+1, false)
 		if now := g.usage.window(g.clock.Wall()) - 1; !ended && now > last {
 			last = now
 		}
