Gateways: the configuration is read when a reader tells of a change

Change: a hint carries the version only while the store has confirmed it lately, and the others count on it only then; they read by themselves each 20 s.

Tests: TestConfigurationIsReadByFew; TestReadersThatLoseTheConfigurationSaySo fails if hints always carry the version.

--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -104,7 +104,8 @@
 func (g *Gateway) followConfig(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicConfig}
 	for ctx.Err() == nil {
-		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, configUnchecked, func(h hint) bool { return h.Config > g.configVersion() }) {
+		news := func(h hint) bool { return h.Config > g.configVersion() || g.hints.configAge() > hintAge }
+		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, news) {
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 			continue
 		}
@@ -158,7 +159,7 @@
 	confirmed := g.clock.Now()
 	for ctx.Err() == nil {
 		g.applyTold(list)
-		if g.unchanged(ctx, g.listEvery(), g.clock.Now()-f.readMs, listsUnchecked, func(h hint) bool { return h.Servers > list.asOf }) {
+		if g.unchanged(ctx, g.listEvery(), g.clock.Now()-f.readMs, func(h hint) bool { return h.Servers > list.asOf }) {
 			continue
 		}
 		if now := g.clock.Now(); now-confirmed > confirmEvery || now-f.readMs > renewedAfter {
@@ -215,7 +216,10 @@
 	}
 	if g.board.among(subjectReaders, readers) {
 		h := newHint(before, list.asOf, changes)
-		h.Config, h.Gateways = g.configVersion(), g.gateways.Load()
+		h.Gateways = g.gateways.Load()
+		if g.belief.configAge() < g.configWait()+hintAge/2 {
+			h.Config = g.configVersion()
+		}
 		g.board.hint(h)
 		return
 	}
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -14,10 +14,9 @@
 	readers = 3
 	// hintAge is how long a hint counts: readers send one with each read.
 	hintAge = 1300 * clock.Millisecond
-	// configUnchecked is the most time between two reads of the configuration by
-	// a gateway that is told of changes. Lists are told whole and read less.
-	configUnchecked = 4 * clock.Second
-	listsUnchecked  = 20 * clock.Second
+	// unchecked is the most time between two reads of a topic by a gateway that is
+	// told of changes.
+	unchecked = 20 * clock.Second
 	// maxHintBytes bounds the changes in a hint: of more, each gateway reads them
 	// itself, once instead of from each reader.
 	maxHintBytes = 1500
@@ -27,7 +26,7 @@
 
 // hint tells what a reader of the store knows.
 type hint struct {
-	// Config is the version in force.
+	// Config is the version in force; 0 if the store did not confirm it lately.
 	Config int64 `json:"config"`
 	// Servers is the offset of the last record that changed the list of servers.
 	Servers int64 `json:"servers"`
@@ -59,7 +58,9 @@
 	newest  hint // without changes
 	pending []hint
 	atMs    clock.Millis
-	changed chan struct{}
+	// configMs is when a hint with a configuration came last.
+	configMs clock.Millis
+	changed  chan struct{}
 }
 
 func newHints(c clock.Clock) *hints {
@@ -77,6 +78,9 @@
 	now := h.clock.Now()
 	first := h.atMs == 0 || now-h.atMs >= hintAge
 	h.atMs = now
+	if m.Config > 0 {
+		h.configMs = now
+	}
 	if len(m.Changes) > 0 && len(h.pending) < maxPendingHints {
 		h.pending = append(h.pending, m)
 	}
@@ -99,6 +103,13 @@
 	return h.newest, h.changed, h.atMs != 0 && h.clock.Now()-h.atMs < hintAge
 }
 
+// configAge returns how long ago a reader told the configuration in force.
+func (h *hints) configAge() clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Now() - h.configMs
+}
+
 // serverChanges takes the changes that go on from a list as of an offset, and
 // returns the offset that the list is at with them.
 func (h *hints) serverChanges(asOf int64) ([]Record, int64) {
@@ -117,10 +128,10 @@
 
 // unchanged waits while readers tell that there is nothing new, for d at most,
 // and reports whether that is so. A gateway that is a reader itself, is told
-// nothing, or did not read for longer than most, must read the store.
-func (g *Gateway) unchanged(ctx context.Context, d, sinceRead, most clock.Millis, news func(h hint) bool) bool {
+// nothing, or did not read for long, must read the store.
+func (g *Gateway) unchanged(ctx context.Context, d, sinceRead clock.Millis, news func(h hint) bool) bool {
 	h, changed, told := g.hints.current()
-	if !told || g.board.among(subjectReaders, readers) || news(h) || sinceRead > most {
+	if !told || g.board.among(subjectReaders, readers) || news(h) || sinceRead > unchecked {
 		return false
 	}
 	wait, cancel := context.WithTimeout(ctx, d.Duration())
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -69,7 +69,7 @@
 	byName := map[string]seen{}
 	for reads := 0; ctx.Err() == nil; {
 		told := func(h hint) bool { return h.Gateways != g.gateways.Load() }
-		if reads >= firstPeerReads && g.unchanged(ctx, peersEvery, g.clock.Now()-f.readMs, listsUnchecked, told) {
+		if reads >= firstPeerReads && g.unchanged(ctx, peersEvery, g.clock.Now()-f.readMs, told) {
 			g.refresh(byName)
 			continue
 		}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -59,6 +59,8 @@
 	Path   string `json:"path"`
 	Kind   Kind   `json:"kind"`
 	Method string `json:"method,omitempty"`
+	// Query is what the request's query must contain.
+	Query string `json:"query,omitempty"`
 	// Status is the answer of KindFail, 503 by default.
 	Status  int          `json:"status,omitempty"`
 	DelayMs clock.Millis `json:"delayMs,omitempty"`
@@ -142,7 +144,7 @@
 		return Fault{}, nil, false
 	}
 	for i, f := range s.faults {
-		if !strings.HasPrefix(r.URL.Path, f.Path) || f.Method != "" && f.Method != r.Method {
+		if !strings.HasPrefix(r.URL.Path, f.Path) || f.Method != "" && f.Method != r.Method || !strings.Contains(r.URL.RawQuery, f.Query) {
 			continue
 		}
 		switch f.Count {
