A prompt that insists starts beside tight streams; admission by normed rank

Cause, found reading the change: a prompt that stalls tight streams was told to go elsewhere by each engine; where all engines have chats, or there is one, the longest prompts were never served. And the part of the least urgent requests fell with the number of ranks above them, so that many priorities starved the last.

Change: a request says when no other engine is left to ask, and waits like any other then; the exponent of the least urgent rank is 2.5 however many there are.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -51,8 +51,7 @@
 	scope tally.Scope
 	in    *ring.Ring[input]
 	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
-	// store; both must be set
-	// before Run.
+	// store; both must be set before Run.
 	OnCounts, OnHint func(data json.RawMessage) error
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -89,8 +89,9 @@
 	Account  string `json:"account,omitempty"`
 	Priority int    `json:"priority,omitempty"`
 	Tight    bool   `json:"tight,omitempty"`
-	// PauseMs is as in batch.Request.
+	// PauseMs and Insists are as in batch.Request.
 	PauseMs clock.Millis `json:"pause,omitempty"`
+	Insists bool         `json:"insists,omitempty"`
 	Unread  int          `json:"unread"`
 	Tokens  int          `json:"tokens"`
 	// TargetMs, DeadlineMs and NeedMs are as in batch.Request.
@@ -107,7 +108,7 @@
 // Request converts r at the time of the message's arrival.
 func (r Reservation) Request(now clock.Millis, entry string) batch.Request {
 	return batch.Request{
-		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, Tight: r.Tight, PauseMs: r.PauseMs, Unread: r.Unread, Tokens: r.Tokens,
+		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, Tight: r.Tight, PauseMs: r.PauseMs, Insists: r.Insists, Unread: r.Unread, Tokens: r.Tokens,
 		TargetMs: now + r.TargetMs, DeadlineMs: now + r.DeadlineMs, NeedMs: r.NeedMs,
 	}
 }
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -49,8 +49,9 @@
 	// awayPart is the part from which down others are told to turn elsewhere,
 	// until all is taken again.
 	awayPart = 0.6
-	// lessUrgent is by how much steeper the part falls with each rank.
-	lessUrgent = 0.5
+	// lessUrgent is by how much steeper the part falls for the least urgent
+	// requests: of half of the most urgent ones, a sixth of them is taken.
+	lessUrgent = 1.5
 )
 
 // Sample is what an entry measured of itself since the last sample.
@@ -141,7 +142,11 @@
 func (c *Controller) Away() bool { return c.away }
 
 // Takes reports whether a new request is taken. rank is 0 for the most urgent
-// requests; rnd is in [0, 1).
-func (c *Controller) Takes(rank int, rnd float64) bool {
-	return c.part == 1 || rnd < math.Pow(c.part, 1+lessUrgent*float64(max(rank, 0)))
+// requests and lowest for the least urgent ones; rnd is in [0, 1).
+func (c *Controller) Takes(rank, lowest int, rnd float64) bool {
+	if c.part == 1 {
+		return true
+	}
+	less := float64(min(max(rank, 0), lowest)) / float64(max(lowest, 1))
+	return rnd < math.Pow(c.part, 1+lessUrgent*less)
 }
--- a/internal/policy/admission/admission_test.go
+++ b/internal/policy/admission/admission_test.go
@@ -37,7 +37,7 @@
 		}
 		rank := p.rnd.IntN(2)
 		p.freeMs = max(p.freeMs, float64(now))
-		if control && !p.c.Takes(2*rank, p.rnd.Float64()) {
+		if control && !p.c.Takes(rank, 1, p.rnd.Float64()) {
 			p.freeMs += refuseMs / speed
 			p.refused[rank]++
 			continue
@@ -125,7 +125,7 @@
 	if !c.Away() || c.Link() < 0.9 {
 		t.Errorf("away %t, link at %.2f", c.Away(), c.Link())
 	}
-	if c.Takes(0, 0.9) {
+	if c.Takes(0, 1, 0.9) {
 		t.Error("takes everything")
 	}
 	feed(40, capacity/2)
@@ -138,3 +138,26 @@
 		t.Errorf("part %v of a link of unknown size", c.Part())
 	}
 }
+
+// TestManyRanksAreNotStarved has requests of twenty ranks: the least urgent ones
+// are taken less, and not by the number of ranks above them.
+func TestManyRanksAreNotStarved(t *testing.T) {
+	c := admission.New(0)
+	for now := clock.Millis(0); c.Part() > 0.55; now += admission.SampleEvery {
+		c.Observe(now, admission.Sample{Delay: 400})
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	taken := [20]int{}
+	const each = 2000
+	for rank := range taken {
+		for range each {
+			if c.Takes(rank, len(taken)-1, rnd.Float64()) {
+				taken[rank]++
+			}
+		}
+	}
+	t.Logf("of %d a rank: %v", each, taken)
+	if taken[0] < 2*taken[19] || taken[19] < each/10 {
+		t.Errorf("%d of the most and %d of the least urgent are taken, of %d", taken[0], taken[19], each)
+	}
+}
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -116,6 +116,9 @@
 	// PauseMs at the most.
 	Tight   bool
 	PauseMs clock.Millis
+	// Insists tells that no other engine is left to ask: the request is not sent
+	// elsewhere for the sake of tight streams.
+	Insists bool
 	// Unread are the prompt tokens to be read.
 	Unread int
 	// Tokens is the memory that the request needs for itself.
@@ -503,7 +506,7 @@
 // stalls reports whether w alone would stall tight streams.
 func (s *Scheduler) stalls(w *waiting) bool {
 	row, ok := s.row()
-	return ok && !w.Tight && s.tight > fewTight && s.readMs(w.Unread) > row
+	return ok && !w.Tight && !w.Insists && s.tight > fewTight && s.readMs(w.Unread) > row
 }
 
 // leavesGap reports whether tight streams get their events in time if w is read
--- a/internal/policy/batch/row_test.go
+++ b/internal/policy/batch/row_test.go
@@ -188,3 +188,21 @@
 		t.Errorf("started %v, want the short prompt", started)
 	}
 }
+
+// TestPromptThatInsistsStarts has the same draft ask where no other engine is
+// left: it starts beside the chats instead of nowhere.
+func TestPromptThatInsistsStarts(t *testing.T) {
+	s := batch.New(batch.Config{Slots: 64, MemoryTokens: 475000})
+	for i := range 3 {
+		s.Adopt(1, batch.Request{ID: fmt.Sprint("chat", i), Entry: "e", Tight: true, PauseMs: 250, Unread: 300, Tokens: 600}, true)
+	}
+	ask(s, 1000, "long", func(r *batch.Request) { r.Unread, r.Insists = 14000, true })
+	started := granted(s)
+	for now := clock.Millis(1000); now < 2500; now += 10 {
+		s.Tick(now)
+		started = append(started, granted(s)...)
+	}
+	if len(started) != 1 {
+		t.Errorf("started %v, want the long prompt", started)
+	}
+}
--- a/internal/role/gateway/admission.go
+++ b/internal/role/gateway/admission.go
@@ -53,10 +53,10 @@
 // carry notes a message of n bytes that goes on over the link.
 func (a *gate) carry(n int) { a.bytes.Add(int64(n + packetBytes)) }
 
-func (a *gate) takes(rank int) bool {
+func (a *gate) takes(rank, lowest int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.c.Takes(rank, rand.Float64())
+	return a.c.Takes(rank, lowest, rand.Float64())
 }
 
 // observe takes in a sample and reports whether away has changed.
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -188,7 +188,7 @@
 	}
 	p.book.Sent(c, r)
 	e := p.engines[c.ID]
-	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], fetchAddr: p.addrs[c.FetchFrom]}, true
+	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], fetchAddr: p.addrs[c.FetchFrom], only: len(p.engines) <= len(exclude)+1}, true
 }
 
 // target is a chosen server.
@@ -196,6 +196,8 @@
 	place.Choice
 	engine turns.Engine
 	conns  *direct.Pool
+	// only tells that there is no other server to ask.
+	only bool
 	// fetchAddr is the address from which shared parts are copied, or "".
 	fetchAddr string
 }
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -120,7 +120,7 @@
 	if g.leaves(j, now) {
 		return j, notRun(http.StatusServiceUnavailable, "ending", elsewhereWait)
 	}
-	if !g.gate.takes(j.priority) {
+	if !g.gate.takes(j.priority, cfg.LeastUrgent()) {
 		return j, notRun(http.StatusServiceUnavailable, "entryOverloaded", elsewhereWait)
 	}
 	body, no := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: cfg.MaxBodyBytes})
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -36,6 +36,7 @@
 			return to, nil, nil
 		}
 		r := g.reservation(j, to, now)
+		r.Insists = len(refused) > 0 || to.only
 		if j.ask.Tight {
 			return to, g.board.announce(j.pool, r), nil
 		}
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -166,6 +166,9 @@
 	return n
 }
 
+// LeastUrgent returns the largest value that Urgency can have.
+func (c *Config) LeastUrgent() int { return max(len(c.ranks)-1, 0) }
+
 // Match returns the route with the longest prefix of path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	host = strings.ToLower(host)
