--- a/internal/policy/batch/row_test.go
+++ b/internal/policy/batch/row_test.go
@@ -61,89 +61,104 @@
 	return begun, ended
 }
 
-// pauses plays chats beside digests and drafts at one engine for 20 s, and
-// returns how many of the chats had a pause that is too long, and the number of
-// digests and drafts that were read. tell has the chats say what they bear.
+const chatPause = 400 // ms
+
+// mix plays chats beside digests and drafts at one engine.
+type mix struct {
+	s      *batch.Scheduler
+	e      stepper
+	unread map[string]float64
+	chats  map[string]*tightStream
+	coming []*stream // granted, on their way to the engine
+	// begun and ended are those of the step that runs.
+	begun, ended []string
+	n, read      int
+}
+
+// ask has a request of a kind come. Chats are sent at once; with tell they say
+// what they bear.
+func (m *mix) ask(now clock.Millis, kind string, priority, tokens int, tell bool) {
+	m.n++
+	id := fmt.Sprint(kind, m.n)
+	r := batch.Request{
+		ID: id, Entry: "e", Account: "a", Priority: priority, Unread: tokens, Tokens: tokens,
+		TargetMs: now + 2000, DeadlineMs: now + 9000, Tight: kind == "chat",
+	}
+	m.unread[id] = float64(tokens)
+	if !r.Tight {
+		m.s.Ask(now, r)
+		return
+	}
+	if tell {
+		r.PauseMs = chatPause
+	}
+	m.s.Adopt(now, r, false)
+	m.send(now, id)
+}
+
+func (m *mix) send(now clock.Millis, id string) {
+	const aheadMs = 2 // between a grant and the engine
+	m.coming = append(m.coming, &stream{id: id, unread: m.unread[id], deadline: now + aheadMs})
+}
+
+// advance brings what was granted to the engine, and takes its next step when
+// the last one is over: what that brought is known then.
+func (m *mix) advance(now clock.Millis) {
+	m.s.Tick(now)
+	for _, a := range m.s.Actions() {
+		if a.Granted {
+			m.send(now, a.ID)
+		}
+	}
+	for len(m.coming) > 0 && m.coming[0].deadline <= now {
+		m.e.toRead = append(m.e.toRead, m.coming[0])
+		m.coming = m.coming[1:]
+	}
+	if m.e.nextMs > float64(now) {
+		return
+	}
+	m.e.nextMs = float64(now)
+	begun, ended := m.begun, m.ended
+	m.begun, m.ended = m.e.step()
+	for _, id := range begun {
+		m.s.Begun(now, id)
+		if id[:4] != "chat" {
+			m.read++
+			m.s.Done(now, id)
+			continue
+		}
+		t := &tightStream{id: id, left: 25, lastMs: float64(now)}
+		m.e.events, m.chats[id] = append(m.e.events, t), t
+	}
+	for _, id := range ended {
+		m.s.Done(now, id)
+	}
+}
+
+// pauses plays 20 s, and returns how many of the chats had a pause that is too
+// long, and the number of digests and drafts that were read.
 func pauses(tell bool) (late, chats, read int) {
-	const (
-		pauseMs                = 400
-		chatHz, digHz, draftHz = 6.0, 5.0, 1.0
-		aheadMs                = 2 // between a grant and the engine
-	)
+	const chatHz, digHz, draftHz = 6.0, 5.0, 1.0
 	rnd := rand.New(rand.NewPCG(5, 6))
-	s := batch.New(batch.Config{Slots: 64, MemoryTokens: 475000})
-	e := &stepper{}
-	unread := map[string]float64{}
-	all := map[string]*tightStream{}
-	var coming []*stream
-	var begun, ended []string
-	n := 0
+	m := &mix{s: batch.New(batch.Config{Slots: 64, MemoryTokens: 475000}), unread: map[string]float64{}, chats: map[string]*tightStream{}}
 	for now := clock.Millis(1); now < 20*clock.Second; now++ {
-		add := func(prefix string, priority, tokens int, tight bool) {
-			n++
-			id := fmt.Sprint(prefix, n)
-			r := batch.Request{
-				ID: id, Entry: "e", Account: "a", Priority: priority, Unread: tokens, Tokens: tokens,
-				TargetMs: now + 2000, DeadlineMs: now + 9000, Tight: tight,
-			}
-			if tight {
-				if tell {
-					r.PauseMs = pauseMs
-				}
-				s.Adopt(now, r, false)
-				coming = append(coming, &stream{id: id, unread: float64(tokens), deadline: now + aheadMs})
-				return
-			}
-			unread[id] = float64(tokens)
-			s.Ask(now, r)
-		}
 		if rnd.Float64() < chatHz/1000 {
-			add("chat", 0, 800, true)
+			m.ask(now, "chat", 0, 800, tell)
 		}
 		if rnd.Float64() < digHz/1000 {
-			add("digest", 1, 1000+rnd.IntN(4000), false)
+			m.ask(now, "digest", 1, 1000+rnd.IntN(4000), tell)
 		}
 		if rnd.Float64() < draftHz/1000 {
-			add("draft", 2, 8000+rnd.IntN(12000), false)
-		}
-		s.Tick(now)
-		for _, a := range s.Actions() {
-			if a.Granted {
-				coming = append(coming, &stream{id: a.ID, unread: unread[a.ID], deadline: now + aheadMs})
-			}
-		}
-		for len(coming) > 0 && coming[0].deadline <= now {
-			e.toRead = append(e.toRead, coming[0])
-			coming = coming[1:]
-		}
-		if e.nextMs > float64(now) {
-			continue
-		}
-		e.nextMs = float64(now)
-		// What the step before brought is known at its end.
-		lastBegun, lastEnded := begun, ended
-		begun, ended = e.step()
-		for _, id := range lastBegun {
-			s.Begun(now, id)
-			if id[:4] != "chat" {
-				read++
-				s.Done(now, id)
-				continue
-			}
-			t := &tightStream{id: id, left: 25, lastMs: float64(now)}
-			e.events, all[id] = append(e.events, t), t
-		}
-		for _, id := range lastEnded {
-			s.Done(now, id)
+			m.ask(now, "draft", 2, 8000+rnd.IntN(12000), tell)
 		}
+		m.advance(now)
 	}
-	for _, t := range all {
-		chats++
-		if t.pause > pauseMs {
+	for _, t := range m.chats {
+		if t.pause > chatPause {
 			late++
 		}
 	}
-	return late, chats, read
+	return late, len(m.chats), m.read
 }
 
 // TestRowsLeaveAStepFree plays short and long prompts beside chats whose events
--- a/internal/policy/place/tight_test.go
+++ b/internal/policy/place/tight_test.go
@@ -31,7 +31,6 @@
 type reader struct {
 	busySince, busyUntil float64
 	lives                []*life // chats that run
-	running              int
 }
 
 type life struct {
@@ -39,86 +38,103 @@
 	stalled bool
 }
 
-// stalledChats plays 10 engines with bursts of chats, digests and drafts for 30 s
-// and returns how many chats were stalled by a row of prompts, of how many.
-func stalledChats(tightDigests bool) (stalled, chats int) {
-	const (
-		engines, seconds       = 10, 30
-		readPerMs              = 48.0
-		stallMs                = 330.0 // an event's steps, each with a chunk
-		chatMs                 = 2500
-		chatHz, digHz, draftHz = 25.0, 25.0, 8.0
-	)
-	r := rand.New(rand.NewPCG(3, 4))
-	b := place.NewBook("a")
+const (
+	laneEngines   = 10
+	laneReadPerMs = 48.0
+	// laneStallMs is an event's steps, each with a chunk.
+	laneStallMs = 330.0
+	laneChatMs  = 2500
+	chatTokens  = 800
+)
+
+// lane plays requests of a pool of engines.
+type lane struct {
+	rnd   *rand.Rand
+	book  *place.Book
+	all   map[string]*reader
+	lives []*life
+}
+
+func newLane() *lane {
+	p := &lane{rnd: rand.New(rand.NewPCG(3, 4)), book: place.NewBook("a"), all: map[string]*reader{}}
 	var list []place.Server
-	all := map[string]*reader{}
-	for i := range engines {
+	for i := range laneEngines {
 		id := fmt.Sprint("s", i)
 		list = append(list, place.Server{ID: id, Start: 1, Zone: "a", Slots: 64, CacheTokens: 400000})
-		all[id] = &reader{}
+		p.all[id] = &reader{}
 	}
-	b.SetServers(list)
-	var lives []*life
-	send := func(now clock.Millis, q place.Request) {
-		c, ok := b.Choose(now, q, nil, r)
-		if !ok {
-			return
-		}
-		b.Sent(c, q)
-		b.Begun(now, c, q)
-		b.Ended(now, c, q, place.OutcomeOK, true, 0)
-		e := all[c.ID]
-		if e.busyUntil < float64(now) {
-			e.busySince, e.busyUntil = float64(now), float64(now)
-		}
-		e.busyUntil += float64(q.Prompt) / readPerMs
-		if q.Tight && q.Prompt == 800 {
-			l := &life{until: now + chatMs}
-			lives, e.lives = append(lives, l), append(e.lives, l)
+	p.book.SetServers(list)
+	return p
+}
+
+func (p *lane) send(now clock.Millis, q place.Request) {
+	c, ok := p.book.Choose(now, q, nil, p.rnd)
+	if !ok {
+		return
+	}
+	p.book.Sent(c, q)
+	p.book.Begun(now, c, q)
+	p.book.Ended(now, c, q, place.OutcomeOK, true, 0)
+	e := p.all[c.ID]
+	if e.busyUntil < float64(now) {
+		e.busySince, e.busyUntil = float64(now), float64(now)
+	}
+	e.busyUntil += float64(q.Prompt) / laneReadPerMs
+	if q.Prompt == chatTokens {
+		l := &life{until: now + laneChatMs}
+		p.lives, e.lives = append(p.lives, l), append(e.lives, l)
+	}
+}
+
+// tell tells the load of all engines, and notes the chats that are stalled.
+func (p *lane) tell(now clock.Millis) {
+	for id, e := range p.all {
+		kept := e.lives[:0]
+		for _, l := range e.lives {
+			l.stalled = l.stalled || e.busyUntil-e.busySince > laneStallMs && e.busyUntil > float64(now)
+			if l.until > now {
+				kept = append(kept, l)
+			}
 		}
+		e.lives = kept
+		left := clock.Millis(max(e.busyUntil-float64(now), 0))
+		p.book.Told(now, id, batch.Load{FreeMs: left, ReadMs: left, Running: len(kept), Tight: len(kept), Speed: laneReadPerMs, Rate: 40})
+	}
+}
+
+// stalledChats plays bursts of chats, digests and drafts for 30 s and returns how
+// many chats were stalled by a row of prompts, of how many.
+func stalledChats(tightDigests bool) (stalled, chats int) {
+	const seconds, tellEvery = 30, 80
+	p := newLane()
+	kinds := []struct {
+		hz float64
+		q  place.Request
+	}{
+		{25, place.Request{Engine: true, Tight: true, Urgent: true, Prompt: chatTokens}},
+		{25, place.Request{Engine: true, Tight: tightDigests, Urgent: true, Prompt: 2400}},
+		{8, place.Request{Engine: true, Prompt: 9000}},
 	}
 	for now := clock.Millis(1); now < seconds*clock.Second; now++ {
 		burst := 1.0
 		if now/2000%2 == 1 {
 			burst = 2
 		}
-		for _, k := range []struct {
-			hz float64
-			q  place.Request
-		}{
-			{chatHz, place.Request{Engine: true, Tight: true, Urgent: true, Prompt: 800}},
-			{digHz, place.Request{Engine: true, Tight: tightDigests, Urgent: true, Prompt: 2400}},
-			{draftHz, place.Request{Engine: true, Prompt: 9000}},
-		} {
-			if r.Float64() < k.hz*burst/1000 {
-				send(now, k.q)
+		for _, k := range kinds {
+			if p.rnd.Float64() < k.hz*burst/1000 {
+				p.send(now, k.q)
 			}
 		}
-		if now%80 != 0 {
-			continue
-		}
-		for id, e := range all {
-			kept := e.lives[:0]
-			for _, l := range e.lives {
-				if e.busyUntil-e.busySince > stallMs && e.busyUntil > float64(now) {
-					l.stalled = true
-				}
-				if l.until > now {
-					kept = append(kept, l)
-				}
-			}
-			e.lives = kept
-			left := clock.Millis(max(e.busyUntil-float64(now), 0))
-			b.Told(now, id, batch.Load{FreeMs: left, ReadMs: left, Running: len(e.lives), Tight: len(e.lives), Speed: readPerMs, Rate: 40})
+		if now%tellEvery == 0 {
+			p.tell(now)
 		}
 	}
-	for _, l := range lives {
+	for _, l := range p.lives {
 		if l.stalled {
 			stalled++
 		}
 	}
-	return stalled, len(lives)
+	return stalled, len(p.lives)
 }
 
 // TestDigestsApartFromChats plays the load for which routes that bear somewhat
