--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -230,13 +230,13 @@
 func (s *Sidecar) relayData(t testing.TB) {
 	s.DataRelay = NewRelay(t, "")
 	told := regexp.MustCompile(`"dataUrl":"http://[0-9.:]+"`)
-	s.ControlRelay.rewrite = func(p []byte) []byte {
+	s.ControlRelay.rewriteWith(func(p []byte) []byte {
 		return told.ReplaceAllFunc(p, func(m []byte) []byte {
 			addr := hostPort(strings.Trim(strings.TrimPrefix(string(m), `"dataUrl":`), `"`))
 			s.DataRelay.retarget(addr)
 			return []byte(`"dataUrl":"` + s.DataRelay.URL() + `"`)
 		})
-	}
+	})
 }
 
 // AddEntry starts an entry and lists it.
--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -11,13 +11,13 @@
 // Relay passes TCP connections on to a target until it is told to fail.
 type Relay struct {
 	ln net.Listener
+
+	mu sync.Mutex
 	// rewrite changes what comes from the target, if set.
 	rewrite func(p []byte) []byte
-
-	mu     sync.Mutex
-	target string
-	conns  map[*relayed]bool
-	down   bool
+	target  string
+	conns   map[*relayed]bool
+	down    bool
 	// hold are the silent directions of new connections.
 	hold  [2]bool
 	delay atomic.Int64 // time.Duration
@@ -66,6 +66,13 @@
 // URL returns the base URL to dial.
 func (r *Relay) URL() string { return "http://" + r.Addr() }
 
+// rewriteWith has new connections change what comes from the target.
+func (r *Relay) rewriteWith(f func(p []byte) []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rewrite = f
+}
+
 // retarget has new connections go to another target.
 func (r *Relay) retarget(target string) {
 	r.mu.Lock()
@@ -137,7 +144,7 @@
 func (r *Relay) serve(in net.Conn) {
 	defer in.Close()
 	r.mu.Lock()
-	down, hold, target := r.down, r.hold, r.target
+	down, hold, target, rewrite := r.down, r.hold, r.target, r.rewrite
 	r.mu.Unlock()
 	if down {
 		return
@@ -147,7 +154,7 @@
 		return
 	}
 	r.carried.Add(1)
-	c := &relayed{in: in, out: out, delay: &r.delay, rewrite: r.rewrite}
+	c := &relayed{in: in, out: out, delay: &r.delay, rewrite: rewrite}
 	c.silent[ToTarget].Store(hold[ToTarget])
 	c.silent[FromTarget].Store(hold[FromTarget])
 	r.mu.Lock()
