--- a/internal/operator/settings/gateway_test.go
+++ b/internal/operator/settings/gateway_test.go
@@ -34,7 +34,7 @@
 	_, err := settings.ParseGateway("g.json", []byte(`{
   "role": "gate", "name": "", "zone": "a b", "logLevel": "loud", "logLinesPerS": 0,
   "callerAddr": "nowhere", "readyAddr": "127.0.0.1:2", "controlAddr": "127.0.0.1:2", "metricsAddr": "127.0.0.1:4",
-  "memoryMb": -1, "store": {"addr": "store:5"}, "duties": {"addr": "10.0.0.1", "leaseMs": "3 s"},
+  "memoryMb": -1, "linkMbps": -10, "store": {"addr": "store:5"}, "duties": {"addr": "10.0.0.1", "leaseMs": "3 s"},
   "bounds": {"retryRatio": -0.1, "graceS": 0, "unknown": 1},
 }`))
 	var bad *settings.Errors
@@ -50,7 +50,7 @@
 	}
 	want := map[string]int{
 		"role": 2, "name": 2, "zone": 2, "logLevel": 2, "logLinesPerS": 2, "callerAddr": 3, "controlAddr": 3,
-		"memoryMb": 4, "store.addr": 4, "duties.addr": 4, "duties.leaseMs": 4, "bounds.retryRatio": 5, "bounds.graceS": 5, "bounds.unknown": 5,
+		"memoryMb": 4, "linkMbps": 4, "store.addr": 4, "duties.addr": 4, "duties.leaseMs": 4, "bounds.retryRatio": 5, "bounds.graceS": 5, "bounds.unknown": 5,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("lines of problems by path (-want +got):\n%s", diff)
