--- a/internal/proof/regions/regions_test.go
+++ b/internal/proof/regions/regions_test.go
@@ -46,6 +46,9 @@
 	near, far   *cluster.Entry // near is in the region of the log
 	farRelays   []*cluster.Relay
 	sent, whole int
+	keyCalls    int
+	// refused are the nonces of requests that ended with their withdrawn key.
+	refused map[string]bool
 }
 
 func start(t *testing.T) *regions {
@@ -69,7 +72,7 @@
 			}
 		},
 	})
-	r := &regions{Cluster: c, t: t, near: c.Entries[0], far: c.Entries[1]}
+	r := &regions{Cluster: c, t: t, refused: map[string]bool{}, near: c.Entries[0], far: c.Entries[1]}
 	r.farRelays = []*cluster.Relay{r.far.PlatformRelay}
 	for _, s := range c.Sidecars {
 		if strings.HasSuffix(s.Name, "2") {
@@ -98,9 +101,15 @@
 }
 
 func (r *regions) withKey(e *cluster.Entry, key string) cluster.Reply {
-	req := cluster.ChatRequest("key", 1, false)
+	r.keyCalls++
+	nonce := fmt.Sprint("key", r.keyCalls)
+	req := cluster.ChatRequest(nonce, 1, false)
 	req.Key = key
-	return r.Call(e, req)
+	res := r.Call(e, req)
+	if res.Code == "invalidKey" {
+		r.refused[nonce] = true
+	}
+	return res
 }
 
 // runs returns the executions of a protected request.
@@ -200,10 +209,10 @@
 	if r.whole != r.sent {
 		t.Errorf("%d of %d answers were whole", r.whole, r.sent)
 	}
-	r.Until("all tokens are reported", func() bool { return reported(r.State()) >= charged(r.Cluster) })
+	r.Until("all tokens are reported", func() bool { return reported(r.State()) >= r.charged() })
 	time.Sleep(2 * leaseMs.Duration())
 	st := r.State()
-	if diff := cmp.Diff(charged(r.Cluster), reported(st)); diff != "" {
+	if diff := cmp.Diff(r.charged(), reported(st)); diff != "" {
 		t.Errorf("tokens reported: %s", diff)
 	}
 	started := 0
@@ -217,16 +226,16 @@
 	}
 }
 
-// charged sums what the engines read and generated. An answer that ended with its
-// withdrawn key before its first token is not charged.
-func charged(c *cluster.Cluster) int64 {
+// charged sums what the engines read and generated for answers that were not
+// refused: one whose key was withdrawn while its engine was at work is not charged.
+func (r *regions) charged() int64 {
 	var n int64
-	for _, s := range c.Sidecars {
+	for _, s := range r.Sidecars {
 		if s.Pool != pool {
 			continue
 		}
-		for _, j := range c.EngineState(s).Jobs {
-			if j.End != "gone" {
+		for _, j := range r.EngineState(s).Jobs {
+			if !r.refused[j.Nonce] {
 				n += int64(j.Generated + j.PromptTokens)
 			}
 		}
