Gateways: the first configuration counts as confirmed from the start

The test's 2.1 s are its drain; the calls came right at the start.

Ruled out: a read that was held up for 2 s (the calls came before).

Measured: TestFirstConfigurationCountsAtOnce gets 503 before and 401 after; TestWhoMayCall, TestOldConfiguration..., TestNoConfiguration... pass with -race.

--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -119,6 +119,10 @@
 			f.pause(ctx)
 			continue
 		}
+		if g.belief.config() == nil {
+			// The first configuration counts as confirmed from the start.
+			g.belief.configReadMs.Store(int64(g.clock.Now()))
+		}
 		for _, r := range snap.Records {
 			g.applyConfig(r)
 		}
