--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -18,6 +19,8 @@
 const (
 	endTimeout   = 20 * time.Second
 	shownLogSize = 6 << 10
+	// logsVariable names a directory that gets the whole logs of a failed test.
+	logsVariable = "PROOF_LOGS"
 )
 
 var binaries struct {
@@ -149,9 +152,16 @@
 	if strings.Contains(text, "DATA RACE") || strings.Contains(text, "invariantViolated") {
 		p.t.Errorf("%s reported a data race or a broken invariant", p.name)
 	}
-	if p.t.Failed() {
-		p.t.Logf("log of %s:\n%s", p.name, text[max(len(text)-shownLogSize, 0):])
+	if !p.t.Failed() {
+		return
 	}
+	if dir := os.Getenv(logsVariable); dir != "" {
+		path := filepath.Join(dir, fmt.Sprintf("%s-%d.log", p.name, p.cmd.Process.Pid))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			p.t.Logf("log of %s: %v", p.name, err)
+		}
+	}
+	p.t.Logf("log of %s:\n%s", p.name, text[max(len(text)-shownLogSize, 0):])
 }
 
 // Log returns what the process wrote to standard error so far.
--- a/internal/proof/regions/regions_test.go
+++ b/internal/proof/regions/regions_test.go
@@ -1,9 +1,12 @@
 // Package regions_test proves on real processes what docs/CAPACITY.md says of two
 // regions that lose each other: the platform's log is in one of them.
+//
+//	go test ./internal/proof/regions -apart 1h -timeout 80m
 package regions_test
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -27,15 +30,23 @@
 	tokens   = 7
 	path     = cluster.ServicePath + "/deposits"
 	pool     = "assistant"
-	// apartFor is several leases and usage windows.
-	apartFor = 6 * time.Second
+	// rounds is about how often each region is called while they are apart.
+	rounds = 2000
+	// shortPause is the least pause between two calls of each region.
+	shortPause = 50 * time.Millisecond
 	// stopTime is the time after which a withdrawn key must not work in the
 	// region of the log, and in the other one once they meet again.
 	stopTime = 3 * time.Second
+	// apartTimeout bounds the operator's calls of the region without the log.
+	apartTimeout = 5 * time.Second
 	// meetTime is the time to find the log again, longest pauses included.
 	meetTime = 10 * time.Second
 )
 
+// apartFor is how long the regions are apart: by default several leases and usage
+// windows.
+var apartFor = flag.Duration("apart", 6*time.Second, "time without the log")
+
 func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
 
 // regions are an entry, a service and an engine in each of two regions. Without
@@ -157,7 +168,7 @@
 	}}); err != nil {
 		t.Fatalf("more servers: %v", err)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), apartFor/4)
+	ctx, cancel := context.WithTimeout(t.Context(), min(*apartFor/4, apartTimeout))
 	defer cancel()
 	if snap, err := r.far.Operator().Config(ctx); err != nil {
 		t.Errorf("the configuration of the region without the log: %v", err)
@@ -170,7 +181,7 @@
 	if res := r.deposit(r.far, "farApart"); !res.NotRun || res.Status != http.StatusServiceUnavailable {
 		t.Errorf("a protected request without the log: %v, want a refusal as not run", res)
 	}
-	for time.Since(began) < apartFor {
+	for time.Since(began) < *apartFor {
 		for _, e := range r.Entries {
 			r.chat(e)
 			if res := r.Call(e, cluster.Request{Method: http.MethodGet, Path: cluster.ServicePath + "/state"}); res.Status != http.StatusOK {
@@ -180,7 +191,7 @@
 		if res := r.withKey(r.near, cluster.OtherKey); time.Since(began) > stopTime && res.Code != "invalidKey" {
 			t.Errorf("the withdrawn key works in the region of the log: %v", res)
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(max(shortPause, *apartFor/rounds))
 	}
 	if n := len(r.runs("farApart")); n > 0 {
 		t.Errorf("a request that was said not to have run ran %d times", n)
