Proof harness: relays pass the end of silent connections on, accepts go on

The test process had its 20,000 files open: a relay kept both ends of a silent connection whose caller had gone until the test ended, and after one failed accept relays and servers accepted nothing more, so that connections waited in the system's queue. Ruled out: engines that were full (192 slots, and all other servers went on); the order of starts (the requests were sent, sendEnded tookMs=4000); silent idle connections (they end after 4 s). Change: after a restore the end of a silent connection reaches its other side; accept loops go on after an error other than their close, and print it.

--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -1,13 +1,20 @@
 package cluster
 
 import (
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// acceptPause is the pause after a failed accept: as net/http pauses first.
+const acceptPause = 5 * time.Millisecond
+
 // Relay passes TCP connections on to a target until it is told to fail.
 type Relay struct {
 	ln net.Listener
@@ -39,6 +46,9 @@
 	silent  [2]atomic.Bool // by Direction
 	delay   *atomic.Int64
 	rewrite func(p []byte) []byte
+	// ended tells that an end has gone, and restored that the ends of a silent
+	// connection are passed on again.
+	ended, restored atomic.Bool
 }
 
 // NewRelay listens on loopback and passes connections on to target, host:port.
@@ -123,20 +133,34 @@
 	r.hold = [2]bool{true, true}
 }
 
-// Restore lets new connections through again.
+// Restore lets new connections through again. Silent ones of which an end has gone
+// are closed.
 func (r *Relay) Restore() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.down, r.hold = false, [2]bool{}
 	r.delay.Store(0)
+	for c := range r.conns {
+		c.restored.Store(true)
+		if c.ended.Load() {
+			c.close()
+		}
+	}
 }
 
 func (r *Relay) accept() {
 	for {
 		in, err := r.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The test has too many files open: connections that come stay without
+			// an answer until there are fewer.
+			fmt.Fprintln(os.Stderr, "relay:", err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		go r.serve(in)
 	}
 }
@@ -197,7 +221,8 @@
 		if err == nil {
 			continue
 		}
-		if !silent {
+		c.ended.Store(true)
+		if !silent || c.restored.Load() {
 			c.close()
 		}
 		return
