Gateways dial each other bit by bit, those with a task first

Cause: after all gateways were killed, nothing was answered for a second: all of 300 found the members at once, and 90,000 connections cost 0.45 ms of processor at each end, on 0.3 of a core. Ruled out: the reads of the store (0.12 s after the start all had them), members that are found late (all in one read). Change: 32 gateways are dialed at once and 100 a second after that; those that read the store, wait for the duties or host an engine come first, so that the gateways agree on hosts at once; the others in an order that differs from gateway to gateway (route.DialOrder). The hash by which gateways are chosen is route's: there were two.

--- /dev/null
+++ b/internal/policy/route/dial_test.go
@@ -0,0 +1,65 @@
+package route_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/damaskport/damaskport/internal/policy/route"
+)
+
+// TestDialOrder starts 300 gateways at once: each dials those with a task first,
+// and none is dialed by many of them in the same place of the order.
+func TestDialOrder(t *testing.T) {
+	const n = 300
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("g", i))
+	}
+	tasks := []route.Task{{Key: "readers", Count: 3}, {Key: "e1", Count: 1}, {Key: "e2", Count: 1}, {Key: "e1", Count: 1}}
+	var tasked []string
+	for _, k := range tasks {
+		tasked = append(tasked, route.Rendezvous(k.Key, names, k.Count)...)
+	}
+	slices.Sort(tasked)
+	tasked = slices.Compact(tasked)
+	dialed := map[int]map[string]int{}
+	for _, self := range names {
+		others := slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == self })
+		order := route.DialOrder(self, others, tasks)
+		want := slices.DeleteFunc(slices.Clone(tasked), func(s string) bool { return s == self })
+		first := slices.Sorted(slices.Values(order[:len(want)]))
+		if diff := cmp.Diff(want, first); diff != "" {
+			t.Fatalf("%s dials first: %s", self, diff)
+		}
+		if diff := cmp.Diff(slices.Sorted(slices.Values(others)), slices.Sorted(slices.Values(order))); diff != "" {
+			t.Fatalf("%s dials: %s", self, diff)
+		}
+		for i, name := range order {
+			if dialed[i] == nil {
+				dialed[i] = map[string]int{}
+			}
+			dialed[i][name]++
+		}
+	}
+	for i, by := range dialed {
+		for name, count := range by {
+			// Those with a task share the first places, which each gateway fills.
+			if most := max(12, 2*n/len(tasked)); count > most {
+				t.Errorf("%s is dialed by %d gateways in place %d, want at most %d", name, count, i, most)
+			}
+		}
+	}
+}
+
+func TestDialOrderWithoutTasks(t *testing.T) {
+	got := route.DialOrder("a", []string{"b", "c"}, nil)
+	if diff := cmp.Diff([]string{"b", "c"}, slices.Sorted(slices.Values(got))); diff != "" {
+		t.Error(diff)
+	}
+	if got := route.DialOrder("a", nil, []route.Task{{Key: "x", Count: 2}}); len(got) > 0 {
+		t.Errorf("order of nobody: %v", got)
+	}
+}
--- a/internal/policy/route/subset.go
+++ b/internal/policy/route/subset.go
@@ -30,6 +30,9 @@
 	return out
 }
 
+// Weight is the hash of a key and a name by which Rendezvous orders names.
+func Weight(key, name string) uint64 { return mix(xxhash.Sum64String(key), xxhash.Sum64String(name)) }
+
 func hashes(names []string) []uint64 {
 	out := make([]uint64, len(names))
 	for i, n := range names {
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// engines returns the names of all model engines.
+func (b *belief) engines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, p := range b.pools {
+		p.mu.Lock()
+		if p.engine {
+			for id := range p.engines {
+				out = append(out, id)
+			}
+		}
+		p.mu.Unlock()
+	}
+	slices.Sort(out)
+	return out
+}
+
 // tight returns the longest pause of the pool's tight routes, or 0 when all of
 // its routes are alike.
 func tight(cfg *routing.Config, name string) clock.Millis {
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"net"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -26,6 +26,11 @@
 	reviewEvery = 120 * clock.Millisecond
 	firstRedial = 200 * clock.Millisecond
 	lastRedial  = 3 * clock.Second
+	// dialBurst is the number of gateways that are dialed at once, and dialGap the
+	// time between two further ones: a connection costs both ends about 0.45 ms of
+	// their processor (MEASUREMENTS.md).
+	dialBurst = 32
+	dialGap   = 10 * clock.Millisecond
 )
 
 // peer is a gateway that hosts engines, also this one itself.
@@ -69,30 +74,49 @@
 			delete(b.peers, name)
 		}
 	}
-	for name, addr := range addrs {
+	var fresh []string
+	for name := range addrs {
 		if b.peers[name] == nil {
-			b.addLocked(ctx, name, addr)
+			fresh = append(fresh, name)
+		}
+	}
+	if len(fresh) > 0 {
+		for i, name := range route.DialOrder(b.g.name, fresh, b.tasks()) {
+			b.addLocked(ctx, name, addrs[name], clock.Millis(max(i-dialBurst, 0))*dialGap)
 		}
 	}
 	b.remap()
 }
 
+// tasks returns what single gateways do for all.
+func (b *board) tasks() []route.Task {
+	out := []route.Task{{Key: subjectReaders, Count: readers}, {Key: subjectHolders, Count: candidates}}
+	for _, id := range b.g.belief.engines() {
+		out = append(out, route.Task{Key: id, Count: 1})
+	}
+	return out
+}
+
 // host makes the gateway itself a host of engines.
 func (b *board) host(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.addLocked(ctx, b.g.name, "")
+	b.addLocked(ctx, b.g.name, "", 0)
 }
 
-func (b *board) addLocked(ctx context.Context, name, addr string) {
+// addLocked adds a gateway, which is dialed after a while.
+func (b *board) addLocked(ctx context.Context, name, addr string, after clock.Millis) {
 	pctx, stop := context.WithCancel(ctx)
 	p := &peer{name: name, addr: addr, stop: stop}
 	b.peers[name] = p
-	go b.keep(pctx, p)
+	go b.keep(pctx, p, after)
 }
 
 // keep keeps a connection to a peer until ctx ends.
-func (b *board) keep(ctx context.Context, p *peer) {
+func (b *board) keep(ctx context.Context, p *peer, after clock.Millis) {
+	if b.g.clock.Sleep(ctx, after) != nil {
+		return
+	}
 	dispatch.Redial(ctx, b.g.clock, firstRedial, lastRedial,
 		func(ctx context.Context) error { return b.session(ctx, p) },
 		func(err error, _ clock.Millis) { b.down(p, err) })
@@ -248,31 +272,13 @@
 		if !p.up || best != nil && p.overloaded && !best.overloaded {
 			continue
 		}
-		if w := weight(engine, p.name); best == nil || best.overloaded && !p.overloaded || w > most {
+		if w := route.Weight(engine, p.name); best == nil || best.overloaded && !p.overloaded || w > most {
 			best, most = p, w
 		}
 	}
 	return best
 }
 
-// weight is the rendezvous weight of a subject at a gateway.
-func weight(subject, gateway string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(subject))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(gateway))
-	return mix64(h.Sum64())
-}
-
-// mix64 spreads the last bytes of a hash to its high bits.
-func mix64(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // handle applies a message of a host.
 func (b *board) handle(p *peer, method string, params json.RawMessage) error {
 	switch method {
@@ -370,13 +376,13 @@
 func (b *board) among(subject string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own, above, overloaded := weight(subject, b.g.name), 0, b.g.overloaded()
+	own, above, overloaded := route.Weight(subject, b.g.name), 0, b.g.overloaded()
 	for _, p := range b.peers {
 		if !p.up || p.name == b.g.name {
 			continue
 		}
 		// Those that keep up come first.
-		if p.overloaded == overloaded && weight(subject, p.name) > own || overloaded && !p.overloaded {
+		if p.overloaded == overloaded && route.Weight(subject, p.name) > own || overloaded && !p.overloaded {
 			above++
 		}
 	}
@@ -405,7 +411,7 @@
 			up = append(up, q)
 		}
 	}
-	slices.SortFunc(up, func(x, y *peer) int { return cmp.Compare(weight(key, y.name), weight(key, x.name)) })
+	slices.SortFunc(up, func(x, y *peer) int { return cmp.Compare(route.Weight(key, y.name), route.Weight(key, x.name)) })
 	for _, q := range up[:min(len(up), copyHolders)] {
 		q.link.Notify(turns.MethodCounts, countsCopy{key, p})
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -19,6 +20,10 @@
 	// it lives, and goneAfterMs the age of one from which it counts as gone.
 	memberEvery = 12 * clock.Second
 	goneAfterMs = 30 * clock.Second
+	// listWait is how long the first dials wait for the list of servers, whose
+	// hosts come first: the start's reads take about 100 ms on the users' bench.
+	listWait = 300 * clock.Millisecond
+	listLook = 10 * clock.Millisecond
 )
 
 // member is what a gateway tells the others of itself.
@@ -79,6 +84,9 @@
 			continue
 		}
 		reads++
+		for until := g.clock.Now() + listWait; reads == 1 && !g.belief.listed.Load() && g.clock.Now() < until; {
+			_ = g.clock.Sleep(ctx, listLook)
+		}
 		now := g.clock.Now()
 		for _, r := range snap.Records {
 			g.seePeer(byName, r, now)
@@ -124,9 +132,9 @@
 // digest returns a number that differs for different sets of gateways: the
 // given ones and one more.
 func digest(addrs map[string]string, name, addr string) uint64 {
-	sum := weight(name, addr)
+	sum := route.Weight(name, addr)
 	for n, a := range addrs {
-		sum += weight(n, a)
+		sum += route.Weight(n, a)
 	}
 	return sum
 }
