Gateways: told after an outage, the list counts the store as back

Cause: a gateway whose read failed in an outage of the store keeps entries that go missing, until it has read itself for 2.3 s; but while readers tell that nothing changed, it does not read. Lines that led there: asOf rises with the hint (12, 13, 14) and no 'servers' line follows, f.lost still true. Ruled out: hints that were lost or out of order; two partitions' offsets. Change: what readers tell shows that they reached the store.

--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -167,6 +167,8 @@
 	for ctx.Err() == nil {
 		g.applyTold(list)
 		if g.unchanged(ctx, g.listEvery(), g.clock.Now()-list.confirmedMs, func(h hint) bool { return h.Servers > list.asOf }) {
+			// Those that tell it have reached the store.
+			list.Back(g.clock.Now())
 			if h, _, ok := g.hints.current(); ok && h.List == g.list.Load() {
 				list.confirmedMs = g.clock.Now()
 			}
