Drain: a late request is taken only if it surely ends

Cause: 2.7 s after SIGTERM and later, requests were taken by how long the last ones of their route had taken, times 1.6. Ruled out: a longer slowdown (chats last up to their time-out of 12 s, and who is refused is served elsewhere after 50 ms). Change: a late request is taken if its time-out ends before the process does; how long others lasted no longer counts and is not kept.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -60,13 +60,7 @@
 	}
 }
 
-// leaves reports whether the gateway ends before j could.
+// leaves reports whether the gateway may end before j does.
 func (g *Gateway) leaves(j *job, now clock.Millis) bool {
-	if !g.draining.Load() {
-		return false
-	}
-	g.mu.Lock()
-	longest := g.durations.Longest(j.route.Name)
-	g.mu.Unlock()
-	return !drain.Takes(now-clock.Millis(g.drainMs.Load()), g.endsAfter(), longest, j.timeoutMs-now)
+	return g.draining.Load() && !drain.Takes(now-clock.Millis(g.drainMs.Load()), g.endsAfter(), j.timeoutMs-now)
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -86,11 +86,11 @@
 	gate           *gate
 
 	mu sync.Mutex
-	// durations are whole answers, streamed the times from the first event on.
-	durations, streamed *drain.Durations
-	board               *board
-	host                *turns.Host
-	hints               *hints
+	// streamed are the times of answers from the first event on.
+	streamed *drain.Durations
+	board    *board
+	host     *turns.Host
+	hints    *hints
 }
 
 // New opens the gateway's addresses.
@@ -98,7 +98,7 @@
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
 		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
-		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), durations: drain.NewDurations(), streamed: drain.NewDurations(),
+		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -151,7 +151,4 @@
 		"bytes": j.caller.Progress().Bytes, "whole": whole, "sends": j.sends, "tookMs": int64(took),
 	}).Info()
 	g.metrics.answered(j, s.ans.Status, whole, took)
-	g.mu.Lock()
-	g.durations.Add(j.route.Name, took)
-	g.mu.Unlock()
 }
