Duties: windows that an outage delays are reported late

Cause: after an outage of the store the new holder began with the first window that was not yet late by a margin of 1.25 s: others were never reported, and their accounts never charged. Change: with a seal known, the holder goes on behind it, as far back as all gateways keep their counts (six windows beyond the report's time instead of three), and waits 0.4 s for late publishers that an outage held up. Without a seal it is not known what was reported; there the old bound stays.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -21,6 +21,11 @@
 	// collected, when all gateways have published.
 	collectAfter = 1200 * clock.Millisecond
 	collectEvery = 700 * clock.Millisecond
+	// lateCollectEvery is the same for a window that an outage of the store has
+	// delayed, whose publishers are waited for at least lateWait: they publish
+	// within some tenths of a second of the store's return.
+	lateCollectEvery = 200 * clock.Millisecond
+	lateWait         = 400 * clock.Millisecond
 	// reportMargin is how long before it is due a report is sent at the latest.
 	reportMargin = 2500 * clock.Millisecond
 	// goneAfter is how long a gateway that cannot be reached is waited for.
@@ -48,8 +53,11 @@
 	// told is the last window whose report was accepted.
 	told   int64
 	nextMs clock.Millis // of the next collection
-	held   bool
-	loaded bool
+	// looked is the window that was collected last, for the first time at lookedMs.
+	looked   int64
+	lookedMs clock.Millis
+	held     bool
+	loaded   bool
 	// failures counts the failed calls of the store since it answered.
 	failures int
 }
@@ -216,7 +224,7 @@
 	if wait := max(ready-wall, h.nextMs-now); wait > 0 {
 		return g.clock.Sleep(ctx, min(wait, max(h.t.DueMs(now)-now, clock.Millisecond)))
 	}
-	h.nextMs = now + collectEvery
+	h.look(now, window, wall-ready)
 	snap, err := g.store.Newest(ctx, TopicUsage)
 	g.metrics.storeRead(TopicUsage, err)
 	if err != nil {
@@ -224,7 +232,7 @@
 	}
 	sum := g.collect(snap.Records, window)
 	h.drop(ctx, sum.stale)
-	if patience := h.patience(sum.late); g.clock.Wall() < g.usage.end(window)+patience {
+	if patience := h.patience(sum.late); g.clock.Wall() < g.usage.end(window)+patience || len(sum.late) > 0 && g.clock.Now() < h.lookedMs+lateWait {
 		return nil
 	}
 	u := Usage{Window: window, Counts: sum.total}
@@ -236,6 +244,17 @@
 	})
 }
 
+// look notes a collection of a window that was ready before for so long.
+func (h *holder) look(now clock.Millis, window int64, before clock.Millis) {
+	if h.looked != window {
+		h.looked, h.lookedMs = window, now
+	}
+	h.nextMs = now + collectEvery
+	if before > collectEvery {
+		h.nextMs = now + lateCollectEvery
+	}
+}
+
 // patience returns how long after a window's end its late publishers are
 // waited for: less if none of them can be reached, since they are likely gone.
 func (h *holder) patience(late []string) clock.Millis {
@@ -254,16 +273,15 @@
 	return clock.Millis(g.Settings().Duties.ReportWithinS * float64(clock.Second))
 }
 
-// dueWindow returns the first window that has not been sealed and whose report
-// is not yet late.
+// dueWindow returns the first window that has not been sealed: one that is late is
+// reported all the same while the gateways keep its counts. Without a seal it is
+// not known what was reported, so that only windows count that are not late yet.
 func (h *holder) dueWindow(wall clock.Millis) int64 {
 	g := h.g
-	within := g.reportWithin()
-	first := g.usage.window(wall - within + reportMargin/2)
 	if h.sealed != nil {
-		return max(first, h.sealed.Usage.Window+1)
+		return max(g.usage.oldest(wall), h.sealed.Usage.Window+1)
 	}
-	return first
+	return g.usage.window(wall - g.reportWithin() + reportMargin/2)
 }
 
 // report sends sealed figures. They were read back or written under the term,
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -14,8 +14,9 @@
 
 const (
 	// keptBeyond is how many windows a gateway keeps its counts of beyond those
-	// whose report is not late yet.
-	keptBeyond = 3
+	// whose report is not late yet: an outage of the store and the election after
+	// it fit into that many windows of 5 s.
+	keptBeyond = 6
 	// publishAfter is the time after a window's end until its counts are
 	// published: clocks may differ by some tenths of a second.
 	publishAfter = 300 * clock.Millisecond
@@ -52,6 +53,10 @@
 // end returns the wall time at which a window ends.
 func (c *counts) end(window int64) clock.Millis { return clock.Millis(window+1) * c.windowMs }
 
+// oldest returns the first window of which all gateways still keep their counts,
+// also those whose time of day is ahead.
+func (c *counts) oldest(wall clock.Millis) int64 { return c.window(wall) - c.kept + 2 }
+
 func (c *counts) add(account string, wall clock.Millis) {
 	w := c.window(wall)
 	c.mu.Lock()
