Order of starts: a request is taken to need 0.8 of its time at most

What a request needs from its first event on was the median of the last answers; that gateway had two, the slower one of 4,244 ms where a draft has 4,000, so that each draft was refused at once and nothing was measured again. Lines: notOffered by three engines within 2 ms, the last answered draft with firstMs=18 tookMs=4262. Ruled out: full engines (others were served), an engine out of reach (no such line). Change: at most 0.8 of the request's whole time counts as needed.

--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -67,3 +67,13 @@
 	sorted := slices.Sorted(slices.Values(w.last))
 	return sorted[len(sorted)/2]
 }
+
+// mostNeed is the part of a request's whole time that it is taken to need at most:
+// with more, one slow answer would have all later ones refused for good.
+const mostNeed = 0.8
+
+// Need returns the time that a request is taken to need from its first event on,
+// of the whole time that it has.
+func (d *Durations) Need(route string, whole clock.Millis) clock.Millis {
+	return min(d.Typical(route), clock.Millis(float64(whole)*mostNeed))
+}
--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -47,3 +47,19 @@
 		t.Errorf("Typical of an unknown route = %d, want 0", got)
 	}
 }
+
+// TestNeedLeavesATry plays a route whose only answer took longer than the next
+// request may: that one still fits into its time when it comes.
+func TestNeedLeavesATry(t *testing.T) {
+	const whole = 4000 * clock.Millisecond
+	d := drain.NewDurations()
+	d.Add("r", 4244)
+	if got := d.Need("r", whole); got >= whole {
+		t.Errorf("Need = %d of %d: no request would ever start", got, whole)
+	}
+	d = drain.NewDurations()
+	d.Add("r", 318)
+	if got := d.Need("r", whole); got != 318 {
+		t.Errorf("Need = %d, want 318", got)
+	}
+}
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -108,7 +108,7 @@
 // reservation describes j to the host of an engine.
 func (g *Gateway) reservation(j *job, to target, now clock.Millis) turns.Reservation {
 	g.mu.Lock()
-	need := g.streamed.Typical(j.route.Name)
+	need := g.streamed.Need(j.route.Name, j.timeoutMs-j.arrivedMs)
 	g.mu.Unlock()
 	r := turns.Reservation{
 		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, Tight: j.ask.Tight, PauseMs: j.route.PauseMs, Unread: to.Unread,
