Usage: an answer that its caller takes whole is charged only when it ends

The entry cancels, the caller gets 401 and nothing else, and the sidecar charges the account for the tokens that were generated until then. The known case had one token; the new test has six answers of 200 tokens: requests 2 to 7 of its entry, 40 tokens each at the engine (ended as gone), cancelled at 52:46.167, known to the sidecar at 52:46.170 with tokens=40, 240 tokens reported for nothing delivered.

Ruled out: the test's sum; it leaves out the refused requests, rightly.

Change: the entry tells the sidecar which answers are taken whole; the attempt that completes one charges all of it, others nothing. Which came first, the end or the withdrawal, is decided by the sidecar alone: the entry leaves it 300 ms before it cancels, and starts no attempt with a withdrawn key. Streams are charged as they come, as before.

Before: TestRefusedAnswersAreNotCharged fails (261 tokens for 21); after: passes, as do role/entry, role/solo, proof/keys and proof/regions.

--- a/internal/peer/dispatch/messages.go
+++ b/internal/peer/dispatch/messages.go
@@ -206,6 +206,9 @@
 	Route          string `json:"route,omitempty"`
 	// ResumeTokens is the number of tokens that the caller has already.
 	ResumeTokens int `json:"resumeTokens,omitempty"`
+	// Whole tells that the caller takes the answer whole: of one that does not end
+	// it gets nothing, and is charged nothing.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Refusal is the body of an answer with ResultRefused.
--- a/internal/role/entry/dispatcher.go
+++ b/internal/role/entry/dispatcher.go
@@ -40,6 +40,9 @@
 func (d *dispatcher) run(ctx context.Context, j *job) (*answer, *exchange.Failure) {
 	var last *exchange.Failure
 	for round := 0; round < maxRounds && j.failures < maxAttempts; round++ {
+		if d.e.store.Current().KeyWithdrawn(j.keyID) {
+			return nil, withdrawn(j)
+		}
 		c := d.e.router.choose(j)
 		if p := c.direct; p != nil {
 			ans, err := d.attempt(ctx, j, p, j.nextAttempt())
@@ -68,6 +71,9 @@
 		}
 		last = err.unwrap()
 	}
+	if d.e.store.Current().KeyWithdrawn(j.keyID) {
+		return nil, withdrawn(j)
+	}
 	if last == nil {
 		last = unavailable("no backend server of the pool can be reached")
 	}
--- a/internal/role/entry/failure.go
+++ b/internal/role/entry/failure.go
@@ -38,12 +38,17 @@
 	}
 }
 
+// withdrawn is the answer to a request whose key was withdrawn on its way.
+func withdrawn(j *job) *exchange.Failure {
+	e := unauthorized("invalidKey", "the key has been withdrawn")
+	e.NotRun = j.attempts == 0
+	return e
+}
+
 // stopped is the answer to a request whose context has ended.
 func stopped(ctx context.Context, j *job) *exchange.Failure {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
-		e := unauthorized("invalidKey", "the key has been withdrawn")
-		e.NotRun = j.attempts == 0
-		return e
+		return withdrawn(j)
 	}
 	return lost(j, "the request was cancelled")
 }
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -62,7 +62,7 @@
 	return &job{
 		id: e.newID(), account: q.account, class: class, keyID: q.key.ID, pool: pool, body: body,
 		prefixes: req.Prefixes, prompt: req.PromptTokens, maxTokens: req.MaxTokens,
-		arrived: q.arrived, preemptible: class.Resume, tried: map[*peer]bool{},
+		arrived: q.arrived, preemptible: class.Resume, tried: map[*peer]bool{}, request: dispatch.Request{Whole: !req.Stream},
 	}, req, nil
 }
 
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -45,13 +46,18 @@
 	delete(a.all, q)
 }
 
+// withdrawGrace is how long a request with a withdrawn key is left to its
+// sidecar, which hears of the change within a message's time: it alone decides
+// then whether the answer was complete, and so whether it is charged.
+const withdrawGrace = 300 * time.Millisecond
+
 // withdraw ends the requests whose key d lists as withdrawn.
 func (a *active) withdraw(d *directory.Directory) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for q := range a.all {
 		if d.KeyWithdrawn(q.key.ID) {
-			q.cancel(errWithdrawn)
+			time.AfterFunc(withdrawGrace, func() { q.cancel(errWithdrawn) })
 		}
 	}
 }
--- a/internal/role/sidecar/data.go
+++ b/internal/role/sidecar/data.go
@@ -75,6 +75,7 @@
 	// tokens counts what the server generated in this attempt.
 	tokens       int
 	promptTokens int
+	complete     bool
 	buf          []byte // of one event
 	// mu orders the keep-alive answers before the head of the answer.
 	mu    sync.Mutex
@@ -113,7 +114,22 @@
 
 func (a *attempt) finish() {
 	a.s.put(finishEvent{id: a.run.id, tokens: a.tokens})
-	a.s.meter.Add(a.resv.Account, a.promptTokens, a.tokens)
+	if prompt, tokens := a.charged(); prompt+tokens > 0 {
+		a.s.meter.Add(a.resv.Account, prompt, tokens)
+	}
+}
+
+// charged returns the tokens that the account pays for this attempt: those of a
+// stream as they come, those of an answer taken whole when it ends, with the
+// tokens of the attempts that it goes on from.
+func (a *attempt) charged() (prompt, tokens int) {
+	switch {
+	case !a.req.Whole:
+		return a.promptTokens, a.tokens
+	case a.complete:
+		return a.promptTokens, a.req.ResumeTokens + a.tokens
+	}
+	return 0, 0
 }
 
 // begin writes the head of an answer that ends with a trailer.
@@ -135,6 +151,7 @@
 // end states how the attempt ended.
 func (a *attempt) end(e dispatch.End) {
 	a.w.Header().Set(dispatch.TrailerEnd, string(e))
+	a.complete = e == dispatch.EndComplete
 	if e != dispatch.EndComplete {
 		a.s.log.WithFields(logrus.Fields{"event": "attemptEnd", "attempt": a.run.id, "end": e, "tokens": a.tokens}).Info("attempt ended early")
 	}
