Gateways heed what servers say of themselves: leaving, and a pause

A server that leaves says so in its answers (Server-Leaving); one that turns a request away with 503 may name a time in which it wants nothing (Retry-After).

Change: state/servers.Notices keeps both by id and start; role/gateway/notices.go takes them from every answer. A leaving server gets nothing from then on, under this start, whatever the list says; one in a pause nothing until its end. Turns that wait there choose again, sends are asked once more before the first byte, hosts of engines hear of the pause, readers tell all gateways of leavers. All servers in a pause: 503 at once with the first end. Malformed values count as absent, logged once a server and minute.

--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -26,8 +26,14 @@
 	Body   []byte
 	// Mine reports whether an answer with these headers belongs to the request.
 	Mine func(status int, h http.Header) bool
+	// Allowed is asked right before the first byte is written, since a new
+	// connection takes a while; nil for yes.
+	Allowed func() bool
 }
 
+// ErrWithheld is the cause of a NotSentError for a request that was not Allowed.
+var ErrWithheld = errors.New("no longer to be sent there")
+
 // Answer is a backend server's answer. Its body must be closed.
 type Answer struct {
 	Status int
@@ -47,6 +53,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		p.put(c)
+		return nil, &NotSentError{ErrWithheld}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if ctx.Err() != nil {
 		stop()
--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -54,8 +54,9 @@
 	scope tally.Scope
 	in    *ring.Ring[input]
 	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
-	// store; both must be set before Run.
-	OnCounts, OnHint func(data json.RawMessage) error
+	// store,
+	// OnLeaving which server told it that it leaves; all must be set before Run.
+	OnCounts, OnHint, OnLeaving func(data json.RawMessage) error
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
 	Overloaded func() bool
@@ -222,6 +223,8 @@
 		return h.OnCounts(in.params)
 	case turns.MethodHint:
 		return h.OnHint(in.params)
+	case turns.MethodLeaving:
+		return h.OnLeaving(in.params)
 	case dispatch.MethodHeartbeat:
 		var b turns.Beat
 		if err := json.Unmarshal(in.params, &b); err != nil {
@@ -242,6 +245,9 @@
 			h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
 			e.batch.Unreached(now, c.entry)
 		}
+		if ref.PauseMs > 0 {
+			e.batch.Full(now, ref.PauseMs)
+		}
 	}
 	return nil
 }
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -4,7 +4,7 @@
 // hosts the order of some engines. Requests and answers do not pass through it.
 //
 //	dialer -> host  hello, reserve, announce, cancel, begun, done, counts,
-//	                hint, heartbeat
+//	                hint, leaving, heartbeat
 //	host -> dialer  offer, refuse, load
 package turns
 
@@ -25,6 +25,8 @@
 	MethodCounts = "counts"
 	// MethodHint tells what the dialer knows of the store.
 	MethodHint = "hint"
+	// MethodLeaving names a server (servers.Key) that told the dialer that it leaves.
+	MethodLeaving = "leaving"
 )
 
 // Engine names one start of an engine and tells its size.
@@ -118,6 +120,9 @@
 	ID string `json:"id"`
 	// Unreached is set in a done of a request that could not reach the engine.
 	Unreached bool `json:"unreached,omitempty"`
+	// PauseMs is set in a done of a request that the engine turned away: how long
+	// it wants nothing of the dialer.
+	PauseMs clock.Millis `json:"pause,omitempty"`
 }
 
 // Refusal tells that a reservation was dropped.
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -86,6 +86,9 @@
 	// doubtMs is how long an entry is not believed that was contradicted: the way
 	// from it to the engine is cut, not the engine.
 	doubtMs = 10 * clock.Second
+	// fullMs bounds the time for which an engine that turned a request away starts
+	// no further prompt: how full it is shows with its next answers.
+	fullMs = 500 * clock.Millisecond
 	// farBehind is the load that is told meanwhile.
 	farBehind = 5 * clock.Second
 	// checkEvery is the time between two checks whether waiting requests can
@@ -310,6 +313,12 @@
 	}
 }
 
+// Full tells that the engine turned a request away and asked its entry for a
+// pause: it has less room than it is taken to have, whoever asks.
+func (s *Scheduler) Full(now, pause clock.Millis) {
+	s.freeMs = max(s.freeMs, now+min(pause, fullMs))
+}
+
 // alive notes that a request of an entry began: an engine that another entry
 // could not reach serves.
 func (s *Scheduler) alive(now clock.Millis, entry string) {
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -160,11 +160,13 @@
 	failsMs clock.Millis
 	pause   clock.Millis
 	untilMs clock.Millis
-	timeMs  float64 // per plain request
-	loadMs  clock.Millis
-	running int
-	waiting int
-	atLoad  int // own requests in flight when the load was told
+	// closedMs is until when the server wants no request.
+	closedMs clock.Millis
+	timeMs   float64 // per plain request
+	loadMs   clock.Millis
+	running  int
+	waiting  int
+	atLoad   int // own requests in flight when the load was told
 }
 
 // Book keeps what an entry knows of the servers of one pool.
@@ -180,6 +182,34 @@
 	return &Book{zone: zone, all: map[string]*state{}}
 }
 
+// Close keeps requests from a server until a time by its own word. A server that
+// starts anew is open.
+func (b *Book) Close(id string, until clock.Millis) {
+	if s := b.all[id]; s != nil {
+		s.closedMs = max(s.closedMs, until)
+	}
+}
+
+// Closed reports whether a server wants no request now.
+func (b *Book) Closed(now clock.Millis, id string) bool {
+	s := b.all[id]
+	return s != nil && now < s.closedMs
+}
+
+// Opens returns when the first server takes requests again; ok is false while one
+// takes them now, or there is none.
+func (b *Book) Opens(now clock.Millis) (at clock.Millis, ok bool) {
+	for _, s := range b.ranked {
+		if now >= s.closedMs {
+			return 0, false
+		}
+		if !ok || s.closedMs < at {
+			at, ok = s.closedMs, true
+		}
+	}
+	return at, ok
+}
+
 // SetServers sets the servers that may take requests. A server that starts
 // anew holds nothing.
 func (b *Book) SetServers(list []Server) {
@@ -285,12 +315,12 @@
 func (b *Book) least(now clock.Millis, r Request, list []*state, exclude []string, rnd *rand.Rand) (c Choice, ok bool) {
 	best := math.Inf(1)
 	home := b.home(r)
-	if home != nil && (now < home.untilMs || home.failing(now) > failingHome) {
+	if home != nil && (now < max(home.untilMs, home.closedMs) || home.failing(now) > failingHome) {
 		home = nil
 	}
 	holder := b.holder(now, r)
 	for _, s := range list {
-		if slices.Contains(exclude, s.ID) {
+		if now < s.closedMs || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		var cost float64
@@ -318,7 +348,7 @@
 // start it now at no greater cost than waiting a little longer.
 func (b *Book) Idle(now clock.Millis, r Request, c Choice, exclude []string) bool {
 	for _, s := range b.ranked {
-		if s.ID == c.ID || now < s.untilMs || s.failing(now) > failingHome || slices.Contains(exclude, s.ID) {
+		if s.ID == c.ID || now < s.untilMs || now < s.closedMs || s.failing(now) > failingHome || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		l := s.load(now)
@@ -368,7 +398,7 @@
 	part := r.Parts[len(r.Parts)-2].ID
 	for _, s := range b.ranked {
 		at, ok := s.cache.usedMs(part)
-		if ok && now >= s.untilMs && s.failing(now) < failingHome && (best == nil || at > latest) {
+		if ok && now >= max(s.untilMs, s.closedMs) && s.failing(now) < failingHome && (best == nil || at > latest) {
 			best, latest = s, at
 		}
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -144,6 +144,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("/v1/chat/completions", e.notAllowed(http.MethodPost))
+	mux.HandleFunc("/v1/models", e.notAllowed(http.MethodGet, http.MethodHead))
 	mux.HandleFunc("/", e.servePlain)
 	return &http.Server{
 		Handler: e.closeWhenDraining(mux), ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -131,6 +132,19 @@
 	openai.Codec{}.Refuse(w, failure)
 }
 
+// notAllowed refuses all methods of a path but the allowed ones, which have
+// handlers of their own.
+func (e *Entry) notAllowed(allowed ...string) http.HandlerFunc {
+	list := strings.Join(allowed, ", ")
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", list)
+		e.fail(w, r, nil, &exchange.Failure{
+			Status: http.StatusMethodNotAllowed, Code: "methodNotAllowed", NotRun: true,
+			Message: r.Method + " is not allowed for " + quote(r.URL.Path) + "; allowed: " + list,
+		})
+	}
+}
+
 // finished logs and counts a request that was served or given up.
 func (e *Entry) finished(q *query, j *job, failure *exchange.Failure) {
 	took := e.clock.Now() - q.arrived
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -33,6 +33,10 @@
 	pools map[string]*pool
 	list  []servers.Server
 	bound retry.Bound
+
+	// notices are what servers said of themselves; noticeMu is taken last.
+	noticeMu sync.Mutex
+	notices  *servers.Notices
 }
 
 // pool is what the gateway knows of one pool of servers.
@@ -54,7 +58,7 @@
 }
 
 func newBelief(zone string, c clock.Clock, log logrus.FieldLogger, bound retry.Bound) *belief {
-	return &belief{zone: zone, clock: c, log: log, bound: bound, pools: map[string]*pool{}}
+	return &belief{zone: zone, clock: c, log: log, bound: bound, pools: map[string]*pool{}, notices: servers.NewNotices()}
 }
 
 func (b *belief) config() *routing.Config { return b.cfg.Load() }
@@ -124,6 +128,10 @@
 	defer b.mu.Unlock()
 	byPool := map[string][]servers.Server{}
 	for _, s := range b.list {
+		if b.left(s.Key()) {
+			b.poolLocked(s.Pool)
+			continue
+		}
 		byPool[s.Pool] = append(byPool[s.Pool], s)
 		b.poolLocked(s.Pool)
 	}
@@ -187,6 +195,9 @@
 		}
 	}
 	p.book.SetServers(out)
+	for k := range live {
+		p.book.Close(k.ID, b.pausedUntil(k))
+	}
 	for k, c := range p.conns {
 		if !live[k] {
 			c.Close()
@@ -221,10 +232,10 @@
 }
 
 // takes reports whether a server may still take requests under the same start.
-func (p *pool) takes(e turns.Engine) bool {
+func (p *pool) takes(now clock.Millis, e turns.Engine) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.engines[e.ID] == e
+	return p.engines[e.ID] == e && !p.book.Closed(now, e.ID)
 }
 
 // with runs f on the pool's book.
@@ -251,6 +262,7 @@
 func (b *belief) sweep() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sweepNotices()
 	for _, p := range b.pools {
 		p.mu.Lock()
 		for _, c := range p.conns {
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -15,6 +15,7 @@
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -400,18 +401,37 @@
 	}
 }
 
-// copy sends the counts to the gateways that hold copies: those with the
-// highest hash of both names, so that few change with the membership.
-func (b *board) copy(key string, p published) {
+// tellReaders names a server that leaves to the gateways that tell all others.
+func (b *board) tellReaders(k servers.Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	up := b.linkedLocked(subjectReaders)
+	for _, p := range up[:min(len(up), readers)] {
+		p.link.Notify(turns.MethodLeaving, k)
+	}
+}
+
+// linkedLocked returns the other gateways that are up, by their hash with a
+// subject, the highest first.
+func (b *board) linkedLocked(subject string) []*peer {
 	var up []*peer
 	for _, q := range b.peers {
 		if q.up && q.addr != "" && q.link != nil {
 			up = append(up, q)
 		}
 	}
-	slices.SortFunc(up, func(x, y *peer) int { return cmp.Compare(route.Weight(key, y.name), route.Weight(key, x.name)) })
+	slices.SortFunc(up, func(x, y *peer) int {
+		return cmp.Compare(route.Weight(subject, y.name), route.Weight(subject, x.name))
+	})
+	return up
+}
+
+// copy sends the counts to the gateways that hold copies: those with the
+// highest hash of both names, so that few change with the membership.
+func (b *board) copy(key string, p published) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	up := b.linkedLocked(key)
 	for _, q := range up[:min(len(up), copyHolders)] {
 		q.link.Notify(turns.MethodCounts, countsCopy{key, p})
 	}
--- a/internal/role/gateway/codec.go
+++ b/internal/role/gateway/codec.go
@@ -57,8 +57,21 @@
 	Encoded          bool
 	HasLoad          bool
 	Running, Waiting int
+	// Leaving tells that the server leaves: it is not to be used again under its
+	// present start.
+	Leaving bool
+	// Named is the server that answered, if the answer names it.
+	Named string
+	// PauseMs is how long the server wants no further request of this gateway; 0
+	// if it does not say.
+	PauseMs clock.Millis
+	// Malformed are the headers that could not be read.
+	Malformed []Malformed
 }
 
+// Malformed is a header that says nothing.
+type Malformed struct{ Name, Value string }
+
 // Codec reads and writes the headers of callers and backend servers.
 type Codec interface {
 	Call(h http.Header) Call
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -230,6 +230,7 @@
 	if g.board.among(subjectReaders, readers) {
 		h := newHint(before, list.asOf, changes)
 		h.Gateways, h.List = g.gateways.Load(), g.list.Load()
+		h.Leaving = g.leavers.recent(now)
 		if g.belief.configAge() < g.configWait()+hintAge/2 {
 			h.Config = g.configVersion()
 		}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -91,6 +91,7 @@
 	board    *board
 	host     *turns.Host
 	hints    *hints
+	leavers  *leavers
 }
 
 // New opens the gateway's addresses.
@@ -106,9 +107,10 @@
 	g.board = newBoard(g)
 	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.hints = newHints(d.Clock)
+	g.leavers = newLeavers()
 	g.outage = newOutage()
 	g.host.Overloaded = g.overloaded
-	g.host.OnCounts, g.host.OnHint = g.keepCopy, g.hints.take
+	g.host.OnCounts, g.host.OnHint, g.host.OnLeaving = g.keepCopy, g.takeHint, g.takeLeaving
 	g.host.OnBeat = func(entry string, wall clock.Millis) {
 		if entry != g.name {
 			g.wall.Vote(entry, wall)
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -202,7 +202,7 @@
 func (g *Gateway) giveUp(j *job, reason string) *exchange.Failure {
 	switch {
 	case !j.ran:
-		return notRun(http.StatusServiceUnavailable, reason, busyWait)
+		return notRun(http.StatusServiceUnavailable, reason, g.comeBack(j))
 	case g.clock.Now() >= j.timeoutMs-leastLeft:
 		return &exchange.Failure{Status: http.StatusGatewayTimeout, Code: reason}
 	}
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -37,6 +37,8 @@
 	List uint64 `json:"list"`
 	// Gateways is the digest of the gateways and their addresses.
 	Gateways uint64 `json:"gateways"`
+	// Leaving are servers that said of late that they leave.
+	Leaving []servers.Key `json:"leaving,omitempty"`
 }
 
 // newHint returns what a reader tells of the servers: the changes behind since,
@@ -70,11 +72,7 @@
 }
 
 // take takes in another gateway's hint.
-func (h *hints) take(data json.RawMessage) error {
-	var m hint
-	if err := json.Unmarshal(data, &m); err != nil {
-		return err
-	}
+func (h *hints) take(m hint) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -94,7 +92,6 @@
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
-	return nil
 }
 
 // current returns what is known; ok is false when no reader told anything
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// noticed counts what servers said of themselves.
+func (m *gatewayMetrics) noticed(kind string) {
+	m.root.Tagged(map[string]string{"kind": kind}).Counter("server_notices").Inc(1)
+}
+
 func (m *gatewayMetrics) duty(held bool) {
 	v := 0.0
 	if held {
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -49,7 +49,7 @@
 			j.pool.with(func(b *place.Book) { better = b.Idle(g.clock.Now(), j.ask, to.Choice, j.exclude) })
 			return better
 		})
-		if err == nil && v.granted && !j.pool.takes(to.engine) {
+		if err == nil && v.granted && !j.pool.takes(g.clock.Now(), to.engine) {
 			// The server began to leave while the request waited for it.
 			t.cancel()
 			j.pool.with(func(b *place.Book) { b.Ended(g.clock.Now(), to.Choice, j.ask, place.OutcomeLeft, false, 0) })
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -80,8 +80,10 @@
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body,
 		Mine: func(status int, h http.Header) bool {
 			r := g.codec.Reply(status, h)
+			g.heard(j.pool, to.engine, r)
 			return r.RequestID == "" || r.RequestID == j.ID
 		},
+		Allowed: func() bool { return j.pool.takes(g.clock.Now(), to.engine) },
 	})
 	if err != nil {
 		g.noAnswer(ctx, j, s, err)
@@ -126,6 +128,10 @@
 			o = place.OutcomeFailed
 		}
 		g.end(j, s, o, "ended")
+	case errors.Is(err, direct.ErrWithheld):
+		s.unsent = true
+		s.outcome = retry.OutcomeNotRun
+		g.end(j, s, place.OutcomeLeft, "withheld")
 	case errors.As(err, &notSent):
 		s.unsent = true
 		s.outcome = retry.OutcomeNotRun
@@ -145,7 +151,7 @@
 		_ = s.ans.Body.Close()
 	}
 	s.cancel()
-	s.turn.done(o == place.OutcomeUnreached && s.unsent)
+	s.turn.done(o == place.OutcomeUnreached && s.unsent, s.reply.PauseMs)
 	j.pool.with(func(b *place.Book) { b.Ended(now, s.choice, j.ask, o, s.begun, now-s.sentMs) })
 	f := logrus.Fields{"event": "sendEnded", "server": s.choice.ID, "outcome": o.String(), "reason": reason, "tookMs": int64(now - s.sentMs)}
 	if s.ans != nil {
--- a/internal/role/gateway/turn.go
+++ b/internal/role/gateway/turn.go
@@ -78,16 +78,18 @@
 }
 
 // begun tells that the first event has arrived.
-func (t *turn) begun() { t.note(turns.MethodBegun, false) }
+func (t *turn) begun() { t.note(turns.MethodBegun, turns.Ref{}) }
 
 // done tells that the request has ended; unreached tells that it could not
-// reach the engine.
-func (t *turn) done(unreached bool) { t.note(turns.MethodDone, unreached) }
+// reach the engine, and pause for how long the engine wants nothing.
+func (t *turn) done(unreached bool, pause clock.Millis) {
+	t.note(turns.MethodDone, turns.Ref{Unreached: unreached, PauseMs: pause})
+}
 
 // cancel takes a reservation back.
-func (t *turn) cancel() { t.note(dispatch.MethodCancel, false) }
+func (t *turn) cancel() { t.note(dispatch.MethodCancel, turns.Ref{}) }
 
-func (t *turn) note(method string, unreached bool) {
+func (t *turn) note(method string, ref turns.Ref) {
 	if t == nil {
 		return
 	}
@@ -99,7 +101,24 @@
 		delete(t.b.turns, t.r.ID)
 	}
 	if p := t.peer; p != nil && p.link != nil {
-		p.link.Notify(method, turns.Ref{ID: t.r.ID, Unreached: unreached})
+		ref.ID = t.r.ID
+		p.link.Notify(method, ref)
+	}
+}
+
+// leave has the requests that wait for a start at an engine choose again.
+func (b *board) leave(engine string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.turns {
+		if t.granted || t.r.Engine.ID != engine {
+			continue
+		}
+		if t.peer != nil && t.peer.link != nil {
+			t.peer.link.Notify(dispatch.MethodCancel, turns.Ref{ID: id})
+		}
+		delete(b.turns, id)
+		t.verdict <- verdict{again: true}
 	}
 }
 
--- a/internal/role/solo/solo_test.go
+++ b/internal/role/solo/solo_test.go
@@ -216,6 +216,30 @@
 	}
 }
 
+// TestMethodsOfKnownPaths asks for known paths by methods that they do not have.
+func TestMethodsOfKnownPaths(t *testing.T) {
+	s := start(t, solo.Defaults())
+	for _, tc := range []struct{ method, path, allow string }{
+		{http.MethodGet, "/v1/chat/completions", "POST"},
+		{http.MethodDelete, "/v1/chat/completions", "POST"},
+		{http.MethodPost, "/v1/models", "GET, HEAD"},
+	} {
+		r, err := http.NewRequestWithContext(t.Context(), tc.method, s.URL()+tc.path, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+s.Key("demo"))
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusMethodNotAllowed || res.Header.Get("Allow") != tc.allow {
+			t.Errorf("%s %s: status %d, Allow %q; want 405 and %q", tc.method, tc.path, res.StatusCode, res.Header.Get("Allow"), tc.allow)
+		}
+	}
+}
+
 // TestIncompleteBodies sends a part of a body and then closes its side, or
 // sends nothing more.
 func TestIncompleteBodies(t *testing.T) {
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -8,6 +8,7 @@
 package servers
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -36,10 +37,30 @@
 
 // Key names one start of a server.
 type Key struct {
-	ID    string
-	Start int64
+	ID    string `json:"id"`
+	Start int64  `json:"start"`
 }
 
+// UnmarshalJSON decodes and checks a key.
+func (k *Key) UnmarshalJSON(data []byte) error {
+	type plain Key
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.ID == "" {
+		return &FieldError{Field: "id", Reason: "must not be empty"}
+	}
+	*k = Key(p)
+	return nil
+}
+
+// FieldError reports a field of a message that cannot be used.
+type FieldError struct{ Field, Reason string }
+
+// Error names the field and the reason.
+func (e *FieldError) Error() string { return e.Field + " " + e.Reason }
+
 // Key returns the key of the server's present start.
 func (s Server) Key() Key { return Key{s.ID, s.Start} }
 
