Gateways: one reads the store for all, and counts go to the holder over the links

Change: one reader, whose hints the next two replace after 0.9 and 1.05 s of silence and all after 1.3 s; what differs in a new configuration is passed on (state/delta); the holder asks for the counts of a window over the links, gateways that were not asked publish as before, and what a gateway holds for others that have ended goes along; candidates look each 2.1 s; reads that only confirm, and members' records, come as often for the whole fleet at any size.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -55,8 +55,11 @@
 	in    *ring.Ring[input]
 	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
 	// store,
-	// OnLeaving which server told it that it leaves; all must be set before Run.
-	OnCounts, OnHint, OnLeaving func(data json.RawMessage) error
+	// OnCollect takes the name of a gateway that asks for the counts of a window,
+	// OnLeaving which server told it that it leaves, and OnConfig how the
+	// configuration has changed; all must be set before Run.
+	OnCounts, OnHint, OnLeaving, OnConfig func(data json.RawMessage) error
+	OnCollect                             func(entry string, window int64)
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
 	Overloaded func() bool
@@ -221,8 +224,17 @@
 	switch in.method {
 	case turns.MethodCounts:
 		return h.OnCounts(in.params)
+	case turns.MethodCollect:
+		var m turns.Collect
+		if err := json.Unmarshal(in.params, &m); err != nil {
+			return err
+		}
+		h.OnCollect(c.entry, m.Window)
+		return nil
 	case turns.MethodHint:
 		return h.OnHint(in.params)
+	case turns.MethodConfig:
+		return h.OnConfig(in.params)
 	case turns.MethodLeaving:
 		return h.OnLeaving(in.params)
 	case dispatch.MethodHeartbeat:
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -4,7 +4,7 @@
 // hosts the order of some engines. Requests and answers do not pass through it.
 //
 //	dialer -> host  hello, reserve, announce, cancel, begun, done, counts,
-//	                hint, leaving, heartbeat
+//	                collect, config, hint, leaving, heartbeat
 //	host -> dialer  offer, refuse, load
 package turns
 
@@ -23,6 +23,12 @@
 	MethodLoad     = "load"
 	// MethodCounts carries the dialer's usage counts, which the host keeps for it.
 	MethodCounts = "counts"
+	// MethodCollect asks the host for its counts of a usage window, which it sends
+	// by MethodCounts on its own connection to the dialer.
+	MethodCollect = "collect"
+	// MethodConfig carries what differs in a configuration that the dialer has read
+	// from the one before.
+	MethodConfig = "config"
 	// MethodHint tells what the dialer knows of the store.
 	MethodHint = "hint"
 	// MethodLeaving names a server (servers.Key) that told the dialer that it leaves.
@@ -115,6 +121,11 @@
 	}
 }
 
+// Collect names a usage window.
+type Collect struct {
+	Window int64 `json:"window"`
+}
+
 // Ref names a request.
 type Ref struct {
 	ID string `json:"id"`
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -372,9 +372,12 @@
 	subjectHolders = "holders"
 )
 
-// among reports whether this gateway is one of the n with the highest hash of
-// the subject, of those that are up.
-func (b *board) among(subject string, n int) bool {
+// among reports whether this gateway is one of the first n for a subject.
+func (b *board) among(subject string, n int) bool { return b.rank(subject) < n }
+
+// rank returns how many of the gateways that are up have a higher hash of the
+// subject than this one.
+func (b *board) rank(subject string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own, above, overloaded := route.Weight(subject, b.g.name), 0, b.g.overloaded()
@@ -387,7 +390,7 @@
 			above++
 		}
 	}
-	return above < n
+	return above
 }
 
 // hint sends what this gateway knows of the store to all others.
@@ -426,6 +429,53 @@
 	return up
 }
 
+// tellConfig sends a change of the configuration to all others.
+func (b *board) tellConfig(c configChange) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.addr != "" && p.link != nil {
+			p.link.Notify(turns.MethodConfig, c)
+		}
+	}
+}
+
+// collect asks all gateways for their counts of a window.
+func (b *board) collect(window int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.addr != "" && p.link != nil {
+			p.link.Notify(turns.MethodCollect, turns.Collect{Window: window})
+		}
+	}
+}
+
+// counts sends counts to a gateway, and reports whether there is a way to it.
+func (b *board) counts(to string, c countsCopy) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[to]
+	if p == nil || p.link == nil {
+		return false
+	}
+	p.link.Notify(turns.MethodCounts, c)
+	return true
+}
+
+// others returns the names of the other gateways that are known.
+func (b *board) others() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for name, p := range b.peers {
+		if p.addr != "" {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // copy sends the counts to the gateways that hold copies: those with the
 // highest hash of both names, so that few change with the membership.
 func (b *board) copy(key string, p published) {
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -58,6 +58,7 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "drainTimeout").Warn(err)
 	}
+	g.handOver()
 }
 
 // leaves reports whether the gateway may end before j does.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -17,9 +17,11 @@
 	// claimMargin is how much longer than the platform's least time between
 	// two holders a challenger waits; a holder stops by as much sooner.
 	claimMargin = 600 * clock.Millisecond
-	// collectAfter is the time after a window's end until its counts are
-	// collected, when all gateways have published.
-	collectAfter = 1200 * clock.Millisecond
+	// collectAfter is the time after a window's end from which the store is read
+	// for counts that gateways did not send, when these have published them.
+	collectAfter = 1300 * clock.Millisecond
+	// askEvery is the time between two questions for a window's counts.
+	askEvery     = 200 * clock.Millisecond
 	collectEvery = 700 * clock.Millisecond
 	// lateCollectEvery is the same for a window that an outage of the store has
 	// delayed, whose publishers are waited for at least lateWait: they publish
@@ -31,10 +33,13 @@
 	// goneAfter is how long a gateway that cannot be reached is waited for.
 	goneAfter = 3500 * clock.Millisecond
 	dutyIdle  = 1500 * clock.Millisecond
+	// followPart is the part of the time without a renewal after which a candidate
+	// may claim that lies between two of its looks for one.
+	followPart = 2
 	// claimSpread bounds the delay by which challengers differ.
 	claimSpread = 500 * clock.Millisecond
 	// candidates is the number of gateways that wait to become the holder.
-	candidates = 4
+	candidates = 3
 	// actMargin is the least time left of a term for a call of a duty.
 	actMargin = 700 * clock.Millisecond
 )
@@ -58,6 +63,8 @@
 	lookedMs clock.Millis
 	held     bool
 	loaded   bool
+	// claimMs is the time without a renewal after which a candidate may claim.
+	claimMs clock.Millis
 	// failures counts the failed calls of the store since it answered.
 	failures int
 }
@@ -65,9 +72,10 @@
 // keepDuties takes part in the election of the holder and acts while it holds.
 func (g *Gateway) keepDuties(ctx context.Context) error {
 	lease := clock.Millis(g.Settings().Duties.LeaseMs)
-	h := &holder{g: g, t: tenure.New(tenure.Config{
+	claim := lease + 2*claimMargin
+	h := &holder{g: g, claimMs: claim, t: tenure.New(tenure.Config{
 		Holder: g.name, Process: g.process,
-		HoldMs: lease, ClaimMs: lease + 2*claimMargin, RenewMs: lease / 3,
+		HoldMs: lease, ClaimMs: claim, RenewMs: lease / 3,
 		HandoverMs: lease/2 + claimMargin/2, SpreadMs: g.spread(claimSpread),
 	})}
 	for ctx.Err() == nil && !g.draining.Load() {
@@ -136,13 +144,15 @@
 	if held {
 		return h.act(ctx, term)
 	}
-	wait := min(max(h.t.DueMs(now)-now, 0), dutyIdle)
+	wait := max(h.t.DueMs(now)-now, 0)
 	if h.t.Next() == 0 {
-		_ = g.clock.Sleep(ctx, wait)
+		_ = g.clock.Sleep(ctx, min(wait, dutyIdle))
 		h.loaded = false
 		return nil
 	}
-	snap, err := g.store.Read(ctx, TopicDuty, h.t.Next(), wait)
+	// A look at each renewal would cost as many calls as there are candidates.
+	_ = g.clock.Sleep(ctx, min(wait, h.claimMs/followPart))
+	snap, err := g.store.Read(ctx, TopicDuty, h.t.Next(), 0)
 	g.metrics.storeRead(TopicDuty, err)
 	if err != nil {
 		return err
@@ -220,11 +230,22 @@
 		return h.report(ctx, term, s.Usage)
 	}
 	window := h.dueWindow(wall)
-	ready := g.usage.end(window) + collectAfter
+	ready := g.usage.end(window) + collectFrom
 	if wait := max(ready-wall, h.nextMs-now); wait > 0 {
 		return g.clock.Sleep(ctx, min(wait, max(h.t.DueMs(now)-now, clock.Millisecond)))
 	}
+	first := h.looked != window
 	h.look(now, window, wall-ready)
+	missing := g.usage.missing(window, g.board.others())
+	if len(missing) > 0 {
+		g.board.collect(window)
+	}
+	g.usage.askedFor(window)
+	if len(missing) > 0 && (first || wall < g.usage.end(window)+collectAfter) {
+		h.nextMs = now + askEvery
+		return nil
+	}
+	// What was not sent may have been published, also by gateways that have ended.
 	snap, err := g.store.Newest(ctx, TopicUsage)
 	g.metrics.storeRead(TopicUsage, err)
 	if err != nil {
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -103,7 +103,7 @@
 // followConfig keeps the newest configuration in force.
 func (g *Gateway) followConfig(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicConfig}
-	for ctx.Err() == nil {
+	for empty := 0; ctx.Err() == nil; {
 		news := func(h hint) bool { return h.Config > g.configVersion() || g.hints.configAge() > hintAge }
 		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, news) {
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
@@ -124,31 +124,20 @@
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 		}
 		for _, r := range snap.Records {
-			g.applyConfig(r)
+			if d, ok := g.applyConfig(r); ok && g.board.among(subjectReaders, readers) {
+				g.board.tellConfig(d)
+			}
 		}
 		g.belief.configReadMs.Store(int64(g.clock.Now()))
 		if f.next == 0 {
 			// An empty topic cannot be followed from an offset.
-			_ = g.clock.Sleep(ctx, readBackoff)
+			_ = g.clock.Sleep(ctx, readBackoff<<min(empty, 2))
+			empty++
 		}
 	}
 	return nil
 }
 
-func (g *Gateway) applyConfig(r Record) {
-	if r.Key != g.decode.ConfigKey || len(r.Value) == 0 {
-		return
-	}
-	cfg, err := g.decode.Config(r.Value)
-	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "configUnreadable", "offset": r.Offset}).Error(err)
-		return
-	}
-	if g.belief.setConfig(cfg) {
-		g.log.WithFields(logrus.Fields{"event": "config", "version": cfg.Version, "offset": r.Offset, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts)}).Info()
-	}
-}
-
 // serverList is the list of backend servers as the store has it.
 type serverList struct {
 	*servers.List
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -68,6 +68,7 @@
 	duties  Duties
 	decode  Decoder
 	belief  *belief
+	config  document
 	usage   *counts
 	metrics *gatewayMetrics
 
@@ -111,6 +112,8 @@
 	g.outage = newOutage()
 	g.host.Overloaded = g.overloaded
 	g.host.OnCounts, g.host.OnHint, g.host.OnLeaving = g.keepCopy, g.takeHint, g.takeLeaving
+	g.host.OnConfig = g.takeConfig
+	g.host.OnCollect = g.answerCollect
 	g.host.OnBeat = func(entry string, wall clock.Millis) {
 		if entry != g.name {
 			g.wall.Vote(entry, wall)
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -9,17 +9,21 @@
 )
 
 const (
-	// readers is the number of gateways that follow the store closely and tell
-	// the others of changes; the others read when there is one.
+	// readers is the number of gateways that tell the others of the store: the
+	// first one follows it closely, the next ones take over when it tells nothing.
 	readers = 3
+	// standbyStep is by how much longer each further reader bears silence.
+	standbyStep = 150 * clock.Millisecond
 	// hintAge is how long a hint counts: readers send one with each read.
 	hintAge = 1300 * clock.Millisecond
-	// unchecked is the most time between two reads of a topic by a gateway that is
-	// told of changes.
-	unchecked = 20 * clock.Second
+	// uncheckedEach is what each gateway adds to the time between two reads of a
+	// topic by one that is told of changes, so that all of them together read once
+	// in that time, and leastUnchecked that time at the least.
+	uncheckedEach  = 1500 * clock.Millisecond
+	leastUnchecked = 20 * clock.Second
 	// maxHintBytes bounds the changes in a hint: of more, each gateway reads them
 	// itself, once instead of from each reader.
-	maxHintBytes = 1500
+	maxHintBytes = 6000
 	// maxPendingHints bounds the hints with changes that wait to be applied.
 	maxPendingHints = 64
 )
@@ -102,6 +106,13 @@
 	return h.newest, h.changed, h.atMs != 0 && h.clock.Now()-h.atMs < hintAge
 }
 
+// age returns how long ago a reader told something.
+func (h *hints) age() clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Now() - h.atMs
+}
+
 // configAge returns how long ago a reader told the configuration in force.
 func (h *hints) configAge() clock.Millis {
 	h.mu.Lock()
@@ -125,15 +136,27 @@
 	return out, asOf
 }
 
+// patienceForHints is how long this gateway bears that no reader tells anything:
+// the next reader is to take over before all others read by themselves.
+func (g *Gateway) patienceForHints() clock.Millis {
+	rank := g.board.rank(subjectReaders)
+	if rank >= readers {
+		return hintAge
+	}
+	return min(g.listEvery()*3/2+clock.Millis(rank)*standbyStep, hintAge)
+}
+
 // unchanged waits while readers tell that there is nothing new, for d at most,
-// and reports whether that is so. A gateway that is a reader itself, is told
-// nothing, or did not read for long, must read the store.
+// and reports whether that is so. The first reader, and a gateway that is told
+// nothing or did not read for long, must read the store.
 func (g *Gateway) unchanged(ctx context.Context, d, sinceRead clock.Millis, news func(h hint) bool) bool {
 	h, changed, told := g.hints.current()
-	if !told || g.board.among(subjectReaders, readers) || news(h) || sinceRead > unchecked {
+	age, patience := g.hints.age(), g.patienceForHints()
+	unchecked := max(leastUnchecked, clock.Millis(g.live.Load())*uncheckedEach)
+	if !told || g.board.rank(subjectReaders) == 0 || age > patience || news(h) || sinceRead > unchecked {
 		return false
 	}
-	wait, cancel := context.WithTimeout(ctx, d.Duration())
+	wait, cancel := context.WithTimeout(ctx, min(d, patience-age+1).Duration())
 	defer cancel()
 	select {
 	case <-changed:
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -15,11 +15,14 @@
 	// firstPeersEvery that after the start, when all make themselves known.
 	peersEvery      = 4 * clock.Second
 	firstPeersEvery = 800 * clock.Millisecond
-	firstPeerReads  = 5
-	// memberEvery is the time between two records by which a gateway shows that
-	// it lives, and goneAfterMs the age of one from which it counts as gone.
-	memberEvery = 12 * clock.Second
-	goneAfterMs = 30 * clock.Second
+	firstPeerReads  = 3
+	// leastMemberEvery is the least time between two records by which a gateway
+	// shows that it lives, and memberEach what each gateway adds to it, so that all
+	// together write at most so often. A record of goneFactor that age shows that
+	// its gateway is gone.
+	leastMemberEvery = 20 * clock.Second
+	memberEach       = 600 * clock.Millisecond
+	goneFactor       = 2.5
 	// listWait is how long the first dials wait for the list of servers, whose
 	// hosts come first: the start's reads take about 100 ms on the users' bench.
 	listWait = 300 * clock.Millisecond
@@ -50,7 +53,7 @@
 		if err == nil {
 			failures = 0
 			g.outage.over()
-			_ = g.clock.Sleep(ctx, memberEvery)
+			_ = g.clock.Sleep(ctx, g.memberEvery())
 			continue
 		}
 		if failures == 0 && ctx.Err() == nil {
@@ -67,6 +70,12 @@
 	return nil
 }
 
+// memberEvery is the time between two records by which this gateway shows that
+// it lives.
+func (g *Gateway) memberEvery() clock.Millis {
+	return max(leastMemberEvery, clock.Millis(g.live.Load())*memberEach)
+}
+
 // followPeers learns the other gateways from the store.
 func (g *Gateway) followPeers(ctx context.Context) error {
 	g.board.host(ctx)
@@ -94,7 +103,7 @@
 		g.setPeers(ctx, byName)
 		every := peersEvery
 		if reads < firstPeerReads {
-			every = firstPeersEvery
+			every = firstPeersEvery * clock.Millis(reads)
 		}
 		_ = g.clock.Sleep(ctx, every)
 	}
@@ -116,9 +125,10 @@
 // setPeers takes the gateways that are not gone as the present ones.
 func (g *Gateway) setPeers(ctx context.Context, byName map[string]seen) {
 	now := g.clock.Now()
+	gone := clock.Millis(float64(g.memberEvery()) * goneFactor)
 	addrs := map[string]string{}
 	for name, s := range byName {
-		if now-s.atMs > goneAfterMs {
+		if now-s.atMs > gone {
 			delete(byName, name)
 			continue
 		}
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -17,14 +18,21 @@
 	// whose report is not late yet: an outage of the store and the election after
 	// it fit into that many windows of 5 s.
 	keptBeyond = 6
-	// publishAfter is the time after a window's end until its counts are
-	// published: clocks may differ by some tenths of a second.
-	publishAfter = 300 * clock.Millisecond
+	// collectFrom is the time after a window's end from which the holder asks for
+	// its counts: clocks may differ by some tenths of a second.
+	collectFrom = 300 * clock.Millisecond
+	// publishAfter is the time after it from which a gateway that was not asked
+	// publishes its counts in the store, and publishSpread bounds the delay by
+	// which gateways differ.
+	publishAfter  = 900 * clock.Millisecond
+	publishSpread = 300 * clock.Millisecond
 	// lastPublish bounds the publication of a process that ends.
 	lastPublish = 500 * clock.Millisecond
 	// copyEvery is the time between two copies of the counts to other gateways;
 	// what began since the last one is lost with a killed process.
 	copyEvery = 400 * clock.Millisecond
+	// handOverTime is the time in which the last copies are written to the links.
+	handOverTime = 30 * clock.Millisecond
 	// copyHolders is the number of gateways that get copies.
 	copyHolders = 3
 	// leastEntries is the number of gateways assumed before others are known.
@@ -40,6 +48,8 @@
 	mu      sync.Mutex
 	all     map[int64]map[string]int64
 	changed bool
+	// asked is the last window whose counts were sent to a holder that asked.
+	asked int64
 	// copies are the counts of other processes, by key.
 	copies map[string]published
 }
@@ -89,7 +99,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.since(last-c.kept+1, last)
-	p.Copies = maps.Clone(c.copies)
+	p.Copies = make(map[string]published, len(c.copies))
+	for key, other := range c.copies {
+		p.Copies[key] = other.clone()
+	}
+	return p
+}
+
+// clone returns a copy that shares nothing with p.
+func (p published) clone() published {
+	windows := p.Windows
+	p.Windows = make(map[int64]map[string]int64, len(windows))
+	for w, m := range windows {
+		p.Windows[w] = maps.Clone(m)
+	}
 	return p
 }
 
@@ -113,28 +136,96 @@
 	return c.since(last, last)
 }
 
-// keep keeps a copy of another process's counts, beside the earlier windows
-// that it told.
-func (c *counts) keep(key string, p published, now int64) {
-	p.Copies = nil
+// only returns the counts of one window, with the copies for processes that
+// have not told that it is complete.
+func (c *counts) only(window int64) published {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p.Windows == nil {
-		p.Windows = map[int64]map[string]int64{}
-	}
-	for w, m := range c.copies[key].Windows {
-		if _, ok := p.Windows[w]; !ok && w > now-c.kept {
-			p.Windows[w] = m
+	p := published{Window: window, Windows: map[int64]map[string]int64{window: maps.Clone(c.all[window])}}
+	for key, other := range c.copies {
+		if m, ok := other.Windows[window]; ok && (other.Window < window || other.Ended) {
+			if p.Copies == nil {
+				p.Copies = map[string]published{}
+			}
+			p.Copies[key] = published{Window: other.Window, StartMs: other.StartMs, Ended: other.Ended, Windows: map[int64]map[string]int64{window: maps.Clone(m)}}
 		}
 	}
-	c.copies[key] = p
+	return p
+}
+
+// askedFor notes that a holder has the counts of a window.
+func (c *counts) askedFor(window int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = max(c.asked, window)
+}
+
+// unask notes that the counts of a window did not reach a holder.
+func (c *counts) unask(window int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = min(c.asked, window-1)
+}
+
+// wasAsked reports whether the counts of a window were sent to a holder.
+func (c *counts) wasAsked(window int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked >= window
+}
+
+// keep keeps a copy of another process's counts, and what that one holds of
+// others. Counts only grow, so that of two the larger one is the later.
+func (c *counts) keep(key string, p published, now int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepLocked(key, p)
+	for k, other := range p.Copies {
+		c.keepLocked(k, other)
+	}
 	for k, old := range c.copies {
 		if old.Window < now-c.kept {
 			delete(c.copies, k)
+			continue
 		}
+		maps.DeleteFunc(old.Windows, func(w int64, _ map[string]int64) bool { return w <= now-c.kept })
 	}
 }
 
+func (c *counts) keepLocked(key string, p published) {
+	old, ok := c.copies[key]
+	if !ok {
+		old.Windows = map[int64]map[string]int64{}
+	}
+	for w, m := range p.Windows {
+		if old.Windows[w] == nil {
+			old.Windows[w] = map[string]int64{}
+		}
+		for a, n := range m {
+			old.Windows[w][a] = max(old.Windows[w][a], n)
+		}
+	}
+	old.Window, old.StartMs, old.Ended = max(old.Window, p.Window), max(old.StartMs, p.StartMs), old.Ended || p.Ended
+	c.copies[key] = old
+}
+
+// missing returns those of the named gateways whose present process has not told
+// the counts of a window.
+func (c *counts) missing(window int64, names []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := map[string]published{}
+	for key, p := range c.copies {
+		if name, _, ok := strings.Cut(key, "/"); ok && p.StartMs >= newest[name].StartMs {
+			newest[name] = p
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool {
+		p, ok := newest[n]
+		return ok && (p.Window >= window || p.Ended)
+	})
+}
+
 // takeChanged reports whether counts were added since the last call.
 func (c *counts) takeChanged() bool {
 	c.mu.Lock()
@@ -148,17 +239,18 @@
 // another one, so that the counts of its earlier process stay.
 func (g *Gateway) usageKey() string { return g.name + "/" + g.process }
 
-// publishUsage publishes the counts once a window, and at the end.
+// publishUsage publishes the counts of the windows for which no holder has
+// asked, and those of the last one at the end.
 func (g *Gateway) publishUsage(ctx context.Context) error {
-	// The holder waits for those that it knows of.
-	g.publish(ctx, g.usage.window(g.clock.Wall())-1, false)
 	for {
 		wall := g.clock.Wall()
-		due := g.usage.end(g.usage.window(wall)) + publishAfter + g.spread(publishAfter)
+		due := g.usage.end(g.usage.window(wall)) + publishAfter + g.spread(publishSpread)
 		if g.clock.Sleep(ctx, due-wall) != nil {
 			break
 		}
-		g.publish(ctx, g.usage.window(g.clock.Wall()-publishAfter/2)-1, false)
+		if last := g.usage.window(g.clock.Wall()-publishAfter/2) - 1; !g.usage.wasAsked(last) {
+			g.publish(ctx, last, false)
+		}
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPublish.Duration())
 	defer cancel()
@@ -180,6 +272,14 @@
 	return nil
 }
 
+// handOver gives the counts of a gateway that ends to those that hold copies.
+func (g *Gateway) handOver() {
+	p := g.usage.recent(g.usage.window(g.clock.Wall()) - 1)
+	p.StartMs, p.Ended = g.startMs, true
+	g.board.copy(g.usageKey(), p)
+	_ = g.clock.Sleep(context.Background(), handOverTime)
+}
+
 // keepCopy takes in another gateway's counts.
 func (g *Gateway) keepCopy(data json.RawMessage) error {
 	var m countsCopy
@@ -190,6 +290,21 @@
 	return nil
 }
 
+// answerCollect sends this gateway's counts of a window to the holder.
+func (g *Gateway) answerCollect(holder string, window int64) {
+	if g.clock.Wall() < g.usage.end(window) {
+		// By this clock the window goes on: the holder asks again.
+		return
+	}
+	g.usage.askedFor(window)
+	p := g.usage.only(window)
+	p.StartMs = g.startMs
+	if !g.board.counts(holder, countsCopy{g.usageKey(), p}) {
+		g.log.WithFields(logrus.Fields{"event": "usageNotSent", "window": window, "holder": holder}).Info("the counts are published in the store")
+		g.usage.unask(window)
+	}
+}
+
 // countsCopy is the message that copies counts.
 type countsCopy struct {
 	Key    string    `json:"key"`
@@ -209,6 +324,7 @@
 	for try := 0; ctx.Err() == nil; try++ {
 		p := g.usage.snapshot(last)
 		p.Ended, p.StartMs = ended, g.startMs
+		maps.DeleteFunc(p.Copies, func(_ string, c published) bool { return c.Window >= last && !c.Ended })
 		data, err := json.Marshal(p)
 		if err != nil {
 			g.log.WithField("event", "usageEncode").Error(err)
@@ -275,8 +391,15 @@
 			newest[name] = p
 		}
 	}
-	for key, c := range g.usage.snapshot(window).Copies {
+	own := g.usage.snapshot(window)
+	own.StartMs = g.startMs
+	merge(g.usageKey(), own)
+	newest[g.name] = own
+	for key, c := range own.Copies {
 		merge(key, c)
+		if name, _, ok := strings.Cut(key, "/"); ok && c.StartMs >= newest[name].StartMs && c.Window >= newest[name].Window {
+			newest[name] = c
+		}
 	}
 	for _, m := range counts {
 		for a, n := range m {
