Large fleets: homes of parts are looked at, hosts with a queue are heard, far zones hear less

(3) Loads of all engines go to all gateways of all zones at that pace. (4) At the start all gateways took themselves for candidates and read the duties.

Change: the home is in the sample; a connection with a waiting request is told something each 120 ms, whatever their number; gateways of other zones are told loads each 80 ms + 24 ms a connection; candidates at the start are chosen among the gateways that the store lists.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -32,6 +32,10 @@
 	// host's messages a second do not grow with the square of the gateways.
 	loadEvery   = 80 * clock.Millisecond
 	loadPerLink = 8 * clock.Millisecond
+	// farPerLink is what each further connection adds for gateways of other
+	// availability zones, which seldom choose an engine here: bytes between zones
+	// have their price.
+	farPerLink = 24 * clock.Millisecond
 	// tellEvery is the least time between two looks at what the connections are to
 	// be told of loads: an eighth of loadEvery, so that it adds little to it.
 	tellEvery = 10 * clock.Millisecond
@@ -55,6 +59,8 @@
 	in    *ring.Ring[input]
 	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
 	// store,
+	// Zone is the host's availability zone; it must be set before Run.
+	Zone string
 	// OnCollect takes the name of a gateway that asks for the counts of a window,
 	// OnLeaving which server told it that it leaves, and OnConfig how the
 	// configuration has changed; all must be set before Run.
@@ -90,10 +96,13 @@
 
 type client struct {
 	entry  string
+	far    bool // in another availability zone
 	toldMs clock.Millis
 	told   map[string]told // by engine
 	// open is the number of requests that the gateway has here.
 	open int
+	// waits is the number of those that wait for their start.
+	waits int
 	// asked tells that a beat waits for an answer, and overloaded what was told.
 	asked, overloaded bool
 }
@@ -102,6 +111,7 @@
 type place struct {
 	engine *engine
 	client *client
+	waits  bool
 }
 
 type told struct {
@@ -206,7 +216,7 @@
 			h.drop(now, old, h.links[old])
 			old.Close()
 		}
-		h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, told: map[string]told{}}, in.link
+		h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, far: m.Zone != h.Zone, told: map[string]told{}}, in.link
 		h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
 		return nil
 	}
@@ -276,10 +286,14 @@
 	}
 	e.usedMs = now
 	h.forget(r.ID)
-	h.where[r.ID] = place{e, c}
+	waits := method == dispatch.MethodReserve
+	h.where[r.ID] = place{e, c, waits}
 	c.open++
+	if waits {
+		c.waits++
+	}
 	e.parts[r.ID] = r.Part
-	if method == dispatch.MethodReserve {
+	if waits {
 		e.batch.Ask(now, r.Request(now, c.entry))
 		return
 	}
@@ -309,11 +323,21 @@
 // forget drops a request.
 func (h *Host) forget(id string) {
 	if at, ok := h.where[id]; ok {
+		h.decided(id)
 		at.client.open--
 		delete(h.where, id)
 	}
 }
 
+// decided notes that a request waits no longer.
+func (h *Host) decided(id string) {
+	if at, ok := h.where[id]; ok && at.waits {
+		at.waits = false
+		at.client.waits--
+		h.where[id] = at
+	}
+}
+
 // drop ends what a gateway that is gone had here.
 func (h *Host) drop(now clock.Millis, l *dispatch.Link, c *client) {
 	delete(h.links, l)
@@ -367,34 +391,34 @@
 // tell sends the gateways what concerns them: verdicts at once, and loads when
 // it is time.
 func (h *Host) tell(now clock.Millis) {
-	waiting := false
 	for _, e := range h.engines {
 		for _, a := range e.batch.Actions() {
 			h.act(h.byEntry[a.Entry], e, a)
 		}
-		_, ok := e.batch.NextTick(now)
-		waiting = waiting || ok
 	}
 	h.untold = now-h.toldMs < tellEvery
 	if h.untold {
 		return
 	}
 	h.toldMs = now
-	h.tellLoads(now, waiting)
+	h.tellLoads(now)
 	h.closeSilent(now)
 }
 
-// tellLoads tells loads to those that lack them. While requests wait, it also
-// shows those that have some here that the host lives.
-func (h *Host) tellLoads(now clock.Millis, waiting bool) {
+// tellLoads tells loads to those that lack them. Those that have requests waiting
+// here it also shows that the host lives, however many connections there are:
+// they leave a host that is silent for long.
+func (h *Host) tellLoads(now clock.Millis) {
 	overloaded := h.Overloaded()
-	every := loadEvery + loadPerLink*clock.Millis(len(h.links))
+	near := loadEvery + loadPerLink*clock.Millis(len(h.links))
+	far := loadEvery + farPerLink*clock.Millis(len(h.links))
 	for l, c := range h.links {
-		if now-c.toldMs < every {
+		due := now-c.toldMs >= near && (!c.far || c.asked || now-c.toldMs >= far)
+		queued := c.waits > 0 && now-c.toldMs >= queueBeat
+		if !due && !queued {
 			continue
 		}
 		m := turns.Loads{Loads: h.changed(now, c), Overloaded: overloaded}
-		queued := waiting && c.open > 0 && now-c.toldMs >= queueBeat
 		if len(m.Loads) > 0 || c.asked || queued || c.overloaded != overloaded {
 			l.Notify(turns.MethodLoad, m)
 			c.toldMs, c.asked, c.overloaded = now, false, overloaded
@@ -418,6 +442,7 @@
 
 func (h *Host) act(l *dispatch.Link, e *engine, a batch.Action) {
 	h.scope.Tagged(map[string]string{"granted": map[bool]string{true: "yes", false: "no"}[a.Granted]}).Counter("turns").Inc(1)
+	h.decided(a.ID)
 	if !a.Granted {
 		h.forget(a.ID)
 		delete(e.parts, a.ID)
--- a/internal/control/turns/host_test.go
+++ b/internal/control/turns/host_test.go
@@ -168,3 +168,29 @@
 		}
 	}
 }
+
+// TestHostOfManyShowsThatItLives has a request wait at a host with as many
+// connections as a large fleet: its gateway hears the host more often than in the
+// 450 ms of silence after which it leaves a host with a queue.
+func TestHostOfManyShowsThatItLives(t *testing.T) {
+	const others, watch, bear = 110, 3 * time.Second, 450 * time.Millisecond
+	h, ctx := startHost(t)
+	for i := range others {
+		connect(ctx, t, h, fmt.Sprint("other", i))
+	}
+	waits := connect(ctx, t, h, "waits")
+	waits.link.Notify(dispatch.MethodReserve, request("first", 1000))
+	<-waits.offered
+	waits.link.Notify(dispatch.MethodReserve, request("second", 1000))
+	longest, last := time.Duration(0), time.Now()
+	for at, n := time.Now(), waits.loads.Load(); time.Since(at) < watch; time.Sleep(5 * time.Millisecond) {
+		if got := waits.loads.Load(); got != n {
+			n, last = got, time.Now()
+		}
+		longest = max(longest, time.Since(last))
+	}
+	t.Logf("longest silence %v", longest)
+	if longest > bear {
+		t.Errorf("nothing was heard for %v while a request waits, want at most %v", longest, bear)
+	}
+}
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -46,6 +46,8 @@
 // Hello opens a connection.
 type Hello struct {
 	Entry string `json:"entry"`
+	// Zone is the dialer's availability zone.
+	Zone string `json:"zone,omitempty"`
 }
 
 const (
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -290,16 +290,19 @@
 	return min(max(tight/tightPerServer+1, (n+leastLane-1)/leastLane), n-n/2)
 }
 
-// sample returns the servers to look at: all of a few, else random ones and
-// those that hold the shared parts.
+// sample returns the servers to look at: all of a few, else random ones, the
+// home of the shared parts and one that holds them.
 func (b *Book) sample(lane []*state, r Request, rnd *rand.Rand) []*state {
 	if len(lane) <= sampleAll {
 		return lane
 	}
-	out := make([]*state, 0, sampled+1)
+	out := make([]*state, 0, sampled+2)
 	for range sampled {
 		out = append(out, lane[rnd.IntN(len(lane))])
 	}
+	if home := b.home(r); home != nil {
+		out = append(out, home)
+	}
 	if all := shared(r.Parts); all > 0 {
 		at := rnd.IntN(len(lane))
 		for i := range lane {
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -142,7 +142,7 @@
 		return nil, b.handle(p, method, params)
 	})
 	defer l.Close()
-	l.Notify(dispatch.MethodHello, turns.Hello{Entry: b.g.name})
+	l.Notify(dispatch.MethodHello, turns.Hello{Entry: b.g.name, Zone: b.g.Settings().Zone})
 	b.mu.Lock()
 	p.link = l
 	b.setUp(p, true)
@@ -375,6 +375,20 @@
 // among reports whether this gateway is one of the first n for a subject.
 func (b *board) among(subject string, n int) bool { return b.rank(subject) < n }
 
+// amongKnown is among for gateways that have just started: others count that are
+// not connected yet.
+func (b *board) amongKnown(subject string, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own, above := route.Weight(subject, b.g.name), 0
+	for _, p := range b.peers {
+		if p.name != b.g.name && route.Weight(subject, p.name) > own {
+			above++
+		}
+	}
+	return above < n
+}
+
 // rank returns how many of the gateways that are up have a higher hash of the
 // subject than this one.
 func (b *board) rank(subject string) int {
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -33,6 +33,8 @@
 	// goneAfter is how long a gateway that cannot be reached is waited for.
 	goneAfter = 3500 * clock.Millisecond
 	dutyIdle  = 1500 * clock.Millisecond
+	// meetTime is the time after the start in which gateways connect.
+	meetTime = 2 * clock.Second
 	// followPart is the part of the time without a renewal after which a candidate
 	// may claim that lies between two of its looks for one.
 	followPart = 2
@@ -79,10 +81,14 @@
 		HandoverMs: lease/2 + claimMargin/2, SpreadMs: g.spread(claimSpread),
 	})}
 	for ctx.Err() == nil && !g.draining.Load() {
-		if _, held := h.t.Holds(g.clock.Now()); !held && !g.board.among(subjectHolders, candidates) {
+		if _, held := h.t.Holds(g.clock.Now()); !held && !g.candidate() {
 			// Enough others wait for the duties; their records need not be read.
 			h.loaded = false
-			_ = g.clock.Sleep(ctx, dutyIdle)
+			wait := dutyIdle
+			if !g.met.Load() {
+				wait = listLook
+			}
+			_ = g.clock.Sleep(ctx, wait)
 			continue
 		}
 		if err := h.step(ctx); err != nil {
@@ -100,6 +106,14 @@
 	return nil
 }
 
+// candidate reports whether this gateway waits to become the holder.
+func (g *Gateway) candidate() bool {
+	if g.clock.Now()-g.bootMs < meetTime {
+		return g.met.Load() && g.board.amongKnown(subjectHolders, candidates)
+	}
+	return g.board.among(subjectHolders, candidates)
+}
+
 // release gives the duties away, so that the next holder need not wait.
 func (h *holder) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -59,6 +59,7 @@
 	process string
 	dropped func() int64
 	startMs clock.Millis // wall
+	bootMs  clock.Millis // the same by the steady clock
 	cfg     atomic.Pointer[settings.Gateway]
 	log     logrus.FieldLogger
 	clock   clock.Clock
@@ -80,6 +81,8 @@
 	drainMs  atomic.Int64
 	open     atomic.Int64 // connections of callers
 	live     atomic.Int32 // gateways, with this one
+	// met tells that the other gateways were read from the store.
+	met atomic.Bool
 	// gateways is the digest of their names and addresses, and list that of the
 	// servers that may take requests.
 	gateways, list atomic.Uint64
@@ -99,7 +102,7 @@
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
-		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
+		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), bootMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), streamed: drain.NewDurations(),
 	}
 	g.cfg.Store(&cfg)
@@ -111,6 +114,7 @@
 	g.leavers = newLeavers()
 	g.outage = newOutage()
 	g.host.Overloaded = g.overloaded
+	g.host.Zone = cfg.Zone
 	g.host.OnCounts, g.host.OnHint, g.host.OnLeaving = g.keepCopy, g.takeHint, g.takeLeaving
 	g.host.OnConfig = g.takeConfig
 	g.host.OnCollect = g.answerCollect
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -12,10 +12,11 @@
 
 const (
 	// peersEvery is the time between two reads of what gateways publish, and
-	// firstPeersEvery that after the start, when all make themselves known.
+	// firstPeersEvery that after the first one: gateways that start together make
+	// themselves known within some tenths of a second.
 	peersEvery      = 4 * clock.Second
-	firstPeersEvery = 800 * clock.Millisecond
-	firstPeerReads  = 3
+	firstPeersEvery = 1200 * clock.Millisecond
+	firstPeerReads  = 2
 	// leastMemberEvery is the least time between two records by which a gateway
 	// shows that it lives, and memberEach what each gateway adds to it, so that all
 	// together write at most so often. A record of goneFactor that age shows that
@@ -101,9 +102,10 @@
 			g.seePeer(byName, r, now)
 		}
 		g.setPeers(ctx, byName)
+		g.met.Store(true)
 		every := peersEvery
 		if reads < firstPeerReads {
-			every = firstPeersEvery * clock.Millis(reads)
+			every = firstPeersEvery
 		}
 		_ = g.clock.Sleep(ctx, every)
 	}
