Order of starts: thresholds are times of reading, not tokens

Cause: what starts at once, what may be pending and what counts as long were counts of tokens that fit engines of 45 tokens a ms (smallTokens 1,300, urgentTokens 8,000, pendingTokens 12,000, tightPending 6,000, longTokens 6,000). An engine of 12 tokens a ms read 667 ms of prompts beside chats that bear 300 ms.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -28,8 +28,9 @@
 	leastSpeed   = 2.0
 	mostSpeed    = 500.0
 	speedWeight  = 0.2
-	// observedTokens is the least prompt that tells the speed.
-	observedTokens = 3000
+	// observedMs is the least time of reading that tells the speed: the head of an
+	// answer is delayed by some steps beside it.
+	observedMs = 65 * clock.Millisecond
 	// defaultDuty is the part of the time in which the engine reads prompts. In
 	// the model of TestBurstOfLongPrompts nine tenths end as many streams in
 	// time as any other value.
@@ -37,8 +38,10 @@
 	// tightDuty is the same while tight requests run: their streams bear about
 	// three chunks within one event.
 	tightDuty = 0.3
-	// tightPending is the prompt tokens that may be at hand beside them.
-	tightPending = 6000
+	// tightPendingMs is the time of reading that may be at hand beside them: an
+	// engine with more has no step without a chunk for as long as tight streams
+	// bear a pause of a few tenths of a second.
+	tightPendingMs = 133 * clock.Millisecond
 	// rowPart is the part of the pause that tight streams bear in which prompts may
 	// be read in a row: an event then has a step without one. stepMs is the time
 	// of a step, after which the next row may begin.
@@ -50,14 +53,14 @@
 	// creditMs of reading may be saved up while nothing is read, so that a few
 	// prompts at once do not wait for the duty.
 	creditMs = 400 * clock.Millisecond
-	// smallTokens are read within a step or two and start at once.
-	smallTokens = 1300
-	// urgentTokens are read ahead of less urgent prompts, which the engine itself
-	// sees to, and so start at once too.
-	urgentTokens = 8000
-	// pendingTokens bounds the prompts that were started and are not read yet:
-	// one is at hand when another has been read.
-	pendingTokens = 12000
+	// smallMs is the time of reading of prompts that start at once: a step or two.
+	smallMs = 29 * clock.Millisecond
+	// urgentMs is the same for urgent ones: they are read ahead of less urgent
+	// prompts, which the engine itself sees to.
+	urgentMs = 178 * clock.Millisecond
+	// pendingMs bounds the time of reading of the prompts that were started and are
+	// not read yet: one is at hand when another has been read.
+	pendingMs = 267 * clock.Millisecond
 	// tightSlots of the engine are kept for tight and small requests.
 	tightSlots = 8
 	// memoryPart of the engine's memory is for the requests' own tokens; the
@@ -262,7 +265,7 @@
 	r.begun = true
 	s.read(now, r.Unread)
 	s.alive(now, r.Entry)
-	if took := now - r.grantedMs; r.alone && r.Unread >= observedTokens && took > 0 {
+	if took := now - r.grantedMs; r.alone && s.readMs(r.Unread) >= observedMs && took > 0 {
 		seen := min(max(float64(r.Unread)/float64(took), leastSpeed), mostSpeed)
 		s.speed += (seen - s.speed) * speedWeight
 	}
@@ -437,14 +440,16 @@
 }
 
 // AtOnce reports whether a prompt of so many unread tokens does not wait for its
-// turn to be read. Urgent ones are ahead of the least urgent requests.
-func AtOnce(unread int, urgent bool) bool {
-	return unread <= smallTokens || urgent && unread <= urgentTokens
+// turn to be read by an engine that reads speed tokens in a ms. Urgent ones are
+// ahead of the least urgent requests.
+func AtOnce(unread int, urgent bool, speed float64) bool {
+	ms := clock.Millis(float64(unread) / speed)
+	return ms <= smallMs || urgent && ms <= urgentMs
 }
 
 // small reports whether w does not wait for its turn to be read.
 func (s *Scheduler) small(w *waiting) bool {
-	return w.Tight || AtOnce(w.Unread, w.Priority < s.lowest)
+	return w.Tight || AtOnce(w.Unread, w.Priority < s.lowest, s.speed)
 }
 
 // less orders the queue.
@@ -555,11 +560,11 @@
 	if s.small(w) || len(s.running) == 0 {
 		return true
 	}
-	most := pendingTokens
+	most := pendingMs
 	if s.tight > 0 {
-		most = tightPending
+		most = tightPendingMs
 	}
-	if s.pending > 0 && s.pending+w.Unread > most {
+	if s.pending > 0 && s.readMs(s.pending+w.Unread) > most {
 		return false
 	}
 	return now >= s.freeMs
--- a/internal/policy/place/cost.go
+++ b/internal/policy/place/cost.go
@@ -49,11 +49,11 @@
 // for what is being read, not for its turn.
 func longCost(l batch.Load, unread int, urgent bool) float64 {
 	wait := l.FreeMs
-	if batch.AtOnce(unread, urgent) {
+	if batch.AtOnce(unread, urgent, l.Speed) {
 		wait = l.ReadMs
 	}
 	cost := float64(wait) + float64(l.Running)*runningMs
-	if unread > longTokens {
+	if float64(unread)/l.Speed > longMs {
 		return cost + float64(l.Tight)*stallMs
 	}
 	return cost + float64(l.Tight)*mixMs
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -44,9 +44,9 @@
 	// tight request and to others: it slows each step.
 	tightRunningMs = 1.0
 	runningMs      = 3.0
-	// longTokens is the length from which a prompt stalls streams for longer
-	// than tight ones bear: three chunks within one event.
-	longTokens = 6000
+	// longMs is the time of reading, in ms, from which a prompt stalls streams for
+	// longer than tight ones bear: three chunks within one event.
+	longMs = 133.0
 	// stallMs is the cost, in ms, of a stalled tight stream, and mixMs that of a
 	// short prompt beside one.
 	stallMs = 1000.0
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -131,7 +131,7 @@
 		g.belief.configReadMs.Store(int64(g.clock.Now()))
 		if f.next == 0 {
 			// An empty topic cannot be followed from an offset.
-			_ = g.clock.Sleep(ctx, readBackoff<<min(empty, 2))
+			_ = g.clock.Sleep(ctx, readBackoff<<min(empty+1, 3))
 			empty++
 		}
 	}
