Hosts of engines: messages that are no turns go to handlers by method

Change: Host.On maps methods to handlers of the role; greeting and progress of a request are functions of their own. Behaviour is the same.

--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -57,15 +57,11 @@
 	clock clock.Clock
 	scope tally.Scope
 	in    *ring.Ring[input]
-	// OnCounts takes a gateway's usage counts, and OnHint what it knows of the
-	// store,
+	// On takes messages that have nothing to do with turns, by method, with the name
+	// of the gateway that sent them; it must be set before Run.
+	On map[string]func(entry string, params json.RawMessage) error
 	// Zone is the host's availability zone; it must be set before Run.
 	Zone string
-	// OnCollect takes the name of a gateway that asks for the counts of a window,
-	// OnLeaving which server told it that it leaves, and OnConfig how the
-	// configuration has changed; all must be set before Run.
-	OnCounts, OnHint, OnLeaving, OnConfig func(data json.RawMessage) error
-	OnCollect                             func(entry string, window int64)
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
 	Overloaded func() bool
@@ -205,48 +201,21 @@
 		return nil
 	}
 	if in.method == dispatch.MethodHello {
-		if c != nil {
-			return errors.New("a second greeting on a connection")
-		}
-		var m turns.Hello
-		if err := json.Unmarshal(in.params, &m); err != nil {
-			return err
-		}
-		if old := h.byEntry[m.Entry]; old != nil {
-			h.drop(now, old, h.links[old])
-			old.Close()
-		}
-		h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, far: m.Zone != h.Zone, told: map[string]told{}}, in.link
-		h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
-		return nil
+		return h.greet(now, in, c)
 	}
 	if c == nil {
 		return errors.New("the first message must be a greeting")
 	}
-	if in.method == dispatch.MethodReserve || in.method == turns.MethodAnnounce {
+	if on, ok := h.On[in.method]; ok {
+		return on(c.entry, in.params)
+	}
+	switch in.method {
+	case dispatch.MethodReserve, turns.MethodAnnounce:
 		var r turns.Reservation
 		if err := json.Unmarshal(in.params, &r); err != nil {
 			return err
 		}
 		h.open(now, c, in.method, r)
-		return nil
-	}
-	switch in.method {
-	case turns.MethodCounts:
-		return h.OnCounts(in.params)
-	case turns.MethodCollect:
-		var m turns.Collect
-		if err := json.Unmarshal(in.params, &m); err != nil {
-			return err
-		}
-		h.OnCollect(c.entry, m.Window)
-		return nil
-	case turns.MethodHint:
-		return h.OnHint(in.params)
-	case turns.MethodConfig:
-		return h.OnConfig(in.params)
-	case turns.MethodLeaving:
-		return h.OnLeaving(in.params)
 	case dispatch.MethodHeartbeat:
 		var b turns.Beat
 		if err := json.Unmarshal(in.params, &b); err != nil {
@@ -254,26 +223,51 @@
 		}
 		c.asked = true
 		h.OnBeat(c.entry, b.WallMs)
-		return nil
+	default:
+		var ref turns.Ref
+		if err := json.Unmarshal(in.params, &ref); err != nil {
+			return err
+		}
+		h.progress(now, c, in.method, ref)
+	}
+	return nil
+}
+
+// greet takes a connection in; c is nil unless it has greeted before.
+func (h *Host) greet(now clock.Millis, in input, c *client) error {
+	if c != nil {
+		return errors.New("a second greeting on a connection")
 	}
-	var ref turns.Ref
-	if err := json.Unmarshal(in.params, &ref); err != nil {
+	var m turns.Hello
+	if err := json.Unmarshal(in.params, &m); err != nil {
 		return err
 	}
-	if at, ok := h.where[ref.ID]; ok {
-		e := at.engine
-		h.note(now, e, in.method, ref.ID)
-		if ref.Unreached {
-			h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
-			e.batch.Unreached(now, c.entry)
-		}
-		if ref.PauseMs > 0 {
-			e.batch.Full(now, ref.PauseMs)
-		}
+	if old := h.byEntry[m.Entry]; old != nil {
+		h.drop(now, old, h.links[old])
+		old.Close()
 	}
+	h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, far: m.Zone != h.Zone, told: map[string]told{}}, in.link
+	h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
 	return nil
 }
 
+// progress notes how a request goes on, and what that tells of its engine.
+func (h *Host) progress(now clock.Millis, c *client, method string, ref turns.Ref) {
+	at, ok := h.where[ref.ID]
+	if !ok {
+		return
+	}
+	e := at.engine
+	h.note(now, e, method, ref.ID)
+	if ref.Unreached {
+		h.log.WithFields(logrus.Fields{"event": "engineUnreached", "server": e.ID, "entry": c.entry}).Warn()
+		e.batch.Unreached(now, c.entry)
+	}
+	if ref.PauseMs > 0 {
+		e.batch.Full(now, ref.PauseMs)
+	}
+}
+
 // open takes a request in. Another start of the engine holds nothing.
 func (h *Host) open(now clock.Millis, c *client, method string, r turns.Reservation) {
 	e := h.engines[r.Engine.ID]
--- a/internal/role/gateway/config.go
+++ b/internal/role/gateway/config.go
@@ -71,7 +71,7 @@
 // takeConfig takes in a change of the configuration that a reader has read. One
 // that does not go on from the own configuration is left to the next hint, which
 // tells the version.
-func (g *Gateway) takeConfig(data json.RawMessage) error {
+func (g *Gateway) takeConfig(_ string, data json.RawMessage) error {
 	var c configChange
 	if err := json.Unmarshal(data, &c); err != nil {
 		return err
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -18,8 +19,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/damaskport/damaskport/internal/control/turns"
+	host "github.com/damaskport/damaskport/internal/control/turns"
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -93,7 +95,7 @@
 	// streamed are the times of answers from the first event on.
 	streamed *drain.Durations
 	board    *board
-	host     *turns.Host
+	host     *host.Host
 	hints    *hints
 	leavers  *leavers
 }
@@ -109,15 +111,16 @@
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
 	g.belief.dialed = g.metrics.dialed
 	g.board = newBoard(g)
-	g.host = turns.NewHost(d.Log, d.Clock, g.metrics.root)
+	g.host = host.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.hints = newHints(d.Clock)
 	g.leavers = newLeavers()
 	g.outage = newOutage()
 	g.host.Overloaded = g.overloaded
 	g.host.Zone = cfg.Zone
-	g.host.OnCounts, g.host.OnHint, g.host.OnLeaving = g.keepCopy, g.takeHint, g.takeLeaving
-	g.host.OnConfig = g.takeConfig
-	g.host.OnCollect = g.answerCollect
+	g.host.On = map[string]func(entry string, params json.RawMessage) error{
+		turns.MethodCounts: g.keepCopy, turns.MethodCollect: g.answerCollect,
+		turns.MethodHint: g.takeHint, turns.MethodConfig: g.takeConfig, turns.MethodLeaving: g.takeLeaving,
+	}
 	g.host.OnBeat = func(entry string, wall clock.Millis) {
 		if entry != g.name {
 			g.wall.Vote(entry, wall)
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -66,7 +66,7 @@
 
 // takeLeaving takes in what another gateway heard of a server, for the hints of
 // this one.
-func (g *Gateway) takeLeaving(data json.RawMessage) error {
+func (g *Gateway) takeLeaving(_ string, data json.RawMessage) error {
 	var k servers.Key
 	if err := json.Unmarshal(data, &k); err != nil {
 		return err
@@ -78,7 +78,7 @@
 }
 
 // takeHint takes in what a reader tells.
-func (g *Gateway) takeHint(data json.RawMessage) error {
+func (g *Gateway) takeHint(_ string, data json.RawMessage) error {
 	var h hint
 	if err := json.Unmarshal(data, &h); err != nil {
 		return err
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -281,7 +282,7 @@
 }
 
 // keepCopy takes in another gateway's counts.
-func (g *Gateway) keepCopy(data json.RawMessage) error {
+func (g *Gateway) keepCopy(_ string, data json.RawMessage) error {
 	var m countsCopy
 	if err := json.Unmarshal(data, &m); err != nil {
 		return err
@@ -291,10 +292,15 @@
 }
 
 // answerCollect sends this gateway's counts of a window to the holder.
-func (g *Gateway) answerCollect(holder string, window int64) {
+func (g *Gateway) answerCollect(holder string, data json.RawMessage) error {
+	var m turns.Collect
+	if err := json.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	window := m.Window
 	if g.clock.Wall() < g.usage.end(window) {
 		// By this clock the window goes on: the holder asks again.
-		return
+		return nil
 	}
 	g.usage.askedFor(window)
 	p := g.usage.only(window)
@@ -303,6 +309,7 @@
 		g.log.WithFields(logrus.Fields{"event": "usageNotSent", "window": window, "holder": holder}).Info("the counts are published in the store")
 		g.usage.unask(window)
 	}
+	return nil
 }
 
 // countsCopy is the message that copies counts.
