Drain: what waits is refused, and what hangs is answered before the process ends

By the code two kinds of requests end so: those that wait for a turn at an engine, which were checked against the end only once they had it, and those at a server that takes a request and never answers. Which of them it was is not known.

Change: a waiting request is refused, as not run, once it is sure not to end before the process; a request without an answer 150 ms before the end gets its final one. Streams that have begun go on to the end.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -12,6 +13,10 @@
 // published in the first part of it.
 const endMargin = 900 * clock.Millisecond
 
+// answerMargin is how long before the process ends requests without an answer
+// are given up: their callers are told meanwhile.
+const answerMargin = 150 * clock.Millisecond
+
 // closeAfter is when the listener closes: by then the platform sends no new
 // connections.
 const closeAfter = 5 * clock.Second
@@ -51,6 +56,7 @@
 	end := g.endsAfter()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Duration())
 	defer cancel()
+	defer time.AfterFunc((end - answerMargin).Duration(), g.endDrains).Stop()
 	g.drainMs.Store(int64(g.clock.Now()))
 	g.draining.Store(true)
 	g.log.WithField("event", "drain").Info("the gateway is no longer ready")
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -81,8 +81,12 @@
 	// not ready, and each answer ends its connection.
 	draining atomic.Bool
 	drainMs  atomic.Int64
-	open     atomic.Int64 // connections of callers
-	live     atomic.Int32 // gateways, with this one
+	// ending is done when requests without an answer are given up, shortly before
+	// the process ends.
+	ending    context.Context
+	endDrains context.CancelFunc
+	open      atomic.Int64 // connections of callers
+	live      atomic.Int32 // gateways, with this one
 	// met tells that the other gateways were read from the store.
 	met atomic.Bool
 	// gateways is the digest of their names and addresses, and list that of the
@@ -107,6 +111,7 @@
 		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), bootMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), streamed: drain.NewDurations(),
 	}
+	g.ending, g.endDrains = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.belief = newBelief(cfg.Zone, d.Clock, d.Log, bound(cfg))
 	g.belief.dialed = g.metrics.dialed
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -55,6 +55,9 @@
 
 	sends   int      // that reached a server
 	exclude []string // servers not to ask again
+	// begins is called when the answer begins, which then goes on to the process's
+	// end.
+	begins func() bool
 	// ran tells that a server may have run the request.
 	ran     bool
 	counted bool
@@ -74,6 +77,9 @@
 	g.metrics.started(j)
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(r.Context()), g.at(j.timeoutMs), errTimeout)
 	defer cancel()
+	// A request without an answer is given up while its caller can still be told.
+	j.begins = context.AfterFunc(g.ending, cancel)
+	defer j.begins()
 	if j.route.Kind != routing.KindProtected {
 		// A protected request runs to its end, so that its outcome is certain.
 		stop := context.AfterFunc(r.Context(), cancel)
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -24,6 +24,9 @@
 		if j.timeoutMs-now < leastLeft {
 			return target{}, nil, g.giveUp(j, "noTimeLeft")
 		}
+		if !j.ran && g.leaves(j, now) {
+			return target{}, nil, notRun(http.StatusServiceUnavailable, "ending", elsewhereWait)
+		}
 		to, ok := j.pool.choose(now, j.ask, append(refused, j.exclude...))
 		if !ok && len(refused) > 0 {
 			return target{}, nil, g.overload(j, retryAfter)
@@ -45,6 +48,9 @@
 			return to, nil, nil
 		}
 		v, err := t.await(ctx, func() bool {
+			if !j.ran && g.leaves(j, g.clock.Now()) {
+				return true
+			}
 			better := false
 			j.pool.with(func(b *place.Book) { better = b.Idle(g.clock.Now(), j.ask, to.Choice, j.exclude) })
 			return better
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -126,6 +126,7 @@
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
 	}
 	g.gate.carry(len(data))
+	j.begins()
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
 	if err == nil && len(data) == wholeBytes {
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -120,6 +120,7 @@
 	g := x.g
 	if !s.begun {
 		s.begun = true
+		x.j.begins()
 		g.count(x.j)
 		now := g.clock.Now()
 		s.beganMs = now
