Lists of servers: their age counts from the store's answer, however they came

Cause of the broken DRAIN, by the code: a read that hung on a connection which fell silent before the machine counted as undisturbed failed 0.9 s later; from then on the store counted as away, and a server whose entry went next was taken to have lapsed with it and kept for 2.3 s, beyond the 2 s of a leaving server.

Change: policy/follow decides when a gateway reads the list by itself. A list is as old as the store's answer at the reader; a hint echoes the last beat, so that clock.Remote places the answer on the own clock no later than it was; it counts only while the own list has its digest. A read without an answer is made again on a new connection after 0.3 s. An entry counts as lapsed only if it is missing in the first answer after an absence, or went within the time of a leaving server; a reader that had the store for longer than entries may be missing overrules that, and what readers tell of removals holds at once. Servers that are gone stay gone until a later entry.

Ruled out: ages by voted wall clocks (steps), by sequence alone (a connection that delays from its start on).

--- a/internal/control/turns/bench_test.go
+++ b/internal/control/turns/bench_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/peer/turns"
-	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 // BenchmarkMessages measures the time of a host for one message, by the number
@@ -17,7 +16,7 @@
 	for _, n := range []int{10, 100, 360} {
 		b.Run(fmt.Sprint("gateways=", n), func(b *testing.B) {
 			var seen atomic.Int64
-			h, ctx := startHostWith(b, func(string, clock.Millis) { seen.Add(1) })
+			h, ctx := startHostWith(b, func(string, turns.Beat) { seen.Add(1) })
 			var all []*gateway
 			for i := range n {
 				all = append(all, connect(ctx, b, h, fmt.Sprint("g", i)))
--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -65,8 +65,10 @@
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
 	Overloaded func() bool
-	// OnBeat takes the time of day that a gateway tells; it must be set before Run.
-	OnBeat func(entry string, wall clock.Millis)
+	// OnHello is told of each connection, and OnBeat takes the beats of gateways; both
+	// must be set before Run.
+	OnHello func(entry string)
+	OnBeat  func(entry string, b turns.Beat)
 
 	// Owned by the goroutine of Run.
 	engines map[string]*engine
@@ -222,7 +224,7 @@
 			return err
 		}
 		c.asked = true
-		h.OnBeat(c.entry, b.WallMs)
+		h.OnBeat(c.entry, b)
 	default:
 		var ref turns.Ref
 		if err := json.Unmarshal(in.params, &ref); err != nil {
@@ -248,6 +250,7 @@
 	}
 	h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, far: m.Zone != h.Zone, told: map[string]told{}}, in.link
 	h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
+	h.OnHello(m.Entry)
 	return nil
 }
 
--- a/internal/control/turns/host_test.go
+++ b/internal/control/turns/host_test.go
@@ -27,14 +27,14 @@
 
 func startHost(t testing.TB) (*control.Host, context.Context) {
 	t.Helper()
-	return startHostWith(t, func(string, clock.Millis) {})
+	return startHostWith(t, func(string, turns.Beat) {})
 }
 
 // startHostWith runs a host that hands beats to onBeat.
-func startHostWith(t testing.TB, onBeat func(entry string, wall clock.Millis)) (*control.Host, context.Context) {
+func startHostWith(t testing.TB, onBeat func(entry string, b turns.Beat)) (*control.Host, context.Context) {
 	t.Helper()
 	h := control.NewHost(logging.Discard(), clock.System{}, tally.NoopScope)
-	h.OnBeat = onBeat
+	h.OnHello, h.OnBeat = func(string) {}, onBeat
 	h.Overloaded = func() bool { return false }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -89,6 +89,15 @@
 type Beat struct {
 	// WallMs is the time of day by the dialer alone.
 	WallMs clock.Millis `json:"wallMs"`
+	// SentMs is the time by its steady clock.
+	SentMs clock.Millis `json:"sentMs"`
+}
+
+// Echo tells a gateway which of its beats came last: its SentMs, and when that was by
+// the steady clock of the process that tells it.
+type Echo struct {
+	SentMs clock.Millis `json:"sent"`
+	GotMs  clock.Millis `json:"got"`
 }
 
 // Reservation asks for a start at the engine. Times are relative to the
--- a/internal/policy/place/notices_test.go
+++ b/internal/policy/place/notices_test.go
@@ -147,7 +147,7 @@
 func TestWordsOfServersAreKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &noticeWorld{
-			now: 1000, list: servers.New(), notices: servers.NewNotices(), book: place.NewBook("a"),
+			now: 1000, list: servers.New(noticeDrain), notices: servers.NewNotices(), book: place.NewBook("a"),
 			rnd: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))), truth: map[string]*truth{},
 		}
 		var ids []string
@@ -186,8 +186,8 @@
 			"startsAnew":  func(t *rapid.T) { id := server.Draw(t, "server"); w.truth[id] = &truth{start: w.truth[id].start + 1} },
 			"entry":       func(t *rapid.T) { w.put(server.Draw(t, "server")) },
 			"entryLapses": func(t *rapid.T) { w.list.Remove(w.now, server.Draw(t, "server")); w.refresh() },
-			"outage":      func(*rapid.T) { w.list.Away(w.now) },
-			"storeBack":   func(*rapid.T) { w.list.Back(w.now); w.list.Replace(w.now, nil); w.refresh() },
+			"outage":      func(*rapid.T) { w.list.Away() },
+			"storeBack":   func(*rapid.T) { w.list.Replace(w.now, nil); w.list.Answered(w.now, w.now); w.refresh() },
 		}
 		often := []string{"time", "requests", "granted", "time", "requests", "granted", "time", "requests", "entry"}
 		name := rapid.SampledFrom(append(slices.Sorted(maps.Keys(actions)), append(often, often...)...))
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -59,10 +59,12 @@
 	// pools are those of the engines that were asked for, by engine.
 	pools map[string]*pool
 	hosts map[string]*peer // computed, by engine
+	// echoes are the last beats of the others, by name.
+	echoes map[string]turns.Echo
 }
 
 func newBoard(g *Gateway) *board {
-	return &board{g: g, peers: map[string]*peer{}, turns: map[string]*turn{}, pools: map[string]*pool{}, hosts: map[string]*peer{}}
+	return &board{g: g, peers: map[string]*peer{}, turns: map[string]*turn{}, pools: map[string]*pool{}, hosts: map[string]*peer{}, echoes: map[string]turns.Echo{}}
 }
 
 // setPeers sets the other gateways' addresses by name.
@@ -73,6 +75,7 @@
 		if p.addr != "" && addrs[name] != p.addr {
 			p.stop()
 			delete(b.peers, name)
+			delete(b.echoes, name)
 		}
 	}
 	var fresh []string
@@ -205,7 +208,7 @@
 		p.openMs = now
 	}
 	p.beatMs = now
-	p.link.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own()})
+	p.link.Notify(dispatch.MethodHeartbeat, turns.Beat{WallMs: b.g.wall.Own(), SentMs: now})
 }
 
 // size returns the number of gateways, with this one.
@@ -413,11 +416,34 @@
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
 		if p.addr != "" && p.link != nil {
+			h.Echo = b.echoes[p.name]
 			p.link.Notify(turns.MethodHint, h)
 		}
 	}
 }
 
+// greeted notes that a gateway has connected.
+func (g *Gateway) greeted(entry string) {
+	g.hints.greeted(entry)
+	g.board.echo(entry, turns.Echo{})
+}
+
+// beat takes in a beat of a gateway.
+func (g *Gateway) beat(entry string, b turns.Beat) {
+	if entry == g.name {
+		return
+	}
+	g.wall.Vote(entry, b.WallMs)
+	g.board.echo(entry, turns.Echo{SentMs: b.SentMs, GotMs: g.clock.Now()})
+}
+
+// echo notes which beat of a gateway came last.
+func (b *board) echo(entry string, e turns.Echo) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.echoes[entry] = e
+}
+
 // tellReaders names a server that leaves to the gateways that tell all others.
 func (b *board) tellReaders(k servers.Key) {
 	b.mu.Lock()
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
-	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -15,11 +15,13 @@
 	// force that a connection that went silent may cost beside the wait for a
 	// change: the time-out of a call and a little.
 	configMargin = 1 * clock.Second
-	// serversEvery is the most time between two reads of the servers' entries,
-	// and serversPart the part of the time that a leaving server still serves:
-	// a read, a hint and a request on its way fit into it.
-	serversEvery = 500 * clock.Millisecond
-	serversPart  = 4
+	// configLook is the most time between two looks whether a configuration is to be
+	// read.
+	configLook = 500 * clock.Millisecond
+	// hedgeAfter is the time without an answer after which a call is made once more:
+	// many times what the store takes, and little of the time in which a leaving
+	// server still serves.
+	hedgeAfter = 300 * clock.Millisecond
 	// renewedAfter is the time in which most servers write their entry anew: the
 	// records since an earlier read are more than the newest ones.
 	renewedAfter = 1500 * clock.Millisecond
@@ -38,16 +40,20 @@
 	// since then.
 	readMs   clock.Millis
 	failures int
+	// tookMs is how long the last answer took beyond the time that it was to wait.
+	tookMs clock.Millis
 }
 
 // read returns the next records; whole tells that they are all keys.
 func (f *follower) read(ctx context.Context, wait clock.Millis) (snap Snapshot, whole bool, err error) {
-	if f.next == 0 {
-		snap, err = f.g.store.Newest(ctx, f.topic)
-		whole = true
-	} else {
-		snap, err = f.g.store.Read(ctx, f.topic, f.next, wait)
-	}
+	next, sent := f.next, f.g.clock.Now()
+	whole = next == 0
+	snap, err = f.hedged(ctx, wait, func(ctx context.Context) (Snapshot, error) {
+		if whole {
+			return f.g.store.Newest(ctx, f.topic)
+		}
+		return f.g.store.Read(ctx, f.topic, next, wait)
+	})
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
 		f.g.log.WithFields(logrus.Fields{"event": "historyLost", "topic": f.topic.String(), "offset": f.next}).Warn(err)
@@ -75,19 +81,50 @@
 	}
 	f.lost, f.failures = false, 0
 	f.next, f.readMs = snap.Next, f.g.clock.Now()
+	f.tookMs = f.readMs - sent - wait
 	return snap, whole, nil
 }
 
+// hedged makes a call that waits for news for so long, and makes it once more on a
+// new connection when it has no answer for long: a connection may be silent for
+// good while new ones work. A store that is known to be slow is asked once.
+func (f *follower) hedged(ctx context.Context, wait clock.Millis, call func(context.Context) (Snapshot, error)) (Snapshot, error) {
+	if f.tookMs > hedgeAfter {
+		return call(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		snap Snapshot
+		err  error
+	}
+	answers := make(chan answer, 2)
+	try := func() {
+		snap, err := call(ctx)
+		answers <- answer{snap, err}
+	}
+	go try()
+	late := time.NewTimer((wait + hedgeAfter).Duration())
+	defer late.Stop()
+	for open := 1; ; {
+		select {
+		case a := <-answers:
+			if open--; a.err == nil || open == 0 {
+				return a.snap, a.err
+			}
+		case <-late.C:
+			f.g.store.Redial()
+			open++
+			go try()
+		}
+	}
+}
+
 // pause waits after a failed read.
 func (f *follower) pause(ctx context.Context) {
 	f.g.outagePause(ctx, f.failures, f.topic == TopicConfig)
 }
 
-// listEvery is the time between two reads of the servers' entries.
-func (g *Gateway) listEvery() clock.Millis {
-	return max(min(clock.Millis(g.Settings().Bounds.DrainMs)/serversPart, serversEvery), clock.Millisecond)
-}
-
 // configWait is how long a read waits for a change of the configuration.
 func (g *Gateway) configWait() clock.Millis {
 	return max(clock.Millis(g.Settings().Bounds.ConfigMs)-configMargin, readBackoff)
@@ -105,7 +142,7 @@
 	f := &follower{g: g, topic: TopicConfig}
 	for empty := 0; ctx.Err() == nil; {
 		news := func(h hint) bool { return h.Config > g.configVersion() || g.hints.configAge() > hintAge }
-		if g.unchanged(ctx, serversEvery, g.clock.Now()-f.readMs, news) {
+		if g.unchanged(ctx, configLook, g.clock.Now()-f.readMs, news) {
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 			continue
 		}
@@ -137,144 +174,3 @@
 	}
 	return nil
 }
-
-// serverList is the list of backend servers as the store has it.
-type serverList struct {
-	*servers.List
-	// confirmedMs is when the store was read last, or a reader told that it has
-	// the same list.
-	confirmedMs clock.Millis
-	// asOf is the offset through which all changes are in the list.
-	asOf int64
-}
-
-// followServers keeps the list of backend servers.
-func (g *Gateway) followServers(ctx context.Context) error {
-	f := &follower{g: g, topic: TopicServers}
-	list := &serverList{List: servers.New()}
-	wholeMs := g.clock.Now()
-	for ctx.Err() == nil {
-		g.applyTold(list)
-		if g.unchanged(ctx, g.listEvery(), g.clock.Now()-list.confirmedMs, func(h hint) bool { return h.Servers > list.asOf }) {
-			// Those that tell it have reached the store.
-			list.Back(g.clock.Now())
-			if h, _, ok := g.hints.current(); ok && h.List == g.list.Load() {
-				list.confirmedMs = g.clock.Now()
-			}
-			continue
-		}
-		if now := g.clock.Now(); now-wholeMs > confirmEvery || now-f.readMs > renewedAfter {
-			f.next = 0
-		}
-		snap, whole, err := f.read(ctx, 0)
-		now := g.clock.Now()
-		if err != nil {
-			list.Away(now)
-			if list.Tick(now) {
-				g.listChanged(list.List)
-			}
-			f.pause(ctx)
-			continue
-		}
-		list.Back(now)
-		list.confirmedMs = now
-		if whole {
-			wholeMs = now
-		}
-		g.applyRead(list, now, snap, whole)
-		_ = g.clock.Sleep(ctx, g.listEvery())
-	}
-	return nil
-}
-
-// applyTold applies what readers told of the list.
-func (g *Gateway) applyTold(list *serverList) {
-	now := g.clock.Now()
-	records, asOf := g.hints.serverChanges(list.asOf)
-	list.asOf = asOf
-	changes := g.applyServers(list.List, now, Snapshot{Records: records}, false)
-	if list.Tick(now) || len(changes) > 0 {
-		g.listChanged(list.List)
-	}
-}
-
-// applyRead applies what was read of the store, and tells the others if this
-// gateway is a reader.
-func (g *Gateway) applyRead(list *serverList, now clock.Millis, snap Snapshot, whole bool) {
-	before := list.asOf
-	changes := g.applyServers(list.List, now, snap, whole)
-	lapsed := list.Tick(now)
-	switch {
-	case whole && len(changes) > 0, lapsed:
-		// No single record tells it: the others have to read.
-		list.asOf = snap.Next - 1
-		before, changes = list.asOf, nil
-		g.listChanged(list.List)
-	case len(changes) > 0:
-		list.asOf = changes[len(changes)-1].Offset
-		g.listChanged(list.List)
-	case !g.belief.listed.Load():
-		g.listChanged(list.List)
-	}
-	if g.board.among(subjectReaders, readers) {
-		h := newHint(before, list.asOf, changes)
-		h.Gateways, h.List = g.gateways.Load(), g.list.Load()
-		h.Leaving = g.leavers.recent(now)
-		if g.belief.configAge() < g.configWait()+hintAge/2 {
-			h.Config = g.configVersion()
-		}
-		g.board.hint(h)
-		return
-	}
-	list.asOf = max(list.asOf, snap.Next-1)
-}
-
-// applyServers returns the records that changed the list; of a whole list, any
-// if one did.
-func (g *Gateway) applyServers(list *servers.List, now clock.Millis, snap Snapshot, whole bool) []Record {
-	var changes []Record
-	var all []servers.Server
-	for _, r := range snap.Records {
-		if len(r.Value) == 0 {
-			if list.Remove(now, r.Key) {
-				changes = append(changes, r)
-			}
-			continue
-		}
-		s, err := g.decode.Server(r.Key, r.Value)
-		if err != nil {
-			g.log.WithFields(logrus.Fields{"event": "entryUnreadable", "offset": r.Offset}).Warn(err)
-			continue
-		}
-		if whole {
-			all = append(all, s)
-			continue
-		}
-		if list.Put(s) {
-			changes = append(changes, r)
-		}
-	}
-	if whole && list.Replace(now, all) {
-		changes = snap.Records
-	}
-	return changes
-}
-
-func (g *Gateway) listChanged(list *servers.List) {
-	usable := list.Usable()
-	byPool := map[string]int{}
-	live := map[string]bool{}
-	for _, s := range usable {
-		live[s.ID] = true
-		byPool[s.Pool]++
-	}
-	g.list.Store(list.Digest())
-	g.belief.setServers(usable)
-	g.board.forget(live)
-	g.metrics.servers(byPool)
-	f := logrus.Fields{"event": "servers", "usable": len(usable)}
-	for name, n := range byPool {
-		f["pool."+name] = n
-	}
-	g.log.WithFields(f).Info()
-}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -89,11 +89,10 @@
 	live      atomic.Int32 // gateways, with this one
 	// met tells that the other gateways were read from the store.
 	met atomic.Bool
-	// gateways is the digest of their names and addresses, and list that of the
-	// servers that may take requests.
-	gateways, list atomic.Uint64
-	outage         *outage
-	gate           *gate
+	// gateways is the digest of their names and addresses.
+	gateways atomic.Uint64
+	outage   *outage
+	gate     *gate
 
 	mu sync.Mutex
 	// streamed are the times of answers from the first event on.
@@ -126,11 +125,8 @@
 		turns.MethodCounts: g.keepCopy, turns.MethodCollect: g.answerCollect,
 		turns.MethodHint: g.takeHint, turns.MethodConfig: g.takeConfig, turns.MethodLeaving: g.takeLeaving,
 	}
-	g.host.OnBeat = func(entry string, wall clock.Millis) {
-		if entry != g.name {
-			g.wall.Vote(entry, wall)
-		}
-	}
+	g.host.OnHello = g.greeted
+	g.host.OnBeat = g.beat
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
 	if g.gate, err = newGate(cfg.LinkMbps); err != nil {
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/damaskport/damaskport/internal/peer/turns"
+	"github.com/damaskport/damaskport/internal/policy/follow"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
@@ -11,7 +13,7 @@
 const (
 	// readers is the number of gateways that tell the others of the store: the
 	// first one follows it closely, the next ones take over when it tells nothing.
-	readers = 3
+	readers = follow.Readers
 	// standbyStep is by how much longer each further reader bears silence.
 	standbyStep = 150 * clock.Millisecond
 	// hintAge is how long a hint counts: readers send one with each read.
@@ -24,7 +26,7 @@
 	// maxHintBytes bounds the changes in a hint: of more, each gateway reads them
 	// itself, once instead of from each reader.
 	maxHintBytes = 6000
-	// maxPendingHints bounds the hints with changes that wait to be applied.
+	// maxPendingHints bounds the hints that wait to be applied.
 	maxPendingHints = 64
 )
 
@@ -43,6 +45,19 @@
 	Gateways uint64 `json:"gateways"`
 	// Leaving are servers that said of late that they leave.
 	Leaving []servers.Key `json:"leaving,omitempty"`
+	// ReadMs is when the read was sent whose answer List is, by the reader's clock,
+	// and SteadyMs for how long the store has answered each one.
+	ReadMs   clock.Millis `json:"read"`
+	SteadyMs clock.Millis `json:"steady,omitempty"`
+	// Echo is the last beat that the reader had of the gateway that it tells.
+	Echo turns.Echo `json:"echo"`
+}
+
+// toldList is what a reader told of its list: the digest, the time as of which it is
+// the store's, by the own clock, and for how long the store had answered it.
+type toldList struct {
+	list         uint64
+	asOf, steady clock.Millis
 }
 
 // newHint returns what a reader tells of the servers: the changes behind since,
@@ -65,21 +80,66 @@
 	mu      sync.Mutex
 	newest  hint // without changes
 	pending []hint
+	told    []toldList
+	// remotes are the clocks of the others.
+	remotes map[string]*clock.Remote
 	atMs    clock.Millis
 	// configMs is when a hint with a configuration came last.
 	configMs clock.Millis
-	changed  chan struct{}
+	// changed is closed with the next hint that tells something new, and came with
+	// the next one of any kind.
+	changed, came chan struct{}
 }
 
 func newHints(c clock.Clock) *hints {
-	return &hints{clock: c, changed: make(chan struct{})}
+	return &hints{clock: c, remotes: map[string]*clock.Remote{}, changed: make(chan struct{}), came: make(chan struct{})}
+}
+
+// greeted notes that a gateway has connected anew: its clock may be another one.
+func (h *hints) greeted(from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.remotes[from] = &clock.Remote{}
+}
+
+// place notes the list of a hint, if its age is known; mu is held.
+func (h *hints) place(now clock.Millis, from string, m hint) {
+	r := h.remotes[from]
+	if r == nil || m.ReadMs == 0 {
+		return
+	}
+	if m.Echo.GotMs != 0 {
+		r.Echo(now, m.Echo.SentMs, m.Echo.GotMs)
+	}
+	if asOf, ok := r.Own(now, m.ReadMs); ok && len(h.told) < maxPendingHints {
+		h.told = append(h.told, toldList{list: m.List, asOf: asOf, steady: m.SteadyMs})
+	}
+}
+
+// lists takes what was told of lists since the last call.
+func (h *hints) lists() []toldList {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.told
+	h.told = nil
+	return out
+}
+
+// next returns a channel that is closed with the next hint.
+func (h *hints) next() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.came
 }
 
 // take takes in another gateway's hint.
-func (h *hints) take(m hint) {
+func (h *hints) take(from string, m hint) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	h.place(now, from, m)
+	close(h.came)
+	h.came = make(chan struct{})
 	first := h.atMs == 0 || now-h.atMs >= hintAge
 	h.atMs = now
 	if m.Config > 0 {
@@ -143,7 +203,7 @@
 	if rank >= readers {
 		return hintAge
 	}
-	return min(g.listEvery()*3/2+clock.Millis(rank)*standbyStep, hintAge)
+	return min(g.followTimes().Every*3/2+clock.Millis(rank)*standbyStep, hintAge)
 }
 
 // unchanged waits while readers tell that there is nothing new, for d at most,
--- /dev/null
+++ b/internal/role/gateway/list.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/policy/follow"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+// serverList is the list of backend servers as the store has it.
+type serverList struct {
+	*servers.List
+	g    *Gateway
+	f    *follower
+	when *follow.Follower
+	// asOf is the offset through which all changes are in the list.
+	asOf int64
+	// wholeMs is when the list was read whole, and steadyMs since when each call of
+	// the store for it was answered; 0 if the last one was not.
+	wholeMs, steadyMs clock.Millis
+}
+
+// leave is how long a leaving server still serves.
+func (g *Gateway) leave() clock.Millis { return clock.Millis(g.Settings().Bounds.DrainMs) }
+
+// followTimes returns the paces at which the list of servers is followed.
+func (g *Gateway) followTimes() follow.Times { return follow.For(g.leave()) }
+
+// followServers keeps the list of backend servers.
+func (g *Gateway) followServers(ctx context.Context) error {
+	l := &serverList{
+		List: servers.New(g.leave()), g: g,
+		f: &follower{g: g, topic: TopicServers}, when: follow.New(g.followTimes()), wholeMs: g.clock.Now(),
+	}
+	for ctx.Err() == nil {
+		l.SetLeave(g.leave())
+		l.when.Pace(g.followTimes())
+		next := g.hints.next()
+		l.told()
+		if now := g.clock.Now(); l.when.DueMs(now, g.board.rank(subjectReaders)) > now {
+			l.wait(ctx, next)
+			continue
+		}
+		l.read(ctx)
+	}
+	return nil
+}
+
+// wait waits until the list is to be read, or a reader tells something.
+func (l *serverList) wait(ctx context.Context, next <-chan struct{}) {
+	now := l.g.clock.Now()
+	due := l.when.DueMs(now, l.g.board.rank(subjectReaders))
+	// The rank changes with the gateways that are up.
+	ctx, cancel := context.WithTimeout(ctx, min(due-now, l.g.followTimes().Every).Duration())
+	defer cancel()
+	select {
+	case <-next:
+	case <-ctx.Done():
+	}
+}
+
+// told applies what readers told since the last call.
+func (l *serverList) told() {
+	g, now := l.g, l.g.clock.Now()
+	records, asOf := g.hints.serverChanges(l.asOf)
+	l.asOf = asOf
+	changed := false
+	for _, r := range records {
+		changed = l.apply(now, r) || changed
+	}
+	for _, h := range g.hints.lists() {
+		if h.steady >= servers.LapseMs {
+			l.Steady(now)
+		}
+		l.when.Told(now, h.asOf, h.list == l.Digest())
+	}
+	if l.Tick(now) || changed {
+		l.changed()
+	}
+}
+
+// apply applies a change of the list that a reader told, and reports whether it is
+// one of the own list. Readers tell of a removal what they have made sure of.
+func (l *serverList) apply(now clock.Millis, r Record) bool {
+	if len(r.Value) == 0 {
+		return l.Drop(now, r.Key)
+	}
+	s, ok := l.decode(r)
+	return ok && l.Put(s)
+}
+
+func (l *serverList) decode(r Record) (servers.Server, bool) {
+	s, err := l.g.decode.Server(r.Key, r.Value)
+	if err != nil {
+		l.g.log.WithFields(logrus.Fields{"event": "entryUnreadable", "offset": r.Offset}).Warn(err)
+	}
+	return s, err == nil
+}
+
+// read reads the list, or what was added to it, and tells the others if this gateway
+// is a reader.
+func (l *serverList) read(ctx context.Context) {
+	sent := l.g.clock.Now()
+	if sent-l.wholeMs > confirmEvery || sent-l.f.readMs > renewedAfter || l.when.Whole(sent) {
+		l.f.next = 0
+	}
+	snap, whole, err := l.f.read(ctx, 0)
+	now := l.g.clock.Now()
+	if err != nil {
+		l.Away()
+		l.steadyMs = 0
+		if l.f.failures > 1 {
+			// The first one may have been the fault of an old connection.
+			l.f.pause(ctx)
+		}
+		return
+	}
+	if l.steadyMs == 0 {
+		l.steadyMs = now
+	}
+	if whole {
+		l.wholeMs = sent
+	}
+	before := l.asOf
+	changes := l.applyRead(now, snap, whole)
+	l.Answered(now, sent)
+	l.when.Answered(now, sent)
+	lapsed := l.Tick(now)
+	switch {
+	case whole && len(changes) > 0, lapsed:
+		// No single record tells it: the others have to read.
+		l.asOf = snap.Next - 1
+		before, changes = l.asOf, nil
+		l.changed()
+	case len(changes) > 0:
+		l.asOf = changes[len(changes)-1].Offset
+		l.changed()
+	case !l.g.belief.listed.Load():
+		l.changed()
+	}
+	if l.g.board.among(subjectReaders, readers) {
+		l.tell(newHint(before, l.asOf, changes), now, sent)
+		return
+	}
+	l.asOf = max(l.asOf, snap.Next-1)
+}
+
+// tell tells the others what this gateway knows of the store.
+func (l *serverList) tell(h hint, now, sent clock.Millis) {
+	g := l.g
+	h.Gateways, h.List = g.gateways.Load(), l.Digest()
+	h.ReadMs, h.SteadyMs = sent, now-l.steadyMs
+	h.Leaving = g.leavers.recent(now)
+	if g.belief.configAge() < g.configWait()+hintAge/2 {
+		h.Config = g.configVersion()
+	}
+	g.board.hint(h)
+}
+
+// applyRead returns the records that changed the list; of a whole list, any if one
+// did.
+func (l *serverList) applyRead(now clock.Millis, snap Snapshot, whole bool) []Record {
+	var changes []Record
+	var all []servers.Server
+	for _, r := range snap.Records {
+		if len(r.Value) == 0 {
+			if l.Remove(now, r.Key) {
+				changes = append(changes, r)
+			}
+			continue
+		}
+		s, ok := l.decode(r)
+		switch {
+		case !ok:
+		case whole:
+			all = append(all, s)
+		case l.Put(s):
+			changes = append(changes, r)
+		}
+	}
+	if whole && l.Replace(now, all) {
+		changes = snap.Records
+	}
+	return changes
+}
+
+// changed puts the list in force.
+func (l *serverList) changed() {
+	g, usable := l.g, l.Usable()
+	byPool := map[string]int{}
+	live := map[string]bool{}
+	for _, s := range usable {
+		live[s.ID] = true
+		byPool[s.Pool]++
+	}
+	g.belief.setServers(usable)
+	g.board.forget(live)
+	g.metrics.servers(byPool)
+	f := logrus.Fields{"event": "servers", "usable": len(usable)}
+	for name, n := range byPool {
+		f["pool."+name] = n
+	}
+	g.log.WithFields(f).Info()
+}
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -78,7 +78,7 @@
 }
 
 // takeHint takes in what a reader tells.
-func (g *Gateway) takeHint(_ string, data json.RawMessage) error {
+func (g *Gateway) takeHint(from string, data json.RawMessage) error {
 	var h hint
 	if err := json.Unmarshal(data, &h); err != nil {
 		return err
@@ -86,7 +86,7 @@
 	for _, k := range h.Leaving {
 		g.serverLeaves(g.clock.Now(), k, "hint")
 	}
-	g.hints.take(h)
+	g.hints.take(from, h)
 	return nil
 }
 
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -69,6 +69,8 @@
 	// topic must end there, else the error is a *ConflictError. After another
 	// error the record may have been added, now or later.
 	Append(ctx context.Context, t Topic, key string, value []byte, asOf int64) (int64, error)
+	// Redial has the next call use a new connection.
+	Redial()
 }
 
 // Decoder decodes the records of other writers.
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -9,6 +9,8 @@
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
+const drain = 2 * clock.Second
+
 func entry(id string, seq int64) servers.Server {
 	return servers.Server{ID: id, Pool: "app", Addr: "10.0.0.1:80", Seq: seq, Start: 100}
 }
@@ -32,7 +34,7 @@
 }
 
 func TestDrainingIsForGood(t *testing.T) {
-	l := servers.New()
+	l := servers.New(drain)
 	l.Put(entry("a", 1))
 	d := entry("a", 2)
 	d.Draining = true
@@ -52,7 +54,7 @@
 }
 
 func TestRemovedIsGoneAtOnce(t *testing.T) {
-	l := servers.New()
+	l := servers.New(drain)
 	l.Put(entry("a", 1))
 	if !l.Remove(10, "a") {
 		t.Error("the removal changed nothing")
@@ -65,13 +67,12 @@
 // TestLapsedEntries has entries lapse while the store is away: they are kept
 // until the servers had time to register again, and no longer.
 func TestLapsedEntries(t *testing.T) {
-	l := servers.New()
+	l := servers.New(drain)
 	l.Put(entry("a", 1))
 	l.Put(entry("b", 1))
-	l.Away(1000)
-	l.Away(5000)
-	l.Back(5500)
+	l.Away()
 	l.Replace(5500, nil)
+	l.Answered(5500, 5490)
 	check(t, "lapsed", l, "a", "b")
 	l.Put(entry("a", 2))
 	now := 5500 + servers.LapseMs - 1
@@ -83,21 +84,103 @@
 	check(t, "after it", l, "a")
 }
 
+// TestLapseOutlastsTheNextOutage has the store go away again before the servers
+// had their time.
+func TestLapseOutlastsTheNextOutage(t *testing.T) {
+	l := servers.New(drain)
+	l.Put(entry("a", 1))
+	l.Away()
+	l.Replace(5000, nil)
+	l.Answered(5000, 4990)
+	l.Away()
+	l.Tick(9000)
+	check(t, "away again", l, "a")
+	l.Replace(9000, nil)
+	l.Answered(9000, 8990)
+	l.Tick(9000 + servers.LapseMs - 1)
+	check(t, "within the time to register", l, "a")
+	l.Tick(9000 + servers.LapseMs)
+	check(t, "after it", l)
+}
+
+// TestSeenToGoAfterAnOutage has an entry go that was there after the return: it
+// may have lapsed all the same, and is used no longer than a leaving server.
+func TestSeenToGoAfterAnOutage(t *testing.T) {
+	l := servers.New(drain)
+	l.Put(entry("a", 1))
+	l.Away()
+	l.Put(entry("a", 2))
+	l.Answered(5000, 4990)
+	l.Remove(5500, "a")
+	l.Answered(5500, 5490)
+	l.Tick(5600)
+	check(t, "shortly after", l, "a")
+	l.Tick(4990 + drain)
+	check(t, "when a leaving server ends to serve", l)
+}
+
+// TestReaderThatIsSteady has a gateway lose the store on its own while a server
+// leaves: those that reached it all the time tell that nothing has lapsed.
+func TestReaderThatIsSteady(t *testing.T) {
+	l := servers.New(drain)
+	l.Put(entry("a", 1))
+	l.Put(entry("b", 1))
+	l.Away()
+	l.Replace(5500, nil)
+	l.Answered(5500, 5490)
+	l.Steady(5600)
+	if !l.Tick(5600) {
+		t.Error("nothing changed")
+	}
+	check(t, "missing, with a steady reader", l)
+
+	l = servers.New(drain)
+	l.Put(entry("a", 1))
+	l.Away()
+	if !l.Drop(100, "a") {
+		t.Error("the removal that another gateway saw changed nothing")
+	}
+	check(t, "told to be gone while the store is away", l)
+}
+
+// TestCopyOfTheStore has the store come back from a copy that lists servers as they
+// were: what left stays out, and what joined since is kept until it had time to
+// register.
+func TestCopyOfTheStore(t *testing.T) {
+	l := servers.New(drain)
+	for _, id := range []string{"drained", "removed", "stays", "joined"} {
+		l.Put(entry(id, 5))
+	}
+	d := entry("drained", 6)
+	d.Draining = true
+	l.Put(d)
+	l.Remove(100, "drained")
+	l.Remove(100, "removed")
+	l.Away()
+	l.Replace(2000, []servers.Server{entry("drained", 4), entry("removed", 4), entry("stays", 3)})
+	l.Answered(2000, 1990)
+	check(t, "after the copy", l, "joined", "stays")
+	l.Put(entry("joined", 6))
+	l.Put(entry("removed", 7))
+	l.Tick(2000 + servers.LapseMs)
+	check(t, "written anew", l, "joined", "removed", "stays")
+}
+
 func TestDrainingDoesNotLapse(t *testing.T) {
-	l := servers.New()
+	l := servers.New(drain)
 	d := entry("a", 1)
 	d.Draining = true
 	l.Put(d)
-	l.Away(1000)
+	l.Away()
 	l.Remove(1100, "a")
 	check(t, "draining and removed while the store is away", l)
-	l.Back(1200)
+	l.Answered(1200, 1190)
 	l.Put(entry("a", 2))
 	check(t, "an entry of the same start", l)
 }
 
 func TestOldEntriesChangeNothing(t *testing.T) {
-	l := servers.New()
+	l := servers.New(drain)
 	l.Put(entry("a", 5))
 	moved := entry("a", 4)
 	moved.Addr = "10.0.0.2:80"
@@ -115,7 +198,7 @@
 
 // TestDigest tells lists apart by the servers that may take requests alone.
 func TestDigest(t *testing.T) {
-	a, b := servers.New(), servers.New()
+	a, b := servers.New(drain), servers.New(drain)
 	a.Put(entry("a", 1))
 	a.Put(entry("b", 1))
 	b.Put(entry("b", 7))
