--- a/internal/control/turns/host.go
+++ b/internal/control/turns/host.go
@@ -65,9 +65,11 @@
 	// Overloaded reports whether engines had better be hosted elsewhere; it must be
 	// set before Run.
 	Overloaded func() bool
-	// OnHello is told of each connection, and OnBeat takes the beats of gateways; both
-	// must be set before Run.
-	OnHello func(entry string)
+	// OnHello is told of each connection and returns the answer to its greeting, and
+	// OnFetch that to a gateway that asks for the configuration. OnBeat takes the
+	// beats of gateways. All must be set before Run.
+	OnHello func(entry string) any
+	OnFetch func() any
 	OnBeat  func(entry string, b turns.Beat)
 
 	// Owned by the goroutine of Run.
@@ -218,6 +220,8 @@
 			return err
 		}
 		h.open(now, c, in.method, r)
+	case turns.MethodFetch:
+		in.link.Notify(turns.MethodConfig, h.OnFetch())
 	case dispatch.MethodHeartbeat:
 		var b turns.Beat
 		if err := json.Unmarshal(in.params, &b); err != nil {
@@ -250,7 +254,7 @@
 	}
 	h.links[in.link], h.byEntry[m.Entry] = &client{entry: m.Entry, far: m.Zone != h.Zone, told: map[string]told{}}, in.link
 	h.log.WithFields(logrus.Fields{"event": "entry", "entry": m.Entry}).Info()
-	h.OnHello(m.Entry)
+	in.link.Notify(turns.MethodWelcome, h.OnHello(m.Entry))
 	return nil
 }
 
--- a/internal/control/turns/host_test.go
+++ b/internal/control/turns/host_test.go
@@ -34,7 +34,7 @@
 func startHostWith(t testing.TB, onBeat func(entry string, b turns.Beat)) (*control.Host, context.Context) {
 	t.Helper()
 	h := control.NewHost(logging.Discard(), clock.System{}, tally.NoopScope)
-	h.OnHello, h.OnBeat = func(string) {}, onBeat
+	h.OnHello, h.OnFetch, h.OnBeat = func(string) any { return nil }, func() any { return nil }, onBeat
 	h.Overloaded = func() bool { return false }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/internal/peer/turns/turns.go
+++ b/internal/peer/turns/turns.go
@@ -4,8 +4,8 @@
 // hosts the order of some engines. Requests and answers do not pass through it.
 //
 //	dialer -> host  hello, reserve, announce, cancel, begun, done, counts,
-//	                collect, config, hint, leaving, heartbeat
-//	host -> dialer  offer, refuse, load
+//	                collect, config, fetch, hint, leaving, seal, heartbeat
+//	host -> dialer  welcome, offer, refuse, load, config
 package turns
 
 import (
@@ -29,6 +29,12 @@
 	// MethodConfig carries what differs in a configuration that the dialer has read
 	// from the one before.
 	MethodConfig = "config"
+	// MethodSeal tells of a usage window that the dialer has sealed.
+	MethodSeal = "seal"
+	// MethodWelcome answers a greeting with what the host knows, and MethodFetch asks
+	// it for its configuration, which it sends by MethodConfig.
+	MethodWelcome = "welcome"
+	MethodFetch   = "fetch"
 	// MethodHint tells what the dialer knows of the store.
 	MethodHint = "hint"
 	// MethodLeaving names a server (servers.Key) that told the dialer that it leaves.
--- a/internal/role/gateway/belief.go
+++ b/internal/role/gateway/belief.go
@@ -87,14 +87,10 @@
 	return p
 }
 
-// setConfig puts a newer configuration in force and reports whether it was one.
-func (b *belief) setConfig(cfg *routing.Config) bool {
-	if old := b.cfg.Load(); old != nil && cfg.Version <= old.Version {
-		return false
-	}
+// setConfig puts a configuration in force.
+func (b *belief) setConfig(cfg *routing.Config) {
 	b.cfg.Store(cfg)
 	b.refresh()
-	return true
 }
 
 // setServers sets the servers that may take requests.
--- a/internal/role/gateway/board.go
+++ b/internal/role/gateway/board.go
@@ -32,6 +32,9 @@
 	// their processor (MEASUREMENTS.md).
 	dialBurst = 32
 	dialGap   = 10 * clock.Millisecond
+	// sealHolders is the number of gateways that are told of sealed windows: those
+	// that wait for the duties, and some more that may come to it when these go too.
+	sealHolders = 2 * candidates
 )
 
 // peer is a gateway that hosts engines, also this one itself.
@@ -286,6 +289,10 @@
 // handle applies a message of a host.
 func (b *board) handle(p *peer, method string, params json.RawMessage) error {
 	switch method {
+	case turns.MethodWelcome:
+		return b.welcomed(p, params)
+	case turns.MethodConfig:
+		return b.g.takeConfig(p.name, params)
 	case turns.MethodLoad:
 		var m turns.Loads
 		if err := json.Unmarshal(params, &m); err != nil {
@@ -410,22 +417,30 @@
 	return above
 }
 
-// hint sends what this gateway knows of the store to all others.
-func (b *board) hint(h hint) {
+// tell sends a message to all other gateways. to returns what one of them gets.
+func (b *board) tell(method string, to func(p *peer) any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
 		if p.addr != "" && p.link != nil {
-			h.Echo = b.echoes[p.name]
-			p.link.Notify(turns.MethodHint, h)
+			p.link.Notify(method, to(p))
 		}
 	}
 }
 
-// greeted notes that a gateway has connected.
-func (g *Gateway) greeted(entry string) {
+// hint sends what this gateway knows of the store to all others.
+func (b *board) hint(h hint) {
+	b.tell(turns.MethodHint, func(p *peer) any {
+		h.Echo = b.echoes[p.name]
+		return h
+	})
+}
+
+// greeted notes that a gateway has connected, and returns what it is told.
+func (g *Gateway) greeted(entry string) any {
 	g.hints.greeted(entry)
 	g.board.echo(entry, turns.Echo{})
+	return g.welcome()
 }
 
 // beat takes in a beat of a gateway.
@@ -471,23 +486,21 @@
 
 // tellConfig sends a change of the configuration to all others.
 func (b *board) tellConfig(c configChange) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, p := range b.peers {
-		if p.addr != "" && p.link != nil {
-			p.link.Notify(turns.MethodConfig, c)
-		}
-	}
+	b.tell(turns.MethodConfig, func(*peer) any { return c })
 }
 
 // collect asks all gateways for their counts of a window.
 func (b *board) collect(window int64) {
+	b.tell(turns.MethodCollect, func(*peer) any { return turns.Collect{Window: window} })
+}
+
+// tellSeal tells those that may hold the duties next of a sealed window.
+func (b *board) tellSeal(u Usage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, p := range b.peers {
-		if p.addr != "" && p.link != nil {
-			p.link.Notify(turns.MethodCollect, turns.Collect{Window: window})
-		}
+	up := b.linkedLocked(subjectHolders)
+	for _, p := range up[:min(len(up), sealHolders)] {
+		p.link.Notify(turns.MethodSeal, u)
 	}
 }
 
@@ -523,6 +536,6 @@
 	defer b.mu.Unlock()
 	up := b.linkedLocked(key)
 	for _, q := range up[:min(len(up), copyHolders)] {
-		q.link.Notify(turns.MethodCounts, countsCopy{key, p})
+		q.link.Notify(turns.MethodCounts, countsCopy{Key: key, Counts: p})
 	}
 }
--- a/internal/role/gateway/config.go
+++ b/internal/role/gateway/config.go
@@ -1,43 +1,66 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"sync"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/state/delta"
+	"github.com/damaskport/damaskport/internal/state/era"
 )
 
 // maxDeltaBytes bounds the difference between two configurations that readers
 // pass on: a larger one is read from the store by each gateway.
 const maxDeltaBytes = 8 << 10
 
-// document is the newest configuration as it stands in the store. It is safe for
+// document is the configuration in force as it stands in the store. It is safe for
 // concurrent use.
 type document struct {
-	mu     sync.Mutex
-	data   []byte
-	offset int64
+	mu      sync.Mutex
+	data    []byte
+	version int64
+	at      era.Position
 }
 
 // configChange is the message that tells how the configuration has changed.
 type configChange struct {
-	Offset int64       `json:"offset"`
-	Delta  delta.Delta `json:"delta"`
+	At    era.Position `json:"at"`
+	Delta delta.Delta  `json:"delta"`
 }
 
-// replace sets the document of an offset, and returns how it differs from the
-// one before; ok is false for one that is not newer.
-func (d *document) replace(offset int64, data []byte) (diff delta.Delta, ok bool) {
+// verdict on a document that is offered as the configuration in force.
+type configVerdict int
+
+const (
+	// configOlder is one with a lower version, or with the same one from before the
+	// present one was written.
+	configOlder configVerdict = iota
+	// configSame is the present one, written anew after the store came back from a
+	// copy.
+	configSame
+	// configNewer is one to be put in force.
+	configNewer
+)
+
+// offer takes a document in unless it is older: a version never falls, whatever the
+// store holds. Of two with one version that which was written later holds, since the
+// operator writes anew what a copy of the store lacks. apply puts it in force.
+func (d *document) offer(at era.Position, version int64, data []byte, apply func()) (diff delta.Delta, v configVerdict) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.data != nil && offset <= d.offset {
-		return diff, false
+	if d.data != nil && (version < d.version || version == d.version && !at.After(d.at)) {
+		return diff, configOlder
 	}
 	diff = delta.Make(d.data, data)
-	d.data, d.offset = data, offset
-	return diff, true
+	v = configSame
+	if d.data == nil || version > d.version || !bytes.Equal(d.data, data) {
+		v = configNewer
+		apply()
+	}
+	d.data, d.version, d.at = data, version, at
+	return diff, v
 }
 
 // change returns the document that a change leads to.
@@ -47,28 +70,53 @@
 	return c.Delta.Apply(d.data)
 }
 
-// applyConfig puts a record of the configuration in force if it is newer. ok
-// tells that, and that the change is small enough to be passed on.
+// behind reports whether another gateway has a newer document.
+func (d *document) behind(version int64, at era.Position) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return version > d.version || version == d.version && version > 0 && at.After(d.at)
+}
+
+// state returns the version and where it stands; 0 without a document.
+func (d *document) state() (version int64, at era.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version, d.at
+}
+
+// full returns the whole document as a change from nothing.
+func (d *document) full() configChange {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return configChange{At: d.at, Delta: delta.Make(nil, d.data)}
+}
+
+// applyConfig puts a record of the configuration in force if it is newer. ok tells
+// that it has changed, or was written anew, and is small enough to be passed on.
 func (g *Gateway) applyConfig(r Record) (c configChange, ok bool) {
 	if r.Key != g.decode.ConfigKey || len(r.Value) == 0 {
 		return c, false
 	}
 	cfg, err := g.decode.Config(r.Value)
 	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "configUnreadable", "offset": r.Offset}).Error(err)
+		g.log.WithFields(logrus.Fields{"event": "configUnreadable", "offset": r.At.Offset()}).Error(err)
 		return c, false
 	}
-	if !g.belief.setConfig(cfg) {
-		return c, false
+	before, _ := g.config.state()
+	diff, v := g.config.offer(r.At, cfg.Version, r.Value, func() { g.belief.setConfig(cfg) })
+	fields := logrus.Fields{"version": cfg.Version, "offset": r.At.Offset(), "era": r.At.Era().String()}
+	switch {
+	case v == configNewer:
+		g.log.WithFields(fields).WithFields(logrus.Fields{
+			"event": "config", "before": before, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts), "changedBytes": len(diff.Middle),
+		}).Info()
+	case cfg.Version < before:
+		g.log.WithFields(fields).WithFields(logrus.Fields{"event": "configOlder", "kept": before}).Warn("the store holds an older configuration")
 	}
-	diff, newer := g.config.replace(r.Offset, r.Value)
-	g.log.WithFields(logrus.Fields{
-		"event": "config", "version": cfg.Version, "offset": r.Offset, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts), "changedBytes": len(diff.Middle),
-	}).Info()
-	return configChange{Offset: r.Offset, Delta: diff}, newer && len(diff.Middle) <= maxDeltaBytes
+	return configChange{At: r.At, Delta: diff}, v != configOlder && len(diff.Middle) <= maxDeltaBytes
 }
 
-// takeConfig takes in a change of the configuration that a reader has read. One
+// takeConfig takes in a change of the configuration that another gateway knows. One
 // that does not go on from the own configuration is left to the next hint, which
 // tells the version.
 func (g *Gateway) takeConfig(_ string, data json.RawMessage) error {
@@ -78,9 +126,13 @@
 	}
 	doc, err := g.config.change(c)
 	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "configNotFollowed", "offset": c.Offset}).Info(err)
+		// It may be a whole document.
+		doc, err = c.Delta.Apply(nil)
+	}
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"event": "configNotFollowed", "offset": c.At.Offset()}).Info(err)
 		return nil
 	}
-	g.applyConfig(Record{Key: g.decode.ConfigKey, Value: doc, Offset: c.Offset})
+	g.applyConfig(Record{Key: g.decode.ConfigKey, Value: doc, At: c.At})
 	return nil
 }
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -30,6 +30,8 @@
 		return "overloaded"
 	case g.belief.config() == nil:
 		return "no configuration yet"
+	case !g.settled.Load():
+		return "others may know a newer configuration"
 	case !g.belief.listed.Load():
 		return "no list of servers yet"
 	}
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
+	"github.com/damaskport/damaskport/internal/state/sealing"
 	"github.com/damaskport/damaskport/internal/state/tenure"
 )
 
 const (
+	// keyHolder and keySealed begin the keys of the record of the holder and of the
+	// newest sealed window; the era follows.
 	keyHolder = "holder"
 	keySealed = "sealed"
 	// claimMargin is how much longer than the platform's least time between
@@ -46,20 +51,13 @@
 	actMargin = 700 * clock.Millisecond
 )
 
-// sealed are the figures that were agreed on before they were reported: a
-// report is repeated with the same figures only.
-type sealed struct {
-	Usage Usage `json:"usage"`
-}
-
 // holder runs the duties of one holder.
 type holder struct {
-	g      *Gateway
-	t      *tenure.Tenure
-	sealed *sealed // the last one in the store
-	// told is the last window whose report was accepted.
-	told   int64
-	nextMs clock.Millis // of the next collection
+	g     *Gateway
+	t     *tenure.Tenure
+	seals *sealing.Seals
+	// nextMs is when the next collection is due.
+	nextMs clock.Millis
 	// looked is the window that was collected last, for the first time at lookedMs.
 	looked   int64
 	lookedMs clock.Millis
@@ -75,7 +73,7 @@
 func (g *Gateway) keepDuties(ctx context.Context) error {
 	lease := clock.Millis(g.Settings().Duties.LeaseMs)
 	claim := lease + 2*claimMargin
-	h := &holder{g: g, claimMs: claim, t: tenure.New(tenure.Config{
+	h := &holder{g: g, claimMs: claim, seals: sealing.New(g.clock.Now(), g.usage.windowMs), t: tenure.New(tenure.Config{
 		Holder: g.name, Process: g.process,
 		HoldMs: lease, ClaimMs: claim, RenewMs: lease / 3,
 		HandoverMs: lease/2 + claimMargin/2, SpreadMs: g.spread(claimSpread),
@@ -128,25 +126,54 @@
 	h.g.log.WithFields(logrus.Fields{"event": "dutyReleased", "term": term, "written": err == nil}).Info()
 }
 
+// enter notes the era that the store is in.
+func (h *holder) enter() {
+	now, e := h.g.clock.Now(), h.g.store.present()
+	if e == h.t.Era() {
+		return
+	}
+	_, held := h.t.Holds(now)
+	h.t.Enter(now, e)
+	h.seals.Enter(now, e, held)
+	h.loaded = false
+}
+
+// load reads the whole topic.
+func (h *holder) load(ctx context.Context) error {
+	g := h.g
+	snap, err := g.store.Newest(ctx, TopicDuty)
+	g.metrics.storeRead(TopicDuty, err)
+	if err != nil {
+		return err
+	}
+	// The call may have been the one that told of another era.
+	h.enter()
+	if snap.Next.Era() != h.t.Era() {
+		return errors.Errorf("a topic of era %v in era %v", snap.Next.Era(), h.t.Era())
+	}
+	h.apply(snap)
+	h.t.None(g.clock.Now())
+	h.seals.Read(nil)
+	h.loaded = snap.Next.Known()
+	if !h.loaded {
+		_ = g.clock.Sleep(ctx, dutyIdle)
+	}
+	return nil
+}
+
 // step reads what changed, renews or claims, and acts.
 func (h *holder) step(ctx context.Context) error {
 	g := h.g
+	h.enter()
 	if !h.loaded {
-		snap, err := g.store.Newest(ctx, TopicDuty)
-		g.metrics.storeRead(TopicDuty, err)
-		if err != nil {
+		if err := h.load(ctx); err != nil {
 			return err
 		}
-		h.apply(snap)
-		if len(snap.Records) == 0 {
-			h.t.Seen(g.clock.Now(), -1, tenure.Record{})
-		}
-		h.loaded = true
 	}
 	now := g.clock.Now()
 	if now >= h.t.DueMs(now) {
 		r, asOf := h.t.Write(now)
-		err := h.append(ctx, keyHolder, r, asOf, func(offset int64) { h.t.Appended(g.clock.Now(), offset, r) })
+		err := h.append(ctx, keyHolder, r, asOf, func() { h.t.Appended(g.clock.Now(), asOf, r) })
 		if err != nil {
 			return err
 		}
@@ -159,15 +186,23 @@
 		return h.act(ctx, term)
 	}
 	wait := max(h.t.DueMs(now)-now, 0)
-	if h.t.Next() == 0 {
-		_ = g.clock.Sleep(ctx, min(wait, dutyIdle))
+	_, changed := g.store.current()
+	if h.t.Next().Offset() <= 0 {
+		g.sleepInEra(ctx, min(wait, dutyIdle), changed)
 		h.loaded = false
 		return nil
 	}
 	// A look at each renewal would cost as many calls as there are candidates.
-	_ = g.clock.Sleep(ctx, min(wait, h.claimMs/followPart))
+	g.sleepInEra(ctx, min(wait, h.claimMs/followPart), changed)
+	h.enter()
+	if !h.loaded {
+		return nil
+	}
 	snap, err := g.store.Read(ctx, TopicDuty, h.t.Next(), 0)
 	g.metrics.storeRead(TopicDuty, err)
+	if restored := (*RestoredError)(nil); errors.As(err, &restored) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -182,6 +217,9 @@
 		return
 	}
 	h.held = held
+	if !held {
+		h.seals.Lost()
+	}
 	h.g.metrics.duty(held)
 	event := "dutyLost"
 	if held {
@@ -190,40 +228,64 @@
 	h.g.log.WithFields(logrus.Fields{"event": event, "term": term}).Info()
 }
 
+// keyIn returns the key of a record in an era. Each era has records of its own, so
+// that a late write of an earlier one takes nothing's place.
+func keyIn(key string, e era.Era) string {
+	if !e.Known() {
+		return key
+	}
+	return key + "-" + e.String()
+}
+
 func (h *holder) apply(snap Snapshot) {
-	now := h.g.clock.Now()
+	now, e := h.g.clock.Now(), h.t.Era()
 	for _, rec := range snap.Records {
+		if len(rec.Value) == 0 {
+			continue
+		}
 		var err error
-		switch rec.Key {
+		kind, _, _ := strings.Cut(rec.Key, "-")
+		switch kind {
 		case keyHolder:
 			var r tenure.Record
-			if err = json.Unmarshal(rec.Value, &r); err == nil {
-				h.t.Seen(now, rec.Offset, r)
+			if err = json.Unmarshal(rec.Value, &r); err != nil {
+				break
+			}
+			if rec.Key == keyIn(keyHolder, e) {
+				h.t.Seen(now, rec.At, r)
+			} else {
+				h.t.Earlier(r)
 			}
 		case keySealed:
-			var s sealed
-			if err = json.Unmarshal(rec.Value, &s); err == nil {
-				h.sealed = &s
+			var u Usage
+			if err = json.Unmarshal(rec.Value, &u); err != nil {
+				break
+			}
+			if rec.Key == keyIn(keySealed, e) {
+				h.seals.Read(&u)
+			} else {
+				h.seals.Told(u)
 			}
 		}
 		if err != nil {
-			h.g.log.WithFields(logrus.Fields{"event": "dutyUnreadable", "key": rec.Key, "offset": rec.Offset}).Error(err)
+			h.g.log.WithFields(logrus.Fields{"event": "dutyUnreadable", "key": rec.Key, "offset": rec.At.Offset()}).Error(err)
 		}
 	}
 	h.t.End(snap.Next)
 }
 
-// append writes a record if the topic ends at asOf. After a conflict or an
-// error the topic is read again before the next step.
-func (h *holder) append(ctx context.Context, key string, v any, asOf int64, done func(offset int64)) error {
+// append writes a record of the present era if the topic ends at asOf. After a
+// conflict, an error or another era the topic is read again before the next step.
+func (h *holder) append(ctx context.Context, key string, v any, asOf era.Position, done func()) error {
 	data, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	offset, err := h.g.store.Append(ctx, TopicDuty, key, data, asOf)
+	err = h.g.store.AppendAt(ctx, TopicDuty, keyIn(key, asOf.Era()), data, asOf)
 	h.g.metrics.storeWrite(TopicDuty, err)
 	var conflict *ConflictError
-	if errors.As(err, &conflict) {
+	var restored *RestoredError
+	if errors.As(err, &conflict) || errors.As(err, &restored) {
 		h.loaded = false
 		return nil
 	}
@@ -231,7 +293,7 @@
 		return err
 	}
 	if done != nil {
-		done(offset)
+		done()
 	}
 	return nil
 }
@@ -240,13 +302,16 @@
 func (h *holder) act(ctx context.Context, term int64) error {
 	g := h.g
 	now, wall := g.clock.Now(), g.clock.Wall()
-	if s := h.sealed; s != nil && s.Usage.Window > h.told {
-		return h.report(ctx, term, s.Usage)
+	h.hear()
+	if u, ok := h.seals.Pending(); ok {
+		return h.report(ctx, term, u)
 	}
-	window := h.dueWindow(wall)
+	window := h.dueWindow(now, wall)
 	ready := g.usage.end(window) + collectFrom
 	if wait := max(ready-wall, h.nextMs-now); wait > 0 {
-		return g.clock.Sleep(ctx, min(wait, max(h.t.DueMs(now)-now, clock.Millisecond)))
+		_, changed := g.store.current()
+		g.sleepInEra(ctx, min(wait, max(h.t.DueMs(now)-now, clock.Millisecond)), changed)
+		return nil
 	}
 	first := h.looked != window
 	h.look(now, window, wall-ready)
@@ -270,12 +335,29 @@
 	if patience := h.patience(sum.late); g.clock.Wall() < g.usage.end(window)+patience || len(sum.late) > 0 && g.clock.Now() < h.lookedMs+lateWait {
 		return nil
 	}
-	u := Usage{Window: window, Counts: sum.total}
-	s := sealed{Usage: u}
-	return h.append(ctx, keySealed, s, h.t.Next(), func(offset int64) {
-		h.t.End(offset + 1)
-		h.sealed = &s
-		g.log.WithFields(logrus.Fields{"event": "usageSealed", "window": window, "accounts": len(sum.total), "late": sum.late, "term": term}).Info()
+	return h.sealWindow(ctx, term, Usage{Window: window, Counts: sum.total}, sum.late)
+}
+
+// hear takes in what others know of sealed windows.
+func (h *holder) hear() {
+	if u := h.g.seal.Load(); u != nil {
+		h.seals.Told(*u)
+	}
+}
+
+// sealWindow agrees on the figures of a window: they are reported only after that.
+func (h *holder) sealWindow(ctx context.Context, term int64, u Usage, late []string) error {
+	g := h.g
+	if h.hear(); h.dueWindow(g.clock.Now(), g.clock.Wall()) > u.Window {
+		return nil
+	}
+	asOf := h.t.Next()
+	return h.append(ctx, keySealed, u, asOf, func() {
+		h.t.End(asOf.Next())
+		h.seals.Sealed(u)
+		g.keepSeal(u)
+		g.board.tellSeal(u)
+		g.log.WithFields(logrus.Fields{"event": "usageSealed", "window": u.Window, "accounts": len(u.Counts), "late": late, "term": term, "era": asOf.Era().String()}).Info()
 	})
 }
 
@@ -308,15 +390,10 @@
 	return clock.Millis(g.Settings().Duties.ReportWithinS * float64(clock.Second))
 }
 
-// dueWindow returns the first window that has not been sealed: one that is late is
-// reported all the same while the gateways keep its counts. Without a seal it is
-// not known what was reported, so that only windows count that are not late yet.
-func (h *holder) dueWindow(wall clock.Millis) int64 {
-	g := h.g
-	if h.sealed != nil {
-		return max(g.usage.oldest(wall), h.sealed.Usage.Window+1)
-	}
-	return g.usage.window(wall - g.reportWithin() + reportMargin/2)
+// dueWindow returns the first window that may be sealed: one that is late is
+// reported all the same while the gateways keep its counts.
+func (h *holder) dueWindow(now, wall clock.Millis) int64 {
+	return h.seals.Next(now, wall, h.g.usage.oldest(wall))
 }
 
 // report sends sealed figures. They were read back or written under the term,
@@ -332,19 +409,19 @@
 	if err != nil {
 		l.Warn(err)
 		if g.clock.Wall() > g.usage.end(u.Window)+g.reportWithin() {
-			h.told = u.Window
+			h.seals.Reported(u.Window)
 		}
 		return g.clock.Sleep(ctx, readBackoff)
 	}
 	l.Info()
-	h.told = u.Window
+	h.seals.Reported(u.Window)
 	return nil
 }
 
 // drop removes the counts of processes that are long gone.
 func (h *holder) drop(ctx context.Context, keys []string) {
 	for _, k := range keys {
-		if _, err := h.g.store.Append(ctx, TopicUsage, k, nil, -1); err != nil {
+		if err := h.g.store.Append(ctx, TopicUsage, k, nil); err != nil {
 			h.g.log.WithFields(logrus.Fields{"event": "usageNotDropped", "key": k}).Warn(err)
 			return
 		}
--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
 )
 
 const (
@@ -34,8 +35,9 @@
 type follower struct {
 	g     *Gateway
 	topic Topic
-	next  int64 // 0 until the topic was read whole
-	lost  bool
+	// next is the position of the next record; nowhere until the topic was read whole.
+	next era.Position
+	lost bool
 	// readMs is when the store answered last, and failures counts the reads
 	// since then.
 	readMs   clock.Millis
@@ -44,10 +46,16 @@
 	tookMs clock.Millis
 }
 
+// whole reports whether the topic is to be read whole: nothing of it is known in the
+// present era. A topic that was empty cannot be followed from an offset.
+func (f *follower) whole() bool {
+	return f.next.Offset() <= 0 || f.next.Era() != f.g.store.present()
+}
+
 // read returns the next records; whole tells that they are all keys.
 func (f *follower) read(ctx context.Context, wait clock.Millis) (snap Snapshot, whole bool, err error) {
 	next, sent := f.next, f.g.clock.Now()
-	whole = next == 0
+	whole = f.whole()
 	snap, err = f.hedged(ctx, wait, func(ctx context.Context) (Snapshot, error) {
 		if whole {
 			return f.g.store.Newest(ctx, f.topic)
@@ -56,8 +64,14 @@
 	})
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
-		f.g.log.WithFields(logrus.Fields{"event": "historyLost", "topic": f.topic.String(), "offset": f.next}).Warn(err)
-		f.next = 0
+		f.g.log.WithFields(logrus.Fields{"event": "historyLost", "topic": f.topic.String(), "offset": next.Offset()}).Warn(err)
+		f.next = era.Position{}
+		return f.read(ctx, wait)
+	}
+	var restored *RestoredError
+	var unplaced *UnplacedError
+	if errors.As(err, &restored) || errors.As(err, &unplaced) {
+		f.next = era.Position{}
 		return f.read(ctx, wait)
 	}
 	f.g.metrics.storeRead(f.topic, err)
@@ -82,7 +96,8 @@
 	f.lost, f.failures = false, 0
 	f.next, f.readMs = snap.Next, f.g.clock.Now()
 	f.tookMs = f.readMs - sent - wait
-	return snap, whole, nil
+	// Of an answer without a known era nothing follows from what it lacks.
+	return snap, whole && snap.Next.Known(), nil
 }
 
 // hedged makes a call that waits for news for so long, and makes it once more on a
@@ -141,7 +156,9 @@
 func (g *Gateway) followConfig(ctx context.Context) error {
 	f := &follower{g: g, topic: TopicConfig}
 	for empty := 0; ctx.Err() == nil; {
-		news := func(h hint) bool { return h.Config > g.configVersion() || g.hints.configAge() > hintAge }
+		news := func(h hint) bool {
+			return f.whole() || g.config.behind(h.Config, h.ConfigAt) || g.hints.configAge() > hintAge
+		}
 		if g.unchanged(ctx, configLook, g.clock.Now()-f.readMs, news) {
 			g.belief.configReadMs.Store(int64(g.clock.Now()))
 			continue
@@ -166,8 +183,7 @@
 			}
 		}
 		g.belief.configReadMs.Store(int64(g.clock.Now()))
-		if f.next == 0 {
-			// An empty topic cannot be followed from an offset.
+		if f.whole() {
 			_ = g.clock.Sleep(ctx, readBackoff<<min(empty+1, 3))
 			empty++
 		}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -67,7 +67,7 @@
 	clock   clock.Clock
 	wall    *clock.Voted // is clock
 	codec   Codec
-	store   Store
+	store   *eraStore
 	duties  Duties
 	decode  Decoder
 	belief  *belief
@@ -87,8 +87,12 @@
 	endDrains context.CancelFunc
 	open      atomic.Int64 // connections of callers
 	live      atomic.Int32 // gateways, with this one
-	// met tells that the other gateways were read from the store.
-	met atomic.Bool
+	// met tells that the other gateways were read from the store, and settled that
+	// this one knows what they know.
+	met, settled atomic.Bool
+	newcomer     newcomer
+	// seal is the newest sealed usage window that is known.
+	seal atomic.Pointer[Usage]
 	// gateways is the digest of their names and addresses.
 	gateways atomic.Uint64
 	outage   *outage
@@ -107,7 +111,7 @@
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
-		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), bootMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: d.Store,
+		name: cfg.Name, process: d.Process, dropped: d.Dropped, startMs: wall.Wall(), bootMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEraStore(d.Store, d.Log, d.Clock),
 		duties: d.Duties, decode: d.Decode, metrics: newMetrics(), streamed: drain.NewDurations(),
 	}
 	g.ending, g.endDrains = context.WithCancel(context.Background())
@@ -119,13 +123,16 @@
 	g.hints = newHints(d.Clock)
 	g.leavers = newLeavers()
 	g.outage = newOutage()
+	g.store.learned = g.restored
 	g.host.Overloaded = g.overloaded
 	g.host.Zone = cfg.Zone
 	g.host.On = map[string]func(entry string, params json.RawMessage) error{
 		turns.MethodCounts: g.keepCopy, turns.MethodCollect: g.answerCollect,
 		turns.MethodHint: g.takeHint, turns.MethodConfig: g.takeConfig, turns.MethodLeaving: g.takeLeaving,
+		turns.MethodSeal: g.takeSeal,
 	}
 	g.host.OnHello = g.greeted
+	g.host.OnFetch = func() any { return g.config.full() }
 	g.host.OnBeat = g.beat
 	g.usage = newCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
 	var err error
@@ -202,6 +209,7 @@
 		supervise.Duty{Name: "host", Run: g.host.Run},
 		supervise.Duty{Name: "accept", Run: func(ctx context.Context) error { return g.host.Accept(ctx, g.controlLn) }},
 		supervise.Duty{Name: "member", Run: g.keepMember},
+		supervise.Duty{Name: "settle", Run: g.settleDown},
 		supervise.Duty{Name: "peers", Run: g.followPeers},
 		supervise.Duty{Name: "beats", Run: g.board.beats},
 		supervise.Duty{Name: "ready", Run: func(ctx context.Context) error { return supervise.Serve(ctx, operators(g.readyHandler()), g.readyLn) }},
@@ -244,6 +252,7 @@
 func (g *Gateway) gauge() {
 	m := g.metrics.root
 	m.Gauge("config_version").Update(float64(g.configVersion()))
+	m.Gauge("store_era").Update(float64(g.store.present().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.belief.configAge()))
 	for name, left := range g.belief.retriesLeft(g.clock.Now(), g.entries()) {
 		m.Tagged(map[string]string{"pool": name}).Gauge("retries_left").Update(float64(left))
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -98,7 +98,7 @@
 	j := &job{Call: g.codec.Call(r.Header), r: r, arrivedMs: now}
 	j.log = g.log.WithField("request", j.ID)
 	cfg := g.belief.config()
-	if cfg == nil {
+	if cfg == nil || !g.settled.Load() {
 		return j, notRun(http.StatusServiceUnavailable, "noConfig", unknownWait)
 	}
 	j.cfg = cfg
--- a/internal/role/gateway/hints.go
+++ b/internal/role/gateway/hints.go
@@ -7,6 +7,7 @@
 	"github.com/damaskport/damaskport/internal/peer/turns"
 	"github.com/damaskport/damaskport/internal/policy/follow"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
@@ -32,13 +33,17 @@
 
 // hint tells what a reader of the store knows.
 type hint struct {
+	// Era is the one that the store is in.
+	Era era.Era `json:"era"`
 	// Config is the version in force; 0 if the store did not confirm it lately.
-	Config int64 `json:"config"`
-	// Servers is the offset of the last record that changed the list of servers.
-	Servers int64 `json:"servers"`
+	// ConfigAt is where it stands.
+	Config   int64        `json:"config"`
+	ConfigAt era.Position `json:"configAt"`
+	// Servers is the position of the last record that changed the list of servers.
+	Servers era.Position `json:"servers"`
 	// Changes are the records behind Since, up to Servers, that changed it.
-	Since   int64    `json:"since"`
-	Changes []Record `json:"changes,omitempty"`
+	Since   era.Position `json:"since"`
+	Changes []Record     `json:"changes,omitempty"`
 	// List is the digest of the servers that may take requests.
 	List uint64 `json:"list"`
 	// Gateways is the digest of the gateways and their addresses.
@@ -62,7 +67,7 @@
 
 // newHint returns what a reader tells of the servers: the changes behind since,
 // or, when there are too many, only that there are some.
-func newHint(since, upTo int64, changes []Record) hint {
+func newHint(since, upTo era.Position, changes []Record) hint {
 	size := 0
 	for _, r := range changes {
 		size += len(r.Key) + len(r.Value)
@@ -148,13 +153,18 @@
 	if len(m.Changes) > 0 && len(h.pending) < maxPendingHints {
 		h.pending = append(h.pending, m)
 	}
-	news := first || m.Config > h.newest.Config || m.Servers > h.newest.Servers || m.Gateways != h.newest.Gateways
-	h.newest.Config = max(h.newest.Config, m.Config)
-	h.newest.Servers = max(h.newest.Servers, m.Servers)
-	h.newest.Gateways, h.newest.List = m.Gateways, m.List
+	config := m.Config > h.newest.Config || m.Config == h.newest.Config && m.ConfigAt.After(h.newest.ConfigAt)
+	servers := m.Servers.After(h.newest.Servers)
+	news := first || config || servers || m.Gateways != h.newest.Gateways
+	if config {
+		h.newest.Config, h.newest.ConfigAt = m.Config, m.ConfigAt
+	}
+	if servers {
+		h.newest.Servers = m.Servers
+	}
+	h.newest.Era, h.newest.Gateways, h.newest.List = m.Era, m.Gateways, m.List
 	if news {
-		close(h.changed)
-		h.changed = make(chan struct{})
+		h.wakeLocked()
 	}
 }
 
@@ -180,14 +190,14 @@
 	return h.clock.Now() - h.configMs
 }
 
-// serverChanges takes the changes that go on from a list as of an offset, and
-// returns the offset that the list is at with them.
-func (h *hints) serverChanges(asOf int64) ([]Record, int64) {
+// serverChanges takes the changes that go on from a list as of a position, and
+// returns the position that the list is at with them.
+func (h *hints) serverChanges(asOf era.Position) ([]Record, era.Position) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []Record
 	for _, p := range h.pending {
-		if p.Since <= asOf && asOf < p.Servers {
+		if asOf.Reaches(p.Since) && p.Servers.Comparable(asOf) && p.Servers.After(asOf) {
 			out = append(out, p.Changes...)
 			asOf = p.Servers
 		}
@@ -196,6 +206,18 @@
 	return out, asOf
 }
 
+// wake has all that wait for hints look again.
+func (h *hints) wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakeLocked()
+}
+
+func (h *hints) wakeLocked() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
 // patienceForHints is how long this gateway bears that no reader tells anything:
 // the next reader is to take over before all others read by themselves.
 func (g *Gateway) patienceForHints() clock.Millis {
--- a/internal/role/gateway/list.go
+++ b/internal/role/gateway/list.go
@@ -7,6 +7,7 @@
 
 	"github.com/damaskport/damaskport/internal/policy/follow"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
@@ -16,8 +17,10 @@
 	g    *Gateway
 	f    *follower
 	when *follow.Follower
-	// asOf is the offset through which all changes are in the list.
-	asOf int64
+	// asOf is the position through which all changes are in the list; nowhere until it
+	// was read in the present era.
+	asOf era.Position
+	era  era.Era
 	// wholeMs is when the list was read whole, and steadyMs since when each call of
 	// the store for it was answered; 0 if the last one was not.
 	wholeMs, steadyMs clock.Millis
@@ -39,6 +42,7 @@
 		l.SetLeave(g.leave())
 		l.when.Pace(g.followTimes())
 		next := g.hints.next()
+		l.enter()
 		l.told()
 		if now := g.clock.Now(); l.when.DueMs(now, g.board.rank(subjectReaders)) > now {
 			l.wait(ctx, next)
@@ -49,6 +53,20 @@
 	return nil
 }
 
+// enter notes that the store came back from a copy: what it lacks may be written
+// anew, and nothing that was told of it goes on.
+func (l *serverList) enter() {
+	e := l.g.store.present()
+	if e == l.era {
+		return
+	}
+	if l.asOf.Known() {
+		l.Away()
+		l.when.Forget()
+	}
+	l.era, l.asOf, l.steadyMs = e, era.Position{}, 0
+}
+
 // wait waits until the list is to be read, or a reader tells something.
 func (l *serverList) wait(ctx context.Context, next <-chan struct{}) {
 	now := l.g.clock.Now()
@@ -95,7 +113,7 @@
 func (l *serverList) decode(r Record) (servers.Server, bool) {
 	s, err := l.g.decode.Server(r.Key, r.Value)
 	if err != nil {
-		l.g.log.WithFields(logrus.Fields{"event": "entryUnreadable", "offset": r.Offset}).Warn(err)
+		l.g.log.WithFields(logrus.Fields{"event": "entryUnreadable", "offset": r.At.Offset()}).Warn(err)
 	}
 	return s, err == nil
 }
@@ -105,7 +123,7 @@
 func (l *serverList) read(ctx context.Context) {
 	sent := l.g.clock.Now()
 	if sent-l.wholeMs > confirmEvery || sent-l.f.readMs > renewedAfter || l.when.Whole(sent) {
-		l.f.next = 0
+		l.f.next = era.Position{}
 	}
 	snap, whole, err := l.f.read(ctx, 0)
 	now := l.g.clock.Now()
@@ -118,6 +136,15 @@
 		}
 		return
 	}
+	// The call may have been the one that told of another era.
+	l.enter()
+	l.when.Answered(now, sent)
+	if !snap.Next.Known() {
+		if len(l.applyRead(now, snap, false)) > 0 {
+			l.changed()
+		}
+		return
+	}
 	if l.steadyMs == 0 {
 		l.steadyMs = now
 	}
@@ -127,16 +154,15 @@
 	before := l.asOf
 	changes := l.applyRead(now, snap, whole)
 	l.Answered(now, sent)
-	l.when.Answered(now, sent)
 	lapsed := l.Tick(now)
 	switch {
 	case whole && len(changes) > 0, lapsed:
 		// No single record tells it: the others have to read.
-		l.asOf = snap.Next - 1
+		l.asOf = snap.Next.Before()
 		before, changes = l.asOf, nil
 		l.changed()
 	case len(changes) > 0:
-		l.asOf = changes[len(changes)-1].Offset
+		l.asOf = changes[len(changes)-1].At
 		l.changed()
 	case !l.g.belief.listed.Load():
 		l.changed()
@@ -145,17 +171,24 @@
 		l.tell(newHint(before, l.asOf, changes), now, sent)
 		return
 	}
-	l.asOf = max(l.asOf, snap.Next-1)
+	l.reach(snap.Next.Before())
+}
+
+// reach notes that the list has all changes up to a position.
+func (l *serverList) reach(p era.Position) {
+	if p.After(l.asOf) {
+		l.asOf = p
+	}
 }
 
 // tell tells the others what this gateway knows of the store.
 func (l *serverList) tell(h hint, now, sent clock.Millis) {
 	g := l.g
-	h.Gateways, h.List = g.gateways.Load(), l.Digest()
+	h.Era, h.Gateways, h.List = l.era, g.gateways.Load(), l.Digest()
 	h.ReadMs, h.SteadyMs = sent, now-l.steadyMs
 	h.Leaving = g.leavers.recent(now)
 	if g.belief.configAge() < g.configWait()+hintAge/2 {
-		h.Config = g.configVersion()
+		h.Config, h.ConfigAt = g.config.state()
 	}
 	g.board.hint(h)
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -31,6 +31,9 @@
 	return &gatewayMetrics{root: root, dials: root.Counter("server_dials"), holder: root.Gauge("duty_held"), delay: root.Histogram("processor_delay", latencyBuckets)}
 }
 
+// restored counts that the store came back from a copy.
+func (m *gatewayMetrics) restored() { m.root.Counter("store_restores").Inc(1) }
+
 func (m *gatewayMetrics) dialed() { m.dials.Inc(1) }
 
 func (m *gatewayMetrics) route(j *job) tally.Scope {
--- /dev/null
+++ b/internal/role/gateway/newcomer.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/peer/turns"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+const (
+	// askTime is how long a gateway that has just started waits for the word of
+	// another one when the store may lack what others know.
+	askTime = 500 * clock.Millisecond
+	// maxWelcomeKeys bounds the servers that leave in a welcome.
+	maxWelcomeKeys = 128
+)
+
+// welcome is what a host tells a gateway that has connected.
+type welcome struct {
+	Era era.Era `json:"era"`
+	// Config is the version in force, and ConfigAt where it stands.
+	Config   int64        `json:"config"`
+	ConfigAt era.Position `json:"configAt"`
+	// Settled tells that the host itself knows what others know.
+	Settled bool `json:"settled"`
+	// Left are servers that said that they leave.
+	Left []servers.Key `json:"left,omitempty"`
+}
+
+// newcomer tells whether a gateway that has started may rely on what the store holds.
+// After the store came back from a copy others may know of a newer configuration, in
+// which keys are withdrawn and routes are added. It is safe for concurrent use.
+type newcomer struct {
+	mu sync.Mutex
+	// read tells that the others' records were read, and apart that one of them is of
+	// another era. written is the newest version that they tell.
+	read, apart bool
+	written     int64
+	// told tells that a gateway that knows has told its version, which is newest.
+	told   bool
+	newest int64
+}
+
+// members takes in the others' records.
+func (n *newcomer) members(e era.Era, others []member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.read = true
+	for _, m := range others {
+		n.apart = n.apart || m.Era != e
+		n.written = max(n.written, m.Config)
+	}
+}
+
+// welcomed takes in the word of another gateway.
+func (n *newcomer) welcomed(w welcome) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w.Settled {
+		n.told, n.newest = true, max(n.newest, w.Config)
+	}
+}
+
+// knows reports whether a version of the configuration may be relied on.
+func (n *newcomer) knows(config int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.read && !n.apart && config >= n.written || n.told && config >= n.newest
+}
+
+// settleDown has the gateway serve once it knows what others know, or cannot be told.
+func (g *Gateway) settleDown(ctx context.Context) error {
+	var since clock.Millis
+	for !g.settled.Load() {
+		if g.clock.Sleep(ctx, listLook) != nil {
+			return nil
+		}
+		version, _ := g.config.state()
+		if version == 0 {
+			continue
+		}
+		now := g.clock.Now()
+		if since == 0 {
+			since = now
+		}
+		// A store that tells no era never comes back from a copy.
+		known := !g.store.present().Known() || g.newcomer.knows(version)
+		if known || now-since >= askTime {
+			g.settled.Store(true)
+			g.log.WithFields(logrus.Fields{"event": "settled", "version": version, "told": known, "waitedMs": int64(now - since)}).Info()
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// welcome returns what this gateway tells one that has connected.
+func (g *Gateway) welcome() welcome {
+	version, at := g.config.state()
+	left := g.belief.leavers()
+	return welcome{
+		Era: g.store.present(), Config: version, ConfigAt: at, Settled: g.settled.Load(), Left: left[:min(len(left), maxWelcomeKeys)],
+	}
+}
+
+// welcomed takes in what a host told, and asks it for its configuration if that is
+// newer.
+func (b *board) welcomed(p *peer, params json.RawMessage) error {
+	var w welcome
+	if err := json.Unmarshal(params, &w); err != nil {
+		return err
+	}
+	g := b.g
+	g.store.learn(w.Era, p.name)
+	for _, k := range w.Left {
+		g.serverLeaves(g.clock.Now(), k, "gateway")
+	}
+	g.newcomer.welcomed(w)
+	if g.config.behind(w.Config, w.ConfigAt) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if p.link != nil {
+			p.link.Notify(turns.MethodFetch, struct{}{})
+		}
+	}
+	return nil
+}
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -86,7 +86,10 @@
 	for _, k := range h.Leaving {
 		g.serverLeaves(g.clock.Now(), k, "hint")
 	}
-	g.hints.take(from, h)
+	g.store.learn(h.Era, from)
+	if h.Era == g.store.present() {
+		g.hints.take(from, h)
+	}
 	return nil
 }
 
@@ -185,6 +188,13 @@
 	return b.notices.Left(k)
 }
 
+// leavers returns the servers that said that they leave.
+func (b *belief) leavers() []servers.Key {
+	b.noticeMu.Lock()
+	defer b.noticeMu.Unlock()
+	return b.notices.Leaving()
+}
+
 // pause notes that a server wants nothing for a while, and returns until when.
 func (b *belief) pause(now clock.Millis, k servers.Key, d clock.Millis) clock.Millis {
 	b.noticeMu.Lock()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
 )
 
 const (
@@ -34,6 +35,10 @@
 type member struct {
 	// Control is its address for them.
 	Control string `json:"control"`
+	// Era is the store's when the gateway wrote this, and Config the version of the
+	// configuration that it had in force.
+	Era    era.Era `json:"era"`
+	Config int64   `json:"config"`
 }
 
 // seen is a gateway, and when it showed that it lives.
@@ -42,19 +47,22 @@
 	atMs clock.Millis
 }
 
-// keepMember makes the gateway known to the others until ctx ends.
+// keepMember makes the gateway known to the others until ctx ends, and anew when the
+// store came back from a copy.
 func (g *Gateway) keepMember(ctx context.Context) error {
-	data, err := json.Marshal(member{Control: g.Settings().ControlAddr})
-	if err != nil {
-		return err
-	}
 	for failures := 0; ctx.Err() == nil; {
-		_, err := g.store.Append(ctx, TopicMembers, g.name, data, -1)
+		e, changed := g.store.current()
+		version, _ := g.config.state()
+		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Era: e, Config: version})
+		if err != nil {
+			return err
+		}
+		err = g.store.Append(ctx, TopicMembers, g.name, data)
 		g.metrics.storeWrite(TopicMembers, err)
 		if err == nil {
 			failures = 0
 			g.outage.over()
-			_ = g.clock.Sleep(ctx, g.memberEvery())
+			g.sleepInEra(ctx, g.memberEvery(), changed)
 			continue
 		}
 		if failures == 0 && ctx.Err() == nil {
@@ -65,12 +73,22 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPublish.Duration())
 	defer cancel()
-	if _, err := g.store.Append(last, TopicMembers, g.name, nil, -1); err != nil {
+	if err := g.store.Append(last, TopicMembers, g.name, nil); err != nil {
 		g.log.WithFields(logrus.Fields{"event": "storeLost", "topic": TopicMembers.String()}).Warn(err)
 	}
 	return nil
 }
 
+// sleepInEra waits for d, or until the store is in another era.
+func (g *Gateway) sleepInEra(ctx context.Context, d clock.Millis, changed <-chan struct{}) {
+	wait, cancel := context.WithTimeout(ctx, d.Duration())
+	defer cancel()
+	select {
+	case <-wait.Done():
+	case <-changed:
+	}
+}
+
 // memberEvery is the time between two records by which this gateway shows that
 // it lives.
 func (g *Gateway) memberEvery() clock.Millis {
@@ -83,7 +101,7 @@
 	f := &follower{g: g, topic: TopicMembers}
 	byName := map[string]seen{}
 	for reads := 0; ctx.Err() == nil; {
-		told := func(h hint) bool { return h.Gateways != g.gateways.Load() }
+		told := func(h hint) bool { return h.Gateways != g.gateways.Load() || f.whole() }
 		if reads >= firstPeerReads && g.unchanged(ctx, peersEvery, g.clock.Now()-f.readMs, told) {
 			g.refresh(byName)
 			continue
@@ -94,6 +112,7 @@
 			continue
 		}
 		reads++
+		g.newcomer.members(g.store.present(), membersOf(snap, g.name))
 		for until := g.clock.Now() + listWait; reads == 1 && !g.belief.listed.Load() && g.clock.Now() < until; {
 			_ = g.clock.Sleep(ctx, listLook)
 		}
@@ -112,6 +131,18 @@
 	return nil
 }
 
+// membersOf returns what others than the named gateway wrote of themselves.
+func membersOf(snap Snapshot, name string) []member {
+	var out []member
+	for _, r := range snap.Records {
+		var m member
+		if r.Key != name && len(r.Value) > 0 && json.Unmarshal(r.Value, &m) == nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // refresh notes that a reader knows the same gateways.
 func (g *Gateway) refresh(byName map[string]seen) {
 	if h, _, ok := g.hints.current(); !ok || h.Gateways != g.gateways.Load() {
@@ -161,7 +192,7 @@
 	}
 	s := seen{atMs: now}
 	if err := json.Unmarshal(r.Value, &s.member); err != nil || s.Control == "" {
-		g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
+		g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.At.Offset()}).Warn(err)
 		return
 	}
 	byName[r.Key] = s
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -5,7 +5,9 @@
 	"fmt"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/era"
 	"github.com/damaskport/damaskport/internal/state/routing"
+	"github.com/damaskport/damaskport/internal/state/sealing"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
@@ -33,42 +35,60 @@
 
 // Record is one record of a topic. Without a value it drops the key.
 type Record struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Offset int64  `json:"offset"`
+	Key   string       `json:"key"`
+	Value []byte       `json:"value,omitempty"`
+	At    era.Position `json:"at"`
 }
 
 // Snapshot is the newest record of each key, or records in their order.
 type Snapshot struct {
 	Records []Record
-	// Next is the offset of the next record to read.
-	Next int64
+	// Next is the position of the next record to read.
+	Next era.Position
+	// Word is what the answer says of the store's era.
+	Word era.Word
 }
 
 // TrimmedError reports records that the store no longer keeps.
-type TrimmedError struct{ Offset int64 }
+type TrimmedError struct {
+	From era.Position
+	Word era.Word
+}
 
-// Error returns the offset.
+// Error returns the position.
 func (e *TrimmedError) Error() string {
-	return fmt.Sprintf("records from %d are no longer kept", e.Offset)
+	return fmt.Sprintf("records from %v are no longer kept", e.From)
 }
 
+// EraWord returns what the answer says of the store's era.
+func (e *TrimmedError) EraWord() era.Word { return e.Word }
+
 // ConflictError reports a conditional append to a topic that had grown.
-type ConflictError struct{ AsOf int64 }
+type ConflictError struct {
+	AsOf era.Position
+	Word era.Word
+}
 
-// Error returns the offset of the condition.
-func (e *ConflictError) Error() string { return fmt.Sprintf("the topic no longer ends at %d", e.AsOf) }
+// Error returns the position of the condition.
+func (e *ConflictError) Error() string { return fmt.Sprintf("the topic no longer ends at %v", e.AsOf) }
 
-// Store is the platform's store.
+// EraWord returns what the answer says of the store's era.
+func (e *ConflictError) EraWord() era.Word { return e.Word }
+
+// Store is the platform's store. Errors that its answers caused tell what they say of
+// the era by a method EraWord.
 type Store interface {
 	Newest(ctx context.Context, t Topic) (Snapshot, error)
-	// Read returns records from an offset on, waiting up to wait for one. The
+	// Read returns records from a position on, waiting up to wait for one. The
 	// error is a *TrimmedError when they are no longer kept.
-	Read(ctx context.Context, t Topic, from int64, wait clock.Millis) (Snapshot, error)
-	// Append adds a record and returns its offset. With asOf at 0 or more the
-	// topic must end there, else the error is a *ConflictError. After another
-	// error the record may have been added, now or later.
-	Append(ctx context.Context, t Topic, key string, value []byte, asOf int64) (int64, error)
+	Read(ctx context.Context, t Topic, from era.Position, wait clock.Millis) (Snapshot, error)
+	// Append adds a record. After an error it may have been added, now or later.
+	Append(ctx context.Context, t Topic, key string, value []byte) (era.Word, error)
+	// AppendAt adds a record if the topic ends at a position, else the error is a
+	// *ConflictError. The store compares offsets alone: the answer tells whether they
+	// were of the era meant. After another error the record may have been added, now
+	// or later.
+	AppendAt(ctx context.Context, t Topic, key string, value []byte, at era.Position) (era.Word, error)
 	// Redial has the next call use a new connection.
 	Redial()
 }
@@ -82,10 +102,7 @@
 }
 
 // Usage is what client accounts used in one window.
-type Usage struct {
-	Window int64            `json:"window"`
-	Counts map[string]int64 `json:"counts"`
-}
+type Usage = sealing.Usage
 
 // Duties is the platform's API for duties of one holder.
 type Duties interface {
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -241,15 +241,15 @@
 func (g *Gateway) usageKey() string { return g.name + "/" + g.process }
 
 // publishUsage publishes the counts of the windows for which no holder has
-// asked, and those of the last one at the end.
+// asked, and those of the last one at the end. When the store came back from a copy,
+// what was published may be gone with it.
 func (g *Gateway) publishUsage(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		wall := g.clock.Wall()
 		due := g.usage.end(g.usage.window(wall)) + publishAfter + g.spread(publishSpread)
-		if g.clock.Sleep(ctx, due-wall) != nil {
-			break
-		}
-		if last := g.usage.window(g.clock.Wall()-publishAfter/2) - 1; !g.usage.wasAsked(last) {
+		_, changed := g.store.current()
+		g.sleepInEra(ctx, due-wall, changed)
+		if last := g.usage.window(g.clock.Wall()-publishAfter/2) - 1; ctx.Err() == nil && !g.usage.wasAsked(last) {
 			g.publish(ctx, last, false)
 		}
 	}
@@ -288,6 +288,9 @@
 		return err
 	}
 	g.usage.keep(m.Key, m.Counts, g.usage.window(g.clock.Wall()))
+	if m.Seal != nil {
+		g.keepSeal(*m.Seal)
+	}
 	return nil
 }
 
@@ -305,7 +308,7 @@
 	g.usage.askedFor(window)
 	p := g.usage.only(window)
 	p.StartMs = g.startMs
-	if !g.board.counts(holder, countsCopy{g.usageKey(), p}) {
+	if !g.board.counts(holder, countsCopy{g.usageKey(), p, g.seal.Load()}) {
 		g.log.WithFields(logrus.Fields{"event": "usageNotSent", "window": window, "holder": holder}).Info("the counts are published in the store")
 		g.usage.unask(window)
 	}
@@ -316,6 +319,28 @@
 type countsCopy struct {
 	Key    string    `json:"key"`
 	Counts published `json:"counts"`
+	// Seal is the newest sealed window that the sender knows; nil in mere copies.
+	Seal *Usage `json:"seal,omitempty"`
+}
+
+// keepSeal keeps a sealed window, which a later holder may not find in the store.
+func (g *Gateway) keepSeal(u Usage) {
+	for {
+		old := g.seal.Load()
+		if old != nil && old.Window >= u.Window || g.seal.CompareAndSwap(old, &u) {
+			return
+		}
+	}
+}
+
+// takeSeal takes in what the holder of the duties has sealed.
+func (g *Gateway) takeSeal(_ string, data json.RawMessage) error {
+	var u Usage
+	if err := json.Unmarshal(data, &u); err != nil {
+		return err
+	}
+	g.keepSeal(u)
+	return nil
 }
 
 // spread returns a part of d that differs from gateway to gateway.
@@ -337,7 +362,7 @@
 			g.log.WithField("event", "usageEncode").Error(err)
 			return
 		}
-		_, err = g.store.Append(ctx, TopicUsage, g.usageKey(), data, -1)
+		err = g.store.Append(ctx, TopicUsage, g.usageKey(), data)
 		g.metrics.storeWrite(TopicUsage, err)
 		if err == nil {
 			g.outage.over()
@@ -385,7 +410,7 @@
 		}
 		var p published
 		if err := json.Unmarshal(r.Value, &p); err != nil {
-			g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.Offset}).Warn(err)
+			g.log.WithFields(logrus.Fields{"event": "peerUnreadable", "key": r.Key, "offset": r.At.Offset()}).Warn(err)
 			continue
 		}
 		merge(r.Key, p)
--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -1,6 +1,12 @@
 package servers
 
-import "github.com/damaskport/damaskport/internal/runtime/clock"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
 
 const (
 	// MaxPause bounds the time for which a server is left alone on its own word: a
@@ -48,6 +54,18 @@
 	return ok && k.Start <= l.start
 }
 
+// Leaving returns the servers that leave, the ones that were seen last first.
+func (n *Notices) Leaving() []Key {
+	ids := slices.SortedFunc(maps.Keys(n.left), func(a, b string) int {
+		return cmp.Or(cmp.Compare(n.left[b].seenMs, n.left[a].seenMs), cmp.Compare(a, b))
+	})
+	out := make([]Key, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, Key{id, n.left[id].start})
+	}
+	return out
+}
+
 // Pause notes that a server wants nothing for d, and returns until when. A
 // later word never shortens an earlier one.
 func (n *Notices) Pause(now clock.Millis, k Key, d clock.Millis) clock.Millis {
