Bytes without end: heads, events, whole answers and messages are bounded

Change: runtime/bounded and runtime/http1 hold the bounds; backend/direct reads heads within 64 KB and five informational answers; all transports bound heads too. Who passes a bound is told at once, and the server counts as failing.

Bodies that are passed on stay without a bound but the route's time and the caller's pace (TestBodyWithoutEnd).

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -49,8 +50,10 @@
 // conn is a connection to one start of a server, used by one request at a time.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
-	bw *bufio.Writer
+	// limit bounds what br reads of heads.
+	limit *bounded.Reader
+	br    *bufio.Reader
+	bw    *bufio.Writer
 	// sinceMs is when the connection became idle.
 	sinceMs clock.Millis
 	idleMs  clock.Millis
@@ -77,7 +80,8 @@
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), bw: bufio.NewWriter(c), idleMs: unannouncedIdle}, nil
+	limit := bounded.NewReader(c)
+	return &conn{Conn: c, limit: limit, br: bufio.NewReaderSize(limit, readBuffer), bw: bufio.NewWriter(c), idleMs: unannouncedIdle}, nil
 }
 
 // alive reports whether an idle connection is open and has brought nothing:
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -9,6 +9,9 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 )
 
 const (
@@ -100,7 +103,7 @@
 // request late; the id of the request tells such answers apart.
 func (c *conn) answer(r Request) (*http.Response, error) {
 	for range maxStray + 1 {
-		res, err := readResponse(c.br, r.Method)
+		res, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -108,16 +111,29 @@
 			return res, nil
 		}
 		c.tainted = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes)); err != nil {
+		if err := discard(res.Body); err != nil {
 			return nil, errors.Wrap(err, "answer to another request")
 		}
 	}
 	return nil, errors.New("only answers to other requests")
 }
 
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(br, &http.Request{Method: method})
+// discard reads an answer to another request to its end.
+func discard(r io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, maxStrayBytes))
+	if err == nil && n == maxStrayBytes {
+		return &bounded.TooLargeError{What: "its body", Bytes: maxStrayBytes}
+	}
+	return err
+}
+
+// readHead reads the head of an answer behind informational ones. All of them together
+// have one bound: a server in trouble may send bytes that are no head, without end.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.Bound("the head of an answer", http1.MaxHeadBytes)
+	defer c.limit.Release()
+	for range http1.MaxInformational + 1 {
+		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -125,6 +141,7 @@
 			return res, nil
 		}
 	}
+	return nil, errors.Errorf("more than %d informational answers", http1.MaxInformational)
 }
 
 func write(w *bufio.Writer, r Request) error {
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 )
 
 // Headers that the sidecar sets for the service.
@@ -50,8 +52,8 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		base:   strings.TrimSuffix(base, "/"),
-		shared: client(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true}),
-		single: client(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}),
+		shared: client(http1.Transport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true})),
+		single: client(http1.Transport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true})),
 	}
 }
 
--- a/internal/caller/openai/assemble.go
+++ b/internal/caller/openai/assemble.go
@@ -4,12 +4,19 @@
 	"encoding/json"
 	"maps"
 	"slices"
+
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 )
 
+// maxWholeBytes bounds the chunks of an answer that is held whole: tens of thousands of
+// tokens.
+const maxWholeBytes = 4 << 20
+
 // Assembler builds a whole answer from the chunks of a stream.
 type Assembler struct {
 	head    map[string]json.RawMessage
 	choices map[int]*choice
+	bytes   int64
 }
 
 type choice struct {
@@ -27,8 +34,12 @@
 	return &Assembler{head: map[string]json.RawMessage{}, choices: map[int]*choice{}}
 }
 
-// Add takes in the data of one chunk.
+// Add takes in the data of one chunk. The error is a *bounded.TooLargeError for an
+// answer without end.
 func (a *Assembler) Add(data []byte) error {
+	if a.bytes += int64(len(data)); a.bytes > maxWholeBytes {
+		return &bounded.TooLargeError{What: "an answer that is held whole", Bytes: maxWholeBytes}
+	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return err
--- a/internal/operator/admin/client.go
+++ b/internal/operator/admin/client.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
@@ -64,7 +64,7 @@
 		return err
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(res.Body, "the answer", maxAnswerBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/dispatch/link.go
+++ b/internal/peer/dispatch/link.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/ring"
 )
@@ -20,6 +21,9 @@
 const (
 	outSize      = 4096
 	writeTimeout = 2 * time.Second
+	// maxMessageBytes bounds a message: a snapshot of the configuration has up to
+	// 4 MiB.
+	maxMessageBytes = 8 << 20
 )
 
 // ErrClosed is returned by calls on a link that has been closed.
@@ -51,7 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{out: ring.New[*outgoing](outSize), ctx: ctx, cancel: cancel, clock: clk}
 	l.heard.Store(int64(clk.Now()))
-	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{c})
+	stream := newObjects(deadlineConn{c})
 	ready := make(chan struct{})
 	l.conn = jsonrpc2.NewConn(ctx, stream, adapter{l, h, ready},
 		jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
@@ -70,6 +74,39 @@
 	return c.Conn.Write(p)
 }
 
+// objects is a stream of JSON objects of a bounded size. It implements
+// jsonrpc2.ObjectStream.
+type objects struct {
+	conn net.Conn
+	in   *bounded.Reader
+	dec  *json.Decoder
+
+	mu  sync.Mutex
+	enc *json.Encoder
+}
+
+func newObjects(c net.Conn) *objects {
+	in := bounded.NewReader(c)
+	return &objects{conn: c, in: in, dec: json.NewDecoder(in), enc: json.NewEncoder(c)}
+}
+
+// WriteObject writes a message.
+func (o *objects) WriteObject(v any) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.enc.Encode(v)
+}
+
+// ReadObject reads the next message. The error is a *bounded.TooLargeError for one
+// without end.
+func (o *objects) ReadObject(v any) error {
+	o.in.Bound("a message", maxMessageBytes)
+	return o.dec.Decode(v)
+}
+
+// Close closes the connection.
+func (o *objects) Close() error { return o.conn.Close() }
+
 type adapter struct {
 	l     *Link
 	h     Handler
--- a/internal/platform/fenced/fenced.go
+++ b/internal/platform/fenced/fenced.go
@@ -13,7 +13,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +20,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 )
 
 // maxAnswerBytes bounds an answer.
@@ -68,7 +69,7 @@
 	limited, cancel := context.WithTimeout(ctx, rest.Duration())
 	defer cancel()
 	var sent atomic.Bool
-	tr := &http.Transport{DisableKeepAlives: true, DialContext: dialer(g, &sent)}
+	tr := http1.Transport(&http.Transport{DisableKeepAlives: true, DialContext: dialer(g, &sent)})
 	defer tr.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(limited, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -92,7 +93,7 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	answer, err := bounded.ReadAll(res.Body, "the answer", maxAnswerBytes)
 	if res.StatusCode/100 != 2 {
 		return nil, &StatusError{Status: res.StatusCode, Message: string(bytes.TrimSpace(answer))}
 	}
--- a/internal/platform/logservice/logservice.go
+++ b/internal/platform/logservice/logservice.go
@@ -13,11 +13,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -114,7 +114,7 @@
 		return err
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxReadBytes))
+	data, err := bounded.ReadAll(res.Body, "a page of records", maxReadBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -167,6 +167,9 @@
 // Log returns what the process wrote to standard error so far.
 func (p *Proc) Log() string { return p.log.String() }
 
+// Pid returns the id of the process.
+func (p *Proc) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends sig to the process.
 func (p *Proc) Signal(sig syscall.Signal) {
 	_ = p.cmd.Process.Signal(sig)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -98,10 +99,10 @@
 
 func dataClient(single bool) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.Transport(&http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
 		DisableKeepAlives: single,
-	}}
+	})}
 }
 
 // URL returns the base URL for callers.
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -180,7 +180,7 @@
 			x.whole = openai.NewAssembler()
 		}
 		if err := x.whole.Add(data); err != nil {
-			return internalError(err)
+			return lost(x.j, err.Error())
 		}
 		return nil
 	}
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -20,6 +20,7 @@
 	"github.com/damaskport/damaskport/internal/role/entry"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 	"github.com/damaskport/damaskport/internal/state/claim"
 	"github.com/damaskport/damaskport/internal/state/directory"
@@ -45,7 +46,7 @@
 func platformHTTP(timeout clock.Millis) *http.Client {
 	d := &net.Dialer{Timeout: timeout.Duration()}
 	return &http.Client{
-		Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()},
+		Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()}),
 		Timeout:   (readWait + 2*timeout).Duration(),
 	}
 }
@@ -54,7 +55,7 @@
 // that went silent is never used again.
 func singleHTTP(timeout clock.Millis) *http.Client {
 	d := &net.Dialer{Timeout: timeout.Duration()}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}}
+	return &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true})}
 }
 
 // Entry is an entry with its parts.
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/metrics"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
@@ -130,9 +131,9 @@
 
 func engineHTTP(cfg settings.Sidecar) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.Transport(&http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: max(cfg.Slots*2, 16), DisableCompression: true,
-	}}
+	})}
 }
 
 func slotsConfig(cfg settings.Sidecar, p settings.Policy) slots.Config {
--- a/internal/stream/sse/sse.go
+++ b/internal/stream/sse/sse.go
@@ -12,8 +12,8 @@
 const (
 	// eventBuffer holds the lines of one read; longer lines are joined.
 	eventBuffer = 16 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 4 << 20
+	// maxEventBytes bounds one event: thousands of tokens.
+	maxEventBytes = 256 << 10
 )
 
 // Scanner splits a stream of server-sent events.
