--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -57,7 +57,8 @@
 	// sinceMs is when the connection became idle.
 	sinceMs clock.Millis
 	idleMs  clock.Millis
-	// tainted is set once an answer to another request arrived.
+	// tainted is set once an answer to another request arrived, or one that does not
+	// say to which it belongs: the connection is not used again.
 	tainted bool
 }
 
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -27,8 +27,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Mine reports whether an answer with these headers belongs to the request.
-	Mine func(status int, h http.Header) bool
+	// Mine reports whether an answer with these headers belongs to the request, and
+	// whether it says so: behind one that does not, another one may come that is taken
+	// for the answer to the next request. nil for answers that all say so.
+	Mine func(status int, h http.Header) (mine, said bool)
 	// Allowed is asked right before the first byte is written, since a new
 	// connection takes a while; nil for yes.
 	Allowed func() bool
@@ -107,10 +109,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.Mine == nil || r.Mine(res.StatusCode, res.Header) {
+		mine, said := true, true
+		if r.Mine != nil {
+			mine, said = r.Mine(res.StatusCode, res.Header)
+		}
+		c.tainted = c.tainted || !mine || !said
+		if mine {
 			return res, nil
 		}
-		c.tainted = true
 		if err := discard(res.Body); err != nil {
 			return nil, errors.Wrap(err, "answer to another request")
 		}
--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -8,17 +8,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/damaskport/damaskport/internal/backend/attempt"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/http1"
 )
 
 // Headers between a sidecar and its engine.
 const (
-	headerAttempt = "X-Damaskport-Attempt"
 	headerFencing = "X-Fencing-Number"
 )
 
@@ -27,9 +30,6 @@
 // ErrTruncated reports a stream that ended without its end mark.
 var ErrTruncated = errors.New("engine stream ended without its end mark")
 
-// ErrCrossed reports an answer that belongs to another attempt.
-var ErrCrossed = errors.New("engine answered for another attempt")
-
 // StatusError is an answer of the engine that is no success.
 type StatusError struct {
 	Status int
@@ -54,15 +54,25 @@
 
 // Client is a client of one engine. It is safe for concurrent use.
 type Client struct {
-	base string
+	base     string
+	attempts *attempt.Client
+	// http makes calls that are no attempts, each on a connection of its own.
 	http *http.Client
 }
 
-// New returns a Client of the engine at base.
-func New(base string, h *http.Client) *Client {
-	return &Client{base: base, http: h}
+// New returns a Client of the engine at base, which keeps up to idle connections.
+// dialTimeout bounds the time to open one.
+func New(base string, dialTimeout time.Duration, idle int) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		base: base, attempts: attempt.New(d.DialContext, idle),
+		http: &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})},
+	}
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.attempts.Close() }
+
 // Start hands a to the engine and returns its stream of events. An answer
 // that is no success is returned as a *StatusError.
 func (c *Client) Start(ctx context.Context, a Attempt) (*Stream, error) {
@@ -75,11 +85,10 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerAttempt, a.ID)
 	if a.Term > 0 {
 		req.Header.Set(headerFencing, strconv.FormatInt(a.Term, 10))
 	}
-	res, err := c.http.Do(req)
+	res, err := c.attempts.Do(req, a.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -88,10 +97,6 @@
 		data, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 		return nil, &StatusError{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: data}
 	}
-	if got := res.Header.Get(headerAttempt); got != "" && got != a.ID {
-		res.Body.Close()
-		return nil, ErrCrossed
-	}
 	return &Stream{events: NewReader(res.Body), body: res.Body}, nil
 }
 
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -12,13 +12,12 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/damaskport/damaskport/internal/runtime/http1"
+	"github.com/damaskport/damaskport/internal/backend/attempt"
 )
 
 // Headers that the sidecar sets for the service.
 const (
 	headerAccount     = "X-Damaskport-Account"
-	headerAttempt     = "X-Damaskport-Attempt"
 	headerIdempotency = "Idempotency-Key"
 	headerFencing     = "X-Fencing-Number"
 )
@@ -39,29 +38,20 @@
 	Protected bool
 }
 
+// idleConns is the number of connections kept for further calls.
+const idleConns = 64
+
 // Client is a client of one service. It is safe for concurrent use.
 type Client struct {
-	base   string
-	shared *http.Client
-	single *http.Client
+	base     string
+	attempts *attempt.Client
 }
 
 // New returns a Client of the service at base. dialTimeout bounds the time to
 // open a connection.
 func New(base string, dialTimeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		base:   strings.TrimSuffix(base, "/"),
-		shared: client(http1.Transport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true})),
-		single: client(http1.Transport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true})),
-	}
-}
-
-func client(t *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return &Client{base: strings.TrimSuffix(base, "/"), attempts: attempt.New(dialer.DialContext, idleConns)}
 }
 
 // NotSent reports whether err proves that the service saw nothing of the call.
@@ -82,7 +72,6 @@
 		req.Header[k] = v
 	}
 	req.Header.Set(headerAccount, call.Account)
-	req.Header.Set(headerAttempt, call.Attempt)
 	if call.Term > 0 {
 		req.Header.Set(headerFencing, strconv.FormatInt(call.Term, 10))
 	}
@@ -90,13 +79,10 @@
 		req.Header.Set(headerIdempotency, call.IdempotencyKey)
 	}
 	if call.Protected {
-		return c.single.Do(req)
+		return c.attempts.Alone(req, call.Attempt)
 	}
-	return c.shared.Do(req)
+	return c.attempts.Do(req, call.Attempt)
 }
 
 // Close closes idle connections.
-func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.single.CloseIdleConnections()
-}
+func (c *Client) Close() { c.attempts.Close() }
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -114,6 +114,7 @@
 	c.url("sidecar.serverUrl", s.ServerURL)
 	within(c, "sidecar.slots", s.Slots, 1, maxSlots)
 	within(c, "sidecar.progressTimeoutMs", s.ProgressTimeoutMs, 1, maxTimeout)
+	within(c, "sidecar.answerTimeoutMs", s.AnswerTimeoutMs, 1, maxTimeout)
 	within(c, "sidecar.drainMs", s.DrainMs, 0, maxTimeout)
 }
 
--- a/internal/operator/settings/defaults.go
+++ b/internal/operator/settings/defaults.go
@@ -20,6 +20,7 @@
 	defaultLeaseMs           = 6 * clock.Second
 	defaultDrainMs           = 2 * clock.Minute
 	defaultProgressTimeoutMs = 5 * clock.Second
+	defaultAnswerTimeoutMs   = 1 * clock.Minute
 )
 
 // Defaults returns the settings of the role with every default set and
@@ -51,7 +52,7 @@
 			DrainMs:         defaultDrainMs,
 		}
 	case RoleSidecar:
-		f.Sidecar = &Sidecar{ProgressTimeoutMs: defaultProgressTimeoutMs, DrainMs: defaultDrainMs}
+		f.Sidecar = &Sidecar{ProgressTimeoutMs: defaultProgressTimeoutMs, AnswerTimeoutMs: defaultAnswerTimeoutMs, DrainMs: defaultDrainMs}
 	}
 	return f
 }
--- a/internal/operator/settings/example_test.go
+++ b/internal/operator/settings/example_test.go
@@ -15,6 +15,6 @@
 	fmt.Println(err)
 	// Output:
 	// m1.json:3: platform.logUrl: "127.0.0.1:7000": must be an absolute URL such as "http://10.0.0.1:7000", without user, query or fragment
-	// m1.json:4: sidecar.slot: is no known field; known here: adminAddr, checksFencing, controlAddr, dataAddr, drainMs, pool, progressTimeoutMs, serverUrl, slots
+	// m1.json:4: sidecar.slot: is no known field; known here: adminAddr, answerTimeoutMs, checksFencing, controlAddr, dataAddr, drainMs, pool, progressTimeoutMs, serverUrl, slots
 	// m1.json:4: sidecar.slots: 0: must be from 1 to 4096
 }
--- a/internal/operator/settings/types.go
+++ b/internal/operator/settings/types.go
@@ -82,6 +82,9 @@
 	Slots int `json:"slots"`
 	// ProgressTimeoutMs bounds the silence of a running answer.
 	ProgressTimeoutMs clock.Millis `json:"progressTimeoutMs"`
+	// AnswerTimeoutMs bounds an answer of a plain service as a whole: one that brings
+	// a byte now and then ends too.
+	AnswerTimeoutMs clock.Millis `json:"answerTimeoutMs"`
 	// ChecksFencing tells that the server refuses old fencing numbers itself.
 	ChecksFencing bool         `json:"checksFencing"`
 	DrainMs       clock.Millis `json:"drainMs"`
--- a/internal/proof/answers/answers_test.go
+++ b/internal/proof/answers/answers_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -24,6 +25,8 @@
 	// faultAfterTokens is the length of the first answer at which the fault strikes.
 	faultAfterTokens = 10
 	progressTimeout  = 1 * clock.Second
+	// trickle is the time between two bytes of a stalled answer.
+	trickle = 200 * time.Millisecond
 )
 
 func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
@@ -37,15 +40,19 @@
 	mend   func(s *cluster.Sidecar)
 	// mayFail is set if the callers' own connections break.
 	mayFail bool
+	// once is set if nothing keeps what runs from its end: no attempt is made again.
+	once bool
 }
 
 func nothing(*cluster.Sidecar) {}
 
 var failures = []failure{
-	{name: "none", inject: func(*cluster.Cluster, *cluster.Sidecar) {}, mend: nothing},
+	{name: "none", inject: func(*cluster.Cluster, *cluster.Sidecar) {}, mend: nothing, once: true},
 	{name: "killEngine", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Server.Kill() }, mend: nothing},
 	{name: "freezeEngine", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Server.Freeze() }, mend: func(s *cluster.Sidecar) { s.Server.Thaw() }},
 	{name: "cutEngine", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ServerRelay.Cut() }, mend: nothing},
+	// trickleEngine is a stream that brings a byte now and then.
+	{name: "trickleEngine", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ServerRelay.Trickle(trickle) }, mend: nothing},
 	{name: "silentEngine", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ServerRelay.Silence() }, mend: nothing},
 	// halfEvent cuts one answer within an event.
 	{name: "halfEvent", arm: func(c *cluster.Cluster) {
@@ -60,14 +67,14 @@
 	}, inject: func(*cluster.Cluster, *cluster.Sidecar) {}, mend: nothing},
 	{name: "killSidecar", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Kill() }, mend: nothing},
 	{name: "freezeSidecar", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.Freeze() }, mend: func(s *cluster.Sidecar) { s.Thaw() }},
-	{name: "cutControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Cut() }, mend: nothing},
-	{name: "silentControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Blackhole() }, mend: nothing},
+	{name: "cutControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Cut() }, mend: nothing, once: true},
+	{name: "silentControl", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.ControlRelay.Blackhole() }, mend: nothing, once: true},
 	{name: "cutData", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.Cut() }, mend: func(s *cluster.Sidecar) { s.DataRelay.Restore() }},
 	{name: "silentData", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.Silence() }, mend: nothing},
 	{name: "dataOneWay", inject: func(_ *cluster.Cluster, s *cluster.Sidecar) { s.DataRelay.OneWay(cluster.FromTarget) }, mend: func(s *cluster.Sidecar) { s.DataRelay.Restore() }},
 	{name: "logDown", inject: func(c *cluster.Cluster, _ *cluster.Sidecar) {
 		c.SetFault(c.Platform, fault.Fault{Path: "/v1/", Kind: fault.KindFail, Status: http.StatusServiceUnavailable})
-	}, mend: nothing},
+	}, mend: nothing, once: true},
 	{name: "killEntry", inject: func(c *cluster.Cluster, _ *cluster.Sidecar) { c.Entries[0].Kill() }, mend: nothing, mayFail: true},
 }
 
@@ -97,6 +104,13 @@
 
 func runCase(t *testing.T, f failure, stream bool) {
 	c := start(t)
+	jobs := func() (n int) {
+		for _, s := range c.Sidecars {
+			n += len(c.EngineState(s).Jobs)
+		}
+		return n
+	}
+	first := jobs()
 	if f.arm != nil {
 		f.arm(c)
 	}
@@ -149,6 +163,12 @@
 	for i, r := range replies {
 		check(t, nonce(i), r, stream, f.mayFail)
 	}
+	if !f.once {
+		return
+	}
+	if n := jobs() - first; n != callers {
+		t.Errorf("%d attempts were made for %d requests", n, callers)
+	}
 }
 
 func nonce(i int) string { return fmt.Sprintf("caller%d", i) }
@@ -185,3 +205,50 @@
 		t.Errorf("%s: answer is not whole: error %q, %v", nonce, a.Error, r)
 	}
 }
+
+// TestSlowEngineIsNotCut has a sound engine take longer for each token than most, and
+// for the answer many times as long as it may be silent: the answer is whole, and no
+// attempt is made again.
+func TestSlowEngineIsNotCut(t *testing.T) {
+	t.Parallel()
+	const few = 5
+	c := cluster.Start(t, cluster.Options{
+		Entries: 1, Engines: 1,
+		EngineArgs: []string{"--token-ms", "700", "--prefill-ms-per-ktoken", "0"},
+		Edit: func(f *settings.File) {
+			if f.Sidecar != nil {
+				f.Sidecar.ProgressTimeoutMs = progressTimeout
+			}
+		},
+	})
+	before := len(c.EngineState(c.Sidecars[0]).Jobs)
+	r := c.Call(c.Entries[0], cluster.ChatRequest("slow", few, true))
+	a, err := cluster.ParseStream(r.Body)
+	if err != nil || r.Err != nil || !a.Whole() || a.Text != cluster.WantText("slow", few) {
+		t.Errorf("%v: %v, text %q", r, err, a.Text)
+	}
+	if n := len(c.EngineState(c.Sidecars[0]).Jobs) - before; n != 1 {
+		t.Errorf("%d attempts were made", n)
+	}
+}
+
+// TestTrickleOfAServiceEnds has a plain service's answer come a byte now and then: the
+// request ends with the time of an answer, as one whose outcome is not known.
+func TestTrickleOfAServiceEnds(t *testing.T) {
+	t.Parallel()
+	const answerTime, most = 2 * clock.Second, 5 * time.Second
+	c := cluster.Start(t, cluster.Options{
+		Entries: 1, Services: 1,
+		Edit: func(f *settings.File) {
+			if f.Sidecar != nil {
+				f.Sidecar.AnswerTimeoutMs = answerTime
+			}
+		},
+	})
+	c.Sidecars[0].ServerRelay.Trickle(trickle)
+	at := time.Now()
+	r := c.Call(c.Entries[0], cluster.Request{Path: cluster.ServicePath + "/deposits", IdempotencyKey: "trickle", Body: `{"amount":25}`})
+	if took := time.Since(at); took > most || r.Status == http.StatusOK && r.Err == nil {
+		t.Errorf("%v after %v, want a failure within %v", r, took, most)
+	}
+}
--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -28,6 +28,8 @@
 	// hold are the silent directions of new connections.
 	hold  [2]bool
 	delay atomic.Int64 // time.Duration
+	// trickle is the pause between single bytes from the target; 0 for none.
+	trickle atomic.Int64 // time.Duration
 	// carried counts the connections that reached the target.
 	carried atomic.Int64
 }
@@ -45,6 +47,7 @@
 	in, out net.Conn
 	silent  [2]atomic.Bool // by Direction
 	delay   *atomic.Int64
+	trickle *atomic.Int64
 	rewrite func(p []byte) []byte
 	// ended tells that an end has gone, and restored that the ends of a silent
 	// connection are passed on again.
@@ -125,6 +128,10 @@
 // Delay holds back all that connections carry by d until Restore.
 func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
 
+// Trickle passes on what comes from the target a byte at a time, with a pause between
+// two, until Restore.
+func (r *Relay) Trickle(pause time.Duration) { r.trickle.Store(int64(pause)) }
+
 // Blackhole silences existing and new connections until Restore.
 func (r *Relay) Blackhole() {
 	r.Silence()
@@ -140,6 +147,7 @@
 	defer r.mu.Unlock()
 	r.down, r.hold = false, [2]bool{}
 	r.delay.Store(0)
+	r.trickle.Store(0)
 	for c := range r.conns {
 		c.restored.Store(true)
 		if c.ended.Load() {
@@ -178,7 +186,7 @@
 		return
 	}
 	r.carried.Add(1)
-	c := &relayed{in: in, out: out, delay: &r.delay, rewrite: rewrite}
+	c := &relayed{in: in, out: out, delay: &r.delay, trickle: &r.trickle, rewrite: rewrite}
 	c.silent[ToTarget].Store(hold[ToTarget])
 	c.silent[FromTarget].Store(hold[FromTarget])
 	r.mu.Lock()
@@ -214,7 +222,7 @@
 			if d == FromTarget && c.rewrite != nil {
 				data = c.rewrite(data)
 			}
-			if _, werr := to.Write(data); werr != nil {
+			if werr := c.write(to, data, d); werr != nil {
 				err = werr
 			}
 		}
@@ -228,3 +236,20 @@
 		return
 	}
 }
+
+// write passes data on, byte by byte while what comes from the target trickles.
+func (c *relayed) write(to net.Conn, data []byte, d Direction) error {
+	for len(data) > 0 {
+		n := len(data)
+		pause := time.Duration(c.trickle.Load())
+		if d == FromTarget && pause > 0 {
+			n = 1
+			time.Sleep(pause)
+		}
+		if _, err := to.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -78,10 +78,10 @@
 	}
 	ans, err := to.conns.Do(sctx, direct.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body,
-		Mine: func(status int, h http.Header) bool {
+		Mine: func(status int, h http.Header) (mine, said bool) {
 			r := g.codec.Reply(status, h)
 			g.heard(j.pool, to.engine, r)
-			return r.RequestID == "" || r.RequestID == j.ID
+			return r.RequestID == "" || r.RequestID == j.ID, r.RequestID != ""
 		},
 		Allowed: func() bool { return j.pool.takes(g.clock.Now(), to.engine) },
 	})
--- a/internal/role/sidecar/plain.go
+++ b/internal/role/sidecar/plain.go
@@ -14,10 +14,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 )
 
-const (
-	copyBytes      = 16 << 10
-	serviceTimeout = time.Minute
-)
+const copyBytes = 16 << 10
 
 // serveService runs a request on the plain service. A protected request is
 // claimed first.
@@ -31,7 +28,7 @@
 		a.serveProtected(body)
 		return
 	}
-	ctx, cancel := context.WithTimeout(a.run.ctx, serviceTimeout)
+	ctx, cancel := context.WithTimeout(a.run.ctx, a.s.cfg.AnswerTimeoutMs.Duration())
 	defer cancel()
 	res, err := a.call(ctx, body)
 	if err != nil {
@@ -54,7 +51,7 @@
 		return
 	}
 	// From here on the request runs to its end, also when the caller leaves.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.run.ctx), serviceTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.run.ctx), a.s.cfg.AnswerTimeoutMs.Duration())
 	defer cancel()
 	res, err := a.call(ctx, body)
 	if err == nil {
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -22,13 +22,14 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
-	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/metrics"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
 const (
-	dialTimeout    = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	// leastIdle is the number of connections kept to an engine at the least.
+	leastIdle      = 16
 	offerTimeout   = 500 * clock.Millisecond
 	drainPoll      = 20 * clock.Millisecond
 	drainGrace     = 500 * clock.Millisecond
@@ -100,7 +101,7 @@
 	s := &Sidecar{
 		name: f.Name, zone: f.Zone, cfg: cfg, incarnation: d.Incarnation,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, claims: d.Claims, meter: d.Meter, store: d.Store,
-		engine:   engine.New(cfg.ServerURL, engineHTTP(cfg)),
+		engine:   engine.New(cfg.ServerURL, dialTimeout, max(cfg.Slots*2, leastIdle)),
 		service:  service.New(cfg.ServerURL, dialTimeout),
 		coreDone: make(chan struct{}),
 		duties:   d.Duties,
@@ -129,13 +130,6 @@
 	return s, nil
 }
 
-func engineHTTP(cfg settings.Sidecar) *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: http1.Transport(&http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: max(cfg.Slots*2, 16), DisableCompression: true,
-	})}
-}
-
 func slotsConfig(cfg settings.Sidecar, p settings.Policy) slots.Config {
 	return slots.Config{
 		Slots: cfg.Slots, OfferTimeoutMs: offerTimeout, Order: string(p.Order),
