Followers: a second try of a call reads nothing that its function writes

Cause: the closure of a hedged call captured the named result that tells a whole read, and the second try may outlast the function.

--- a/internal/role/gateway/follow.go
+++ b/internal/role/gateway/follow.go
@@ -55,13 +55,12 @@
 // read returns the next records; whole tells that they are all keys.
 func (f *follower) read(ctx context.Context, wait clock.Millis) (snap Snapshot, whole bool, err error) {
 	next, sent := f.next, f.g.clock.Now()
-	whole = f.whole()
-	snap, err = f.hedged(ctx, wait, func(ctx context.Context) (Snapshot, error) {
-		if whole {
-			return f.g.store.Newest(ctx, f.topic)
-		}
-		return f.g.store.Read(ctx, f.topic, next, wait)
-	})
+	// A second try may outlast this function.
+	call := func(ctx context.Context) (Snapshot, error) { return f.g.store.Read(ctx, f.topic, next, wait) }
+	if whole = f.whole(); whole {
+		call = func(ctx context.Context) (Snapshot, error) { return f.g.store.Newest(ctx, f.topic) }
+	}
+	snap, err = f.hedged(ctx, wait, call)
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
 		f.g.log.WithFields(logrus.Fields{"event": "historyLost", "topic": f.topic.String(), "offset": next.Offset()}).Warn(err)
