Gateway: read the limit that a server names, log and count it

Cause: no log line and no metric told whether an answer named a limit, so that a gateway that does not read it (H1) could not be told from gateways that keep it each by itself (H2), nor sends to a limited server from others (H3). Change: the header is decoded (a decimal rate; malformed, repeated and absurd values are logged), kept by server and start, and shown: event serverLimit, server_notices{kind="limit"}, server_limits, and the limit on placed. Nothing is decided by it.

--- /dev/null
+++ b/internal/policy/ratelimit/known.go
@@ -0,0 +1,69 @@
+// Package ratelimit decides how many requests a backend server gets that has named a
+// limit: the requests a second that it accepts from all gateways together.
+//
+// Known is what one gateway knows of such limits. The package is pure: the current time,
+// by the monotonic clock, is an argument.
+package ratelimit
+
+import (
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+// unlistedKeepMs is how long a limit is kept after its server disappeared from the server
+// list. A server that runs is listed again within seconds of an outage of the store.
+const unlistedKeepMs = 60 * clock.Second
+
+// Known holds the limits that servers have named, as far as one gateway knows them. A
+// limit applies to one start of a server. Known is not safe for concurrent use.
+type Known struct {
+	limits map[servers.Key]knownLimit
+}
+
+// knownLimit is the limit of one start of a server.
+type knownLimit struct {
+	perSecond float64
+	// seenMs is when the limit was last named or its server last listed.
+	seenMs clock.Millis
+}
+
+// NewKnown returns a Known without limits.
+func NewKnown() *Known { return &Known{limits: map[servers.Key]knownLimit{}} }
+
+// Name records that a server accepts perSecond requests a second, and reports whether
+// that is news.
+func (k *Known) Name(now clock.Millis, s servers.Key, perSecond float64) bool {
+	old, ok := k.limits[s]
+	k.limits[s] = knownLimit{perSecond: perSecond, seenMs: now}
+	return !ok || old.perSecond != perSecond
+}
+
+// End records that a server no longer names a limit, and reports whether one was known.
+func (k *Known) End(s servers.Key) bool {
+	_, ok := k.limits[s]
+	delete(k.limits, s)
+	return ok
+}
+
+// Limit returns the requests a second that a server accepts; ok is false if it has named
+// no limit.
+func (k *Known) Limit(s servers.Key) (perSecond float64, ok bool) {
+	l, ok := k.limits[s]
+	return l.perSecond, ok
+}
+
+// Len returns the number of limits.
+func (k *Known) Len() int { return len(k.limits) }
+
+// Sweep drops the limits of servers that were not listed for unlistedKeepMs.
+func (k *Known) Sweep(now clock.Millis, listed func(s servers.Key) bool) {
+	for s, l := range k.limits {
+		switch {
+		case listed(s):
+			l.seenMs = now
+			k.limits[s] = l
+		case now-l.seenMs > unlistedKeepMs:
+			delete(k.limits, s)
+		}
+	}
+}
--- a/internal/role/gateway/codec.go
+++ b/internal/role/gateway/codec.go
@@ -73,11 +73,17 @@
 	// BackOffMs is for how long the server accepts no further request of this
 	// gateway; 0 if it does not say.
 	BackOffMs clock.Millis
-	// Malformed lists the headers whose values could not be parsed.
+	// HasLimit is set if the server names a Limit: the requests a second that it accepts
+	// from all gateways together, for as long as its answers name it. LimitMalformed is set
+	// if it named one that could not be parsed.
+	HasLimit, LimitMalformed bool
+	Limit                    float64
+	// Malformed lists the headers whose values could not be parsed or are out of range.
 	Malformed []Malformed
 }
 
-// Malformed is a header whose value could not be parsed. It counts as absent.
+// Malformed is a header value that could not be parsed, and counts as absent, or that is
+// out of range or contradicts another one.
 type Malformed struct{ Name, Value string }
 
 // Codec reads and writes the headers of callers' requests and of backend servers'
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
@@ -41,6 +42,8 @@
 	// noticeMu. noticeMu is the last lock to be taken.
 	noticeMu sync.Mutex
 	notices  *servers.Notices
+	// limits holds the limits that servers have named; it is guarded by noticeMu.
+	limits *ratelimit.Known
 }
 
 // pool is this gateway's view of one pool of servers.
@@ -64,7 +67,7 @@
 }
 
 func newFleetView(zone string, c clock.Clock, log logrus.FieldLogger, limit retry.WindowLimit) *fleetView {
-	return &fleetView{zone: zone, clock: c, log: log, retryLimit: limit, pools: map[string]*pool{}, notices: servers.NewNotices()}
+	return &fleetView{zone: zone, clock: c, log: log, retryLimit: limit, pools: map[string]*pool{}, notices: servers.NewNotices(), limits: ratelimit.NewKnown()}
 }
 
 func (v *fleetView) config() *routing.Config { return v.cfg.Load() }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -271,6 +271,7 @@
 	m.Gauge("config_version").Update(float64(g.configVersion()))
 	m.Gauge("store_era").Update(float64(g.store.currentEpoch().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
+	m.Gauge("server_limits").Update(float64(g.fleet.limitCount()))
 	for name, left := range g.fleet.retriesLeft(g.clock.Now(), g.retrySharers()) {
 		m.Tagged(map[string]string{"pool": name}).Gauge("retries_left").Update(float64(left))
 	}
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -87,7 +87,7 @@
 }
 
 // countNotice counts a server notice, by which a server says that it is draining
-// (kind "leaving") or asks for a back-off (kind "pause").
+// (kind "leaving"), asks for a back-off (kind "pause") or names a limit (kind "limit").
 func (m *gatewayMetrics) countNotice(kind string) {
 	m.root.Tagged(map[string]string{"kind": kind}).Counter("server_notices").Inc(1)
 }
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -35,6 +35,7 @@
 	now := g.clock.Now()
 	key := servers.Key{ID: e.ID, Start: e.Start}
 	g.logMalformed(now, e.ID, r.Malformed)
+	g.applyLimit(now, key, r)
 	if r.BackOffMs > 0 {
 		until := g.fleet.setBackOff(now, key, r.BackOffMs)
 		p.withTable(func(t *place.ServerTable) { t.Exclude(e.ID, until) })
@@ -105,7 +106,7 @@
 		return
 	}
 	for _, m := range all {
-		g.log.WithFields(logrus.Fields{"event": "headerMalformed", "server": server, "header": m.Name, "value": m.Value[:min(len(m.Value), maxLoggedValueBytes)]}).Warn("malformed header ignored")
+		g.log.WithFields(logrus.Fields{"event": "headerMalformed", "server": server, "header": m.Name, "value": m.Value[:min(len(m.Value), maxLoggedValueBytes)]}).Warn("malformed header value")
 	}
 }
 
@@ -244,4 +245,7 @@
 	v.notices.Sweep(v.clock.Now(), func(id string) bool {
 		return slices.ContainsFunc(v.list, func(s servers.Server) bool { return s.ID == id })
 	})
+	v.limits.Sweep(v.clock.Now(), func(k servers.Key) bool {
+		return slices.ContainsFunc(v.list, func(s servers.Server) bool { return s.Key() == k })
+	})
 }
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -10,6 +10,7 @@
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 // maxQueueRefusals is the number of engine queues that may refuse a request; then
@@ -95,11 +96,15 @@
 
 // logPlaced logs the chosen server and what the choice was based on.
 func (g *Gateway) logPlaced(j *job, to target, now clock.Millis) {
-	j.log.WithFields(logrus.Fields{
+	f := logrus.Fields{
 		"event": "placed", "route": j.route.Name, "server": to.ID, "cost": int64(to.Cost), "unread": to.UncachedTokens,
 		"fetchFrom": to.CopyFrom, "loadAgeMs": int64(to.LoadAgeMs), "config": j.cfg.Version, "configAgeMs": int64(g.fleet.configAge()),
 		"priority": j.priority, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
-	}).Info()
+	}
+	if limit, ok := g.fleet.limit(servers.Key{ID: to.ID, Start: to.engine.Start}); ok {
+		f["limit"] = limit
+	}
+	j.log.WithFields(f).Info()
 }
 
 // refuseOverload returns the refusal of a request that no server can complete in
