--- a/internal/control/enginequeue/host.go
+++ b/internal/control/enginequeue/host.go
@@ -213,6 +213,10 @@
 	}
 }
 
+// Connected returns the number of connected gateways, this one included. Only handlers in On
+// may call it.
+func (h *Host) Connected() int { return len(h.clients) }
+
 // timeToNextTick returns the time until the next grant, time-out or load message may
 // be due.
 func (h *Host) timeToNextTick(now clock.Millis) clock.Millis {
--- a/internal/policy/ratelimit/known.go
+++ b/internal/policy/ratelimit/known.go
@@ -17,6 +17,8 @@
 	unlistedKeepMs = 60 * clock.Second
 	// reportEveryMs is how often a gateway reports a limit that is named unchanged.
 	reportEveryMs = 2 * clock.Second
+	// logEveryMs is the shortest time between two log lines about the limit of a server.
+	logEveryMs = 2 * clock.Second
 )
 
 // Known holds the limits that servers have named, as far as one gateway knows them. A
@@ -30,8 +32,8 @@
 	perSecond float64
 	// seenMs is when the limit was last named or its server last listed.
 	seenMs clock.Millis
-	// reportedMs is when ReportDue last returned true.
-	reportedMs clock.Millis
+	// reportedMs and loggedMs are when ReportDue and LogDue last returned true.
+	reportedMs, loggedMs clock.Millis
 }
 
 // NewKnown returns a Known without limits.
@@ -41,10 +43,22 @@
 // that is news.
 func (k *Known) Name(now clock.Millis, s servers.Key, perSecond float64) bool {
 	old, ok := k.limits[s]
-	k.limits[s] = knownLimit{perSecond: perSecond, seenMs: now, reportedMs: old.reportedMs}
+	k.limits[s] = knownLimit{perSecond: perSecond, seenMs: now, reportedMs: old.reportedMs, loggedMs: old.loggedMs}
 	return !ok || old.perSecond != perSecond
 }
 
+// LogDue reports whether a limit that has begun or changed is to be logged: one that changes
+// all the time is, each logEveryMs.
+func (k *Known) LogDue(now clock.Millis, s servers.Key) bool {
+	l := k.limits[s]
+	if l.loggedMs != 0 && now-l.loggedMs < logEveryMs {
+		return false
+	}
+	l.loggedMs = now
+	k.limits[s] = l
+	return true
+}
+
 // ReportDue reports whether a limit that an answer has named is to be reported to the
 // gateway that issues the server's permits. It is if that is news, or reportEveryMs after
 // the last report.
--- a/internal/policy/ratelimit/ratelimit_test.go
+++ b/internal/policy/ratelimit/ratelimit_test.go
@@ -186,6 +186,9 @@
 	if diff := cmp.Diff([]bool{true, false, false, true, false, true}, got); diff != "" {
 		t.Errorf("reports (-want +got):\n%s", diff)
 	}
+	if k.LogDue(2300, server); k.LogDue(2400, server) {
+		t.Error("a limit is logged again after 100 ms")
+	}
 	k.Sweep(70*clock.Second, func(servers.Key) bool { return false })
 	if _, ok := k.Limit(server); ok {
 		t.Error("the limit of a server that is long gone is kept")
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -92,8 +92,11 @@
 			news = true
 		case !l.Ended && g.fleet.nameLimit(now, l.Server, l.PerSecond):
 			g.metrics.countNotice("limit")
-			log.WithFields(logrus.Fields{"event": "serverLimit", "perSecond": l.PerSecond}).Info()
 			news = true
+			if !g.fleet.limitLogDue(now, l.Server) {
+				break
+			}
+			log.WithFields(logrus.Fields{"event": "serverLimit", "perSecond": l.PerSecond}).Info()
 		}
 	}
 	return news
@@ -150,7 +153,7 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return err
 	}
-	share := g.peers.reachableShare()
+	share := g.peers.reachableShare(g.queueHost.Connected())
 	var a ratelimit.Answer
 	g.permits.with(func(i *ratelimit.Issuer) {
 		a = i.Ask(g.clock.Now(), m.Limit.Server, m.Limit.PerSecond, m.Urgent, share)
@@ -332,6 +335,13 @@
 	return v.limits.ReportDue(now, k, news)
 }
 
+// limitLogDue reports whether the limit of a server is to be logged.
+func (v *fleetView) limitLogDue(now clock.Millis, k servers.Key) bool {
+	v.noticeMu.Lock()
+	defer v.noticeMu.Unlock()
+	return v.limits.LogDue(now, k)
+}
+
 // limitCount returns the number of servers with a limit.
 func (v *fleetView) limitCount() int {
 	v.noticeMu.Lock()
@@ -415,9 +425,10 @@
 	p.issuesPermits = issues
 }
 
-// reachableShare returns the part of the known gateways that are up, this one included. The
-// others may have elected an issuer of their own for the same servers.
-func (t *peerTable) reachableShare() float64 {
+// reachableShare returns the part of the known gateways, this one included, that are up and
+// of which connected have a connection to this one. The others may have elected an issuer of
+// their own for the same servers.
+func (t *peerTable) reachableShare(connected int) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	up := 0
@@ -426,5 +437,5 @@
 			up++
 		}
 	}
-	return float64(max(up, 1)) / float64(max(len(t.peers), 1))
+	return float64(max(min(up, connected), 1)) / float64(max(len(t.peers), up, 1))
 }
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -253,7 +253,12 @@
 	v.notices.Sweep(v.clock.Now(), func(id string) bool {
 		return slices.ContainsFunc(v.list, func(s servers.Server) bool { return s.ID == id })
 	})
-	v.limits.Sweep(v.clock.Now(), func(k servers.Key) bool {
-		return slices.ContainsFunc(v.list, func(s servers.Server) bool { return s.Key() == k })
-	})
+	if v.limits.Len() == 0 {
+		return
+	}
+	listed := make(map[servers.Key]bool, len(v.list))
+	for _, s := range v.list {
+		listed[s.Key()] = true
+	}
+	v.limits.Sweep(v.clock.Now(), func(k servers.Key) bool { return listed[k] })
 }
