--- a/internal/policy/ratelimit/ratelimit_test.go
+++ b/internal/policy/ratelimit/ratelimit_test.go
@@ -213,3 +213,11 @@
 	// 650
 	// 900
 }
+
+func BenchmarkAsk(b *testing.B) {
+	i := ratelimit.NewIssuer()
+	b.ReportAllocs()
+	for now := clock.Millis(0); b.Loop(); now++ {
+		i.Ask(now, server, 100, true, 1)
+	}
+}
