Gateway: a denied permit does not end the search for a server

Cause: a request that was denied a permit more than a quarter of its latency target after the first denial, for example at its retry seconds later, was refused at once, though servers without a limit might take it. Found by reading, not seen. Change: from then on a server that denies a permit is left out of that search; the request is refused only if none is left. A test that fails without the change was not found: it needs a denial at a certain moment.

--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -223,9 +223,6 @@
 	return to.permit.number > 0 && now-to.permit.askedMs <= permitLifetime
 }
 
-// mayAwaitLimit reports whether j may still wait for a server at its limit.
-func (g *Gateway) mayAwaitLimit(j *job) bool { return g.clock.Now() < j.limitWaitEnd() }
-
 // limitWaitEnd returns until when j may wait for servers at their limits.
 func (j *job) limitWaitEnd() clock.Millis {
 	if j.route.TargetMs <= 0 {
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,6 +25,9 @@
 	// shortest time after which one of them is to be asked again.
 	refused    []string
 	retryAfter clock.Millis
+	// denied holds the servers that are not asked for a permit again, as the request may not
+	// wait any longer.
+	denied []string
 }
 
 // place chooses a server for j and obtains a permit if the server has a limit. If it is a
@@ -40,7 +44,7 @@
 		if !j.mayHaveRun && g.mayExitBefore(j, now) {
 			return target{}, nil, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 		}
-		exclude := append(p.refused, j.exclude...)
+		exclude := slices.Concat(p.refused, p.denied, j.exclude)
 		to, ok := j.pool.choose(now, j.placeReq, exclude)
 		if !ok && g.awaitLimit(ctx, j, exclude) {
 			continue
@@ -50,9 +54,7 @@
 		}
 		g.logPlaced(j, to, now)
 		if !g.obtainPermit(ctx, j, &to) {
-			if failure := p.withoutPermit(to); failure != nil {
-				return target{}, nil, failure
-			}
+			p.withoutPermit(to)
 			continue
 		}
 		if !j.route.Engine {
@@ -92,7 +94,8 @@
 		// The server may have named a limit during the wait, or the permit expired.
 		if !g.mayBeSent(g.clock.Now(), *to) && !g.obtainPermit(ctx, j, to) {
 			r.cancel()
-			return false, p.withoutPermit(*to)
+			p.withoutPermit(*to)
+			return false, nil
 		}
 		g.metrics.queueWait(j, waited)
 		j.log.WithFields(logrus.Fields{"event": "turn", "server": to.ID, "waitedMs": int64(waited)}).Info()
@@ -135,14 +138,12 @@
 	})
 }
 
-// withoutPermit releases the chosen server, for which no permit is to be had for now. It
-// returns the failure of a request that has tried for as long as it may.
-func (p *placement) withoutPermit(to target) *exchange.Failure {
+// withoutPermit releases the chosen server, for which no permit is to be had for now.
+func (p *placement) withoutPermit(to target) {
 	p.release(to)
-	if p.g.mayAwaitLimit(p.j) {
-		return nil
+	if p.g.clock.Now() >= p.j.limitWaitEnd() {
+		p.denied = append(p.denied, to.ID)
 	}
-	return p.noServer()
 }
 
 // noServer returns the failure of a request that no server may take.
