Wording of the limits: reports a change instead of news

Cause: read as a newcomer, "news" and "to be had" said less than "changed" and "denied". Measured: the tests of policy/ratelimit pass.

--- a/internal/policy/ratelimit/known.go
+++ b/internal/policy/ratelimit/known.go
@@ -39,9 +39,9 @@
 // NewKnown returns a Known without limits.
 func NewKnown() *Known { return &Known{limits: map[servers.Key]knownLimit{}} }
 
-// Name records that a server accepts perSecond requests a second, and reports whether
-// that is news.
-func (k *Known) Name(now clock.Millis, s servers.Key, perSecond float64) bool {
+// Name records that a server accepts perSecond requests a second, and reports whether the
+// limit is new or has changed.
+func (k *Known) Name(now clock.Millis, s servers.Key, perSecond float64) (changed bool) {
 	old, ok := k.limits[s]
 	k.limits[s] = knownLimit{perSecond: perSecond, seenMs: now, reportedMs: old.reportedMs, loggedMs: old.loggedMs}
 	return !ok || old.perSecond != perSecond
@@ -60,11 +60,11 @@
 }
 
 // ReportDue reports whether a limit that an answer has named is to be reported to the
-// gateway that issues the server's permits. It is if that is news, or reportEveryMs after
+// gateway that issues the server's permits. It is if it has changed, or reportEveryMs after
 // the last report.
-func (k *Known) ReportDue(now clock.Millis, s servers.Key, news bool) bool {
+func (k *Known) ReportDue(now clock.Millis, s servers.Key, changed bool) bool {
 	l := k.limits[s]
-	if !news && now-l.reportedMs < reportEveryMs {
+	if !changed && now-l.reportedMs < reportEveryMs {
 		return false
 	}
 	l.reportedMs = now
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -60,8 +60,8 @@
 
 	sends   int      // attempts that reached a server
 	exclude []string // ids of servers not to try again
-	// limitedSends is the number of attempts that were not sent for lack of a valid permit.
-	// limitedMs is when a server at its limit first delayed the request; 0 if none has.
+	// limitedSends is the number of attempts that were not sent because they had no valid
+	// permit. limitedMs is when the request was first denied one; 0 if it was not.
 	limitedSends int
 	limitedMs    clock.Millis
 	// stopAbandon is called when the answer begins. From then on the request is
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -23,8 +23,8 @@
 	permitLifetime = 500 * clock.Millisecond
 	// permitTimeout is how long a request waits for the answer of the issuer.
 	permitTimeout = 250 * clock.Millisecond
-	// limitWaitDivisor bounds how long a request waits for a permit if no server has one to
-	// spare: the route's latency target divided by it.
+	// limitWaitDivisor bounds how long a request waits if all servers are at their limits: at
+	// most the route's latency target divided by it.
 	limitWaitDivisor = 4
 	// defaultLimitWait is that bound for routes without a latency target.
 	defaultLimitWait = 100 * clock.Millisecond
@@ -67,8 +67,8 @@
 	switch {
 	case r.WrongServer:
 	case r.HasLimit:
-		news := g.learnLimits([]ratelimit.Limit{{Server: k, PerSecond: r.Limit}}, "answer")
-		if g.fleet.limitReportDue(now, k, news) {
+		changed := g.learnLimits([]ratelimit.Limit{{Server: k, PerSecond: r.Limit}}, "answer")
+		if g.fleet.limitReportDue(now, k, changed) {
 			g.peers.reportLimit(nil, enginequeue.LimitReport{Limit: ratelimit.Limit{Server: k, PerSecond: r.Limit}})
 		}
 	case used.number > 0 && r.FromServer && !r.NotRun:
@@ -80,26 +80,26 @@
 	}
 }
 
-// learnLimits applies limits that begin, change or end, and reports whether one of them is
-// news. source is where they were learned: in an answer, or from another gateway.
-func (g *Gateway) learnLimits(all []ratelimit.Limit, source string) (news bool) {
+// learnLimits applies limits that begin, change or end, and reports whether one of them was
+// not known yet. source is where they were learned: in an answer, or from another gateway.
+func (g *Gateway) learnLimits(all []ratelimit.Limit, source string) (changed bool) {
 	now := g.clock.Now()
 	for _, l := range all {
 		log := g.log.WithFields(logrus.Fields{"server": l.Server.ID, "start": l.Server.Start, "by": source})
 		switch {
 		case l.Ended && g.fleet.endLimit(l.Server):
 			log.WithField("event", "serverLimitEnded").Info()
-			news = true
+			changed = true
 		case !l.Ended && g.fleet.nameLimit(now, l.Server, l.PerSecond):
 			g.metrics.countNotice("limit")
-			news = true
+			changed = true
 			if !g.fleet.limitLogDue(now, l.Server) {
 				break
 			}
 			log.WithFields(logrus.Fields{"event": "serverLimit", "perSecond": l.PerSecond}).Info()
 		}
 	}
-	return news
+	return changed
 }
 
 // receiveLimitReport handles what another gateway reports of a limit, as the issuer of the
@@ -109,15 +109,15 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return err
 	}
-	now, news := g.clock.Now(), false
+	now, changed := g.clock.Now(), false
 	g.permits.with(func(i *ratelimit.Issuer) {
 		if m.Limit.Ended {
-			news = i.End(now, m.Limit.Server, m.Permit, m.Malformed)
+			changed = i.End(now, m.Limit.Server, m.Permit, m.Malformed)
 		} else {
-			news = i.Name(now, m.Limit.Server, m.Limit.PerSecond)
+			changed = i.Name(now, m.Limit.Server, m.Limit.PerSecond)
 		}
 	})
-	if news {
+	if changed {
 		g.announceLimits([]ratelimit.Limit{m.Limit})
 	}
 	return nil
@@ -175,9 +175,9 @@
 	}
 }
 
-// obtainPermit asks for a permit to send j to the server to, and reports whether j may be
-// sent. It asks nobody if the server has no limit. If no permit is to be had for now, the
-// server is left out of choices until the issuer is to be asked again.
+// obtainPermit asks the issuer for a permit to send j to the server to, and reports whether j
+// may be sent. It does not ask if the server has no limit. If the permit is denied, the server
+// is excluded from choices for the time that the issuer names.
 func (g *Gateway) obtainPermit(ctx context.Context, j *job, to *target) bool {
 	k := to.engine.Key()
 	to.permit = permit{}
@@ -281,19 +281,19 @@
 	return out
 }
 
-// nameLimit records the limit of a server, and reports whether it is news.
+// nameLimit records the limit of a server, and reports whether it is new or has changed.
 func (v *fleetView) nameLimit(now clock.Millis, k servers.Key, perSecond float64) bool {
 	v.noticeMu.Lock()
-	news := v.limits.Name(now, k, perSecond)
+	changed := v.limits.Name(now, k, perSecond)
 	v.noticeMu.Unlock()
-	if news {
+	if changed {
 		v.setPaced(k, true)
 	}
-	return news
+	return changed
 }
 
-// endLimit records that a server no longer has a limit, and reports whether that is news.
-// The server may be chosen again at once.
+// endLimit records that a server no longer has a limit, and reports whether it had one. The
+// server may be chosen again at once.
 func (v *fleetView) endLimit(k servers.Key) bool {
 	v.noticeMu.Lock()
 	ended := v.limits.End(k)
@@ -326,10 +326,10 @@
 
 // limitReportDue reports whether the limit that a server has named is to be reported to the
 // issuer of its permits.
-func (v *fleetView) limitReportDue(now clock.Millis, k servers.Key, news bool) bool {
+func (v *fleetView) limitReportDue(now clock.Millis, k servers.Key, changed bool) bool {
 	v.noticeMu.Lock()
 	defer v.noticeMu.Unlock()
-	return v.limits.ReportDue(now, k, news)
+	return v.limits.ReportDue(now, k, changed)
 }
 
 // limitLogDue reports whether the limit of a server is to be logged.
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -25,8 +25,8 @@
 	// shortest time after which one of them is to be asked again.
 	refused    []string
 	retryAfter clock.Millis
-	// denied holds the servers that are not asked for a permit again, as the request may not
-	// wait any longer.
+	// denied holds the servers for which no permit is asked for again, since the request may
+	// not wait any longer.
 	denied []string
 }
 
@@ -138,7 +138,7 @@
 	})
 }
 
-// withoutPermit releases the chosen server, for which no permit is to be had for now.
+// withoutPermit releases the chosen server, for which the request was denied a permit.
 func (p *placement) withoutPermit(to target) {
 	p.release(to)
 	if p.g.clock.Now() >= p.j.limitWaitEnd() {
