Gateway: tell the end of a server from a broken connection, log and count it

Change: after a request broke off, the gateway opens a connection to the server, once for all that broke off there; if it is refused, the event serverEnded names the server, its start and the request's shared parts, and servers_ended counts it. A connection that opens is kept for the next request. Nothing is decided by it yet.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -39,6 +39,9 @@
 	// no timeout in a Keep-Alive header.
 	defaultIdleTimeout = 4 * clock.Second
 	maxIdlePerHost     = 64
+	// closedAtOnce is the time within which a server that has ended closes a connection that
+	// was still accepted for it.
+	closedAtOnce = 20 * time.Millisecond
 )
 
 // NotSentError reports a request of which no byte was sent to the server.
@@ -167,6 +170,29 @@
 	return dial(ctx, p.addr)
 }
 
+// Refused reports whether the server refuses connections, or closes a new one at once: its
+// process has ended. A connection that stays open is kept for the next request. It
+// returns false if the server cannot be reached.
+func (p *Pool) Refused(ctx context.Context) bool {
+	if p.Dialed != nil {
+		p.Dialed()
+	}
+	c, err := dial(ctx, p.addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(closedAtOnce))
+	_, err = c.br.Peek(1)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		_ = c.SetReadDeadline(time.Time{})
+		p.put(c)
+		return false
+	}
+	_ = c.Close()
+	return err != nil
+}
+
 func (p *Pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -117,6 +117,7 @@
 	updates         *storeUpdates
 	drainNotices    *drainNotices
 	permits         *permitIssuer
+	endings         *endings
 }
 
 // New creates a gateway and opens its listeners.
@@ -135,6 +136,7 @@
 	g.updates = newStoreUpdates(d.Clock)
 	g.drainNotices = newDrainNotices()
 	g.permits = newPermitIssuer()
+	g.endings = newEndings()
 	g.outage = newOutage()
 	g.store.onNewEpoch = g.epochChanged
 	g.queueHost.Overloaded = g.overloaded
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -99,6 +99,9 @@
 	m.root.Tagged(map[string]string{"kind": kind}).Counter("server_notices").Inc(1)
 }
 
+// serverEnded counts a server that refuses connections after a request broke off there.
+func (m *gatewayMetrics) serverEnded() { m.root.Counter("servers_ended").Inc(1) }
+
 // leading records whether this gateway is the leader.
 func (m *gatewayMetrics) leading(isLeader bool) {
 	v := 0.0
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -30,6 +31,8 @@
 // send is one attempt to send a request to a server.
 type send struct {
 	choice      place.Choice
+	engine      enginequeue.Engine
+	conns       *direct.Pool
 	reservation *reservation // nil if no queue owner knows of the attempt
 	ans         *direct.Answer
 	reply       Reply
@@ -73,7 +76,7 @@
 		return nil, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 	}
 	now = g.clock.Now()
-	s := &send{choice: to.Choice, reservation: reservation, sentMs: now}
+	s := &send{choice: to.Choice, engine: to.engine, conns: to.conns, reservation: reservation, sentMs: now}
 	h := j.header.Clone()
 	g.codec.Forward(h, Send{
 		Server: to.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
@@ -159,6 +162,9 @@
 		j.mayHaveRun = true
 		s.outcome = retry.OutcomeUnknown
 		g.endSend(j, s, place.OutcomeUnreachable, "noAnswer")
+		if !errors.Is(err, errServerTimeout) {
+			g.brokeOff(j, s)
+		}
 	}
 }
 
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -76,6 +76,7 @@
 		s.err = err
 		s.outcome = retry.OutcomeUnknown
 		g.endSend(j, s, place.OutcomeFailed, "cut")
+		g.brokeOff(j, s)
 	}
 	return err
 }
