Gateway: keep requests whose prompt ends servers from further servers

Cause: a request's part in the end of a server was known to nobody; each new request was placed like any other, by each gateway. Change: policy/quarantine holds the evidence of the fleet, ended servers with the requests that they had not answered, and derives from it which parts are clear, suspected or refused. A suspected part lets one request at a time run (the examiner, elected like the issuer of permits); a part is refused after three ended servers, two of them under such trials, and cleared by an answer. Parts that only shared requests or servers with it are told apart by answers, and groups that cannot be are refused together only. A refused part is tried again twice by the whole fleet, and can be cleared by an operator.

--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -9,11 +9,13 @@
 //
 //	dialer -> queue owner  hello, reserve, announce, cancel, begun, done, counts,
 //	                       collect, config, fetch, hint, leaving, seal, heartbeat,
-//	                       limit, limits, permit
-//	queue owner -> dialer  welcome, offer, refuse, load, config, permitted
+//	                       limit, limits, permit, evidence, trial, trialEnd
+//	queue owner -> dialer  welcome, offer, refuse, load, config, permitted,
+//	                       trialAnswer
 //
 // The gateway that issues the permits for requests to a server with a limit is elected
-// like the queue owner of an engine.
+// like the queue owner of an engine, and so is the examiner of requests with suspected
+// prompt parts.
 package enginequeue
 
 import (
@@ -68,8 +70,33 @@
 	// (PermitRequest); MethodPermitted answers it (PermitReply).
 	MethodPermit    = "permit"
 	MethodPermitted = "permitted"
+	// MethodEvidence carries news of servers that ended and of prompt parts
+	// (quarantine.Evidence).
+	MethodEvidence = "evidence"
+	// MethodTrial asks the examiner whether a request with suspected prompt parts may run
+	// (TrialRequest); MethodTrialAnswer answers it (TrialReply), and MethodTrialEnd reports
+	// the end of the trial (TrialRequest).
+	MethodTrial       = "trial"
+	MethodTrialAnswer = "trialAnswer"
+	MethodTrialEnd    = "trialEnd"
 )
 
+// TrialRequest asks to run one request, or names one that has ended.
+type TrialRequest struct {
+	// ID is unique among the requests of the sender.
+	ID      uint64   `json:"id,omitempty"`
+	Request string   `json:"request"`
+	Parts   []string `json:"parts,omitempty"`
+	// Retrial is set if the parts are refused, to try them again.
+	Retrial bool `json:"retrial,omitempty"`
+}
+
+// TrialReply answers the TrialRequest with the same ID.
+type TrialReply struct {
+	ID      uint64 `json:"id"`
+	Granted bool   `json:"granted"`
+}
+
 // LimitReport says what an answer says of a server's limit: a ratelimit.Limit, and for the
 // end of a limit the number of the permit of the answered request. Malformed is set if that
 // answer named a limit that could not be parsed.
--- /dev/null
+++ b/internal/policy/quarantine/evidence.go
@@ -0,0 +1,155 @@
+// Package quarantine decides which requests are kept from backend servers because a part of
+// their prompts ends each server that begins to answer them.
+//
+// A Ledger holds the evidence of the whole fleet: which servers ended, and which requests
+// they had not answered yet. Evidence is merged in any order and any number of times, so
+// gateways with the same evidence decide alike. An Examiner, on one gateway for all, lets
+// one request with a suspected part run at a time. The package is pure: the current time is
+// an argument, in Unix milliseconds, since evidence outlives processes.
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+const (
+	// maxPartBytes is the length from which the id of a part is replaced by its hash.
+	maxPartBytes = 64
+	// maxParts bounds the parts of one request that are examined, and maxSuspects the
+	// requests that are kept of one Ending.
+	maxParts    = 32
+	maxSuspects = 16
+	// maxEndings bounds the endings in a ledger, and maxMarks its marks of one kind.
+	maxEndings = 128
+	maxMarks   = 1024
+	// evidenceKeep is how long evidence counts.
+	evidenceKeep = 24 * 3600 * clock.Second
+	// skewMargin is the difference of two gateways' clocks up to which an answer that came
+	// after the end of a server counts as such.
+	skewMargin = clock.Second
+)
+
+// FieldError reports an invalid field of evidence.
+type FieldError struct {
+	Field, Reason string
+}
+
+// Error returns the name of the field and the reason.
+func (e *FieldError) Error() string { return fmt.Sprintf("evidence field %s: %s", e.Field, e.Reason) }
+
+// Suspect is a request that a server had been sent and not answered when it ended.
+type Suspect struct {
+	Request string `json:"request"`
+	Account string `json:"account,omitempty"`
+	// Parts are the ids of the parts of the prompt, without the last one, which belongs to
+	// the request alone.
+	Parts []string `json:"parts"`
+	// Trial is set if an Examiner had let the request run: no other one with its suspected
+	// parts ran then.
+	Trial bool `json:"trial,omitempty"`
+}
+
+// Ending is the end of one start of a server.
+type Ending struct {
+	Server   servers.Key  `json:"server"`
+	AtMs     clock.Millis `json:"at"`
+	Suspects []Suspect    `json:"suspects"`
+}
+
+// Mark is the time of an event that concerns a part.
+type Mark struct {
+	Part string       `json:"part"`
+	AtMs clock.Millis `json:"at"`
+	// Operator is set if an operator cleared the part.
+	Operator bool `json:"operator,omitempty"`
+}
+
+// Evidence is what gateways tell each other and keep in the store.
+type Evidence struct {
+	Endings []Ending `json:"endings,omitempty"`
+	// Cleared are parts on which a request was answered, or which an operator cleared. They
+	// void all earlier evidence against the part.
+	Cleared []Mark `json:"cleared,omitempty"`
+	// Retrials are the times at which a request with a refused part was tried again.
+	Retrials []Mark `json:"retrials,omitempty"`
+}
+
+// Empty reports whether there is no evidence.
+func (e Evidence) Empty() bool { return len(e.Endings)+len(e.Cleared)+len(e.Retrials) == 0 }
+
+// UnmarshalJSON decodes and checks evidence. The error is a *FieldError if a bound is
+// exceeded or a name is missing.
+func (e *Evidence) UnmarshalJSON(data []byte) error {
+	type plain Evidence
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if len(p.Endings) > maxEndings || len(p.Cleared) > maxMarks || len(p.Retrials) > maxMarks {
+		return &FieldError{"endings", "too many entries"}
+	}
+	for _, end := range p.Endings {
+		if len(end.Suspects) > maxSuspects {
+			return &FieldError{"suspects", "too many entries"}
+		}
+		for _, s := range end.Suspects {
+			if s.Request == "" || len(s.Parts) > maxParts || slices.ContainsFunc(s.Parts, invalidPart) {
+				return &FieldError{"suspects", "invalid request or parts"}
+			}
+		}
+	}
+	for _, m := range slices.Concat(p.Cleared, p.Retrials) {
+		if invalidPart(m.Part) {
+			return &FieldError{"part", "invalid id"}
+		}
+	}
+	*e = Evidence(p)
+	return nil
+}
+
+func invalidPart(id string) bool { return id == "" || len(id) > maxPartBytes }
+
+// Normalize returns the parts of a prompt as they stand in evidence: without duplicates, at
+// most maxParts, long ids replaced by a hash.
+func Normalize(parts []string) []string {
+	out := make([]string, 0, min(len(parts), maxParts))
+	for _, id := range parts {
+		id = strings.ToLower(id)
+		if len(id) > maxPartBytes {
+			id = fmt.Sprintf("#%016x", xxhash.Sum64String(id))
+		}
+		if id != "" && len(out) < maxParts && !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// marks are the newest times of events by part.
+type marks map[string]Mark
+
+// add records m and reports whether it is newer than what was known. Of more than limit
+// marks the oldest quarter is dropped.
+func (s marks) add(m Mark, limit int) bool {
+	if old, ok := s[m.Part]; ok && old.AtMs >= m.AtMs {
+		return false
+	}
+	s[m.Part] = m
+	if len(s) > limit {
+		all := slices.SortedFunc(maps.Values(s), func(a, b Mark) int { return cmp.Compare(a.AtMs, b.AtMs) })
+		for _, old := range all[:limit/4] {
+			delete(s, old.Part)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/policy/quarantine/examiner.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// trialLifetime is the time after which a trial that was not reported to have ended no
+// longer keeps others waiting.
+const trialLifetime = 5 * clock.Second
+
+// Examiner lets requests with suspected parts run one at a time for each part. It is not
+// safe for concurrent use.
+type Examiner struct {
+	trials map[string]trial // by request
+}
+
+type trial struct {
+	parts []string
+	endMs clock.Millis
+}
+
+// NewExaminer returns an Examiner without trials.
+func NewExaminer() *Examiner { return &Examiner{trials: map[string]trial{}} }
+
+// Ask reports whether a request with these suspected parts may run now.
+func (x *Examiner) Ask(now clock.Millis, request string, parts []string) bool {
+	for id, t := range x.trials {
+		switch {
+		case now >= t.endMs:
+			delete(x.trials, id)
+		case id != request && slices.ContainsFunc(parts, func(p string) bool { return slices.Contains(t.parts, p) }):
+			return false
+		}
+	}
+	x.trials[request] = trial{parts, now + trialLifetime}
+	return true
+}
+
+// End records that the trial of a request has ended.
+func (x *Examiner) End(request string) { delete(x.trials, request) }
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -8,13 +8,18 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
-// endingKeep is how long the result of a check whether a server has ended is used for the
-// other requests that broke off there.
-const endingKeep = 500 * clock.Millisecond
+const (
+	// endingKeep is how long the result of a check whether a server has ended is used for the
+	// other requests that broke off there.
+	endingKeep = 500 * clock.Millisecond
+	// endingTimeout bounds the check: a server that cannot be reached may still run.
+	endingTimeout = 300 * time.Millisecond
+)
 
 // ending is the check whether a server has ended, after a request broke off there.
 type ending struct {
@@ -50,13 +55,15 @@
 
 // serverEnded reports whether the server of s, at which a request broke off, has ended: it
 // refuses connections now. A server that drains is expected to.
-func (g *Gateway) serverEnded(ctx context.Context, s *send) bool {
+func (g *Gateway) serverEnded(s *send) bool {
 	k := s.engine.Key()
 	if s.conns == nil || g.fleet.draining(k) {
 		return false
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
+		ctx, cancel := context.WithTimeout(context.Background(), endingTimeout)
+		defer cancel()
 		c.ended = s.conns.Refused(ctx)
 		close(c.checked)
 		if c.ended {
@@ -67,26 +74,36 @@
 	return c.ended
 }
 
-// sharedBlocks returns the ids of the prompt blocks that other requests may share: all but
-// the last one.
-func sharedBlocks(all []place.Block) []string {
+// promptParts returns the ids of the prompt parts that other requests may share, as they
+// stand in evidence: all but the last one.
+func promptParts(all []place.Block) []string {
 	out := make([]string, 0, len(all))
 	for _, b := range all[:max(len(all)-1, 0)] {
 		out = append(out, b.ID)
 	}
-	return out
+	return quarantine.Normalize(out)
 }
 
-// brokeOff handles a request that broke off at the server of s, in the background.
-func (g *Gateway) brokeOff(j *job, s *send) {
-	log := j.log.WithFields(logrus.Fields{
-		"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "parts": sharedBlocks(j.Blocks), "send": j.sends,
-	})
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		if g.serverEnded(ctx, s) {
-			log.Warn()
-		}
-	}()
+// clearParts records that the server of s has answered j far enough to clear its prompt
+// parts.
+func (g *Gateway) clearParts(j *job, s *send) {
+	if !s.cleared {
+		s.cleared = true
+		g.suspects.answered(j)
+	}
+}
+
+// examineBreak finds out whether the server of s ended before it had answered j, and records
+// it as evidence against the shared parts of the prompt.
+func (g *Gateway) examineBreak(j *job, s *send) {
+	if !s.broke || s.cleared || len(j.inquiry.parts) == 0 {
+		return
+	}
+	if g.serverEnded(s) {
+		j.log.WithFields(logrus.Fields{
+			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
+		}).Warn()
+		g.suspects.ended(j, s)
+	}
+	g.suspects.release(j)
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -118,6 +118,7 @@
 	drainNotices    *drainNotices
 	permits         *permitIssuer
 	endings         *endings
+	suspects        *suspects
 }
 
 // New creates a gateway and opens its listeners.
@@ -137,6 +138,7 @@
 	g.drainNotices = newDrainNotices()
 	g.permits = newPermitIssuer()
 	g.endings = newEndings()
+	g.suspects = newSuspects(g)
 	g.outage = newOutage()
 	g.store.onNewEpoch = g.epochChanged
 	g.queueHost.Overloaded = g.overloaded
@@ -145,7 +147,8 @@
 		enginequeue.MethodCounts: g.receiveCounts, enginequeue.MethodCollect: g.answerCollect,
 		enginequeue.MethodHint: g.receiveUpdate, enginequeue.MethodConfig: g.receiveConfig, enginequeue.MethodLeaving: g.receiveDraining,
 		enginequeue.MethodSeal: g.receiveSeal, enginequeue.MethodLimit: g.receiveLimitReport, enginequeue.MethodLimits: g.receiveLimits,
-		enginequeue.MethodPermit: g.answerPermit,
+		enginequeue.MethodPermit: g.answerPermit, enginequeue.MethodEvidence: g.receiveEvidence,
+		enginequeue.MethodTrial: g.answerTrial, enginequeue.MethodTrialEnd: g.receiveTrialEnd,
 	}
 	g.queueHost.OnHello = g.gatewayConnected
 	g.queueHost.OnFetch = func() any { return g.config.full() }
@@ -227,13 +230,14 @@
 		supervise.Task{Name: "accept", Run: func(ctx context.Context) error { return g.queueHost.Accept(ctx, g.controlLn) }},
 		supervise.Task{Name: "member", Run: g.publishMember},
 		supervise.Task{Name: "settle", Run: g.waitUntilSettled},
+		supervise.Task{Name: "evidence", Run: g.keepEvidence},
 		supervise.Task{Name: "peers", Run: g.followPeers},
 		supervise.Task{Name: "beats", Run: g.peers.sendHeartbeats},
 		supervise.Task{Name: "ready", Run: func(ctx context.Context) error {
 			return supervise.Serve(ctx, newOperatorServer(g.readyHandler()), g.readyLn)
 		}},
 		supervise.Task{Name: "metrics", Run: func(ctx context.Context) error {
-			return supervise.Serve(ctx, newOperatorServer(g.metrics.root.Handler), g.metricsLn)
+			return supervise.Serve(ctx, newOperatorServer(g.operatorHandler()), g.metricsLn)
 		}},
 		supervise.Task{Name: "callers", Run: func(ctx context.Context) error { return supervise.Serve(ctx, srv, g.callerLn) }},
 	)
@@ -276,6 +280,9 @@
 	m.Gauge("config_version").Update(float64(g.configVersion()))
 	m.Gauge("store_era").Update(float64(g.store.currentEpoch().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
+	refused, endings := g.suspects.counts()
+	m.Gauge("quarantined_parts").Update(float64(refused))
+	m.Gauge("suspect_endings").Update(float64(endings))
 	m.Gauge("server_limits").Update(float64(g.fleet.limitCount()))
 	for name, left := range g.fleet.retriesLeft(g.clock.Now(), g.retrySharers()) {
 		m.Tagged(map[string]string{"pool": name}).Gauge("retries_left").Update(float64(left))
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -64,6 +64,8 @@
 	// permit. limitedMs is when the request was first denied one; 0 if it was not.
 	limitedSends int
 	limitedMs    clock.Millis
+	// inquiry is the request's part in the end of servers.
+	inquiry inquiry
 	// stopAbandon is called when the answer begins. From then on the request is
 	// no longer abandoned shortly before the process exits, but may continue
 	// until the exit.
@@ -87,6 +89,7 @@
 		return
 	}
 	g.metrics.started(j)
+	defer g.suspects.release(j)
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(r.Context()), g.wallTime(j.timeoutMs), errTimeout)
 	defer cancel()
 	// A request whose answer has not begun is abandoned shortly before the
@@ -149,6 +152,7 @@
 		return j, failure
 	}
 	j.body, j.header = body, exchange.EndToEnd(r.Header)
+	j.inquiry.parts = promptParts(j.Blocks)
 	j.pool = g.fleet.pool(j.route.Choose(j.ID))
 	j.placeReq = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Blocks: j.Blocks}
 	j.pool.mu.Lock()
--- a/internal/role/gateway/join.go
+++ b/internal/role/gateway/join.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
+	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/epoch"
@@ -20,6 +21,8 @@
 	joinTimeout = 500 * clock.Millisecond
 	// maxJoinReplyServers bounds the draining servers and the limits in a joinReply.
 	maxJoinReplyServers = 128
+	// evidenceSenders is the number of gateways that send their evidence to one that joins.
+	evidenceSenders = 3
 )
 
 // joinReply is the message that a gateway sends to one that has connected to it.
@@ -38,6 +41,10 @@
 	// the servers for which it has issued some.
 	IssuesPermits bool              `json:"issuesPermits,omitempty"`
 	Limits        []ratelimit.Limit `json:"limits,omitempty"`
+	// Examines is set if the sender can be the examiner of suspected requests. Evidence is
+	// what it knows of servers that ended; only some gateways send it.
+	Examines bool                 `json:"examines,omitempty"`
+	Evidence *quarantine.Evidence `json:"evidence,omitempty"`
 }
 
 // joinState records whether a gateway that has just started can rely on the
@@ -104,7 +111,7 @@
 		}
 		// A store that reports no epoch is never restored from a backup, so the
 		// configuration read from it needs no confirmation by other gateways.
-		confirmed := !g.store.currentEpoch().Known() || g.join.upToDate(version)
+		confirmed := (!g.store.currentEpoch().Known() || g.join.upToDate(version)) && g.suspects.isLoaded()
 		if confirmed || now-since >= joinTimeout {
 			g.settled.Store(true)
 			g.log.WithFields(logrus.Fields{"event": "settled", "version": version, "told": confirmed, "waitedMs": int64(now - since)}).Info()
@@ -118,10 +125,15 @@
 func (g *Gateway) joinReply() joinReply {
 	version, at := g.config.state()
 	draining := g.fleet.drainingServers()
-	return joinReply{
+	r := joinReply{
 		Epoch: g.store.currentEpoch(), Config: version, ConfigAt: at, Settled: g.settled.Load(), Draining: draining[:min(len(draining), maxJoinReplyServers)],
-		IssuesPermits: true, Limits: g.permits.limits(maxJoinReplyServers),
+		IssuesPermits: true, Limits: g.permits.limits(maxJoinReplyServers), Examines: true,
 	}
+	if g.peers.ranksAmong(subjectEvidence, evidenceSenders) {
+		e, _ := g.suspects.snapshot()
+		r.Evidence = &e
+	}
+	return r
 }
 
 // receiveJoinReply handles the joinReply of a peer, and asks for its configuration if
@@ -137,7 +149,13 @@
 		g.serverDrains(g.clock.Now(), k, "gateway")
 	}
 	g.learnLimits(reply.Limits, "gateway")
-	t.setIssuesPermits(p, reply.IssuesPermits)
+	t.setDuties(p, reply.IssuesPermits, reply.Examines)
+	if reply.Evidence != nil {
+		g.suspects.merge(*reply.Evidence, false)
+		if reply.Settled {
+			g.suspects.setLoaded()
+		}
+	}
 	g.join.applyReply(reply)
 	if g.config.olderThan(reply.Config, reply.ConfigAt) {
 		t.mu.Lock()
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -12,7 +12,6 @@
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
-	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
@@ -346,21 +345,10 @@
 	return v.limits.Len()
 }
 
-// permitIssuerLocked returns the gateway that issues the permits for a server: of the peers
-// that are up and issue permits, the one with the highest rendezvous hash; nil if there is
-// none. An overloaded peer is chosen only if all are overloaded. t.mu is held.
+// permitIssuerLocked returns the gateway that issues the permits for a server; nil if there
+// is none. t.mu is held.
 func (t *peerTable) permitIssuerLocked(server string) *peer {
-	var best *peer
-	var most uint64
-	for _, p := range t.peers {
-		if !p.up || p.link == nil || !p.issuesPermits || best != nil && p.overloaded && !best.overloaded {
-			continue
-		}
-		if w := route.RendezvousHash(server, p.name); best == nil || best.overloaded && !p.overloaded || w > most {
-			best, most = p, w
-		}
-	}
-	return best
+	return t.electLocked(server, func(p *peer) bool { return p.issuesPermits })
 }
 
 // reportLimit reports a limit, or its end, to the issuer of the server's permits. If to is
@@ -415,11 +403,12 @@
 	}
 }
 
-// setIssuesPermits records whether a peer answers requests for permits.
-func (t *peerTable) setIssuesPermits(p *peer, issues bool) {
+// setDuties records whether a peer answers requests for permits and examines suspected
+// requests.
+func (t *peerTable) setDuties(p *peer, issuesPermits, examines bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p.issuesPermits = issues
+	p.issuesPermits, p.examines = issuesPermits, examines
 }
 
 // reachableShare returns the part of the known gateways, this one included, that are up and
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -102,6 +102,11 @@
 // serverEnded counts a server that refuses connections after a request broke off there.
 func (m *gatewayMetrics) serverEnded() { m.root.Counter("servers_ended").Inc(1) }
 
+// inquiry counts a request with suspected or refused prompt parts, by its outcome.
+func (m *gatewayMetrics) inquiry(outcome string) {
+	m.root.Tagged(map[string]string{"outcome": outcome}).Counter("prompt_inquiries").Inc(1)
+}
+
 // leading records whether this gateway is the leader.
 func (m *gatewayMetrics) leading(isLeader bool) {
 	v := 0.0
--- a/internal/role/gateway/peertable.go
+++ b/internal/role/gateway/peertable.go
@@ -53,6 +53,8 @@
 	// issuesPermits is set if the peer answers requests for permits. Gateways of earlier
 	// versions do not.
 	issuesPermits bool
+	// examines is set if the peer can be the examiner of suspected requests.
+	examines bool
 	// heartbeatMs is when the last heartbeat was sent, unansweredMs when the first one
 	// after the peer's last message was sent. Both are steady-clock times.
 	heartbeatMs, unansweredMs clock.Millis
@@ -79,10 +81,12 @@
 	// lastAsk is the ID of the last one.
 	permitAsks map[uint64]chan ratelimit.Answer
 	lastAsk    uint64
+	// trialAsks are like permitAsks, for questions to the examiner.
+	trialAsks map[uint64]chan bool
 }
 
 func newPeerTable(g *Gateway) *peerTable {
-	return &peerTable{g: g, peers: map[string]*peer{}, reservations: map[string]*reservation{}, pools: map[string]*pool{}, owners: map[string]*peer{}, heartbeats: map[string]enginequeue.Echo{}, permitAsks: map[uint64]chan ratelimit.Answer{}}
+	return &peerTable{g: g, peers: map[string]*peer{}, reservations: map[string]*reservation{}, pools: map[string]*pool{}, owners: map[string]*peer{}, heartbeats: map[string]enginequeue.Echo{}, permitAsks: map[uint64]chan ratelimit.Answer{}, trialAsks: map[uint64]chan bool{}}
 }
 
 // setPeers replaces the other gateways, given by name and address. Those that are
@@ -257,7 +261,7 @@
 	if p.up {
 		t.g.log.WithFields(logrus.Fields{"event": "peerLost", "peer": p.name}).Info(err)
 	}
-	p.link, p.overloaded, p.issuesPermits = nil, false, false
+	p.link, p.overloaded, p.issuesPermits, p.examines = nil, false, false, false
 	t.setPeerUp(p, false)
 }
 
@@ -349,6 +353,12 @@
 			return err
 		}
 		t.receivePermit(r)
+	case enginequeue.MethodTrialAnswer:
+		var r enginequeue.TrialReply
+		if err := json.Unmarshal(params, &r); err != nil {
+			return err
+		}
+		t.receiveTrialAnswer(r)
 	}
 	return nil
 }
@@ -403,6 +413,35 @@
 	}
 }
 
+// allUp reports whether all known gateways are up.
+func (t *peerTable) allUp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if !p.up {
+			return false
+		}
+	}
+	return true
+}
+
+// electLocked returns the gateway that does a duty for a key: of the peers that are up and
+// able, the one with the highest rendezvous hash; nil if there is none. An overloaded peer
+// is chosen only if all are overloaded. t.mu is held.
+func (t *peerTable) electLocked(key string, able func(p *peer) bool) *peer {
+	var best *peer
+	var most uint64
+	for _, p := range t.peers {
+		if !p.up || p.link == nil || !able(p) || best != nil && p.overloaded && !best.overloaded {
+			continue
+		}
+		if w := route.RendezvousHash(key, p.name); best == nil || best.overloaded && !p.overloaded || w > most {
+			best, most = p, w
+		}
+	}
+	return best
+}
+
 // anyPeerUp reports whether at least one of the named gateways is up.
 func (t *peerTable) anyPeerUp(names []string) bool {
 	t.mu.Lock()
@@ -420,6 +459,8 @@
 const (
 	subjectReaders    = "readers"
 	subjectCandidates = "holders"
+	subjectExaminer   = "examiner"
+	subjectEvidence   = "evidence"
 )
 
 // ranksAmong reports whether this gateway is one of the first n for a subject, of
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -62,7 +62,7 @@
 		}
 		msg := g.reservationMessage(j, to, now)
 		msg.NoAlternative = len(p.refused) > 0 || to.noAlternative
-		if j.placeReq.LatencySensitive {
+		if j.placeReq.LatencySensitive || j.inquiry.trial {
 			return to, g.peers.announce(j.pool, msg), nil
 		}
 		r := g.peers.reserve(j.pool, msg)
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -62,6 +62,7 @@
 
 // Again returns nil if the request is to be retried, or the failure that ends it.
 func (x *plain) Again(_ context.Context, s *send, _ error) *exchange.Failure {
+	x.g.examineBreak(x.j, s)
 	if x.g.retryAllowed(x.j, s, 0) {
 		return nil
 	}
@@ -115,6 +116,7 @@
 	if err != nil {
 		s.err = errors.Wrap(errTruncated, err.Error())
 		s.outcome = retry.OutcomeUnknown
+		s.broke = true
 		g.endSend(j, s, place.OutcomeFailed, "cut")
 		return false
 	}
@@ -128,6 +130,9 @@
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
 	}
 	g.gate.addMessage(len(data))
+	if ok && len(data) < bufferedAnswerBytes {
+		g.clearParts(j, s)
+	}
 	j.stopAbandon()
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
--- /dev/null
+++ b/internal/role/gateway/quarantine.go
@@ -0,0 +1,487 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/peer/enginequeue"
+	"github.com/damaskport/damaskport/internal/policy/quarantine"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// answeredEvents and answeredAfter are the number of events, and the time since the
+	// first one, from which on a request counts as answered: a part that ends servers does
+	// so when they begin to answer.
+	answeredEvents = 2
+	answeredAfter  = 250 * clock.Millisecond
+	// trialTimeout is how long a request waits for the examiner's answer, and trialRetry
+	// after how long it asks again.
+	trialTimeout = 250 * clock.Millisecond
+	trialRetry   = 100 * clock.Millisecond
+	// minHold and maxHold bound how long a suspected request waits, which is the latency
+	// target divided by holdDivisor.
+	minHold     = 300 * clock.Millisecond
+	maxHold     = 1500 * clock.Millisecond
+	holdDivisor = 2
+	// endedHold is how long a request under which a server ended waits for others to clear
+	// its parts.
+	endedHold = 500 * clock.Millisecond
+	// maxHeld is the number of requests that may wait at the same time.
+	maxHeld = 512
+	// suspectRetryAfter is the shortest Retry-After of a suspected request, and the span in
+	// which these callers return.
+	suspectRetryAfter = 500 * clock.Millisecond
+	// clearedSpread is the span in which gateways tell that a part is cleared: one that
+	// hears it meanwhile does not repeat it.
+	clearedSpread = 120 * clock.Millisecond
+)
+
+// suspects keeps requests from servers that a part of their prompts would end. It is safe
+// for concurrent use.
+type suspects struct {
+	g *Gateway
+
+	mu       sync.Mutex
+	ledger   *quarantine.Ledger
+	examiner *quarantine.Examiner
+	// changed is closed when the evidence changes or a trial of this gateway ends.
+	changed chan struct{}
+	// version counts the changes of the evidence, and loaded is set once that of the store or
+	// of another gateway was read.
+	version int
+	loaded  bool
+	// unsent are cleared parts that the other gateways are told of at sendAt.
+	unsent map[string]quarantine.Mark
+	// holders are the requests that ask for, or have, the permission to run a trial with a
+	// part, by the first suspected part.
+	holders map[string]*job
+	held    int
+	// refused are the parts that were refused at the last change, for the log.
+	refused []string
+}
+
+func newSuspects(g *Gateway) *suspects {
+	return &suspects{
+		g: g, ledger: quarantine.NewLedger(), examiner: quarantine.NewExaminer(), changed: make(chan struct{}),
+		unsent: map[string]quarantine.Mark{}, holders: map[string]*job{},
+	}
+}
+
+// inquiry is what is known of one request's part in the end of servers.
+type inquiry struct {
+	parts []string // shared parts of the prompt, as in evidence
+	// trial is set while the request has the permission to run although it is suspected, and
+	// retrial if it has it although its parts are refused.
+	trial, retrial bool
+	// barred is set if a server ended as it answered the request, or after another one had
+	// ended under one of its parts: it runs again only if its parts are cleared.
+	barred bool
+	// heldUntil is when the request stops waiting; 0 if it has not waited.
+	heldUntil clock.Millis
+}
+
+// wall returns the time of evidence.
+func (s *suspects) wall() clock.Millis { return s.g.clock.Wall() }
+
+// judge returns the verdict on j.
+func (s *suspects) judge(j *job) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Judge(s.wall(), j.account, j.inquiry.parts)
+}
+
+// maySend reports whether j may be sent now.
+func (s *suspects) maySend(j *job) bool {
+	if len(j.inquiry.parts) == 0 {
+		return true
+	}
+	v := s.judge(j)
+	return v.State == quarantine.Clear || j.inquiry.allows(v)
+}
+
+// allows reports whether a request may run although the verdict on it is not Clear.
+func (q inquiry) allows(v quarantine.Verdict) bool {
+	return q.trial && (v.State == quarantine.Suspected || q.retrial)
+}
+
+// admit waits until j may be sent. The failure is final: a part of the prompt is refused,
+// or was suspected for too long.
+func (s *suspects) admit(ctx context.Context, j *job) *exchange.Failure {
+	if len(j.inquiry.parts) == 0 {
+		return nil
+	}
+	began := s.g.clock.Now()
+	for {
+		s.mu.Lock()
+		v := s.ledger.Judge(s.wall(), j.account, j.inquiry.parts)
+		changed := s.changed
+		s.mu.Unlock()
+		switch {
+		case j.inquiry.allows(v):
+			return nil
+		case v.State == quarantine.Clear:
+			s.logAdmitted(j, v, began, "cleared")
+			return nil
+		case v.State == quarantine.Refused || v.Retrial && j.mayHaveRun:
+			s.release(j)
+			s.logAdmitted(j, v, began, "refused")
+			return &exchange.Failure{Status: http.StatusBadGateway, Code: "promptQuarantined", NotRun: !j.mayHaveRun}
+		}
+		if !s.mayWait(j, v) {
+			s.release(j)
+			s.logAdmitted(j, v, began, "waited")
+			return s.heldTooLong(j)
+		}
+		if !j.inquiry.barred && s.obtainTrial(ctx, j, v) {
+			s.logAdmitted(j, v, began, "trial")
+			return nil
+		}
+		s.wait(ctx, j, changed)
+	}
+}
+
+// mayWait reports whether j may wait for its suspected parts to be cleared or for a trial.
+func (s *suspects) mayWait(j *job, v quarantine.Verdict) bool {
+	now, q := s.g.clock.Now(), &j.inquiry
+	if q.heldUntil == 0 {
+		hold := min(max(j.route.TargetMs/holdDivisor, minHold), maxHold)
+		if j.mayHaveRun {
+			q.barred = q.barred || v.Endings > 1
+			hold = endedHold
+		}
+		q.heldUntil = min(now+hold, j.timeoutMs-minTimeLeft)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < q.heldUntil && s.held < maxHeld
+}
+
+// wait waits until the evidence changes, but for a short time only.
+func (s *suspects) wait(ctx context.Context, j *job, changed <-chan struct{}) {
+	s.mu.Lock()
+	s.held++
+	s.mu.Unlock()
+	left := max(min(trialRetry, j.inquiry.heldUntil-s.g.clock.Now()), 1)
+	wait, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	select {
+	case <-changed:
+	case <-wait.Done():
+	}
+	if ctx.Err() != nil {
+		j.inquiry.heldUntil = s.g.clock.Now()
+	}
+	s.mu.Lock()
+	s.held--
+	s.mu.Unlock()
+}
+
+// heldTooLong returns the failure of a request whose parts remained suspected.
+func (s *suspects) heldTooLong(j *job) *exchange.Failure {
+	const reason = "promptSuspected"
+	if j.mayHaveRun {
+		return s.g.abandon(j, reason)
+	}
+	return notRun(http.StatusServiceUnavailable, reason, suspectRetryAfter+clock.Millis(rand.Int64N(int64(suspectRetryAfter))))
+}
+
+// logAdmitted logs the decision on a request that was not clear at once.
+func (s *suspects) logAdmitted(j *job, v quarantine.Verdict, began clock.Millis, outcome string) {
+	if outcome == "cleared" && j.inquiry.heldUntil == 0 {
+		return
+	}
+	s.g.metrics.inquiry(outcome)
+	j.log.WithFields(logrus.Fields{
+		"event": "promptExamined", "outcome": outcome, "parts": v.Parts, "endings": v.Endings, "retrial": v.Retrial, "waitedMs": int64(s.g.clock.Now() - began),
+	}).Info()
+}
+
+// obtainTrial asks the examiner for the permission to run j, and reports whether it was
+// given. Of the requests of this gateway with a part only one at a time asks.
+func (s *suspects) obtainTrial(ctx context.Context, j *job, v quarantine.Verdict) bool {
+	key := v.Parts[0]
+	s.mu.Lock()
+	if h := s.holders[key]; h != nil && h != j {
+		s.mu.Unlock()
+		return false
+	}
+	s.holders[key] = j
+	s.mu.Unlock()
+	granted, answered := s.g.peers.askTrial(ctx, enginequeue.TrialRequest{Request: j.ID, Parts: v.Parts, Retrial: v.Retrial})
+	if granted || !answered && !v.Retrial {
+		// Without an examiner, this gateway alone runs one trial at a time.
+		j.inquiry.trial, j.inquiry.retrial = true, v.Retrial
+		return true
+	}
+	s.release(j)
+	return false
+}
+
+// release ends the trial of j, or its wait for one.
+func (s *suspects) release(j *job) {
+	if len(j.inquiry.parts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	had := false
+	for key, h := range s.holders {
+		if h == j {
+			delete(s.holders, key)
+			had = true
+		}
+	}
+	if had {
+		s.notifyLocked()
+	}
+	s.mu.Unlock()
+	if j.inquiry.trial {
+		j.inquiry.trial, j.inquiry.retrial = false, false
+		s.g.peers.endTrial(j.ID)
+	}
+}
+
+// notifyLocked wakes the requests that wait; s.mu is held.
+func (s *suspects) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// changedLocked notes that the evidence has changed; s.mu is held.
+func (s *suspects) changedLocked() {
+	s.version++
+	s.notifyLocked()
+	var refused []string
+	for _, q := range s.ledger.Quarantined() {
+		refused = append(refused, q.Parts...)
+		for _, id := range q.Parts {
+			if !slices.Contains(s.refused, id) {
+				s.g.log.WithFields(logrus.Fields{"event": "partQuarantined", "part": id, "with": q.Parts, "endings": len(q.Endings), "accounts": q.Accounts}).Warn()
+			}
+		}
+	}
+	for _, id := range s.refused {
+		if !slices.Contains(refused, id) {
+			s.g.log.WithFields(logrus.Fields{"event": "partCleared", "part": id}).Warn()
+		}
+	}
+	s.refused = refused
+}
+
+// merge adds evidence and tells the other gateways what was new, if tell is set.
+func (s *suspects) merge(e quarantine.Evidence, tell bool) {
+	s.mu.Lock()
+	news := s.ledger.Merge(s.wall(), e)
+	for _, m := range e.Cleared {
+		delete(s.unsent, m.Part)
+	}
+	if !news.Empty() {
+		s.changedLocked()
+	}
+	s.mu.Unlock()
+	if tell && !news.Empty() {
+		s.tell(news)
+	}
+}
+
+// tell sends evidence to all other gateways.
+func (s *suspects) tell(e quarantine.Evidence) {
+	s.g.peers.broadcast(enginequeue.MethodEvidence, func(*peer) any { return e })
+}
+
+// ended records that a server ended before it had answered j.
+func (s *suspects) ended(j *job, a *send) {
+	q := &j.inquiry
+	s.merge(quarantine.Evidence{Endings: []quarantine.Ending{{
+		Server: a.engine.Key(), AtMs: s.wall(),
+		Suspects: []quarantine.Suspect{{Request: j.ID, Account: j.account, Parts: q.parts, Trial: q.trial}},
+	}}}, true)
+	// A server that had sent a header was answering the request.
+	q.barred = q.barred || a.ans != nil
+	q.heldUntil = 0
+}
+
+// answered records that j was answered far enough to clear its parts, and ends its trial.
+func (s *suspects) answered(j *job) {
+	if len(j.inquiry.parts) == 0 {
+		return
+	}
+	trial := j.inquiry.trial
+	s.mu.Lock()
+	news := s.ledger.Answered(s.wall(), j.inquiry.parts)
+	if !news.Empty() {
+		s.changedLocked()
+		if !trial {
+			s.tellLaterLocked(news)
+		}
+	}
+	s.mu.Unlock()
+	if trial {
+		s.tell(news)
+		s.release(j)
+	}
+}
+
+// tellLaterLocked tells the other gateways of cleared parts after a while, unless they tell
+// the same first; s.mu is held.
+func (s *suspects) tellLaterLocked(e quarantine.Evidence) {
+	if len(s.unsent) == 0 {
+		time.AfterFunc(clock.Millis(rand.Int64N(int64(clearedSpread))).Duration(), s.tellCleared)
+	}
+	for _, m := range e.Cleared {
+		s.unsent[m.Part] = m
+	}
+}
+
+func (s *suspects) tellCleared() {
+	var e quarantine.Evidence
+	s.mu.Lock()
+	for _, m := range s.unsent {
+		e.Cleared = append(e.Cleared, m)
+	}
+	clear(s.unsent)
+	s.mu.Unlock()
+	if !e.Empty() {
+		s.tell(e)
+	}
+}
+
+// snapshot returns all evidence and its version.
+func (s *suspects) snapshot() (quarantine.Evidence, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Evidence(), s.version
+}
+
+// counts returns the numbers of refused groups of parts and of endings in the evidence.
+func (s *suspects) counts() (refused, endings int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Len()
+}
+
+// setLoaded records that the evidence of the store or of another gateway is known.
+func (s *suspects) setLoaded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = true
+}
+
+func (s *suspects) isLoaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// receiveEvidence handles evidence that another gateway tells.
+func (g *Gateway) receiveEvidence(from string, data json.RawMessage) error {
+	var e quarantine.Evidence
+	if err := json.Unmarshal(data, &e); err != nil {
+		g.log.WithFields(logrus.Fields{"event": "evidenceInvalid", "from": from}).Warn(err)
+		return nil
+	}
+	g.suspects.merge(e, false)
+	return nil
+}
+
+// answerTrial answers a gateway that asks to run a suspected request.
+func (g *Gateway) answerTrial(entry string, data json.RawMessage) error {
+	var m enginequeue.TrialRequest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	s := g.suspects
+	s.mu.Lock()
+	granted := s.examiner.Ask(g.clock.Now(), entry+"/"+m.Request, m.Parts)
+	var news quarantine.Evidence
+	if granted && m.Retrial {
+		if news = s.ledger.Retry(s.wall(), m.Parts); news.Empty() {
+			s.examiner.End(entry + "/" + m.Request)
+			granted = false
+		} else {
+			s.changedLocked()
+		}
+	}
+	s.mu.Unlock()
+	if !news.Empty() {
+		s.tell(news)
+	}
+	g.queueHost.Notify(entry, enginequeue.MethodTrialAnswer, enginequeue.TrialReply{ID: m.ID, Granted: granted})
+	return nil
+}
+
+// receiveTrialEnd handles the end of a trial.
+func (g *Gateway) receiveTrialEnd(entry string, data json.RawMessage) error {
+	var m enginequeue.TrialRequest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	g.suspects.mu.Lock()
+	defer g.suspects.mu.Unlock()
+	g.suspects.examiner.End(entry + "/" + m.Request)
+	return nil
+}
+
+// examinerLocked returns the gateway that grants trials; nil if there is none. t.mu is held.
+func (t *peerTable) examinerLocked() *peer {
+	return t.electLocked(subjectExaminer, func(p *peer) bool { return p.examines })
+}
+
+// askTrial asks the examiner whether a request may run; answered is false if there was no
+// answer within trialTimeout.
+func (t *peerTable) askTrial(ctx context.Context, m enginequeue.TrialRequest) (granted, answered bool) {
+	answer := make(chan bool, 1)
+	t.mu.Lock()
+	p := t.examinerLocked()
+	if p == nil {
+		t.mu.Unlock()
+		return false, false
+	}
+	t.lastAsk++
+	m.ID = t.lastAsk
+	t.trialAsks[m.ID] = answer
+	p.link.Notify(enginequeue.MethodTrial, m)
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		delete(t.trialAsks, m.ID)
+		t.mu.Unlock()
+	}()
+	timeout := time.NewTimer(trialTimeout.Duration())
+	defer timeout.Stop()
+	select {
+	case granted = <-answer:
+		return granted, true
+	case <-ctx.Done():
+		return false, true
+	case <-timeout.C:
+		return false, false
+	}
+}
+
+// receiveTrialAnswer passes the examiner's answer to the request that waits for it.
+func (t *peerTable) receiveTrialAnswer(r enginequeue.TrialReply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if answer := t.trialAsks[r.ID]; answer != nil {
+		delete(t.trialAsks, r.ID)
+		answer <- r.Granted
+	}
+}
+
+// endTrial tells the examiner that the trial of a request has ended.
+func (t *peerTable) endTrial(request string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.examinerLocked(); p != nil {
+		p.link.Notify(enginequeue.MethodTrialEnd, enginequeue.TrialRequest{Request: request})
+	}
+}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -40,6 +40,7 @@
 	// begun is set once the first event has arrived, at beganMs.
 	begun   bool
 	beganMs clock.Millis
+	events  int // events received
 	cancel  context.CancelFunc
 	outcome retry.Outcome // set if there is no answer to forward
 	err     error
@@ -48,6 +49,12 @@
 	// limited is set if the request was not sent because the server has a limit and the
 	// request no valid permit.
 	limited bool
+	// suspected is set if the request was not sent because a part of its prompt is suspected
+	// or refused.
+	suspected bool
+	// broke is set if the connection to the server broke off. cleared is set once the
+	// request was answered far enough to clear its prompt parts.
+	broke, cleared bool
 }
 
 // wallTime converts a time of the gateway's clock to a time.Time.
@@ -64,6 +71,9 @@
 	if j.timeoutMs-now < minTimeLeft {
 		return nil, g.abandon(j, "noTimeLeft")
 	}
+	if failure := g.suspects.admit(ctx, j); failure != nil {
+		return nil, failure
+	}
 	to, reservation, failure := g.place(ctx, j)
 	if failure != nil {
 		return nil, failure
@@ -101,7 +111,8 @@
 		},
 		Allowed: func() bool {
 			s.limited = !g.mayBeSent(g.clock.Now(), to)
-			return !s.limited && j.pool.accepts(g.clock.Now(), to.engine)
+			s.suspected = !g.suspects.maySend(j)
+			return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine)
 		},
 	})
 	if err != nil {
@@ -161,10 +172,8 @@
 		j.sends++
 		j.mayHaveRun = true
 		s.outcome = retry.OutcomeUnknown
+		s.broke = !errors.Is(err, errServerTimeout)
 		g.endSend(j, s, place.OutcomeUnreachable, "noAnswer")
-		if !errors.Is(err, errServerTimeout) {
-			g.brokeOff(j, s)
-		}
 	}
 }
 
@@ -194,12 +203,12 @@
 }
 
 // retryAllowed reports whether j may be sent again after the attempt s, and
-// excludes the server of s, unless it only lacked a permit. delivered is the number of events that the caller has
+// excludes the server of s, unless it was withheld for another reason than the server. delivered is the number of events that the caller has
 // received. A retry is taken from the pool's budget unless the request did not
 // reach the server of s.
 func (g *Gateway) retryAllowed(j *job, s *send, delivered int) bool {
 	now := g.clock.Now()
-	if s.limited && j.limitedSends < maxNotSent {
+	if (s.limited || s.suspected) && j.limitedSends < maxNotSent {
 		j.limitedSends++
 		return now < j.timeoutMs-minTimeLeft
 	}
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -26,11 +26,13 @@
 	TopicUsage
 	// TopicMembers holds the addresses at which gateways reach each other.
 	TopicMembers
+	// TopicEvidence holds what the gateways know of servers that prompts have ended.
+	TopicEvidence
 )
 
 // String returns the topic's name in logs and metrics.
 func (t Topic) String() string {
-	return [...]string{"config", "servers", "duty", "usage", "members"}[t]
+	return [...]string{"config", "servers", "duty", "usage", "members", "evidence"}[t]
 }
 
 // Record is one record of a topic. A record without a value deletes its key.
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -33,6 +33,7 @@
 // Again returns nil if the request is to be retried or resumed at another server,
 // or the failure that ends it.
 func (x *relay) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
+	x.g.examineBreak(x.j, s)
 	callerLeft := ctx.Err() != nil && x.j.r.Context().Err() != nil
 	if !callerLeft && x.g.retryAllowed(x.j, s, x.j.caller.Progress().Writes) {
 		return nil
@@ -57,6 +58,7 @@
 	switch {
 	case err == nil:
 		x.begin(s)
+		g.clearParts(j, s)
 		progress := j.caller.Progress()
 		g.endSend(j, s, place.OutcomeOK, "answered")
 		g.mu.Lock()
@@ -75,8 +77,8 @@
 	default:
 		s.err = err
 		s.outcome = retry.OutcomeUnknown
+		s.broke = true
 		g.endSend(j, s, place.OutcomeFailed, "cut")
-		g.brokeOff(j, s)
 	}
 	return err
 }
@@ -142,6 +144,9 @@
 	if id := sse.ID(event); id != "" {
 		x.lastID = id
 	}
+	if s.events++; s.events >= answeredEvents && g.clock.Now()-s.beganMs >= answeredAfter {
+		g.clearParts(x.j, s)
+	}
 	return nil
 }
 
