Gateway: log the software version of a chosen server and the stream that is taken up

Cause: logs could not tell a stream that the gateway resumes at another version from one that its caller takes up there. Change: the list of servers has their software version, the codec reads which stream a caller takes up; placed logs both. The digest of the list leaves the version out, so that it is the same in gateways of earlier builds. Nothing is decided by it yet.

--- a/internal/role/gateway/codec.go
+++ b/internal/role/gateway/codec.go
@@ -28,6 +28,9 @@
 	Blocks         []PromptBlock
 	// ResumesAt is the id of the last event that the caller has received.
 	ResumesAt string
+	// Origin is the request id of the attempt that brought the first event of the stream
+	// that the caller takes up again; empty if not given.
+	Origin string
 }
 
 // Send holds what the gateway sets in the headers of a request that it forwards
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -62,6 +62,7 @@
 	conns       map[servers.Key]*direct.Pool
 	engines     map[string]enginequeue.Engine // all servers that may take requests, by ID
 	addrs       map[string]string
+	versions    map[string]string // software versions, by ID
 	retries     *retry.WindowBudget
 	// returns assigns the times at which callers return that were refused because all
 	// servers are at their limits.
@@ -193,7 +194,7 @@
 	out := make([]place.Server, 0, len(list))
 	live := map[servers.Key]bool{}
 	engines := map[string]enginequeue.Engine{}
-	addrs := map[string]string{}
+	addrs, versions := map[string]string{}, map[string]string{}
 	for _, s := range list {
 		ps := place.Server{ID: s.ID, Start: s.Start, Zone: s.Zone, Slots: s.Slots}
 		if p.engine {
@@ -202,7 +203,7 @@
 		out = append(out, ps)
 		live[s.Key()] = true
 		engines[s.ID] = enginequeue.Engine{ID: s.ID, Start: s.Start, Slots: s.Slots, MemoryTokens: ps.CacheTokens}
-		addrs[s.ID] = s.Addr
+		addrs[s.ID], versions[s.ID] = s.Addr, s.Version
 		if p.conns[s.Key()] == nil {
 			c := direct.NewPool(s.Addr, v.clock)
 			c.Dialed = v.dialed
@@ -221,7 +222,7 @@
 			delete(p.conns, k)
 		}
 	}
-	p.engines, p.addrs = engines, addrs
+	p.engines, p.addrs, p.versions = engines, addrs, versions
 }
 
 // choose selects a server for r, except those in exclude, and records that r is sent
@@ -235,7 +236,7 @@
 	}
 	p.table.Sent(c, r)
 	e := p.engines[c.ID]
-	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], copyFromAddr: p.addrs[c.CopyFrom], noAlternative: len(p.engines) <= len(exclude)+1}, true
+	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], copyFromAddr: p.addrs[c.CopyFrom], version: p.versions[c.ID], noAlternative: len(p.engines) <= len(exclude)+1}, true
 }
 
 // target is the server chosen for a request.
@@ -243,6 +244,8 @@
 	place.Choice
 	engine enginequeue.Engine
 	conns  *direct.Pool
+	// version is the software version of the server.
+	version string
 	// noAlternative is set if the pool has no other server that was not excluded.
 	noAlternative bool
 	// permit is the permit for the request if the server has a limit.
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -164,6 +164,12 @@
 	if limit, ok := g.fleet.limit(to.engine.Key()); ok {
 		f["limit"] = limit
 	}
+	if to.version != "" {
+		f["version"] = to.version
+	}
+	if j.ResumesAt != "" {
+		f["resumes"] = j.Origin
+	}
 	j.log.WithFields(f).Info()
 }
 
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -46,6 +46,7 @@
 	Start    int64        // when the server process started, Unix milliseconds; 0 if unknown
 	WarmUpMs clock.Millis // warm-up time left when the entry was written
 	Draining bool         // the server shuts down and accepts no new requests
+	Version  string       // version of the server's software; empty if it names none
 }
 
 // Key identifies one start of a server: one lifetime of the server process.
@@ -198,14 +199,24 @@
 	return !ok || old.keepUntilMs != 0 || differ(old.Server, s)
 }
 
-// digestOf returns the contribution of an entry to List.Digest: a hash of all fields
-// except sequence number and warm-up time, or 0 if the server drains.
+// digested holds the fields of an entry that digestOf hashes. Gateways of earlier versions
+// hash the same ones, so that their digests are equal.
+type digested struct {
+	ID, Pool, Addr, Zone string
+	Slots                int
+	Seq, Start           int64
+	WarmUpMs             clock.Millis
+	Draining             bool
+}
+
+// digestOf returns the contribution of an entry to List.Digest: a hash of its fields except
+// sequence number, warm-up time and version, or 0 if the server drains. The version never
+// changes without the start.
 func digestOf(s Server) uint64 {
 	if s.Draining {
 		return 0
 	}
-	s.Seq, s.WarmUpMs = 0, 0
-	return xxhash.Sum64String(fmt.Sprint(s))
+	return xxhash.Sum64String(fmt.Sprint(digested{ID: s.ID, Pool: s.Pool, Addr: s.Addr, Zone: s.Zone, Slots: s.Slots, Start: s.Start}))
 }
 
 // differ reports whether a and b differ in any field except sequence number and warm-up
