Gateway: a stream goes on only at the software version that began it

Cause: the version of a server was not known; a stream that broke off was resumed, and one that its caller took up was placed, at any server. Class: what a request leaves at servers that only one gateway learns, or that a restart forgets. Change: state/versions. A stream is bound to the version that sent its first event. A pool that has had one version for longer than a stream lasts needs no record: the versions are kept in the store, streams begin at a new one only once it is there, and a stream that is taken up waits for a list of servers read since. While there are several, each gateway records the streams that begin in the store, in batches, and all that run when a second version comes; a gateway that does not know a stream reads these records. What cannot be proved is refused: 503, not run; an answer that has begun is cut.

--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -9,7 +9,8 @@
 //
 //	dialer -> queue owner  hello, reserve, announce, cancel, begun, done, counts,
 //	                       collect, config, fetch, hint, leaving, seal, heartbeat,
-//	                       limit, limits, permit, evidence, trial, trialEnd
+//	                       limit, limits, permit, evidence, trial, trialEnd,
+//	                       versions
 //	queue owner -> dialer  welcome, offer, refuse, load, config, permitted,
 //	                       trialAnswer
 //
@@ -23,6 +24,7 @@
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
+	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
 // Methods that the protocol has in addition to those of package dispatch.
@@ -79,8 +81,17 @@
 	MethodTrial       = "trial"
 	MethodTrialAnswer = "trialAnswer"
 	MethodTrialEnd    = "trialEnd"
+	// MethodVersions carries the software versions of servers (Versions).
+	MethodVersions = "versions"
 )
 
+// Versions are the software versions of the servers by pool; Stored is set if the store holds
+// them.
+type Versions struct {
+	Spans  versions.Spans `json:"spans"`
+	Stored bool           `json:"stored,omitempty"`
+}
+
 // TrialRequest asks to run one request, or names one that has ended.
 type TrialRequest struct {
 	// ID is unique among the requests of the sender.
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -32,6 +34,10 @@
 	// connection to a server.
 	listed atomic.Bool
 	dialed func()
+	// listAsOfMs is when the list of servers was last known to be the store's (steady clock).
+	listAsOfMs atomic.Int64
+	// listChanged has an element after the list of servers has changed.
+	listChanged chan struct{}
 
 	mu         sync.Mutex
 	pools      map[string]*pool
@@ -71,7 +77,7 @@
 }
 
 func newFleetView(zone string, c clock.Clock, log logrus.FieldLogger, limit retry.WindowLimit) *fleetView {
-	return &fleetView{zone: zone, clock: c, log: log, retryLimit: limit, pools: map[string]*pool{}, notices: servers.NewNotices(), limits: ratelimit.NewKnown()}
+	return &fleetView{zone: zone, clock: c, log: log, retryLimit: limit, pools: map[string]*pool{}, notices: servers.NewNotices(), limits: ratelimit.NewKnown(), listChanged: make(chan struct{}, 1)}
 }
 
 func (v *fleetView) config() *routing.Config { return v.cfg.Load() }
@@ -114,6 +120,10 @@
 	v.mu.Unlock()
 	v.listed.Store(true)
 	v.refresh()
+	select {
+	case v.listChanged <- struct{}{}:
+	default:
+	}
 }
 
 // setRetryLimit changes the limit on retries.
@@ -239,6 +249,65 @@
 	return target{Choice: c, engine: e, conns: p.conns[servers.Key{ID: e.ID, Start: e.Start}], copyFromAddr: p.addrs[c.CopyFrom], version: p.versions[c.ID], noAlternative: len(p.engines) <= len(exclude)+1}, true
 }
 
+// versionList returns the software versions of the servers of the pool, sorted.
+func (p *pool) versionList() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Compact(slices.Sorted(maps.Values(p.versions)))
+}
+
+// idsOf returns the servers of the pool whose software version is one for which match is
+// true.
+func (p *pool) idsOf(match func(version string) bool) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, v := range p.versions {
+		if match(v) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// listedVersions returns the software versions of the listed servers by pool.
+func (v *fleetView) listedVersions() map[string][]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := map[string][]string{}
+	for _, s := range v.list {
+		if !slices.Contains(out[s.Pool], s.Version) {
+			out[s.Pool] = append(out[s.Pool], s.Version)
+		}
+	}
+	return out
+}
+
+// starts returns when the current process of each listed server started, by server id.
+func (v *fleetView) starts() map[string]int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make(map[string]int64, len(v.list))
+	for _, s := range v.list {
+		out[s.ID] = s.Start
+	}
+	return out
+}
+
+// listAsOf returns when the list of servers was last known to be the store's, by the steady
+// clock.
+func (v *fleetView) listAsOf() clock.Millis { return clock.Millis(v.listAsOfMs.Load()) }
+
+// awaitList waits until the list of servers changes, for at most d.
+func (v *fleetView) awaitList(ctx context.Context, d clock.Millis) {
+	wait, cancel := context.WithTimeout(ctx, d.Duration())
+	defer cancel()
+	select {
+	case <-v.listChanged:
+	case <-wait.Done():
+	}
+}
+
 // target is the server chosen for a request.
 type target struct {
 	place.Choice
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -119,6 +119,7 @@
 	permits         *permitIssuer
 	endings         *endings
 	suspects        *suspects
+	streams         *streams
 }
 
 // New creates a gateway and opens its listeners.
@@ -139,6 +140,7 @@
 	g.permits = newPermitIssuer()
 	g.endings = newEndings()
 	g.suspects = newSuspects(g)
+	g.streams = newStreams(g)
 	g.outage = newOutage()
 	g.store.onNewEpoch = g.epochChanged
 	g.queueHost.Overloaded = g.overloaded
@@ -149,6 +151,7 @@
 		enginequeue.MethodSeal: g.receiveSeal, enginequeue.MethodLimit: g.receiveLimitReport, enginequeue.MethodLimits: g.receiveLimits,
 		enginequeue.MethodPermit: g.answerPermit, enginequeue.MethodEvidence: g.receiveEvidence,
 		enginequeue.MethodTrial: g.answerTrial, enginequeue.MethodTrialEnd: g.receiveTrialEnd,
+		enginequeue.MethodVersions: g.receiveVersions,
 	}
 	g.queueHost.OnHello = g.gatewayConnected
 	g.queueHost.OnFetch = func() any { return g.config.full() }
@@ -231,6 +234,8 @@
 		supervise.Task{Name: "member", Run: g.publishMember},
 		supervise.Task{Name: "settle", Run: g.waitUntilSettled},
 		supervise.Task{Name: "evidence", Run: g.keepEvidence},
+		supervise.Task{Name: "versions", Run: g.keepVersions},
+		supervise.Task{Name: "streams", Run: g.keepStreams},
 		supervise.Task{Name: "peers", Run: g.followPeers},
 		supervise.Task{Name: "beats", Run: g.peers.sendHeartbeats},
 		supervise.Task{Name: "ready", Run: func(ctx context.Context) error {
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -66,6 +66,8 @@
 	limitedMs    clock.Millis
 	// inquiry is the request's part in the end of servers.
 	inquiry inquiry
+	// stream is the software version to which the stream is bound.
+	stream streamVersion
 	// stopAbandon is called when the answer begins. From then on the request is
 	// no longer abandoned shortly before the process exits, but may continue
 	// until the exit.
@@ -103,6 +105,7 @@
 		defer stop()
 	}
 	if j.route.Kind == routing.KindStream {
+		defer g.streams.end(j)
 		exchange.Run(ctx, &relay{g: g, j: j})
 		return
 	}
@@ -153,7 +156,7 @@
 	}
 	j.body, j.header = body, exchange.EndToEnd(r.Header)
 	j.inquiry.parts = promptParts(j.Blocks)
-	j.pool = g.fleet.pool(j.route.Choose(j.ID))
+	j.pool = g.fleet.pool(j.route.Choose(j.streamOrigin()))
 	j.placeReq = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Blocks: j.Blocks}
 	j.pool.mu.Lock()
 	j.placeReq.LatencySensitive = j.pool.sensitiveITLMs > 0 && j.route.ITLTargetMs <= j.pool.sensitiveITLMs
--- a/internal/role/gateway/join.go
+++ b/internal/role/gateway/join.go
@@ -13,6 +13,7 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/epoch"
 	"github.com/damaskport/damaskport/internal/state/servers"
+	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
 const (
@@ -45,6 +46,9 @@
 	// what it knows of servers that ended; only some gateways send it.
 	Examines bool                 `json:"examines,omitempty"`
 	Evidence *quarantine.Evidence `json:"evidence,omitempty"`
+	// Versions are the software versions that the sender knows, if it has read those of the
+	// store; only some gateways send them.
+	Versions *versions.Spans `json:"versions,omitempty"`
 }
 
 // joinState records whether a gateway that has just started can rely on the
@@ -111,7 +115,7 @@
 		}
 		// A store that reports no epoch is never restored from a backup, so the
 		// configuration read from it needs no confirmation by other gateways.
-		confirmed := (!g.store.currentEpoch().Known() || g.join.upToDate(version)) && g.suspects.isLoaded()
+		confirmed := (!g.store.currentEpoch().Known() || g.join.upToDate(version)) && g.suspects.isLoaded() && g.streams.isLoaded()
 		if confirmed || now-since >= joinTimeout {
 			g.settled.Store(true)
 			g.log.WithFields(logrus.Fields{"event": "settled", "version": version, "told": confirmed, "waitedMs": int64(now - since)}).Info()
@@ -132,6 +136,10 @@
 	if g.peers.ranksAmong(subjectEvidence, evidenceSenders) {
 		e, _ := g.suspects.snapshot()
 		r.Evidence = &e
+		if g.streams.isLoaded() {
+			spans, _ := g.streams.spans()
+			r.Versions = &spans
+		}
 	}
 	return r
 }
@@ -156,6 +164,10 @@
 			g.suspects.setLoaded()
 		}
 	}
+	if reply.Versions != nil {
+		g.streams.merge(*reply.Versions, false)
+		g.streams.setLoaded()
+	}
 	g.join.applyReply(reply)
 	if g.config.olderThan(reply.Config, reply.ConfigAt) {
 		t.mu.Lock()
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -107,6 +107,12 @@
 	m.root.Tagged(map[string]string{"outcome": outcome}).Counter("prompt_inquiries").Inc(1)
 }
 
+// streamJoin counts a stream that went on, by the proof of its version, or did not, by the
+// reason.
+func (m *gatewayMetrics) streamJoin(outcome string) {
+	m.root.Tagged(map[string]string{"outcome": outcome}).Counter("stream_joins").Inc(1)
+}
+
 // leading records whether this gateway is the leader.
 func (m *gatewayMetrics) leading(isLeader bool) {
 	v := 0.0
--- a/internal/role/gateway/peertable.go
+++ b/internal/role/gateway/peertable.go
@@ -461,6 +461,7 @@
 	subjectCandidates = "holders"
 	subjectExaminer   = "examiner"
 	subjectEvidence   = "evidence"
+	subjectVersions   = "versions"
 )
 
 // ranksAmong reports whether this gateway is one of the first n for a subject, of
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -44,7 +44,7 @@
 		if !j.mayHaveRun && g.mayExitBefore(j, now) {
 			return target{}, nil, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 		}
-		exclude := slices.Concat(p.refused, p.denied, j.exclude)
+		exclude := slices.Concat(p.refused, p.denied, j.exclude, g.streams.exclusions(j))
 		to, ok := j.pool.choose(now, j.placeReq, exclude)
 		if !ok && g.awaitLimit(ctx, j, exclude) {
 			continue
@@ -127,7 +127,8 @@
 		return true
 	}
 	better := false
-	p.j.pool.withTable(func(t *place.ServerTable) { better = t.ShouldMove(now, p.j.placeReq, to.Choice, p.j.exclude) })
+	exclude := slices.Concat(p.j.exclude, p.g.streams.exclusions(p.j))
+	p.j.pool.withTable(func(t *place.ServerTable) { better = t.ShouldMove(now, p.j.placeReq, to.Choice, exclude) })
 	return better
 }
 
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -33,6 +33,7 @@
 	choice      place.Choice
 	engine      enginequeue.Engine
 	conns       *direct.Pool
+	version     string       // software version of the server
 	reservation *reservation // nil if no queue owner knows of the attempt
 	ans         *direct.Answer
 	reply       Reply
@@ -86,7 +87,7 @@
 		return nil, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 	}
 	now = g.clock.Now()
-	s := &send{choice: to.Choice, engine: to.engine, conns: to.conns, reservation: reservation, sentMs: now}
+	s := &send{choice: to.Choice, engine: to.engine, conns: to.conns, version: to.version, reservation: reservation, sentMs: now}
 	h := j.header.Clone()
 	g.codec.Forward(h, Send{
 		Server: to.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -45,6 +45,7 @@
 		next := g.updates.nextUpdate()
 		l.enterEpoch()
 		l.applyUpdates()
+		g.fleet.listAsOfMs.Store(int64(g.clock.Now() - l.schedule.Age(g.clock.Now())))
 		if now := g.clock.Now(); l.schedule.DueMs(now, g.peers.rank(subjectReaders)) > now {
 			l.wait(ctx, next)
 			continue
@@ -143,6 +144,7 @@
 	// The answer may have been the first to report a new epoch.
 	l.enterEpoch()
 	l.schedule.Answered(now, sent)
+	l.g.fleet.listAsOfMs.Store(int64(now - l.schedule.Age(now)))
 	if !snap.Next.Known() {
 		if len(l.applyRead(now, snap, false)) > 0 {
 			l.publish()
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -28,11 +28,15 @@
 	TopicMembers
 	// TopicEvidence holds what the gateways know of servers that prompts have ended.
 	TopicEvidence
+	// TopicVersions holds the software versions that the servers of each pool have had, and
+	// TopicStreams at which version streams began while there were several.
+	TopicVersions
+	TopicStreams
 )
 
 // String returns the topic's name in logs and metrics.
 func (t Topic) String() string {
-	return [...]string{"config", "servers", "duty", "usage", "members", "evidence"}[t]
+	return [...]string{"config", "servers", "duty", "usage", "members", "evidence", "versions", "streams"}[t]
 }
 
 // Record is one record of a topic. A record without a value deletes its key.
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -27,6 +27,9 @@
 // Send makes one attempt to send the request. The server resumes after the events
 // that the caller has received.
 func (x *relay) Send(ctx context.Context) (*send, *exchange.Failure) {
+	if failure := x.g.bindVersion(ctx, x.j); failure != nil {
+		return nil, failure
+	}
 	return x.g.sendOnce(ctx, x.j, x.lastID, 0)
 }
 
@@ -132,6 +135,7 @@
 		g.countUsage(x.j)
 		now := g.clock.Now()
 		s.beganMs = now
+		g.streams.begin(x.j, s)
 		s.reservation.begun()
 		x.j.pool.withTable(func(t *place.ServerTable) { t.FirstEvent(now, s.choice, x.j.placeReq) })
 		g.metrics.firstEvent(x.j, now-x.j.arrivedMs)
--- /dev/null
+++ b/internal/role/gateway/streams.go
@@ -0,0 +1,527 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/peer/enginequeue"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/routing"
+	"github.com/damaskport/damaskport/internal/state/versions"
+)
+
+const (
+	// versionWriters is the number of gateways that keep the versions in the store.
+	versionWriters = 2
+	// observeInterval is the longest time between two looks at the listed versions, and
+	// versionsReread the time after which a gateway that was not told that the store holds
+	// one looks there.
+	observeInterval = 500 * clock.Millisecond
+	versionsReread  = clock.Second
+	// minStreamInterval is the shortest time between two records of a gateway with the
+	// streams that it began, and streamIntervalPerGateway what each gateway adds to it.
+	minStreamInterval        = 200 * clock.Millisecond
+	streamIntervalPerGateway = 3 * clock.Millisecond
+	// A record holds the streams of slotSpan, and is replaced after slotCount others.
+	slotSpan  = 4 * clock.Second
+	slotCount = versions.StreamLifetime / slotSpan
+	// rerecordAfter is the time after which a stream that still runs is recorded again.
+	rerecordAfter = versions.StreamLifetime / 2
+	// lookupTries is how often the store is asked for a stream: its gateway may not have
+	// recorded it yet.
+	lookupTries = 3
+	// listWait is how long a stream that is taken up waits for a list of servers that was
+	// read since, and listPoll the interval at which it looks.
+	listWait = 1500 * clock.Millisecond
+	listPoll = 20 * clock.Millisecond
+	// startMargin is the difference of clocks up to which a server that started before the
+	// first event of a stream is taken to have sent it.
+	startMargin = 500 * clock.Millisecond
+	// versionRetryAfter is the Retry-After of a stream that cannot go on now.
+	versionRetryAfter = 700 * clock.Millisecond
+	// unknownVersion is recorded for a stream whose server may have been another start.
+	unknownVersion = "\x00"
+)
+
+// openStream is a stream of this gateway that runs.
+type openStream struct {
+	versions.Begin
+	server       string
+	start        int64
+	beganMs      clock.Millis // Unix milliseconds
+	recordedAtMs clock.Millis // when it was last put into a record; 0 if it was not
+}
+
+// streams knows the software version at which streams began. It is safe for concurrent use.
+type streams struct {
+	g *Gateway
+
+	mu      sync.Mutex
+	history *versions.History
+	index   *versions.Index
+	open    map[versions.ID]*openStream
+	// queued are streams to be recorded. slot is the number of the current record, which
+	// holds inSlot.
+	queued map[versions.ID]versions.Begin
+	inSlot map[versions.ID]versions.Begin
+	slot   int64
+	// change counts the changes of the history.
+	change int
+
+	// reading is held during a read of the records. The reader is used with it held only.
+	reading sync.Mutex
+	reader  *topicReader
+	readMs  clock.Millis
+}
+
+func newStreams(g *Gateway) *streams {
+	return &streams{
+		g: g, history: versions.NewHistory(), index: versions.NewIndex(), open: map[versions.ID]*openStream{},
+		queued: map[versions.ID]versions.Begin{}, inSlot: map[versions.ID]versions.Begin{},
+		reader: &topicReader{g: g, topic: TopicStreams},
+	}
+}
+
+// streamVersion is the software version to which a stream is bound.
+type streamVersion struct {
+	bound   bool
+	version string
+	// id is the stream's; server, start and beganMs are of its first event if this gateway
+	// forwarded that.
+	id      versions.ID
+	server  string
+	start   int64
+	beganMs clock.Millis
+}
+
+// streamOrigin returns the request that brought the first event of j's stream.
+func (j *job) streamOrigin() string {
+	if j.ResumesAt != "" && j.Origin != "" {
+		return j.Origin
+	}
+	return j.ID
+}
+
+// bindVersion binds a stream that has events to the version that began it. The failure says
+// that the stream cannot go on: no server of that version is there, or it is not known.
+func (g *Gateway) bindVersion(ctx context.Context, j *job) *exchange.Failure {
+	v := &j.stream
+	proof := "answer"
+	switch {
+	case v.bound:
+		if start := g.fleet.currentStart(v.server); start > v.start && clock.Millis(start) <= v.beganMs+startMargin {
+			return g.notJoined(j, "streamVersionUnknown")
+		}
+	case j.ResumesAt == "":
+		return nil
+	default:
+		var ok bool
+		if proof, ok = g.streams.find(ctx, j); !ok {
+			return g.notJoined(j, "streamVersionUnknown")
+		}
+	}
+	if !slices.Contains(j.pool.versionList(), v.version) {
+		return g.notJoined(j, "streamVersionGone")
+	}
+	g.metrics.streamJoin(proof)
+	j.log.WithFields(logrus.Fields{"event": "streamBound", "origin": j.streamOrigin(), "version": v.version, "proof": proof}).Info()
+	return nil
+}
+
+// notJoined returns the failure of a stream that cannot go on.
+func (g *Gateway) notJoined(j *job, reason string) *exchange.Failure {
+	g.metrics.streamJoin(reason)
+	j.log.WithFields(logrus.Fields{"event": "streamNotJoined", "origin": j.streamOrigin(), "version": j.stream.version, "reason": reason}).Warn()
+	if j.mayHaveRun {
+		return &exchange.Failure{Status: http.StatusBadGateway, Code: reason}
+	}
+	return notRun(http.StatusServiceUnavailable, reason, versionRetryAfter)
+}
+
+// find finds the version of the stream that j takes up, and how that is proved.
+func (s *streams) find(ctx context.Context, j *job) (proof string, ok bool) {
+	id := versions.IDOf(j.streamOrigin())
+	s.mu.Lock()
+	begin, found := s.index.Find(id)
+	s.mu.Unlock()
+	only, one := "", false
+	if !found {
+		only, one = s.only(ctx, j)
+	}
+	switch {
+	case found:
+		proof = "own"
+	case one:
+		j.stream = streamVersion{bound: true, version: only, id: id}
+		return "only", true
+	case j.Origin == "":
+		return "", false
+	default:
+		if begin, found = s.lookUp(ctx, id); !found {
+			return "", false
+		}
+		proof = "record"
+	}
+	if begin.Pool != j.pool.name {
+		if !slices.ContainsFunc(j.route.Split, func(p routing.Share) bool { return p.Pool == begin.Pool }) {
+			return "", false
+		}
+		j.pool = s.g.fleet.pool(begin.Pool)
+	}
+	j.stream = streamVersion{bound: true, version: begin.Version, id: id}
+	return proof, true
+}
+
+// only returns the version of the stream that j takes up if all streams of the pool have the
+// same. It waits for a list of servers that was read after j arrived: the version of any
+// stream was listed before the stream began.
+func (s *streams) only(ctx context.Context, j *job) (name string, ok bool) {
+	for until := s.g.clock.Now() + listWait; ; {
+		s.mu.Lock()
+		name, ok = s.history.Only(s.g.clock.Wall(), j.pool.name)
+		s.mu.Unlock()
+		if !ok || s.g.fleet.listAsOf() > j.arrivedMs {
+			break
+		}
+		if s.g.clock.Now() >= until || s.g.clock.Sleep(ctx, listPoll) != nil {
+			return "", false
+		}
+	}
+	s.observe()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Only(s.g.clock.Wall(), j.pool.name)
+}
+
+// lookUp looks for a stream in the records of the store.
+func (s *streams) lookUp(ctx context.Context, id versions.ID) (begin versions.Begin, found bool) {
+	for try := range lookupTries {
+		if try > 0 && s.g.clock.Sleep(ctx, s.interval()) != nil {
+			break
+		}
+		if err := s.refresh(ctx); err != nil {
+			s.g.log.WithField("event", "streamsUnread").Warn(err)
+			break
+		}
+		s.mu.Lock()
+		begin, found = s.index.Find(id)
+		s.mu.Unlock()
+		if found {
+			return begin, true
+		}
+	}
+	return versions.Begin{}, false
+}
+
+// refresh reads the records that were added since the last read. Of several calls at a time
+// one reads for all that came before it began.
+func (s *streams) refresh(ctx context.Context) error {
+	came := s.g.clock.Now()
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	if s.readMs > came {
+		return nil
+	}
+	began := s.g.clock.Now()
+	snap, _, err := s.reader.read(ctx, 0)
+	if err != nil {
+		return err
+	}
+	s.readMs = began
+	for _, r := range snap.Records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var b versions.Batch
+		if err := json.Unmarshal(r.Value, &b); err != nil {
+			s.g.log.WithFields(logrus.Fields{"event": "streamsInvalid", "key": r.Key}).Warn(err)
+			continue
+		}
+		s.mu.Lock()
+		s.index.Add(s.g.clock.Wall(), b)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// begin binds a stream to the version of the server that sent its first event.
+func (s *streams) begin(j *job, a *send) {
+	if !j.route.Resumable {
+		return
+	}
+	now := s.g.clock.Wall()
+	v := &j.stream
+	if !v.bound {
+		*v = streamVersion{bound: true, version: a.version, id: versions.IDOf(j.streamOrigin())}
+	}
+	v.server, v.start, v.beganMs = a.engine.ID, a.engine.Start, now
+	begin := versions.Begin{Pool: j.pool.name, Version: v.version}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[v.id] = &openStream{Begin: begin, server: v.server, start: v.start, beganMs: now}
+	s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{v.id: begin}})
+	if s.recordedLocked(now, begin.Pool) {
+		s.queueLocked(now, v.id)
+	}
+}
+
+// end records that the stream of j no longer runs here.
+func (s *streams) end(j *job) {
+	if !j.stream.bound {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, j.stream.id)
+}
+
+// recordedLocked reports whether the streams of a pool are recorded: they may have several
+// versions. s.mu is held.
+func (s *streams) recordedLocked(now clock.Millis, pool string) bool {
+	return !s.history.Loaded() || len(s.history.Possible(now, pool)) > 1
+}
+
+// queueLocked puts an open stream into the next record; s.mu is held.
+func (s *streams) queueLocked(now clock.Millis, id versions.ID) {
+	if o := s.open[id]; o != nil {
+		o.recordedAtMs = now
+		s.queued[id] = o.Begin
+	}
+}
+
+// observe applies the versions that are listed now. All open streams of a pool are recorded
+// when a second version comes, and again after a while. A stream whose server has started
+// anew before its first event has no version.
+func (s *streams) observe() {
+	now := s.g.clock.Wall()
+	listed := s.g.fleet.listedVersions()
+	starts := s.g.fleet.starts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.history.Observe(now, listed) {
+		s.change++
+	}
+	for id, o := range s.open {
+		if start := starts[o.server]; start > o.start && clock.Millis(start) <= o.beganMs+startMargin && o.Version != unknownVersion {
+			o.Version = unknownVersion
+			s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{id: o.Begin}})
+			s.queueLocked(now, id)
+		}
+		if s.recordedLocked(now, o.Pool) && now-o.recordedAtMs >= rerecordAfter {
+			s.queueLocked(now, id)
+		}
+	}
+	s.index.Sweep(now)
+}
+
+// exclusions returns the servers to which j must not be sent because of their version: if
+// its stream is bound, those of other versions, else those of versions at which no stream
+// may begin yet.
+func (s *streams) exclusions(j *job) []string {
+	if j.stream.bound {
+		return j.pool.idsOf(func(v string) bool { return v != j.stream.version })
+	}
+	if !j.route.Resumable {
+		return nil
+	}
+	now := s.g.clock.Wall()
+	var early []string
+	s.mu.Lock()
+	for _, v := range j.pool.versionList() {
+		if !s.history.Established(now, j.pool.name, v) {
+			early = append(early, v)
+		}
+	}
+	s.mu.Unlock()
+	if len(early) == 0 {
+		return nil
+	}
+	return j.pool.idsOf(func(v string) bool { return slices.Contains(early, v) })
+}
+
+// interval returns the time between two records of this gateway.
+func (s *streams) interval() clock.Millis {
+	return minStreamInterval + clock.Millis(s.g.gatewayCount.Load())*streamIntervalPerGateway
+}
+
+// keepStreams records the streams that begin while a pool has several versions, until ctx
+// ends.
+func (g *Gateway) keepStreams(ctx context.Context) error {
+	s := g.streams
+	for g.clock.Sleep(ctx, s.interval()) == nil {
+		if err := s.write(ctx); err != nil {
+			g.log.WithField("event", "streamsUnwritten").Warn(err)
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalPublishTimeout.Duration())
+	defer cancel()
+	return s.write(last)
+}
+
+// write writes the record of the current slot if streams were queued. After an error they
+// are written with the next record.
+func (s *streams) write(ctx context.Context) error {
+	now := s.g.clock.Wall()
+	s.mu.Lock()
+	if len(s.queued) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if slot := int64(now / slotSpan); slot != s.slot {
+		s.slot, s.inSlot = slot, map[versions.ID]versions.Begin{}
+	}
+	for id, b := range s.queued {
+		s.inSlot[id] = b
+	}
+	clear(s.queued)
+	data, err := json.Marshal(versions.Batch{AtMs: now, Streams: s.inSlot})
+	key := fmt.Sprintf("%s/%d", s.g.processID, s.slot%int64(slotCount))
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	err = s.g.store.Append(ctx, TopicStreams, key, data)
+	s.g.metrics.storeWrite(TopicStreams, err)
+	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, b := range s.inSlot {
+			s.queued[id] = b
+		}
+	}
+	return err
+}
+
+// keepVersions reads the versions that the store holds, follows those that are listed, and
+// keeps the store's record of them, until ctx ends.
+func (g *Gateway) keepVersions(ctx context.Context) error {
+	s := g.streams
+	written, failures := 0, 0
+	readMs, startMs := clock.Millis(0), g.clock.Now()
+	e := g.store.currentEpoch()
+	for ; ctx.Err() == nil; g.fleet.awaitList(ctx, observeInterval) {
+		now := g.clock.Now()
+		if readMs == 0 || now-readMs >= versionsReread && s.unstored() {
+			if err := s.read(ctx); err == nil {
+				readMs = now
+			}
+		}
+		if readMs == 0 && !s.isLoaded() && now-startMs < versions.StoreWait || !g.fleet.listed.Load() {
+			continue
+		}
+		s.observe()
+		if current := g.store.currentEpoch(); current != e {
+			e, written = current, 0
+		}
+		spans, change := s.spans()
+		if change == written || !g.peers.ranksAmong(subjectVersions, versionWriters) {
+			continue
+		}
+		if err := s.writeSpans(ctx, spans); err != nil {
+			failures++
+			g.backOff(ctx, failures, false)
+			continue
+		}
+		written, failures = change, 0
+	}
+	return nil
+}
+
+// spans returns all versions, and the number of changes so far.
+func (s *streams) spans() (versions.Spans, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Spans(), s.change
+}
+
+// isLoaded reports whether the versions that the store holds are known.
+func (s *streams) isLoaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Loaded()
+}
+
+// unstored reports whether a listed version may not be used yet.
+func (s *streams) unstored() bool {
+	now, listed := s.g.clock.Wall(), s.g.fleet.listedVersions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pool, all := range listed {
+		if slices.ContainsFunc(all, func(v string) bool { return !s.history.Established(now, pool, v) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// read merges the versions that the store holds.
+func (s *streams) read(ctx context.Context) error {
+	snap, err := s.g.store.Newest(ctx, TopicVersions)
+	s.g.metrics.storeRead(TopicVersions, err)
+	if err != nil {
+		return err
+	}
+	for _, r := range snap.Records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var spans versions.Spans
+		if err := json.Unmarshal(r.Value, &spans); err != nil {
+			s.g.log.WithFields(logrus.Fields{"event": "versionsInvalid", "key": r.Key}).Warn(err)
+			continue
+		}
+		s.merge(spans, true)
+	}
+	s.setLoaded()
+	return nil
+}
+
+// writeSpans writes the versions to the store, and tells the other gateways that it holds
+// them.
+func (s *streams) writeSpans(ctx context.Context, spans versions.Spans) error {
+	data, err := json.Marshal(spans)
+	if err != nil {
+		return err
+	}
+	err = s.g.store.Append(ctx, TopicVersions, s.g.name, data)
+	s.g.metrics.storeWrite(TopicVersions, err)
+	if err != nil {
+		return err
+	}
+	s.merge(spans, true)
+	s.g.peers.broadcast(enginequeue.MethodVersions, func(*peer) any { return enginequeue.Versions{Spans: spans, Stored: true} })
+	return nil
+}
+
+// merge adds versions that another gateway or the store knows.
+func (s *streams) merge(spans versions.Spans, stored bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.history.Merge(s.g.clock.Wall(), spans, stored) {
+		s.change++
+	}
+}
+
+func (s *streams) setLoaded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.SetLoaded()
+}
+
+// receiveVersions handles the versions that another gateway tells.
+func (g *Gateway) receiveVersions(from string, data json.RawMessage) error {
+	var m enginequeue.Versions
+	if err := json.Unmarshal(data, &m); err != nil {
+		g.log.WithFields(logrus.Fields{"event": "versionsInvalid", "key": from}).Warn(err)
+		return nil
+	}
+	g.streams.merge(m.Spans, m.Stored)
+	return nil
+}
--- /dev/null
+++ b/internal/state/versions/index.go
@@ -0,0 +1,123 @@
+package versions
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// idBytes is the size of a stream's id in a record.
+	idBytes = 8
+	// maxStreams bounds the streams in an Index.
+	maxStreams = 1 << 18
+)
+
+// ID identifies a stream by the request that brought its first event.
+type ID uint64
+
+// IDOf returns the ID of the stream that a request began.
+func IDOf(request string) ID { return ID(xxhash.Sum64String(request)) }
+
+// Begin is the pool and the software version at which a stream began.
+type Begin struct{ Pool, Version string }
+
+// Batch holds the streams that one gateway began in a while. Its JSON form maps pool and
+// version to the IDs, 8 bytes each in base64.
+type Batch struct {
+	AtMs    clock.Millis
+	Streams map[ID]Begin
+}
+
+// wireBatch is the JSON form of a Batch.
+type wireBatch struct {
+	AtMs clock.Millis                 `json:"at"`
+	IDs  map[string]map[string]string `json:"ids"`
+}
+
+// MarshalJSON encodes the batch.
+func (b Batch) MarshalJSON() ([]byte, error) {
+	raw := map[Begin][]byte{}
+	for id, begin := range b.Streams {
+		raw[begin] = binary.BigEndian.AppendUint64(raw[begin], uint64(id))
+	}
+	w := wireBatch{AtMs: b.AtMs, IDs: map[string]map[string]string{}}
+	for begin, ids := range raw {
+		if w.IDs[begin.Pool] == nil {
+			w.IDs[begin.Pool] = map[string]string{}
+		}
+		w.IDs[begin.Pool][begin.Version] = base64.RawStdEncoding.EncodeToString(ids)
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON decodes and checks a batch. The error is a *FieldError if the IDs are cut or
+// no base64.
+func (b *Batch) UnmarshalJSON(data []byte) error {
+	var w wireBatch
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	out := Batch{AtMs: w.AtMs, Streams: map[ID]Begin{}}
+	for pool, byVersion := range w.IDs {
+		for name, text := range byVersion {
+			ids, err := base64.RawStdEncoding.DecodeString(text)
+			if err != nil || len(ids)%idBytes != 0 {
+				return &FieldError{"ids", "invalid encoding"}
+			}
+			for ; len(ids) > 0; ids = ids[idBytes:] {
+				out.Streams[ID(binary.BigEndian.Uint64(ids))] = Begin{pool, name}
+			}
+		}
+	}
+	*b = out
+	return nil
+}
+
+// known is what an Index knows of one stream.
+type known struct {
+	Begin
+	atMs clock.Millis
+	// contradicted is set if records name different versions.
+	contradicted bool
+}
+
+// Index holds the version at which each stream began. It is not safe for concurrent use.
+type Index struct{ streams map[ID]known }
+
+// NewIndex returns an Index without streams.
+func NewIndex() *Index { return &Index{streams: map[ID]known{}} }
+
+// Add adds the streams of a batch. A stream that another batch has at another version is
+// known at neither.
+func (x *Index) Add(now clock.Millis, b Batch) {
+	for id, begin := range b.Streams {
+		k, ok := x.streams[id]
+		if !ok && len(x.streams) >= maxStreams {
+			continue
+		}
+		x.streams[id] = known{begin, max(k.atMs, min(b.AtMs, now)), ok && (k.contradicted || k.Begin != begin)}
+	}
+}
+
+// Find returns where a stream began; ok is false if that is not known.
+func (x *Index) Find(id ID) (b Begin, ok bool) {
+	k, ok := x.streams[id]
+	return k.Begin, ok && !k.contradicted
+}
+
+// Sweep forgets streams that can no longer go on.
+func (x *Index) Sweep(now clock.Millis) {
+	for id, k := range x.streams {
+		if now-k.atMs > StreamLifetime {
+			delete(x.streams, id)
+		}
+	}
+}
+
+// Len returns the number of streams.
+func (x *Index) Len() int { return len(x.streams) }
--- /dev/null
+++ b/internal/state/versions/versions_test.go
@@ -0,0 +1,182 @@
+package versions_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/versions"
+)
+
+const t0 = 1_000_000 * clock.Second
+
+func ExampleHistory() {
+	h := versions.NewHistory()
+	h.SetLoaded()
+	h.Observe(t0, map[string][]string{"llm": {"1"}})
+	fmt.Println(h.Only(t0, "llm"))
+	h.Observe(t0+1000, map[string][]string{"llm": {"1", "2"}})
+	fmt.Println(h.Only(t0+1000, "llm"))
+	fmt.Println(h.Established(t0+1000, "llm", "1"), h.Established(t0+1000, "llm", "2"))
+	h.Merge(t0+1100, h.Spans(), true)
+	fmt.Println(h.Established(t0+1100, "llm", "2"))
+	// Output:
+	// 1 true
+	//  false
+	// true false
+	// true
+}
+
+// step is one observation of the versions of a pool, some time after the start.
+type step struct {
+	at     clock.Millis
+	listed []string
+}
+
+func TestOnly(t *testing.T) {
+	life := versions.StreamLifetime
+	tests := []struct {
+		name   string
+		before versions.Spans // in the store
+		steps  []step
+		at     clock.Millis
+		want   string
+	}{
+		{"one version ever", nil, []step{{0, []string{"1"}}}, life, "1"},
+		{"two", nil, []step{{0, []string{"1", "2"}}}, 10, ""},
+		{"the old one left a moment ago", nil, []step{{0, []string{"1"}}, {100, []string{"1", "2"}}, {200, []string{"2"}}}, 300, ""},
+		{"the old one left long ago", nil, []step{{0, []string{"1"}}, {100, []string{"1", "2"}}, {200, []string{"2"}}}, 300 + life, "2"},
+		{"replaced at once", nil, []step{{0, []string{"1"}}, {100, []string{"2"}}}, 300, ""},
+		{"replaced while no gateway ran", versions.Spans{"llm": {"1": {AtMs: t0 - 5000}}}, []step{{0, []string{"2"}}}, 300, ""},
+		{"another one in the store, gone long ago", versions.Spans{"llm": {"1": {AtMs: t0 - 2*life, GoneMs: t0 - 2*life}, "2": {AtMs: t0 - 2*life}}}, []step{{0, []string{"2"}}}, 300, "2"},
+		{"the old one is back", nil, []step{{0, []string{"1"}}, {100, []string{"2"}}, {200, []string{"1"}}}, 300, ""},
+		{"listed all the time, though told to be gone", versions.Spans{"llm": {"1": {AtMs: t0 - life, GoneMs: t0 - life}}}, []step{{0, []string{"1"}}}, 2 * life, "1"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			h := versions.NewHistory()
+			h.Merge(t0, tc.before, true)
+			h.SetLoaded()
+			for _, s := range tc.steps {
+				h.Observe(t0+s.at, map[string][]string{"llm": s.listed})
+			}
+			got, ok := h.Only(t0+tc.at, "llm")
+			if got != tc.want || ok != (tc.want != "") {
+				t.Errorf("Only = %q, %v, want %q", got, ok, tc.want)
+			}
+		})
+	}
+}
+
+func TestUnreadStoreProvesNothing(t *testing.T) {
+	h := versions.NewHistory()
+	h.Observe(t0, map[string][]string{"llm": {"1"}})
+	if v, ok := h.Only(t0, "llm"); ok {
+		t.Errorf("Only = %q before the store was read", v)
+	}
+}
+
+func TestNewVersionWaitsForTheStore(t *testing.T) {
+	h := versions.NewHistory()
+	h.SetLoaded()
+	h.Observe(t0, map[string][]string{"llm": {"1"}})
+	h.Observe(t0+100, map[string][]string{"llm": {"1", "2"}})
+	for _, tc := range []struct {
+		at   clock.Millis
+		want bool
+	}{{200, false}, {100 + versions.StoreWait, true}} {
+		if got := h.Established(t0+tc.at, "llm", "2"); got != tc.want {
+			t.Errorf("established after %v: %v, want %v", tc.at, got, tc.want)
+		}
+	}
+}
+
+// A fleet that is killed and starts anew at any time never takes a stream for one of another
+// version: random releases, restarts and stores that hold what was written.
+func TestRestartedFleetProvesNoWrongVersion(t *testing.T) {
+	for seed := range uint64(300) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		store := versions.Spans{}
+		h := versions.NewHistory()
+		h.SetLoaded()
+		begun := map[string]clock.Millis{} // when the last stream began at a version
+		listed := []string{"v0"}
+		now := t0
+		for i := range 200 {
+			now += clock.Millis(rnd.IntN(3000))
+			switch rnd.IntN(8) {
+			case 0:
+				listed = []string{listed[len(listed)-1], fmt.Sprint("v", i)}
+			case 1:
+				listed = listed[len(listed)-1:]
+			case 2:
+				h = versions.NewHistory()
+				h.Merge(now, store, true)
+				h.SetLoaded()
+			}
+			h.Observe(now, map[string][]string{"llm": listed})
+			if rnd.IntN(2) == 0 {
+				store = h.Spans()
+				h.Merge(now, store, true)
+			}
+			for _, v := range listed {
+				if h.Established(now, "llm", v) && (len(begun) > 0 || len(store) > 0) {
+					begun[v] = now
+				}
+			}
+			only, ok := h.Only(now, "llm")
+			for v, at := range begun {
+				if ok && v != only && now-at < versions.StreamLifetime {
+					t.Fatalf("seed %d: all streams are taken for %s, but one of %s began %v ms ago", seed, only, v, now-at)
+				}
+			}
+		}
+	}
+}
+
+func TestIndex(t *testing.T) {
+	x := versions.NewIndex()
+	a, b, c := versions.IDOf("a"), versions.IDOf("b"), versions.IDOf("c")
+	one, two := versions.Begin{Pool: "llm", Version: "1"}, versions.Begin{Pool: "llm", Version: "2"}
+	x.Add(t0, versions.Batch{AtMs: t0, Streams: map[versions.ID]versions.Begin{a: one, b: two}})
+	x.Add(t0, versions.Batch{AtMs: t0 + 1000, Streams: map[versions.ID]versions.Begin{a: one, b: one}})
+	for id, want := range map[versions.ID]bool{a: true, b: false, c: false} {
+		if begin, ok := x.Find(id); ok != want || ok && begin != one {
+			t.Errorf("Find(%v) = %v, %v, want %v", id, begin, ok, want)
+		}
+	}
+	x.Sweep(t0 + versions.StreamLifetime + 1)
+	if x.Len() != 0 {
+		t.Errorf("%d streams kept after the time in which they can go on", x.Len())
+	}
+}
+
+func TestBatchThroughTheStore(t *testing.T) {
+	in := versions.Batch{AtMs: t0, Streams: map[versions.ID]versions.Begin{}}
+	for i := range 100 {
+		in.Streams[versions.IDOf(fmt.Sprint(i))] = versions.Begin{Pool: "llm", Version: fmt.Sprint(i % 3)}
+	}
+	data, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out versions.Batch
+	if err := json.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(in, out); diff != "" {
+		t.Error(diff)
+	}
+	if perStream := len(data) / len(in.Streams); perStream > 12 {
+		t.Errorf("%d bytes a stream", perStream)
+	}
+	var field *versions.FieldError
+	if err := json.Unmarshal([]byte(`{"at":1,"ids":{"llm":{"1":"AAA"}}}`), &out); !errors.As(err, &field) {
+		t.Errorf("error %v for a cut id, want a FieldError", err)
+	}
+}
