Gateway: a stream that ends inside an event has been broken off

A stream whose framing ended within an event counted as whole, and one with neither a length nor chunks counted as whole however its server ended. Change: a stream that ends inside an event goes on elsewhere where it may, and is cut otherwise. An answer with neither a length nor chunks is whole when its connection ends, unless its server has ended: it refuses connections. A negative check of a server is used for requests that broke off before it only. Measured: TestAnswerThatEndsWithItsConnectionIsWhole, TestStreamThatEndsInsideAnEventIsBrokenOff (chunked and to close) and TestStreamWhoseServerEndsIsNotWhole pass; the rule for framed streams was the opposite before.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,10 +25,21 @@
 // ending is the check whether a server has ended, after a request broke off there.
 type ending struct {
 	checked chan struct{} // closed with the result
-	ended   bool
+	ended   atomic.Bool
 	atMs    clock.Millis
 }
 
+// inForce reports whether the result counts for a request that broke off now: the check is
+// not done yet, or the server had ended.
+func (e *ending) inForce() bool {
+	select {
+	case <-e.checked:
+		return e.ended.Load()
+	default:
+		return true
+	}
+}
+
 // endings holds the recent checks of servers. It is safe for concurrent use.
 type endings struct {
 	mu     sync.Mutex
@@ -45,7 +57,7 @@
 			delete(e.checks, old)
 		}
 	}
-	if c := e.checks[k]; c != nil {
+	if c := e.checks[k]; c != nil && c.inForce() {
 		return c, false
 	}
 	c = &ending{checked: make(chan struct{}), atMs: now}
@@ -55,25 +67,29 @@
 
 // serverEnded reports whether the server of s, at which a request broke off, has ended: it
 // refuses connections now. A server that drains is expected to.
-func (g *Gateway) serverEnded(s *send) bool {
+func (g *Gateway) serverEnded(j *job, s *send) bool {
 	k := s.engine.Key()
-	if s.conns == nil || g.fleet.draining(k) {
+	if s.conns == nil || !j.pool.lists(s.engine) {
 		return false
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
 		ctx, cancel := context.WithTimeout(context.Background(), endingTimeout)
 		defer cancel()
-		c.ended = s.conns.Refused(ctx)
+		c.ended.Store(s.conns.Refused(ctx))
 		close(c.checked)
-		if c.ended {
+		if c.ended.Load() {
 			g.metrics.serverEnded()
 		}
 	}
 	<-c.checked
-	return c.ended
+	return c.ended.Load()
 }
 
+// cutUnframed reports whether an answer that ended with its connection was cut: its server
+// has ended. Other answers show by themselves whether they are whole.
+func (g *Gateway) cutUnframed(j *job, s *send) bool { return !s.ans.Framed && g.serverEnded(j, s) }
+
 // promptParts returns the ids of the prompt parts that other requests may share, as they
 // stand in evidence: all but the last one.
 func promptParts(all []place.Block) []string {
@@ -99,7 +115,7 @@
 	if !s.broke || s.cleared || len(j.inquiry.parts) == 0 {
 		return
 	}
-	if g.serverEnded(s) {
+	if g.serverEnded(j, s) {
 		j.log.WithFields(logrus.Fields{
 			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
 		}).Warn()
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -332,6 +332,13 @@
 	return p.engines[e.ID] == e && !p.table.Excluded(now, e.ID)
 }
 
+// lists reports whether the pool has this start of a server, and it does not drain.
+func (p *pool) lists(e enginequeue.Engine) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engines[e.ID].Key() == e.Key()
+}
+
 // withTable runs f on the pool's server table, with the pool locked.
 func (p *pool) withTable(f func(t *place.ServerTable)) {
 	p.mu.Lock()
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -113,6 +113,9 @@
 		return false
 	}
 	data, err := io.ReadAll(io.LimitReader(s.ans.Body, bufferedAnswerBytes))
+	if err == nil && len(data) < bufferedAnswerBytes && g.cutUnframed(j, s) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		s.err = errors.Wrap(errTruncated, err.Error())
 		s.outcome = retry.OutcomeUnknown
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -110,12 +110,8 @@
 	for {
 		event, err := events.Next()
 		switch {
-		case err == io.EOF:
+		case err == io.EOF && (s.events > 0 || s.ans.Framed) && !x.g.cutUnframed(x.j, s):
 			return nil
-		case errors.Is(err, io.ErrUnexpectedEOF) && len(event) > 0 && s.ans.Framed:
-			// The framing of the body distinguishes its end from a truncation, so
-			// the bytes after the last complete event belong to the answer.
-			return x.write(s, event, false)
 		case err != nil:
 			return errors.Wrap(errTruncated, err.Error())
 		}
