Gateway: read the evidence again at once after a first failure

Change: topicReader.backOffAgain, as the list of servers does. The evidence is read by a topicReader, which logs failures.

--- a/internal/role/gateway/evidence.go
+++ b/internal/role/gateway/evidence.go
@@ -28,19 +28,19 @@
 // keepEvidence reads the evidence from the store, and keeps it there as it changes, until
 // ctx ends.
 func (g *Gateway) keepEvidence(ctx context.Context) error {
+	reader := &topicReader{g: g, topic: TopicEvidence}
 	var others []string // keys of records that this gateway has merged
 	written, failures, ownRecord := 0, 0, false
 	readMs := clock.Millis(0)
 	e, _ := g.store.epochAndChange()
 	for ctx.Err() == nil {
 		if now := g.clock.Now(); readMs == 0 || now-readMs >= evidenceRead && !g.peers.allUp() {
-			keys, err := g.readEvidence(ctx)
+			keys, err := g.readEvidence(ctx, reader)
 			if err != nil {
-				failures++
-				g.backOff(ctx, failures, false)
+				reader.backOffAgain(ctx)
 				continue
 			}
-			others, readMs, failures = keys, now, 0
+			others, readMs = append(others, keys...), now
 		}
 		if now, _ := g.store.epochAndChange(); now != e {
 			// The store may have come back from a backup without the record.
@@ -63,10 +63,10 @@
 	return nil
 }
 
-// readEvidence merges the evidence in the store, and returns the keys of its records.
-func (g *Gateway) readEvidence(ctx context.Context) ([]string, error) {
-	snap, err := g.store.Newest(ctx, TopicEvidence)
-	g.metrics.storeRead(TopicEvidence, err)
+// readEvidence merges the evidence in the store that was not read before, and returns the keys
+// of its records.
+func (g *Gateway) readEvidence(ctx context.Context, reader *topicReader) ([]string, error) {
+	snap, _, err := reader.read(ctx, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/role/gateway/topicreader.go
+++ b/internal/role/gateway/topicreader.go
@@ -149,6 +149,14 @@
 	r.g.backOff(ctx, r.failures, r.topic == TopicConfig)
 }
 
+// backOffAgain is backOff from the second failure on: the first one may be due to a
+// connection that is no longer good.
+func (r *topicReader) backOffAgain(ctx context.Context) {
+	if r.failures > 1 {
+		r.backOff(ctx)
+	}
+}
+
 // configWait returns how long a read waits for a change of the configuration.
 func (g *Gateway) configWait() clock.Millis {
 	return max(clock.Millis(g.Settings().Bounds.ConfigMs)-configMargin, minBackOff)
