Gateway: new streams do not wait for the versions in the store

Change: before the versions in the store are known, streams begin at any; readiness does not wait for them. A changed list of servers is looked at as it is published.

--- a/internal/role/gateway/join.go
+++ b/internal/role/gateway/join.go
@@ -115,7 +115,7 @@
 		}
 		// A store that reports no epoch is never restored from a backup, so the
 		// configuration read from it needs no confirmation by other gateways.
-		confirmed := (!g.store.currentEpoch().Known() || g.join.upToDate(version)) && g.suspects.isLoaded() && g.streams.isLoaded()
+		confirmed := (!g.store.currentEpoch().Known() || g.join.upToDate(version)) && g.suspects.isLoaded()
 		if confirmed || now-since >= joinTimeout {
 			g.settled.Store(true)
 			g.log.WithFields(logrus.Fields{"event": "settled", "version": version, "told": confirmed, "waitedMs": int64(now - since)}).Info()
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -238,6 +238,7 @@
 		byPool[s.Pool]++
 	}
 	g.fleet.setServers(usable)
+	g.streams.observe()
 	g.peers.keepOnly(live)
 	g.metrics.servers(byPool)
 	f := logrus.Fields{"event": "servers", "usable": len(usable)}
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -28,9 +28,9 @@
 	TopicMembers
 	// TopicEvidence holds what the gateways know of servers that prompts have ended.
 	TopicEvidence
-	// TopicVersions holds the software versions that the servers of each pool have had, and
-	// TopicStreams at which version streams began while there were several.
+	// TopicVersions holds the software versions that the servers of each pool have had.
 	TopicVersions
+	// TopicStreams holds at which version streams began while a pool had several.
 	TopicStreams
 )
 
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -180,14 +180,15 @@
 }
 
 // only returns the version of the stream that j takes up if all streams of the pool have the
-// same. It waits for a list of servers that was read after j arrived: the version of any
-// stream was listed before the stream began.
+// same. It waits for the records of the store, and for a list of servers that was read after j
+// arrived: the version of any stream was listed before the stream began.
 func (s *streams) only(ctx context.Context, j *job) (name string, ok bool) {
 	for until := s.g.clock.Now() + listWait; ; {
 		s.mu.Lock()
-		name, ok = s.history.Only(s.g.clock.Wall(), j.pool.name)
+		loaded := s.history.Loaded()
+		_, ok = s.history.Only(s.g.clock.Wall(), j.pool.name)
 		s.mu.Unlock()
-		if !ok || s.g.fleet.listAsOf() > j.arrivedMs {
+		if loaded && (!ok || s.g.fleet.listAsOf() > j.arrivedMs) {
 			break
 		}
 		if s.g.clock.Now() >= until || s.g.clock.Sleep(ctx, listPoll) != nil {
@@ -298,8 +299,12 @@
 
 // observe applies the versions that are listed now. All open streams of a pool are recorded
 // when a second version comes, and again after a while. A stream whose server has started
-// anew before its first event has no version.
+// anew before its first event has no version. It does nothing before the records of the store
+// and the list are known.
 func (s *streams) observe() {
+	if !s.isLoaded() || !s.g.fleet.listed.Load() {
+		return
+	}
 	now := s.g.clock.Wall()
 	listed := s.g.fleet.listedVersions()
 	starts := s.g.fleet.starts()
@@ -403,25 +408,23 @@
 // keeps the store's record of them, until ctx ends.
 func (g *Gateway) keepVersions(ctx context.Context) error {
 	s := g.streams
+	reader := &topicReader{g: g, topic: TopicVersions}
 	written, failures := 0, 0
-	readMs, startMs := clock.Millis(0), g.clock.Now()
 	e := g.store.currentEpoch()
-	for ; ctx.Err() == nil; g.fleet.awaitList(ctx, observeInterval) {
-		now := g.clock.Now()
-		if readMs == 0 || now-readMs >= versionsReread && s.unstored() {
-			if err := s.read(ctx); err == nil {
-				readMs = now
+	for ctx.Err() == nil {
+		if reader.readMs == 0 || g.clock.Now()-reader.readMs >= versionsReread && s.unstored() {
+			if err := s.read(ctx, reader); err != nil {
+				reader.backOffAgain(ctx)
+				continue
 			}
 		}
-		if readMs == 0 && !s.isLoaded() && now-startMs < versions.StoreWait || !g.fleet.listed.Load() {
-			continue
-		}
 		s.observe()
 		if current := g.store.currentEpoch(); current != e {
 			e, written = current, 0
 		}
 		spans, change := s.spans()
 		if change == written || !g.peers.ranksAmong(subjectVersions, versionWriters) {
+			g.fleet.awaitList(ctx, observeInterval)
 			continue
 		}
 		if err := s.writeSpans(ctx, spans); err != nil {
@@ -462,9 +465,8 @@
 }
 
 // read merges the versions that the store holds.
-func (s *streams) read(ctx context.Context) error {
-	snap, err := s.g.store.Newest(ctx, TopicVersions)
-	s.g.metrics.storeRead(TopicVersions, err)
+func (s *streams) read(ctx context.Context, reader *topicReader) error {
+	snap, _, err := reader.read(ctx, 0)
 	if err != nil {
 		return err
 	}
@@ -511,8 +513,9 @@
 
 func (s *streams) setLoaded() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.history.SetLoaded()
+	s.mu.Unlock()
+	s.observe()
 }
 
 // receiveVersions handles the versions that another gateway tells.
--- a/internal/state/versions/versions_test.go
+++ b/internal/state/versions/versions_test.go
@@ -79,6 +79,9 @@
 	if v, ok := h.Only(t0, "llm"); ok {
 		t.Errorf("Only = %q before the store was read", v)
 	}
+	if !h.Established(t0, "llm", "2") {
+		t.Error("a version must wait for a store that cannot be read")
+	}
 }
 
 func TestNewVersionWaitsForTheStore(t *testing.T) {
