--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -360,7 +360,12 @@
 // ends.
 func (g *Gateway) keepStreams(ctx context.Context) error {
 	s := g.streams
+	e := g.store.currentEpoch()
 	for g.clock.Sleep(ctx, s.interval()) == nil {
+		if current := g.store.currentEpoch(); current != e {
+			e = current
+			s.recordAgain()
+		}
 		if err := s.write(ctx); err != nil {
 			g.log.WithField("event", "streamsUnwritten").Warn(err)
 		}
@@ -370,6 +375,19 @@
 	return s.write(last)
 }
 
+// recordAgain records all streams that run: the store may have come back from a backup without
+// their records.
+func (s *streams) recordAgain() {
+	now := s.g.clock.Wall()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, o := range s.open {
+		if s.recordedLocked(now, o.Pool) {
+			s.queueLocked(now, id)
+		}
+	}
+}
+
 // write writes the record of the current slot if streams were queued. After an error they
 // are written with the next record.
 func (s *streams) write(ctx context.Context) error {
@@ -379,7 +397,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if slot := int64(now / slotSpan); slot != s.slot {
+	if slot := int64(s.g.clock.Now() / slotSpan); slot != s.slot {
 		s.slot, s.inSlot = slot, map[versions.ID]versions.Begin{}
 	}
 	for id, b := range s.queued {
