Quarantine: a cleared part stays cleared for gateways that start later

Cause: read in the change: the evidence in the store named when a part was cleared only while other evidence was against it. A record that a former writer left behind would refuse the part again at a gateway that starts. Measured: without it TestClearedPartStaysClearedForNewGateways fails (suspected by three endings); the tests of package quarantine pass.

--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -158,6 +158,7 @@
 	maps.DeleteFunc(l.endings, func(_ servers.Key, e Ending) bool {
 		return now-e.AtMs > evidenceKeep || !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return l.countsAgainstAny(s, e.AtMs) })
 	})
+	maps.DeleteFunc(l.cleared, func(_ string, m Mark) bool { return now-m.AtMs > evidenceKeep })
 	for part, at := range l.retrials {
 		at = slices.DeleteFunc(at, func(t clock.Millis) bool { return now-t > evidenceKeep || !l.counts(part, t) })
 		l.retrials[part] = at
@@ -265,20 +266,11 @@
 	e := Evidence{Endings: slices.SortedFunc(maps.Values(l.endings), func(a, b Ending) int {
 		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Server.ID, b.Server.ID), cmp.Compare(a.Server.Start, b.Server.Start))
 	})}
-	for _, end := range e.Endings {
-		for _, s := range end.Suspects {
-			for _, id := range s.Parts {
-				if m, ok := l.cleared[id]; ok && !slices.Contains(e.Cleared, m) && len(e.Cleared) < maxMarks {
-					e.Cleared = append(e.Cleared, m)
-				}
-			}
-		}
-	}
-	for _, m := range l.cleared {
-		if m.Operator && !slices.Contains(e.Cleared, m) && len(e.Cleared) < maxMarks {
-			e.Cleared = append(e.Cleared, m)
-		}
-	}
+	// Marks of parts without evidence are kept too: older evidence may come back from a record
+	// that a gateway left behind.
+	e.Cleared = slices.SortedFunc(maps.Values(l.cleared), func(a, b Mark) int {
+		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Part, b.Part))
+	})
 	for _, part := range slices.Sorted(maps.Keys(l.retrials)) {
 		for _, at := range l.retrials[part] {
 			if len(e.Retrials) < maxMarks {
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -188,6 +188,24 @@
 	return out
 }
 
+// A record that a gateway left behind does not refuse a part again that was cleared since.
+func TestClearedPartStaysClearedForNewGateways(t *testing.T) {
+	left, l := quarantine.NewLedger(), quarantine.NewLedger()
+	for i := range 3 {
+		e := ended(i, t0, "orchard", "*bad")
+		left.Merge(t0, e)
+		l.Merge(t0, e)
+	}
+	l.Answered(t0+5000, []string{"bad"})
+	fresh := quarantine.NewLedger()
+	for _, e := range []quarantine.Evidence{left.Evidence(), l.Evidence()} {
+		fresh.Merge(t0+6000, e)
+	}
+	if v := fresh.Judge(t0+6000, "orchard", []string{"bad"}); v.State != quarantine.Clear {
+		t.Errorf("verdict %v", v)
+	}
+}
+
 // A caller that makes up parts can make its requests end servers, but the ledger stays within
 // its bounds, and keeps what a refusal rests on.
 func TestLedgerIsBounded(t *testing.T) {
