--- a/internal/role/gateway/join.go
+++ b/internal/role/gateway/join.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if reply.Versions != nil {
-		g.streams.merge(*reply.Versions, false)
+		g.streams.mergeVersions(*reply.Versions, false)
 		g.streams.setLoaded()
 	}
 	g.join.applyReply(reply)
--- /dev/null
+++ b/internal/role/gateway/streamrecords.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/epoch"
+	"github.com/damaskport/damaskport/internal/state/versions"
+)
+
+// interval returns the time between two records of this gateway.
+func (s *streams) interval() clock.Millis {
+	return minStreamInterval + clock.Millis(s.g.gatewayCount.Load())*streamIntervalPerGateway
+}
+
+// keepStreams keeps the record of the streams that began here while a pool has several
+// versions, until ctx ends.
+func (g *Gateway) keepStreams(ctx context.Context) error {
+	s := g.streams
+	e, sweptMs := g.store.currentEpoch(), g.clock.Now()
+	for g.clock.Sleep(ctx, s.interval()) == nil {
+		if current := g.store.currentEpoch(); current != e {
+			// The store may have come back from a backup without the record.
+			e = current
+			s.recordAgain()
+		}
+		if err := s.write(ctx); err != nil {
+			g.log.WithField("event", "streamsUnwritten").Warn(err)
+		}
+		if now := g.clock.Now(); now-sweptMs >= versions.StreamLifetime {
+			sweptMs = now
+			s.sweepRecords(ctx)
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalPublishTimeout.Duration())
+	defer cancel()
+	return s.write(last)
+}
+
+func (s *streams) recordAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unrecorded = true
+}
+
+// record returns the streams to be recorded; due is false if the record in the store is as
+// good.
+func (s *streams) record(now clock.Millis) (b versions.Batch, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unrecorded && (s.recordedMs == 0 || now-s.recordedMs < rerecordAfter) {
+		return b, false
+	}
+	s.unrecorded = false
+	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}}
+	for id, o := range s.open {
+		if s.recordedLocked(now, o.Pool) {
+			b.Streams[id] = o.Begin
+		}
+	}
+	return b, len(b.Streams) > 0 || s.recordedMs != 0
+}
+
+// write writes the record of the open streams if it is due, and deletes it if there are none.
+func (s *streams) write(ctx context.Context) error {
+	b, due := s.record(s.g.clock.Wall())
+	if !due {
+		return nil
+	}
+	var data []byte
+	if len(b.Streams) > 0 {
+		var err error
+		if data, err = json.Marshal(b); err != nil {
+			return err
+		}
+	}
+	err := s.g.store.Append(ctx, TopicStreams, s.g.processID, data)
+	s.g.metrics.storeWrite(TopicStreams, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err != nil:
+		s.unrecorded = true
+	case len(data) == 0:
+		s.recordedMs = 0
+	default:
+		s.recordedMs = b.AtMs
+	}
+	return err
+}
+
+// sweepRecords deletes the records of gateways that are gone once no stream needs them. One
+// gateway does it for all, while it has a record itself.
+func (s *streams) sweepRecords(ctx context.Context) {
+	s.mu.Lock()
+	recorded := s.recordedMs != 0
+	s.mu.Unlock()
+	if !recorded || !s.g.peers.ranksAmong(subjectVersions, 1) {
+		return
+	}
+	s.reading.Lock()
+	s.reader.next = epoch.Position{}
+	s.reading.Unlock()
+	if err := s.refresh(ctx); err != nil {
+		s.g.log.WithField("event", "streamsUnread").Warn(err)
+		return
+	}
+	s.mu.Lock()
+	outdated := s.outdated
+	s.outdated = nil
+	s.mu.Unlock()
+	for _, key := range outdated {
+		if err := s.g.store.Append(ctx, TopicStreams, key, nil); err != nil {
+			s.g.log.WithField("event", "streamsUnwritten").Warn(err)
+			return
+		}
+	}
+}
