Quarantine: refused parts name their evidence

Cause: found by the operators' command: the keys of the endings of a refused part shared their array with a list from which explained endings were deleted, which zeroes it. Decisions use their number only. Change: the keys are copied. Measured: TestQuarantinedNamesTheEvidence fails without it (endings without servers) and passes.

--- a/internal/policy/quarantine/judge.go
+++ b/internal/policy/quarantine/judge.go
@@ -98,7 +98,7 @@
 	if best == "" {
 		return group{}, false
 	}
-	g := group{endings: against[best]}
+	g := group{endings: slices.Clone(against[best])}
 	for _, id := range slices.Sorted(maps.Keys(against)) {
 		if slices.Equal(against[id], g.endings) {
 			g.parts = append(g.parts, id)
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+func TestQuarantinedNamesTheEvidence(t *testing.T) {
+	l := quarantine.NewLedger()
+	var want []quarantine.Ending
+	for i := range 3 {
+		e := ended(i, t0+clock.Millis(i), "orchard", "*bad")
+		l.Merge(t0+100, e)
+		want = append(want, e.Endings...)
+	}
+	got := l.Quarantined()
+	if diff := cmp.Diff([]quarantine.Quarantined{{Parts: []string{"bad"}, SinceMs: t0 + 2, Accounts: []string{"orchard"}, Endings: want}}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestRefusedPartIsTriedAgainTwice(t *testing.T) {
 	l := quarantine.NewLedger()
 	for i := range 3 {
