Command quarantine: list and clear refused prompt parts

Cause: operators had a path at the metrics address only. Change: damaskport quarantine list and clear.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -46,6 +46,7 @@
 	addLoad,
 	addReport,
 	addExplain,
+	addQuarantine,
 }
 
 // Execute runs the command line args and returns the exit code.
--- a/internal/role/gateway/evidence.go
+++ b/internal/role/gateway/evidence.go
@@ -21,10 +21,11 @@
 	// evidenceRead is the interval at which a gateway that does not reach all others reads
 	// the evidence from the store.
 	evidenceRead = 5 * clock.Second
-	// quarantinePath is the operators' path for the refused parts.
-	quarantinePath = "/quarantine"
 )
 
+// QuarantinePath is the path of the refused parts at the metrics address.
+const QuarantinePath = "/quarantine"
+
 // keepEvidence reads the evidence from the store, and keeps it there as it changes, until
 // ctx ends.
 func (g *Gateway) keepEvidence(ctx context.Context) error {
@@ -132,12 +133,12 @@
 	}
 }
 
-// operatorHandler serves the metrics, and at quarantinePath the refused parts: GET lists
+// operatorHandler serves the metrics, and at QuarantinePath the refused parts: GET lists
 // them, DELETE with the id of a part behind the path clears it.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", g.metrics.root.Handler)
-	mux.HandleFunc("GET "+quarantinePath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+QuarantinePath, func(w http.ResponseWriter, _ *http.Request) {
 		g.suspects.mu.Lock()
 		all := g.suspects.ledger.Quarantined()
 		g.suspects.mu.Unlock()
@@ -146,7 +147,7 @@
 			g.log.WithField("event", "operatorLeft").Info(err)
 		}
 	})
-	mux.HandleFunc("DELETE "+quarantinePath+"/{part}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("DELETE "+QuarantinePath+"/{part}", func(w http.ResponseWriter, r *http.Request) {
 		ids := quarantine.Normalize([]string{strings.TrimSpace(r.PathValue("part"))})
 		if len(ids) == 0 {
 			http.Error(w, "the path does not name a part", http.StatusBadRequest)
