Gateway: a request that waits for a trial asks at its interval

Cause: read in the change: each answer of the examiner that denied a trial woke all requests that waited, the asking one too, which asked again at once. Change: a gateway keeps asking with the same request, each 0.1 s, and only the end of a trial wakes the others. Answers of the examiner are counted (prompt_trials).

--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -107,6 +107,11 @@
 	m.root.Tagged(map[string]string{"outcome": outcome}).Counter("prompt_inquiries").Inc(1)
 }
 
+// trial counts an answer of the examiner.
+func (m *gatewayMetrics) trial(granted bool) {
+	m.root.Tagged(map[string]string{"granted": strconv.FormatBool(granted)}).Counter("prompt_trials").Inc(1)
+}
+
 // streamJoin counts a stream that went on, by the proof of its version, or did not, by the
 // reason.
 func (m *gatewayMetrics) streamJoin(outcome string) {
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -59,7 +59,7 @@
 	// of another gateway was read.
 	version int
 	loaded  bool
-	// unsent are cleared parts that the other gateways are told of at sendAt.
+	// unsent are cleared parts of which the other gateways are not told yet.
 	unsent map[string]quarantine.Mark
 	// holders are the requests that ask for, or have, the permission to run a trial with a
 	// part, by the first suspected part.
@@ -129,6 +129,7 @@
 		case j.inquiry.allows(v):
 			return nil
 		case v.State == quarantine.Clear:
+			s.release(j)
 			s.logAdmitted(j, v, began, "cleared")
 			return nil
 		case v.State == quarantine.Refused || v.Retrial && j.mayHaveRun:
@@ -206,7 +207,7 @@
 }
 
 // obtainTrial asks the examiner for the permission to run j, and reports whether it was
-// given. Of the requests of this gateway with a part only one at a time asks.
+// given. Of the requests of this gateway with a part only one asks, until release.
 func (s *suspects) obtainTrial(ctx context.Context, j *job, v quarantine.Verdict) bool {
 	key := v.Parts[0]
 	s.mu.Lock()
@@ -222,7 +223,6 @@
 		j.inquiry.trial, j.inquiry.retrial = true, v.Retrial
 		return true
 	}
-	s.release(j)
 	return false
 }
 
--- a/internal/role/gateway/trials.go
+++ b/internal/role/gateway/trials.go
@@ -76,6 +76,7 @@
 	defer timeout.Stop()
 	select {
 	case granted = <-answer:
+		t.g.metrics.trial(granted)
 		return granted, true
 	case <-ctx.Done():
 		return false, true
