--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -60,8 +60,8 @@
 
 	sends   int      // attempts that reached a server
 	exclude []string // ids of servers not to try again
-	// limitedSends is the number of attempts that were not sent because they had no valid
-	// permit. limitedMs is when the request was first denied one; 0 if it was not.
+	// limitedSends is the number of attempts that were withheld, for lack of a valid permit or
+	// because of a prompt part. limitedMs is when the request was first denied one; 0 if it was not.
 	limitedSends int
 	limitedMs    clock.Millis
 	// inquiry is the request's part in the end of servers.
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -203,10 +203,10 @@
 	l.Info()
 }
 
-// retryAllowed reports whether j may be sent again after the attempt s, and
-// excludes the server of s, unless it was withheld for another reason than the server. delivered is the number of events that the caller has
-// received. A retry is taken from the pool's budget unless the request did not
-// reach the server of s.
+// retryAllowed reports whether j may be sent again after the attempt s, and excludes the
+// server of s, unless the attempt was withheld for another reason than the server. delivered
+// is the number of events that the caller has received. A retry is taken from the pool's
+// budget unless the request did not reach the server of s.
 func (g *Gateway) retryAllowed(j *job, s *send, delivered int) bool {
 	now := g.clock.Now()
 	if (s.limited || s.suspected) && j.limitedSends < maxNotSent {
