Gateway: a stream goes on only at a proven start of a server

Callers saw streams of two software versions where servers start anew in place with another version: the list of servers is up to half a second behind, and a request names the server's id only, which both starts bear. Cause: the version of a server was taken from the list as it was, whatever process had the address. A stream that began at such a server was recorded with the old version, and one that was bound to the old version was sent there. Besides, the time of a read was published before its result was in force. Change: while a pool has several versions, a bound stream is written only to a connection that was open before the list was read, else it waits for the next list. A stream is known and recorded under a version once such a list shows the start that began it.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -61,6 +61,8 @@
 	headerLimit *bounded.Reader
 	br          *bufio.Reader
 	bw          *bufio.Writer
+	// openedMs is the time at which the connection was open.
+	openedMs clock.Millis
 	// idleSinceMs is the time at which the connection became idle.
 	idleSinceMs clock.Millis
 	// idleTimeoutMs is the idle time after which the connection is no longer reused.
@@ -164,20 +166,27 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	if p.Dialed != nil {
 		p.Dialed()
 	}
-	return dial(ctx, p.addr)
+	c, err := dial(ctx, p.addr)
+	if err != nil {
+		return nil, err
+	}
+	c.openedMs = p.clock.Now()
+	return c, nil
 }
 
 // Refused reports whether the server refuses connections, or closes a new one at once: its
 // process has ended. A connection that stays open is kept for the next request. It
 // returns false if the server cannot be reached.
 func (p *Pool) Refused(ctx context.Context) bool {
-	if p.Dialed != nil {
-		p.Dialed()
-	}
-	c, err := dial(ctx, p.addr)
+	c, err := p.dial(ctx)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/damaskport/damaskport/internal/runtime/bounded"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 )
 
@@ -35,10 +36,11 @@
 	// taken for the response to the next request. If Mine is nil, every response is
 	// taken to belong to the request and to carry its ID.
 	Mine func(status int, h http.Header) (mine, identified bool)
-	// Allowed reports whether the request may still be sent. It is called right before
-	// the first byte is written, because the answer may change while a connection is
-	// opened. If Allowed is nil, the request is sent.
-	Allowed func() bool
+	// Allowed reports whether the request may still be sent on a connection that was
+	// opened at a time. It is called right before the first byte is written, because the
+	// answer may change while a connection is opened. If Allowed is nil, the request is
+	// sent.
+	Allowed func(openedMs clock.Millis) bool
 }
 
 // ErrWithheld is the cause of the NotSentError for a request whose Allowed function
@@ -55,6 +57,8 @@
 	// Framed is true if a complete body can be told from a truncated one: it has a
 	// Content-Length or is chunked.
 	Framed bool
+	// OpenedMs is when the connection was opened.
+	OpenedMs clock.Millis
 }
 
 // Do sends r once and returns the response. The error is a *NotSentError if no byte of r
@@ -65,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Allowed != nil && !r.Allowed() {
+	if r.Allowed != nil && !r.Allowed(c.openedMs) {
 		p.put(c)
 		return nil, &NotSentError{ErrWithheld}
 	}
@@ -100,7 +104,7 @@
 	b := &body{ReadCloser: res.Body, c: c, pool: p, stopCtxWatch: stop, requestSent: &requestSent, reusable: !res.Close && hasDelimitedBody(res)}
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Body: b, Length: res.ContentLength,
-		Framed: hasDelimitedBody(res),
+		Framed: hasDelimitedBody(res), OpenedMs: c.openedMs,
 	}, nil
 }
 
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -298,6 +298,17 @@
 // clock.
 func (v *fleetView) listAsOf() clock.Millis { return clock.Millis(v.listAsOfMs.Load()) }
 
+// awaitListSince waits for a list of servers that was the store's at a time or later, and
+// reports whether it came within listWait.
+func (v *fleetView) awaitListSince(ctx context.Context, at clock.Millis) bool {
+	for until := v.clock.Now() + listWait; v.listAsOf() < at; {
+		if v.clock.Now() >= until || v.clock.Sleep(ctx, listPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitList waits until the list of servers changes, for at most d.
 func (v *fleetView) awaitList(ctx context.Context, d clock.Millis) {
 	wait, cancel := context.WithTimeout(ctx, d.Duration())
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -110,11 +110,7 @@
 			g.applyNotices(j.pool, to.engine, r, used)
 			return r.RequestID == "" || r.RequestID == j.ID, r.RequestID != ""
 		},
-		Allowed: func() bool {
-			s.limited = !g.mayBeSent(g.clock.Now(), to)
-			s.suspected = !g.suspects.maySend(j)
-			return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine)
-		},
+		Allowed: func(openedMs clock.Millis) bool { return g.mayWrite(sctx, j, s, to, openedMs) },
 	})
 	if err != nil {
 		g.noAnswer(ctx, j, s, err)
@@ -139,6 +135,17 @@
 	return s, nil
 }
 
+// mayWrite reports whether j may still be written to its server, on a connection that was
+// opened at a time. It records in s why not.
+func (g *Gateway) mayWrite(ctx context.Context, j *job, s *send, to target, openedMs clock.Millis) bool {
+	if !g.streams.leadsToStart(ctx, j, openedMs) {
+		return false
+	}
+	s.limited = !g.mayBeSent(g.clock.Now(), to)
+	s.suspected = !g.suspects.maySend(j)
+	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine)
+}
+
 // maxPriority is the least urgent priority class of a model engine; 0 is the most
 // urgent.
 const maxPriority = 9
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -144,7 +144,6 @@
 	// The answer may have been the first to report a new epoch.
 	l.enterEpoch()
 	l.schedule.Answered(now, sent)
-	l.g.fleet.listAsOfMs.Store(int64(now - l.schedule.Age(now)))
 	if !snap.Next.Known() {
 		if len(l.applyRead(now, snap, false)) > 0 {
 			l.publish()
--- a/internal/role/gateway/streamrecords.go
+++ b/internal/role/gateway/streamrecords.go
@@ -25,6 +25,7 @@
 			e = current
 			s.recordAgain()
 		}
+		s.observe()
 		if err := s.write(ctx); err != nil {
 			g.log.WithField("event", "streamsUnwritten").Warn(err)
 		}
@@ -55,7 +56,7 @@
 	s.unrecorded = false
 	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}}
 	for id, o := range s.open {
-		if s.recordedLocked(now, o.Pool) {
+		if o.proven && s.recordedLocked(now, o.Pool) {
 			b.Streams[id] = o.Begin
 		}
 	}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -33,11 +33,13 @@
 	maxBroken = 4096
 	// lookupTries is how often the store is asked for a stream: its gateway may not have
 	// recorded it yet.
-	lookupTries = 3
-	// listWait is how long a stream that is taken up waits for a list of servers that was
-	// read since, and listPoll the interval at which it looks.
+	lookupTries = 5
+	// listWait is how long a stream waits for a list of servers that was read since, and
+	// listPoll the interval at which it looks.
 	listWait = 1500 * clock.Millisecond
 	listPoll = 20 * clock.Millisecond
+	// registerTime is how long after it accepts connections a server may register its start.
+	registerTime = 100 * clock.Millisecond
 	// startMargin is the difference of clocks up to which a server that started before the
 	// first event of a stream is taken to have sent it.
 	startMargin = 500 * clock.Millisecond
@@ -53,6 +55,10 @@
 	server  string
 	start   int64
 	beganMs clock.Millis // Unix milliseconds
+	// openedMs is when the connection to the server was opened, by the steady clock. proven is
+	// set once a list that was read since shows the same start of the server.
+	openedMs clock.Millis
+	proven   bool
 	// brokenMs is when the stream broke off here, in Unix milliseconds; 0 while it runs.
 	brokenMs clock.Millis
 }
@@ -93,12 +99,13 @@
 type streamVersion struct {
 	bound   bool
 	version string
-	// id is the stream's; server, start and beganMs are of its first event if this gateway
-	// forwarded that.
-	id      versions.ID
-	server  string
-	start   int64
-	beganMs clock.Millis
+	// id is the stream's; server, start, openedMs and beganMs are as in openStream if this
+	// gateway forwarded events.
+	id       versions.ID
+	server   string
+	start    int64
+	openedMs clock.Millis
+	beganMs  clock.Millis
 	// whole is set once the caller has the whole stream.
 	whole bool
 }
@@ -118,7 +125,7 @@
 	proof := "answer"
 	switch {
 	case v.bound:
-		if start := g.fleet.currentStart(v.server); start > v.start && clock.Millis(start) <= v.beganMs+startMargin {
+		if !g.streams.leadsToStart(ctx, j, v.openedMs) || restartedBefore(g.fleet.currentStart(v.server), v.start, v.beganMs) {
 			return g.notJoined(j, "streamVersionUnknown")
 		}
 	case j.ResumesAt == "":
@@ -147,12 +154,29 @@
 	return notRun(http.StatusServiceUnavailable, reason, versionRetryAfter)
 }
 
+// restartedBefore reports whether the listed start of a server began after another one, and
+// before a time: events from then on may be of either.
+func restartedBefore(listed, start int64, at clock.Millis) bool {
+	return listed > start && clock.Millis(listed) <= at+startMargin
+}
+
+// leadsToStart reports whether a connection that was opened at a time leads to the listed
+// start of its server. An address may have changed hands since the list was read, which
+// matters to bound streams of pools with several versions: they wait for a newer list.
+func (s *streams) leadsToStart(ctx context.Context, j *job, openedMs clock.Millis) bool {
+	if !j.stream.bound {
+		return true
+	}
+	s.mu.Lock()
+	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name)
+	s.mu.Unlock()
+	return !several || s.g.fleet.awaitListSince(ctx, openedMs+registerTime)
+}
+
 // find finds the version of the stream that j takes up, and how that is proved.
 func (s *streams) find(ctx context.Context, j *job) (proof string, ok bool) {
 	id := versions.IDOf(j.streamOrigin())
-	s.mu.Lock()
-	begin, found := s.index.Find(id)
-	s.mu.Unlock()
+	begin, found := s.own(ctx, id)
 	only, one := "", false
 	if !found {
 		only, one = s.only(ctx, j)
@@ -181,6 +205,29 @@
 	return proof, true
 }
 
+// own returns where a stream began that this gateway knows. If it began here, it waits for its
+// proof.
+func (s *streams) own(ctx context.Context, id versions.ID) (b versions.Begin, found bool) {
+	s.mu.Lock()
+	var since clock.Millis
+	if o := s.open[id]; o != nil && !o.proven {
+		since = o.openedMs + registerTime
+	}
+	s.mu.Unlock()
+	if since != 0 && s.g.fleet.awaitListSince(ctx, since) {
+		s.observe()
+	}
+	return s.lookIn(id)
+}
+
+// lookIn returns where a stream began by the index; found is false if it is not known.
+func (s *streams) lookIn(id versions.ID) (b versions.Begin, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, found = s.index.Find(id)
+	return b, found && b.Version != unknownVersion
+}
+
 // only returns the version of the stream that j takes up if all streams of the pool have the
 // same. It waits for the records of the store, and for a list of servers that was read after j
 // arrived: the version of any stream was listed before the stream began.
@@ -213,10 +260,7 @@
 			s.g.log.WithField("event", "streamsUnread").Warn(err)
 			break
 		}
-		s.mu.Lock()
-		begin, found = s.index.Find(id)
-		s.mu.Unlock()
-		if found {
+		if begin, found = s.lookIn(id); found {
 			return begin, true
 		}
 	}
@@ -269,16 +313,35 @@
 	if !v.bound {
 		*v = streamVersion{bound: true, version: a.version, id: versions.IDOf(j.streamOrigin())}
 	}
-	v.server, v.start, v.beganMs = a.engine.ID, a.engine.Start, now
-	begin := versions.Begin{Pool: j.pool.name, Version: v.version}
+	v.server, v.start, v.openedMs, v.beganMs = a.engine.ID, a.engine.Start, a.ans.OpenedMs, now
+	o := &openStream{
+		Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, server: v.server, start: v.start, openedMs: v.openedMs, beganMs: now,
+	}
+	asOf, listed := s.g.fleet.listAsOf(), s.g.fleet.currentStart(v.server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o := s.open[v.id]; o != nil && o.brokenMs != 0 {
+	if old := s.open[v.id]; old != nil && old.brokenMs != 0 {
 		s.broken--
 	}
-	s.open[v.id] = &openStream{Begin: begin, server: v.server, start: v.start, beganMs: now}
-	s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{v.id: begin}})
-	s.unrecorded = s.unrecorded || s.recordedLocked(now, begin.Pool)
+	s.open[v.id] = o
+	s.proveLocked(now, v.id, o, asOf, listed)
+}
+
+// proveLocked makes the version of an open stream known once the list of servers, as of a time,
+// shows that its server has not started anew before the first event; if it has, the stream has
+// no version. listed is the start of the server in the list. s.mu is held.
+func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, listed int64) {
+	switch {
+	case o.Version == unknownVersion:
+		return
+	case restartedBefore(listed, o.start, o.beganMs):
+		o.Version = unknownVersion
+	case o.proven || asOf < o.openedMs+registerTime:
+		return
+	}
+	o.proven = true
+	s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{id: o.Begin}})
+	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
 }
 
 // end records that the stream of j no longer runs here. Its caller may take it up again unless
@@ -307,15 +370,14 @@
 }
 
 // observe applies the versions that are listed now. All open streams of a pool are recorded
-// when a second version comes. A stream whose server has started anew before its first event
-// has no version. It does nothing before the records of the store and the list are known.
+// when a second version comes. It does nothing before the records of the store and the list
+// are known.
 func (s *streams) observe() {
 	if !s.isLoaded() || !s.g.fleet.listed.Load() {
 		return
 	}
-	now := s.g.clock.Wall()
-	listed := s.g.fleet.listedVersions()
-	starts := s.g.fleet.starts()
+	now, asOf := s.g.clock.Wall(), s.g.fleet.listAsOf()
+	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.starts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.history.Observe(now, listed) {
@@ -323,11 +385,7 @@
 		s.unrecorded = true
 	}
 	for id, o := range s.open {
-		if start := starts[o.server]; start > o.start && clock.Millis(start) <= o.beganMs+startMargin && o.Version != unknownVersion {
-			o.Version = unknownVersion
-			s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{id: o.Begin}})
-			s.unrecorded = true
-		}
+		s.proveLocked(now, id, o, asOf, starts[o.server])
 		if o.brokenMs != 0 && now-o.brokenMs > versions.StreamLifetime {
 			delete(s.open, id)
 			s.broken--
