Quarantine: the end of a server is known from its next start too

Cause: only a refused connection right after the break proved that a server had ended. One that is still accepted for it proved that it ran, so that nothing was held against the requests it had been answering. Change: requests that broke off stay with their server's start for 10 s (quarantine.Breaks, pure). A later start in the list, or a connection refused 200 ms after the break, makes them evidence as of the break. While that is open after a trial, no other trial runs for 3 s, the time in which a server starts anew.

--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -311,3 +311,36 @@
 		l.Judge(t0+clock.Millis(n), "orchard", []string{"a", "good"})
 	}
 }
+
+func TestBreaksProveEnds(t *testing.T) {
+	key := func(id string, start int64) servers.Key { return servers.Key{ID: id, Start: start} }
+	request := func(id string) quarantine.Suspect { return quarantine.Suspect{Request: id, Parts: []string{"bad"}} }
+	b := quarantine.NewBreaks()
+	got := []bool{b.Add(t0, key("s1", 1), request("r1")), b.Add(t0+100, key("s1", 1), request("r2")), b.Add(t0+200, key("s2", 1), request("r3")), b.Add(t0+300, key("s3", 5), request("r4"))}
+	if diff := cmp.Diff([]bool{true, false, true, true}, got); diff != "" {
+		t.Error("first at a server: -want +got\n" + diff)
+	}
+	want := quarantine.Evidence{Endings: []quarantine.Ending{{Server: key("s1", 1), AtMs: t0, Suspects: []quarantine.Suspect{request("r1"), request("r2")}}}}
+	if diff := cmp.Diff(want, b.Listed(t0+2000, map[string]int64{"s1": 2, "s2": 1, "s3": 4})); diff != "" {
+		t.Error("listed with a later start: -want +got\n" + diff)
+	}
+	if diff := cmp.Diff(quarantine.Evidence{}, b.Listed(t0+2100, map[string]int64{"s1": 3})); diff != "" {
+		t.Error("evidence is given once: -want +got\n" + diff)
+	}
+	if got := b.Ended(t0+3000, key("s2", 1)).Endings; len(got) != 1 || got[0].AtMs != t0+200 {
+		t.Errorf("a server that refuses connections: got %v", got)
+	}
+	if got := b.Listed(t0+20*clock.Second, map[string]int64{"s3": 6}); !got.Empty() {
+		t.Errorf("a start long after the break: got %v", got)
+	}
+	for i := range 1000 {
+		b.Add(t0+clock.Millis(i), key(fmt.Sprint("n", i), 1), request("r"))
+	}
+	starts := map[string]int64{}
+	for i := range 1000 {
+		starts[fmt.Sprint("n", i)] = 2
+	}
+	if got := b.Listed(t0+1000, starts); len(got.Endings) > 256 || got.Endings[len(got.Endings)-1].Server.ID != "n999" {
+		t.Errorf("%d servers are kept, want at most 256 and the newest ones", len(got.Endings))
+	}
+}
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -8,8 +8,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/quarantine"
+	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
@@ -20,6 +22,9 @@
 	endingKeep = 500 * clock.Millisecond
 	// endingTimeout bounds the check: a server that cannot be reached may still run.
 	endingTimeout = 300 * time.Millisecond
+	// endingRecheck is when a server that accepted a connection after a request had broken off
+	// there is checked once more: it may have been about to end.
+	endingRecheck = 200 * clock.Millisecond
 )
 
 // ending is the check whether a server has ended, after a request broke off there.
@@ -66,17 +71,19 @@
 }
 
 // serverEnded reports whether the server of s, at which a request broke off, has ended: it
-// refuses connections now. A server that drains is expected to.
+// is listed with a later start, or refuses connections now. A server that drains is expected
+// to.
 func (g *Gateway) serverEnded(j *job, s *send) bool {
 	k := s.engine.Key()
+	if g.fleet.currentStart(k.ID) > k.Start {
+		return true
+	}
 	if s.conns == nil || !j.pool.lists(s.engine) {
 		return false
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
-		ctx, cancel := context.WithTimeout(context.Background(), endingTimeout)
-		defer cancel()
-		c.ended.Store(s.conns.Refused(ctx))
+		c.ended.Store(refuses(s.conns))
 		close(c.checked)
 		if c.ended.Load() {
 			g.metrics.serverEnded()
@@ -86,6 +93,13 @@
 	return c.ended.Load()
 }
 
+// refuses reports whether a server refuses connections.
+func refuses(conns *direct.Pool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endingTimeout)
+	defer cancel()
+	return conns.Refused(ctx)
+}
+
 // cutUnframed reports whether an answer that ended with its connection was cut: its server
 // has ended. Other answers show by themselves whether they are whole.
 func (g *Gateway) cutUnframed(j *job, s *send) bool { return !s.ans.Framed && g.serverEnded(j, s) }
@@ -112,14 +126,24 @@
 // examineBreak finds out whether the server of s ended before it had answered j, and records
 // it as evidence against the shared parts of the prompt.
 func (g *Gateway) examineBreak(j *job, s *send) {
-	if !s.broke || s.cleared || len(j.inquiry.parts) == 0 {
+	if len(j.inquiry.parts) == 0 || s.cleared || s.notSent || s.reply.NotRun || s.outcome == retry.OutcomeFailed {
 		return
 	}
-	if g.serverEnded(j, s) {
+	if s.broke && g.serverEnded(j, s) {
 		j.log.WithFields(logrus.Fields{
 			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
 		}).Warn()
 		g.suspects.ended(j, s)
+		g.suspects.release(j)
+		return
+	}
+	g.suspects.brokeOff(j, s)
+}
+
+// recheckEnding looks again whether the server of s has ended.
+func (g *Gateway) recheckEnding(p *pool, s *send) {
+	k := s.engine.Key()
+	if p.lists(s.engine) && refuses(s.conns) {
+		g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence { return b.Ended(now, k) })
 	}
-	g.suspects.release(j)
 }
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -35,6 +35,9 @@
 	// endedHold is how long a request under which a server ended waits for others to clear
 	// its parts.
 	endedHold = 500 * clock.Millisecond
+	// unprovedHold is how long after a trial broke off no other one runs, unless its server is
+	// known to have ended: about the time in which a server starts anew.
+	unprovedHold = 3 * clock.Second
 	// maxHeld is the number of requests that may wait at the same time.
 	maxHeld = 512
 	// suspectRetryAfter is the shortest Retry-After of a suspected request, and the span in
@@ -53,6 +56,7 @@
 	mu       sync.Mutex
 	ledger   *quarantine.Ledger
 	examiner *quarantine.Examiner
+	breaks   *quarantine.Breaks
 	// changed is closed when the evidence changes or a trial of this gateway ends.
 	changed chan struct{}
 	// version counts the changes of the evidence, and loaded is set once that of the store or
@@ -71,7 +75,7 @@
 
 func newSuspects(g *Gateway) *suspects {
 	return &suspects{
-		g: g, ledger: quarantine.NewLedger(), examiner: quarantine.NewExaminer(), changed: make(chan struct{}),
+		g: g, ledger: quarantine.NewLedger(), examiner: quarantine.NewExaminer(), breaks: quarantine.NewBreaks(), changed: make(chan struct{}),
 		unsent: map[string]quarantine.Mark{}, holders: map[string]*job{},
 	}
 }
@@ -301,14 +305,52 @@
 func (s *suspects) ended(j *job, a *send) {
 	q := &j.inquiry
 	s.merge(quarantine.Evidence{Endings: []quarantine.Ending{{
-		Server: a.engine.Key(), AtMs: s.wall(),
-		Suspects: []quarantine.Suspect{{Request: j.ID, Account: j.account, Parts: q.parts, Trial: q.trial}},
+		Server: a.engine.Key(), AtMs: s.wall(), Suspects: []quarantine.Suspect{j.suspect()},
 	}}}, true)
 	// A server that had sent a header was answering the request.
 	q.barred = q.barred || a.ans != nil
 	q.heldUntil = 0
 }
 
+// suspect returns j as it stands in evidence.
+func (j *job) suspect() quarantine.Suspect {
+	return quarantine.Suspect{Request: j.ID, Account: j.account, Parts: j.inquiry.parts, Trial: j.inquiry.trial}
+}
+
+// brokeOff records that j broke off at a server of which it is not known whether it has ended.
+// If j was a trial, no other one runs until that may be known.
+func (s *suspects) brokeOff(j *job, a *send) {
+	s.mu.Lock()
+	first := s.breaks.Add(s.wall(), a.engine.Key(), j.suspect())
+	s.mu.Unlock()
+	if first && a.broke {
+		time.AfterFunc(endingRecheck.Duration(), func() { s.g.recheckEnding(j.pool, a) })
+	}
+	if j.inquiry.trial && a.broke {
+		j.inquiry.trial, j.inquiry.retrial = false, false
+		j.inquiry.barred = j.inquiry.barred || a.ans != nil
+		time.AfterFunc(unprovedHold.Duration(), func() { s.g.peers.endTrial(j.ID) })
+	}
+	s.release(j)
+}
+
+// provedEnded records the evidence that proof takes from the requests that broke off, now that
+// their servers are known to have ended.
+func (s *suspects) provedEnded(proof func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence) {
+	s.mu.Lock()
+	e := proof(s.wall(), s.breaks)
+	s.mu.Unlock()
+	for _, end := range e.Endings {
+		for _, r := range end.Suspects {
+			s.g.log.WithFields(logrus.Fields{
+				"event": "serverEnded", "request": r.Request, "server": end.Server.ID, "start": end.Server.Start, "parts": r.Parts, "trial": r.Trial, "later": true,
+			}).Warn()
+		}
+		s.g.metrics.serverEnded()
+	}
+	s.merge(e, true)
+}
+
 // answered records that j was answered far enough to clear its parts, and ends its trial.
 func (s *suspects) answered(j *job) {
 	if len(j.inquiry.parts) == 0 {
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/policy/listrefresh"
+	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/epoch"
 	"github.com/damaskport/damaskport/internal/state/servers"
@@ -238,6 +239,9 @@
 	}
 	g.fleet.setServers(usable)
 	g.streams.observe()
+	g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence {
+		return b.Listed(now, g.fleet.starts())
+	})
 	g.peers.keepOnly(live)
 	g.metrics.servers(byPool)
 	f := logrus.Fields{"event": "servers", "usable": len(usable)}
