Versions: the proof of a stream's start is pure

The gateway decided between its locks whether a list of servers shows which start of a server began a stream. Change: versions.Contact holds what the decision needs and makes it; the gateway asks it with the list that it has. What is decided stays the same.

--- a/internal/role/gateway/streamrecords.go
+++ b/internal/role/gateway/streamrecords.go
@@ -56,7 +56,7 @@
 	s.unrecorded = false
 	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}}
 	for id, o := range s.open {
-		if o.proven && s.recordedLocked(now, o.Pool) {
+		if o.proved && s.recordedLocked(now, o.Pool) {
 			b.Streams[id] = o.Begin
 		}
 	}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -38,11 +38,6 @@
 	// listPoll the interval at which it looks.
 	listWait = 1500 * clock.Millisecond
 	listPoll = 20 * clock.Millisecond
-	// registerTime is how long after it accepts connections a server may register its start.
-	registerTime = 100 * clock.Millisecond
-	// startMargin is the difference of clocks up to which a server that started before the
-	// first event of a stream is taken to have sent it.
-	startMargin = 500 * clock.Millisecond
 	// versionRetryAfter is the Retry-After of a stream that cannot go on now.
 	versionRetryAfter = 700 * clock.Millisecond
 	// unknownVersion is recorded for a stream whose server may have been another start.
@@ -52,13 +47,9 @@
 // openStream is a stream that this gateway began.
 type openStream struct {
 	versions.Begin
-	server  string
-	start   int64
-	beganMs clock.Millis // Unix milliseconds
-	// openedMs is when the connection to the server was opened, by the steady clock. proven is
-	// set once a list that was read since shows the same start of the server.
-	openedMs clock.Millis
-	proven   bool
+	versions.Contact
+	// proved is set once a list of servers shows which start of the server began it.
+	proved bool
 	// brokenMs is when the stream broke off here, in Unix milliseconds; 0 while it runs.
 	brokenMs clock.Millis
 }
@@ -99,13 +90,9 @@
 type streamVersion struct {
 	bound   bool
 	version string
-	// id is the stream's; server, start, openedMs and beganMs are as in openStream if this
-	// gateway forwarded events.
-	id       versions.ID
-	server   string
-	start    int64
-	openedMs clock.Millis
-	beganMs  clock.Millis
+	// id is the stream's. The contact is that of the last send that brought events; zero before.
+	id versions.ID
+	versions.Contact
 	// whole is set once the caller has the whole stream.
 	whole bool
 }
@@ -125,7 +112,7 @@
 	proof := "answer"
 	switch {
 	case v.bound:
-		if !g.streams.leadsToStart(ctx, j, v.openedMs) || restartedBefore(g.fleet.currentStart(v.server), v.start, v.beganMs) {
+		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.listAsOf(), g.fleet.currentStart(v.Server)) == versions.Restarted {
 			return g.notJoined(j, "streamVersionUnknown")
 		}
 	case j.ResumesAt == "":
@@ -154,12 +141,6 @@
 	return notRun(http.StatusServiceUnavailable, reason, versionRetryAfter)
 }
 
-// restartedBefore reports whether the listed start of a server began after another one, and
-// before a time: events from then on may be of either.
-func restartedBefore(listed, start int64, at clock.Millis) bool {
-	return listed > start && clock.Millis(listed) <= at+startMargin
-}
-
 // leadsToStart reports whether a connection that was opened at a time leads to the listed
 // start of its server. An address may have changed hands since the list was read, which
 // matters to bound streams of pools with several versions: they wait for a newer list.
@@ -170,7 +151,7 @@
 	s.mu.Lock()
 	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name)
 	s.mu.Unlock()
-	return !several || s.g.fleet.awaitListSince(ctx, openedMs+registerTime)
+	return !several || s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs))
 }
 
 // find finds the version of the stream that j takes up, and how that is proved.
@@ -210,8 +191,8 @@
 func (s *streams) own(ctx context.Context, id versions.ID) (b versions.Begin, found bool) {
 	s.mu.Lock()
 	var since clock.Millis
-	if o := s.open[id]; o != nil && !o.proven {
-		since = o.openedMs + registerTime
+	if o := s.open[id]; o != nil && !o.proved {
+		since = versions.ListNeeded(o.OpenedMs)
 	}
 	s.mu.Unlock()
 	if since != 0 && s.g.fleet.awaitListSince(ctx, since) {
@@ -313,11 +294,9 @@
 	if !v.bound {
 		*v = streamVersion{bound: true, version: a.version, id: versions.IDOf(j.streamOrigin())}
 	}
-	v.server, v.start, v.openedMs, v.beganMs = a.engine.ID, a.engine.Start, a.ans.OpenedMs, now
-	o := &openStream{
-		Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, server: v.server, start: v.start, openedMs: v.openedMs, beganMs: now,
-	}
-	asOf, listed := s.g.fleet.listAsOf(), s.g.fleet.currentStart(v.server)
+	v.Contact = versions.Contact{Server: a.engine.ID, Start: a.engine.Start, OpenedMs: a.ans.OpenedMs, BeganMs: now}
+	o := &openStream{Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, Contact: v.Contact}
+	asOf, listed := s.g.fleet.listAsOf(), s.g.fleet.currentStart(v.Server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.open[v.id]; old != nil && old.brokenMs != 0 {
@@ -327,19 +306,19 @@
 	s.proveLocked(now, v.id, o, asOf, listed)
 }
 
-// proveLocked makes the version of an open stream known once the list of servers, as of a time,
-// shows that its server has not started anew before the first event; if it has, the stream has
-// no version. listed is the start of the server in the list. s.mu is held.
+// proveLocked makes the version of an open stream known, once a list of servers as of a time
+// shows which start of its server began it. listed is the server's start in that list. A stream
+// that two starts may have begun has no version. s.mu is held.
 func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, listed int64) {
-	switch {
-	case o.Version == unknownVersion:
+	switch proof := o.Prove(asOf, listed); {
+	case o.Version == unknownVersion, proof == versions.Unproved:
 		return
-	case restartedBefore(listed, o.start, o.beganMs):
+	case proof == versions.Restarted:
 		o.Version = unknownVersion
-	case o.proven || asOf < o.openedMs+registerTime:
+	case o.proved:
 		return
 	}
-	o.proven = true
+	o.proved = true
 	s.index.Add(now, versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{id: o.Begin}})
 	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
 }
@@ -385,7 +364,7 @@
 		s.unrecorded = true
 	}
 	for id, o := range s.open {
-		s.proveLocked(now, id, o, asOf, starts[o.server])
+		s.proveLocked(now, id, o, asOf, starts[o.Server])
 		if o.brokenMs != 0 && now-o.brokenMs > versions.StreamLifetime {
 			delete(s.open, id)
 			s.broken--
--- a/internal/state/versions/versions_test.go
+++ b/internal/state/versions/versions_test.go
@@ -197,3 +197,25 @@
 		x.Find(versions.IDOf("7"))
 	}
 }
+
+func TestContactProve(t *testing.T) {
+	c := versions.Contact{Server: "s1", Start: 10_000, OpenedMs: 500, BeganMs: 60_000}
+	for _, tc := range []struct {
+		name   string
+		asOf   clock.Millis
+		listed int64
+		want   versions.Proof
+	}{
+		{"a list that is older than the connection", 400, 10_000, versions.Unproved},
+		{"a list of the moment at which it was opened", 500, 10_000, versions.Unproved},
+		{"a later list with the same start", 700, 10_000, versions.Proved},
+		{"a later list without the server", 700, 0, versions.Proved},
+		{"a start after the first event", 700, 65_000, versions.Proved},
+		{"a start before the first event", 700, 59_000, versions.Restarted},
+		{"a start before the first event, in an older list", 400, 59_000, versions.Restarted},
+	} {
+		if got := c.Prove(tc.asOf, tc.listed); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
