--- a/internal/policy/quarantine/evidence.go
+++ b/internal/policy/quarantine/evidence.go
@@ -3,9 +3,11 @@
 //
 // A Ledger holds the evidence of the whole fleet: which servers ended, and which requests
 // they had not answered yet. Evidence is merged in any order and any number of times, so
-// gateways with the same evidence decide alike. An Examiner, on one gateway for all, lets
-// one request with a suspected part run at a time. The package is pure: the current time is
-// an argument, in Unix milliseconds, since evidence outlives processes.
+// gateways with the same evidence decide alike. Breaks holds what may become evidence: the
+// requests that broke off at servers of which it is not known whether they have ended. An
+// Examiner, on one gateway for all, lets one request with a suspected part run at a time. The
+// package is pure: the current time is an argument, in Unix milliseconds, since evidence
+// outlives processes.
 package quarantine
 
 import (
