Gateway: record streams before a list proves their server's start

Change: a stream is recorded at once, with its server's start while that is not proved; who takes it up proves it by its own list.

--- a/internal/role/gateway/streamrecords.go
+++ b/internal/role/gateway/streamrecords.go
@@ -54,13 +54,17 @@
 		return b, false
 	}
 	s.unrecorded = false
-	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}}
+	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}, Unproved: map[versions.ID]versions.Supposed{}}
 	for id, o := range s.open {
-		if o.proved && s.recordedLocked(now, o.Pool) {
+		switch {
+		case !s.recordedLocked(now, o.Pool):
+		case o.proved:
 			b.Streams[id] = o.Begin
+		default:
+			b.Unproved[id] = versions.Supposed{Pool: o.Pool, Version: o.Version, Server: o.Server, Start: o.Start, BeganMs: o.BeganMs}
 		}
 	}
-	return b, len(b.Streams) > 0 || s.recordedMs != 0
+	return b, len(b.Streams)+len(b.Unproved) > 0 || s.recordedMs != 0
 }
 
 // write writes the record of the open streams if it is due, and deletes it if there are none.
@@ -70,7 +74,7 @@
 		return nil
 	}
 	var data []byte
-	if len(b.Streams) > 0 {
+	if len(b.Streams)+len(b.Unproved) > 0 {
 		var err error
 		if data, err = json.Marshal(b); err != nil {
 			return err
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -201,11 +201,18 @@
 	return s.lookIn(id)
 }
 
-// lookIn returns where a stream began by the index; found is false if it is not known.
+// lookIn returns where a stream began by the index; found is false if it is not known. The list
+// of servers may prove what another gateway had not proved yet.
 func (s *streams) lookIn(id versions.ID) (b versions.Begin, found bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	b, found = s.index.Find(id)
+	supposed, ok := s.index.Supposed(id)
+	s.mu.Unlock()
+	if ok {
+		c, asOf := s.g.clock, s.g.fleet.listAsOf()
+		b = versions.Begin{Pool: supposed.Pool, Version: supposed.Version}
+		found = supposed.Prove(c.Wall()-(c.Now()-asOf), s.g.fleet.currentStart(supposed.Server)) == versions.Proved
+	}
 	return b, found && b.Version != unknownVersion
 }
 
@@ -303,6 +310,7 @@
 		s.broken--
 	}
 	s.open[v.id] = o
+	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
 	s.proveLocked(now, v.id, o, asOf, listed)
 }
 
--- a/internal/state/versions/index.go
+++ b/internal/state/versions/index.go
@@ -31,12 +31,34 @@
 type Batch struct {
 	AtMs    clock.Millis
 	Streams map[ID]Begin
+	// Unproved are streams that a start of a server may have begun of which no list was read
+	// since.
+	Unproved map[ID]Supposed
+}
+
+// Supposed is where a stream began, if its server had not started anew just before.
+type Supposed struct {
+	Pool    string       `json:"pool"`
+	Version string       `json:"version"`
+	Server  string       `json:"server"`
+	Start   int64        `json:"start"`
+	BeganMs clock.Millis `json:"began"`
+}
+
+// Prove returns what a list of servers as of a time, in Unix ms, says. listed is the start of
+// the server in it; 0 if it is not listed, which proves nothing.
+func (s Supposed) Prove(asOf clock.Millis, listed int64) Proof {
+	if listed == 0 {
+		return Unproved
+	}
+	return Contact{Server: s.Server, Start: s.Start, OpenedMs: s.BeganMs + startMargin, BeganMs: s.BeganMs}.Prove(asOf, listed)
 }
 
 // wireBatch is the JSON form of a Batch.
 type wireBatch struct {
-	AtMs clock.Millis                 `json:"at"`
-	IDs  map[string]map[string]string `json:"ids"`
+	AtMs     clock.Millis                 `json:"at"`
+	IDs      map[string]map[string]string `json:"ids"`
+	Unproved map[ID]Supposed              `json:"unproved,omitempty"`
 }
 
 // MarshalJSON encodes the batch.
@@ -45,7 +67,7 @@
 	for id, begin := range b.Streams {
 		raw[begin] = binary.BigEndian.AppendUint64(raw[begin], uint64(id))
 	}
-	w := wireBatch{AtMs: b.AtMs, IDs: map[string]map[string]string{}}
+	w := wireBatch{AtMs: b.AtMs, IDs: map[string]map[string]string{}, Unproved: b.Unproved}
 	for begin, ids := range raw {
 		if w.IDs[begin.Pool] == nil {
 			w.IDs[begin.Pool] = map[string]string{}
@@ -62,7 +84,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return err
 	}
-	out := Batch{AtMs: w.AtMs, Streams: map[ID]Begin{}}
+	out := Batch{AtMs: w.AtMs, Streams: map[ID]Begin{}, Unproved: w.Unproved}
 	for pool, byVersion := range w.IDs {
 		for name, text := range byVersion {
 			ids, err := base64.RawStdEncoding.DecodeString(text)
@@ -87,19 +109,30 @@
 }
 
 // Index holds the version at which each stream began. It is not safe for concurrent use.
-type Index struct{ streams map[ID]known }
+type Index struct {
+	streams map[ID]known
+	// supposed are the unproved streams, which are not in streams.
+	supposed map[ID]Supposed
+}
 
 // NewIndex returns an Index without streams.
-func NewIndex() *Index { return &Index{streams: map[ID]known{}} }
+func NewIndex() *Index { return &Index{streams: map[ID]known{}, supposed: map[ID]Supposed{}} }
 
 // Add adds the streams of a batch. A stream that another batch has at another version is
 // known at neither.
 func (x *Index) Add(now clock.Millis, b Batch) {
+	for id, s := range b.Unproved {
+		if _, ok := x.streams[id]; !ok && len(x.supposed) < maxStreams {
+			s.BeganMs = min(s.BeganMs, now)
+			x.supposed[id] = s
+		}
+	}
 	for id, begin := range b.Streams {
 		k, ok := x.streams[id]
 		if !ok && len(x.streams) >= maxStreams {
 			continue
 		}
+		delete(x.supposed, id)
 		x.streams[id] = known{begin, max(k.atMs, min(b.AtMs, now)), ok && (k.contradicted || k.Begin != begin)}
 	}
 }
@@ -110,6 +143,12 @@
 	return k.Begin, ok && !k.contradicted
 }
 
+// Supposed returns where an unproved stream may have begun; ok is false if id is none.
+func (x *Index) Supposed(id ID) (s Supposed, ok bool) {
+	s, ok = x.supposed[id]
+	return s, ok
+}
+
 // Sweep forgets streams that can no longer go on.
 func (x *Index) Sweep(now clock.Millis) {
 	for id, k := range x.streams {
@@ -117,6 +156,11 @@
 			delete(x.streams, id)
 		}
 	}
+	for id, s := range x.supposed {
+		if now-s.BeganMs > StreamLifetime {
+			delete(x.supposed, id)
+		}
+	}
 }
 
 // Len returns the number of streams.
--- a/internal/state/versions/versions_test.go
+++ b/internal/state/versions/versions_test.go
@@ -219,3 +219,41 @@
 		}
 	}
 }
+
+func TestUnprovedStreamIsProvedByTheList(t *testing.T) {
+	id := versions.IDOf("r1")
+	supposed := versions.Supposed{Pool: "llm", Version: "1", Server: "s1", Start: 10_000, BeganMs: 60_000}
+	data, err := json.Marshal(versions.Batch{AtMs: 60_100, Unproved: map[versions.ID]versions.Supposed{id: supposed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b versions.Batch
+	if err := json.Unmarshal(data, &b); err != nil {
+		t.Fatal(err)
+	}
+	x := versions.NewIndex()
+	x.Add(60_200, b)
+	got, ok := x.Supposed(id)
+	if diff := cmp.Diff(supposed, got); !ok || diff != "" {
+		t.Errorf("from a record: %v -want +got\n%s", ok, diff)
+	}
+	for _, tc := range []struct {
+		name         string
+		asOf, listed int64
+		want         versions.Proof
+	}{
+		{"an older list", 60_400, 10_000, versions.Unproved},
+		{"the same start later", 61_000, 10_000, versions.Proved},
+		{"a start after the first event", 66_000, 65_000, versions.Proved},
+		{"a start before the first event", 61_000, 59_900, versions.Restarted},
+		{"not listed", 61_000, 0, versions.Unproved},
+	} {
+		if got := supposed.Prove(clock.Millis(tc.asOf), tc.listed); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+	x.Add(60_300, versions.Batch{AtMs: 60_300, Streams: map[versions.ID]versions.Begin{id: {Pool: "llm", Version: "1"}}})
+	if _, ok := x.Supposed(id); ok {
+		t.Error("a stream that was proved is still unproved")
+	}
+}
