Gateway: a list proves no start of a server just after a restore of the store

Cause: a list that is read after a restore names the start, and version, that the backup holds, until the server registers again.

--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -34,8 +34,9 @@
 	// connection to a server.
 	listed atomic.Bool
 	dialed func()
-	// listAsOfMs is when the list of servers was last known to be the store's (steady clock).
-	listAsOfMs atomic.Int64
+	// startsAsOfMs is when the list was last known to show the starts of all running servers:
+	// it does not shortly after an outage or a restore of the store (steady clock).
+	startsAsOfMs atomic.Int64
 	// listChanged has an element after the list of servers has changed.
 	listChanged chan struct{}
 
@@ -294,14 +295,14 @@
 	return out
 }
 
-// listAsOf returns when the list of servers was last known to be the store's, by the steady
-// clock.
-func (v *fleetView) listAsOf() clock.Millis { return clock.Millis(v.listAsOfMs.Load()) }
+// startsAsOf returns when the list was last known to show the starts of all running servers,
+// by the steady clock.
+func (v *fleetView) startsAsOf() clock.Millis { return clock.Millis(v.startsAsOfMs.Load()) }
 
-// awaitListSince waits for a list of servers that was the store's at a time or later, and
+// awaitListSince waits for a list that shows the starts of all servers that ran at a time, and
 // reports whether it came within listWait.
 func (v *fleetView) awaitListSince(ctx context.Context, at clock.Millis) bool {
-	for until := v.clock.Now() + listWait; v.listAsOf() < at; {
+	for until := v.clock.Now() + listWait; v.startsAsOf() < at; {
 		if v.clock.Now() >= until || v.clock.Sleep(ctx, listPoll) != nil {
 			return false
 		}
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -26,6 +26,17 @@
 	// fullReadMs is when the last read of the whole list was sent. reachableSinceMs is
 	// since when the store has answered each read of the list; 0 if the last read failed.
 	fullReadMs, reachableSinceMs clock.Millis
+	// settledMs is the time from which on all running servers have registered again after an
+	// outage or a restore of the store.
+	settledMs clock.Millis
+}
+
+// publishAge publishes as of when the list shows the starts of all running servers.
+func (l *serverList) publishAge() {
+	now := l.g.clock.Now()
+	if asOf := now - l.schedule.Age(now); asOf >= l.settledMs {
+		l.g.fleet.startsAsOfMs.Store(int64(asOf))
+	}
 }
 
 // serverDrainPeriod returns how long a draining server still serves.
@@ -46,7 +57,7 @@
 		next := g.updates.nextUpdate()
 		l.enterEpoch()
 		l.applyUpdates()
-		g.fleet.listAsOfMs.Store(int64(g.clock.Now() - l.schedule.Age(g.clock.Now())))
+		l.publishAge()
 		if now := g.clock.Now(); l.schedule.DueMs(now, g.peers.rank(subjectReaders)) > now {
 			l.wait(ctx, next)
 			continue
@@ -67,6 +78,7 @@
 	if l.asOf.Known() {
 		l.StoreUnreachable()
 		l.schedule.Invalidate()
+		l.settledMs = l.g.clock.Now() + servers.LapsedKeepMs
 	}
 	l.epoch, l.asOf, l.reachableSinceMs = e, epoch.Position{}, 0
 }
@@ -139,6 +151,7 @@
 			// The first failure may be due to a stale connection, so the next call is
 			// made at once.
 			l.reader.backOff(ctx)
+			l.settledMs = l.g.clock.Now() + servers.LapsedKeepMs
 		}
 		return
 	}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -112,7 +112,7 @@
 	proof := "answer"
 	switch {
 	case v.bound:
-		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.listAsOf(), g.fleet.currentStart(v.Server)) == versions.Restarted {
+		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.startsAsOf(), g.fleet.currentStart(v.Server)) == versions.Restarted {
 			return g.notJoined(j, "streamVersionUnknown")
 		}
 	case j.ResumesAt == "":
@@ -209,7 +209,7 @@
 	supposed, ok := s.index.Supposed(id)
 	s.mu.Unlock()
 	if ok {
-		c, asOf := s.g.clock, s.g.fleet.listAsOf()
+		c, asOf := s.g.clock, s.g.fleet.startsAsOf()
 		b = versions.Begin{Pool: supposed.Pool, Version: supposed.Version}
 		found = supposed.Prove(c.Wall()-(c.Now()-asOf), s.g.fleet.currentStart(supposed.Server)) == versions.Proved
 	}
@@ -225,7 +225,7 @@
 		loaded := s.history.Loaded()
 		_, ok = s.history.Only(s.g.clock.Wall(), j.pool.name)
 		s.mu.Unlock()
-		if loaded && (!ok || s.g.fleet.listAsOf() > j.arrivedMs) {
+		if loaded && (!ok || s.g.fleet.startsAsOf() > j.arrivedMs) {
 			break
 		}
 		if s.g.clock.Now() >= until || s.g.clock.Sleep(ctx, listPoll) != nil {
@@ -303,7 +303,7 @@
 	}
 	v.Contact = versions.Contact{Server: a.engine.ID, Start: a.engine.Start, OpenedMs: a.ans.OpenedMs, BeganMs: now}
 	o := &openStream{Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, Contact: v.Contact}
-	asOf, listed := s.g.fleet.listAsOf(), s.g.fleet.currentStart(v.Server)
+	asOf, listed := s.g.fleet.startsAsOf(), s.g.fleet.currentStart(v.Server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.open[v.id]; old != nil && old.brokenMs != 0 {
@@ -363,7 +363,7 @@
 	if !s.isLoaded() || !s.g.fleet.listed.Load() {
 		return
 	}
-	now, asOf := s.g.clock.Wall(), s.g.fleet.listAsOf()
+	now, asOf := s.g.clock.Wall(), s.g.fleet.startsAsOf()
 	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.starts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
