Gateway: a draining notice holds for the start that sent it

Cause, traced with PROOF_LOGS: the answer came from start 1001; the gateway's list, 4.5 s old with the store away, still had 1000, so the notice was recorded for that one and void once the list showed 1001. What a gateway reads on a connection that is younger than its list was taken for the listed start, as with streams. Change: such a notice is kept until a list shows to which start the connection led (servers.Notices, pure), and then holds for that one, unless that one began after the notice.

--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -12,6 +12,7 @@
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
+	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
 const (
@@ -31,8 +32,9 @@
 
 // applyNotices applies the notices in an answer of the server e (draining, back-off,
 // limit), and logs headers that could not be parsed. used is the permit of the answered
-// request; the zero permit if it had none or the answer is to an earlier request.
-func (g *Gateway) applyNotices(p *pool, e enginequeue.Engine, r Reply, used permit) {
+// request; the zero permit if it had none or the answer is to an earlier request. openedMs is
+// when the connection was opened.
+func (g *Gateway) applyNotices(p *pool, e enginequeue.Engine, r Reply, used permit, openedMs clock.Millis) {
 	now := g.clock.Now()
 	key := servers.Key{ID: e.ID, Start: e.Start}
 	g.logMalformed(now, e.ID, r.Malformed)
@@ -48,6 +50,9 @@
 		return
 	}
 	g.serverDrains(now, key, "answer")
+	if needed := versions.ListNeeded(openedMs); g.fleet.startsAsOf() < needed {
+		g.fleet.markUnproved(e.ID, needed, g.clock.Wall())
+	}
 	if r.WrongServer && r.ServerID != "" && r.ServerID != e.ID {
 		// Another server has this address now, and the notice is about that server.
 		g.serverDrains(now, servers.Key{ID: r.ServerID, Start: g.fleet.currentStart(r.ServerID)}, "answer")
@@ -233,6 +238,21 @@
 	return v.notices.BackOffUntil(k)
 }
 
+// markUnproved records a draining notice of which it is not known which start sent it.
+func (v *fleetView) markUnproved(id string, needed, wall clock.Millis) {
+	v.noticeMu.Lock()
+	defer v.noticeMu.Unlock()
+	v.notices.MarkUnproved(id, needed, wall)
+}
+
+// proveNotices returns the starts that sent draining notices, as the list now shows.
+func (v *fleetView) proveNotices() []servers.Key {
+	asOf, starts := v.startsAsOf(), v.starts()
+	v.noticeMu.Lock()
+	defer v.noticeMu.Unlock()
+	return v.notices.Prove(asOf, starts)
+}
+
 // currentStart returns when the current process of a listed server started, in Unix
 // milliseconds; 0 if the server is not listed.
 func (v *fleetView) currentStart(id string) int64 {
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -38,6 +38,7 @@
 	ans         *direct.Answer
 	reply       Reply
 	sentMs      clock.Millis
+	openedMs    clock.Millis // when the connection was open
 	// begun is set once the first event has arrived, at beganMs.
 	begun   bool
 	beganMs clock.Millis
@@ -107,7 +108,7 @@
 			if r.RequestID == j.ID {
 				used = to.permit
 			}
-			g.applyNotices(j.pool, to.engine, r, used)
+			g.applyNotices(j.pool, to.engine, r, used, s.openedMs)
 			return r.RequestID == "" || r.RequestID == j.ID, r.RequestID != ""
 		},
 		Allowed: func(openedMs clock.Millis) bool { return g.mayWrite(sctx, j, s, to, openedMs) },
@@ -138,6 +139,7 @@
 // mayWrite reports whether j may still be written to its server, on a connection that was
 // opened at a time. It records in s why not.
 func (g *Gateway) mayWrite(ctx context.Context, j *job, s *send, to target, openedMs clock.Millis) bool {
+	s.openedMs = openedMs
 	if !g.streams.leadsToStart(ctx, j, openedMs) {
 		return false
 	}
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -34,8 +34,13 @@
 // publishAge publishes as of when the list shows the starts of all running servers.
 func (l *serverList) publishAge() {
 	now := l.g.clock.Now()
-	if asOf := now - l.schedule.Age(now); asOf >= l.settledMs {
-		l.g.fleet.startsAsOfMs.Store(int64(asOf))
+	asOf := now - l.schedule.Age(now)
+	if asOf < l.settledMs {
+		return
+	}
+	l.g.fleet.startsAsOfMs.Store(int64(asOf))
+	for _, k := range l.g.fleet.proveNotices() {
+		l.g.serverDrains(now, k, "answer")
 	}
 }
 
--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -29,6 +29,16 @@
 type Notices struct {
 	draining map[string]drainNotice
 	backOffs map[Key]clock.Millis
+	// unproved are the draining notices by server of which it is not known which start sent
+	// them.
+	unproved map[string]unprovedNotice
+}
+
+// unprovedNotice is a draining notice on a connection that was opened after the list of servers
+// was read: it may come from a later start than the listed one.
+type unprovedNotice struct {
+	neededMs clock.Millis // as of when a list shows which start sent the notice
+	sentMs   clock.Millis // when the notice arrived, in Unix ms
 }
 
 // drainNotice is the draining notice of the latest start in which a server sent one.
@@ -39,7 +49,7 @@
 
 // NewNotices returns empty Notices.
 func NewNotices() *Notices {
-	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}}
+	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}, unproved: map[string]unprovedNotice{}}
 }
 
 // MarkDraining records that a server sent a draining notice in the start k.Start, and
@@ -53,6 +63,28 @@
 	return true
 }
 
+// MarkUnproved records that a server sent a draining notice at wall, in Unix ms, on a connection
+// of which a list as of needed shows to which start it leads.
+func (n *Notices) MarkUnproved(id string, needed, wall clock.Millis) {
+	n.unproved[id] = unprovedNotice{needed, wall}
+}
+
+// Prove returns the starts that sent the unproved notices that a list as of a time proves.
+// starts holds the listed starts by server id. A start after the notice did not send it.
+func (n *Notices) Prove(asOf clock.Millis, starts map[string]int64) []Key {
+	var out []Key
+	for id, u := range n.unproved {
+		if asOf < u.neededMs {
+			continue
+		}
+		delete(n.unproved, id)
+		if start := starts[id]; start != 0 && clock.Millis(start) <= u.sentMs {
+			out = append(out, Key{id, start})
+		}
+	}
+	return out
+}
+
 // Draining reports whether a server sent a draining notice in the start k.Start or a
 // later one.
 func (n *Notices) Draining(k Key) bool {
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -1,6 +1,8 @@
 package servers_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -228,3 +230,25 @@
 		t.Error("the digest did not change with the address of a server")
 	}
 }
+
+func TestProveNotices(t *testing.T) {
+	n := servers.NewNotices()
+	n.MarkUnproved("same", 1000, 50_000)
+	n.MarkUnproved("anew", 1000, 50_000)
+	n.MarkUnproved("later", 1000, 50_000)
+	n.MarkUnproved("gone", 1000, 50_000)
+	n.MarkUnproved("fresh", 3000, 52_000)
+	starts := map[string]int64{"same": 10_000, "anew": 49_000, "later": 51_000, "fresh": 51_500}
+	if got := n.Prove(999, starts); len(got) != 0 {
+		t.Errorf("an older list proves %v", got)
+	}
+	got := n.Prove(2000, starts)
+	slices.SortFunc(got, func(a, b servers.Key) int { return strings.Compare(a.ID, b.ID) })
+	want := []servers.Key{{ID: "anew", Start: 49_000}, {ID: "same", Start: 10_000}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error("-want +got\n" + diff)
+	}
+	if got := n.Prove(2000, map[string]int64{"later": 49_000}); len(got) != 0 {
+		t.Errorf("a notice is proved twice: %v", got)
+	}
+}
