Gateway: serverEnded names what all tries of a request have in common

Cause: the log of a server's end named the id of a try and shared prompt parts. Whether one request or many had ended servers could not be told, and requests without shared parts were not logged at all.

Change: quarantine.Request.ID, a hash of account, method, host, target and body, is on serverEnded as subject; the line and the metric servers_ended now come for every route. Nothing that is decided changes.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -126,18 +126,23 @@
 // examineBreak finds out whether the server of s ended before it had answered j, and records
 // it as evidence against the shared parts of the prompt.
 func (g *Gateway) examineBreak(j *job, s *send) {
-	if len(j.inquiry.parts) == 0 || s.cleared || s.notSent || s.reply.NotRun || s.outcome == retry.OutcomeFailed {
+	if s.cleared || s.notSent || s.reply.NotRun || s.outcome == retry.OutcomeFailed {
 		return
 	}
 	if s.broke && g.serverEnded(j, s) {
 		j.log.WithFields(logrus.Fields{
-			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
+			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "subject": j.subject, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
 		}).Warn()
+		if len(j.inquiry.parts) == 0 {
+			return
+		}
 		g.suspects.ended(j, s)
 		g.suspects.release(j)
 		return
 	}
-	g.suspects.brokeOff(j, s)
+	if len(j.inquiry.parts) > 0 {
+		g.suspects.brokeOff(j, s)
+	}
 }
 
 // recheckEnding looks again whether the server of s has ended.
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
 )
@@ -64,6 +65,8 @@
 	// because of a prompt part. limitedMs is when the request was first denied one; 0 if it was not.
 	limitedSends int
 	limitedMs    clock.Millis
+	// subject is the id of what all tries of the request have in common.
+	subject string
 	// inquiry is the request's part in the end of servers.
 	inquiry inquiry
 	// stream is the software version to which the stream is bound.
@@ -155,6 +158,7 @@
 		return j, failure
 	}
 	j.body, j.header = body, exchange.EndToEnd(r.Header)
+	j.subject = quarantine.Request{Account: j.account, Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body}.ID()
 	j.inquiry.parts = promptParts(j.Blocks)
 	j.pool = g.fleet.pool(j.route.Choose(j.streamOrigin()))
 	j.placeReq = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Blocks: j.Blocks}
