--- a/internal/cli/commands/quarantine.go
+++ b/internal/cli/commands/quarantine.go
@@ -22,14 +22,14 @@
 const maxOperatorReply = 4 << 20
 
 func addQuarantine(p *flags.Parser, o output) error {
-	c, err := p.AddCommand("quarantine", "list and clear prompt parts that end servers",
-		"Shows which prompt parts the gateways keep from servers, and clears them.", &struct{}{})
+	c, err := p.AddCommand("quarantine", "list and clear requests and prompt parts that end servers",
+		"Shows which requests and prompt parts the gateways keep from servers, and clears them.", &struct{}{})
 	if err != nil {
 		return err
 	}
 	return addAll(c, []subcommand{
-		{"list", "list the refused parts", "Lists the refused prompt parts with the evidence against them.", &quarantineList{o: o}},
-		{"clear", "clear a part", "Clears a prompt part at all gateways: requests with it are sent again.", &quarantineClear{o: o}},
+		{"list", "list what is refused", "Lists the refused requests and prompt parts with the evidence against them.", &quarantineList{o: o}},
+		{"clear", "clear a request or part", "Clears a request, or a prompt part with all its requests, at all gateways: they are sent again.", &quarantineClear{o: o}},
 	})
 }
 
@@ -67,7 +67,7 @@
 	o    output
 }
 
-// Execute prints the refused parts.
+// Execute prints what is refused.
 func (c *quarantineList) Execute([]string) error {
 	data, err := c.call(http.MethodGet, gateway.QuarantinePath)
 	if err != nil {
@@ -83,13 +83,13 @@
 		return enc.Encode(all)
 	}
 	w := tabwriter.NewWriter(c.o.out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "PARTS\tSINCE\tACCOUNTS\tRETRIALS\tENDED SERVERS")
+	fmt.Fprintln(w, "SUBJECTS\tPROMPT\tSINCE\tACCOUNTS\tRETRIALS\tENDED SERVERS")
 	for _, q := range all {
 		var ended []string
 		for _, e := range q.Endings {
 			ended = append(ended, e.Server.ID)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", strings.Join(q.Parts, "+"), time.UnixMilli(int64(q.SinceMs)).UTC().Format(time.RFC3339),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", strings.Join(q.Subjects, "+"), strings.Join(q.Prompt, "+"), time.UnixMilli(int64(q.SinceMs)).UTC().Format(time.RFC3339),
 			strings.Join(q.Accounts, ","), q.Retrials, strings.Join(ended, ","))
 	}
 	return w.Flush()
@@ -98,16 +98,16 @@
 type quarantineClear struct {
 	gatewayOptions
 	Args struct {
-		Part string `positional-arg-name:"PART" required:"true"`
+		Subject string `positional-arg-name:"ID" required:"true"`
 	} `positional-args:"true"`
 	o output
 }
 
-// Execute clears the part.
+// Execute clears the request or part.
 func (c *quarantineClear) Execute([]string) error {
-	if _, err := c.call(http.MethodDelete, gateway.QuarantinePath+"/"+url.PathEscape(c.Args.Part)); err != nil {
+	if _, err := c.call(http.MethodDelete, gateway.QuarantinePath+"/"+url.PathEscape(c.Args.Subject)); err != nil {
 		return err
 	}
-	c.o.line("cleared", c.Args.Part)
+	c.o.line("cleared", c.Args.Subject)
 	return nil
 }
--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -72,10 +72,10 @@
 	// (PermitRequest); MethodPermitted answers it (PermitReply).
 	MethodPermit    = "permit"
 	MethodPermitted = "permitted"
-	// MethodEvidence carries news of servers that ended and of prompt parts
+	// MethodEvidence carries news of servers that ended and of what may have ended them
 	// (quarantine.Evidence).
 	MethodEvidence = "evidence"
-	// MethodTrial asks the examiner whether a request with suspected prompt parts may run
+	// MethodTrial asks the examiner whether a suspected request may run, or may run on
 	// (TrialRequest); MethodTrialAnswer answers it (TrialReply), and MethodTrialEnd reports
 	// the end of the trial (TrialRequest).
 	MethodTrial       = "trial"
@@ -95,10 +95,10 @@
 // TrialRequest asks to run one request, or names one that has ended.
 type TrialRequest struct {
 	// ID is unique among the requests of the sender.
-	ID      uint64   `json:"id,omitempty"`
-	Request string   `json:"request"`
-	Parts   []string `json:"parts,omitempty"`
-	// Retrial is set if the parts are refused, to try them again.
+	ID       uint64   `json:"id,omitempty"`
+	Request  string   `json:"request"`
+	Subjects []string `json:"parts,omitempty"`
+	// Retrial is set if the subjects are refused, to try them again.
 	Retrial bool `json:"retrial,omitempty"`
 }
 
--- a/internal/policy/quarantine/breaks.go
+++ b/internal/policy/quarantine/breaks.go
@@ -35,10 +35,7 @@
 		}
 		e = Ending{Server: k, AtMs: now}
 	}
-	if len(e.Suspects) < maxSuspects {
-		e.Suspects = append(slices.Clip(e.Suspects), s)
-	}
-	b.byServer[k] = e
+	b.byServer[k] = e.withSuspect(s, func(Suspect) int { return 0 })
 	return first
 }
 
--- a/internal/policy/quarantine/evidence.go
+++ b/internal/policy/quarantine/evidence.go
@@ -1,11 +1,12 @@
-// Package quarantine decides which requests are kept from backend servers because a part of
-// their prompts ends each server that begins to answer them.
+// Package quarantine decides which requests are kept from backend servers because they end
+// each server that runs them: by themselves, or by a part of their prompts.
 //
-// A Ledger holds the evidence of the whole fleet: which servers ended, and which requests
+// What may be to blame is a subject: a prompt part, which many requests share, or a request,
+// which comes again and again (Request). A Ledger holds the evidence of the whole fleet: which servers ended, and which requests
 // they had not answered yet. Evidence is merged in any order and any number of times, so
 // gateways with the same evidence decide alike. Breaks holds what may become evidence: the
 // requests that broke off at servers of which it is not known whether they have ended. An
-// Examiner, on one gateway for all, lets one request with a suspected part run at a time. The
+// Examiner, on one gateway for all, lets one request with a suspected subject run at a time. The
 // package is pure: the current time is an argument, in Unix milliseconds, since evidence
 // outlives processes.
 package quarantine
@@ -27,13 +28,15 @@
 const (
 	// maxPartBytes is the length from which the id of a part is replaced by its hash.
 	maxPartBytes = 64
-	// maxParts bounds the parts of one request that are examined, and maxSuspects the
+	// maxSubjects bounds the subjects of one request that are examined, and maxSuspects the
 	// requests that are kept of one Ending.
-	maxParts    = 32
+	maxSubjects = 32
 	maxSuspects = 16
-	// maxEndings bounds the endings in a ledger, and maxMarks its marks of one kind.
-	maxEndings = 128
-	maxMarks   = 1024
+	// maxEndings bounds the endings in a ledger, maxSuspectBytes their suspects, and maxMarks
+	// the marks of one kind. Together they fit into one record of the store.
+	maxEndings      = 128
+	maxSuspectBytes = 128 << 10
+	maxMarks        = 1024
 	// evidenceKeep is how long evidence counts.
 	evidenceKeep = 24 * 3600 * clock.Second
 	// skewMargin is the difference of two gateways' clocks up to which an answer that came
@@ -53,14 +56,32 @@
 type Suspect struct {
 	Request string `json:"request"`
 	Account string `json:"account,omitempty"`
-	// Parts are the ids of the parts of the prompt, without the last one, which belongs to
-	// the request alone.
-	Parts []string `json:"parts"`
+	// Subjects are the ids of the parts of the prompt, without the last one, which belongs
+	// to the request alone, and of the request.
+	Subjects []string `json:"parts"`
 	// Trial is set if an Examiner had let the request run: no other one with its suspected
-	// parts ran then.
+	// subjects ran then.
 	Trial bool `json:"trial,omitempty"`
 }
 
+// requestID returns the id of the request among the subjects; empty if it is not known.
+func (s Suspect) requestID() string {
+	if i := slices.IndexFunc(s.Subjects, IsRequest); i >= 0 {
+		return s.Subjects[i]
+	}
+	return ""
+}
+
+// bytes returns about the size of s in the store.
+func (s Suspect) bytes() int {
+	const names = 48 // names of the fields and punctuation
+	n := names + len(s.Request) + len(s.Account)
+	for _, id := range s.Subjects {
+		n += len(id) + 3
+	}
+	return n
+}
+
 // Ending is the end of one start of a server.
 type Ending struct {
 	Server   servers.Key  `json:"server"`
@@ -68,21 +89,21 @@
 	Suspects []Suspect    `json:"suspects"`
 }
 
-// Mark is the time of an event that concerns a part.
+// Mark is the time of an event that concerns a subject.
 type Mark struct {
-	Part string       `json:"part"`
-	AtMs clock.Millis `json:"at"`
-	// Operator is set if an operator cleared the part.
+	Subject string       `json:"part"`
+	AtMs    clock.Millis `json:"at"`
+	// Operator is set if an operator cleared the subject.
 	Operator bool `json:"operator,omitempty"`
 }
 
 // Evidence is what gateways tell each other and keep in the store.
 type Evidence struct {
 	Endings []Ending `json:"endings,omitempty"`
-	// Cleared are parts on which a request was answered, or which an operator cleared. They
-	// void all earlier evidence against the part.
+	// Cleared are subjects with which a request was answered, or which an operator cleared.
+	// They void all earlier evidence against the subject.
 	Cleared []Mark `json:"cleared,omitempty"`
-	// Retrials are the times at which a request with a refused part was tried again.
+	// Retrials are the times at which a request with a refused subject was tried again.
 	Retrials []Mark `json:"retrials,omitempty"`
 }
 
@@ -105,13 +126,13 @@
 			return &FieldError{"suspects", "too many entries"}
 		}
 		for _, s := range end.Suspects {
-			if s.Request == "" || len(s.Parts) > maxParts || slices.ContainsFunc(s.Parts, invalidPart) {
-				return &FieldError{"suspects", "invalid request or parts"}
+			if s.Request == "" || len(s.Subjects) > maxSubjects || slices.ContainsFunc(s.Subjects, invalidSubject) {
+				return &FieldError{"suspects", "invalid request or subjects"}
 			}
 		}
 	}
 	for _, m := range slices.Concat(p.Cleared, p.Retrials) {
-		if invalidPart(m.Part) {
+		if invalidSubject(m.Subject) {
 			return &FieldError{"part", "invalid id"}
 		}
 	}
@@ -119,38 +140,38 @@
 	return nil
 }
 
-func invalidPart(id string) bool { return id == "" || len(id) > maxPartBytes }
+func invalidSubject(id string) bool { return id == "" || len(id) > maxPartBytes }
 
-// Normalize returns the parts of a prompt as they stand in evidence: without duplicates, at
-// most maxParts, long ids replaced by a hash.
+// Normalize returns the parts of a prompt as they stand in evidence: without duplicates, long
+// ids replaced by a hash, and so few that there is room for the id of the request.
 func Normalize(parts []string) []string {
-	out := make([]string, 0, min(len(parts), maxParts))
+	out := make([]string, 0, min(len(parts)+1, maxSubjects))
 	for _, id := range parts {
 		id = strings.ToLower(id)
 		if len(id) > maxPartBytes {
 			id = fmt.Sprintf("#%016x", xxhash.Sum64String(id))
 		}
-		if id != "" && len(out) < maxParts && !slices.Contains(out, id) {
+		if id != "" && len(out) < maxSubjects-1 && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// marks are the newest times of events by part.
+// marks are the newest times of events by subject.
 type marks map[string]Mark
 
 // add records m and reports whether it is newer than what was known. Of more than limit
 // marks the oldest quarter is dropped.
 func (s marks) add(m Mark, limit int) bool {
-	if old, ok := s[m.Part]; ok && old.AtMs >= m.AtMs {
+	if old, ok := s[m.Subject]; ok && old.AtMs >= m.AtMs {
 		return false
 	}
-	s[m.Part] = m
+	s[m.Subject] = m
 	if len(s) > limit {
 		all := slices.SortedFunc(maps.Values(s), func(a, b Mark) int { return cmp.Compare(a.AtMs, b.AtMs) })
 		for _, old := range all[:limit/4] {
-			delete(s, old.Part)
+			delete(s, old.Subject)
 		}
 	}
 	return true
--- a/internal/policy/quarantine/examiner.go
+++ b/internal/policy/quarantine/examiner.go
@@ -10,31 +10,32 @@
 // longer keeps others waiting.
 const trialLifetime = 5 * clock.Second
 
-// Examiner lets requests with suspected parts run one at a time for each part. It is not
+// Examiner lets requests with suspected subjects run one at a time for each subject. It is not
 // safe for concurrent use.
 type Examiner struct {
 	trials map[string]trial // by request
 }
 
 type trial struct {
-	parts []string
-	endMs clock.Millis
+	subjects []string
+	endMs    clock.Millis
 }
 
 // NewExaminer returns an Examiner without trials.
 func NewExaminer() *Examiner { return &Examiner{trials: map[string]trial{}} }
 
-// Ask reports whether a request with these suspected parts may run now.
-func (x *Examiner) Ask(now clock.Millis, request string, parts []string) bool {
+// Ask reports whether a request with these suspected subjects may run now. A request that
+// runs asks again before trialLifetime is over.
+func (x *Examiner) Ask(now clock.Millis, request string, subjects []string) bool {
 	for id, t := range x.trials {
 		switch {
 		case now >= t.endMs:
 			delete(x.trials, id)
-		case id != request && slices.ContainsFunc(parts, func(p string) bool { return slices.Contains(t.parts, p) }):
+		case id != request && slices.ContainsFunc(subjects, func(id string) bool { return slices.Contains(t.subjects, id) }):
 			return false
 		}
 	}
-	x.trials[request] = trial{parts, now + trialLifetime}
+	x.trials[request] = trial{subjects, now + trialLifetime}
 	return true
 }
 
--- a/internal/policy/quarantine/judge.go
+++ b/internal/policy/quarantine/judge.go
@@ -9,16 +9,30 @@
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
-// group is a set of parts that the evidence does not tell apart, and that together explain
-// the end of servers.
+const (
+	// minEndings is the number of ended servers from which on a subject is refused.
+	minEndings = 3
+	// minTrials is how many of them must have ended under a trial for a prompt part to be
+	// refused: servers that are killed take requests with them too, but rarely two trials in a
+	// row. A request is refused without one, and tried once more at once.
+	minTrials = 2
+)
+
+// group is a set of subjects that the evidence does not tell apart, and that together explain
+// the end of servers: prompt parts, or one request.
 type group struct {
-	parts    []string
+	subjects []string
 	accounts []string
 	// sinceMs is when the last server ended that was needed for the refusal.
 	sinceMs clock.Millis
 	endings []servers.Key // oldest first
+	// trials is how many of the endings came under a trial.
+	trials int
 }
 
+// isRequest reports whether g is a request, not a set of prompt parts.
+func (g group) isRequest() bool { return IsRequest(g.subjects[0]) }
+
 // concerns reports whether requests of an account are refused. What the requests of one
 // account caused is not held against the others, whose requests are tried first.
 func (g group) concerns(account string) bool {
@@ -28,56 +42,94 @@
 // judgement is what follows from the evidence.
 type judgement struct {
 	refused []group
-	// against are the endings that count against a part and are not explained by a refused
-	// one, oldest first.
+	// against are the endings that count against a subject and are not explained by a
+	// refused part, oldest first.
 	against map[string][]servers.Key
-	// needed are the endings on which refusals rest.
-	needed map[servers.Key]bool
 }
 
-// implicates reports whether evidence counts against a part.
-func (j *judgement) implicates(part string) bool {
-	return len(j.against[part]) > 0 || slices.ContainsFunc(j.refused, func(g group) bool { return slices.Contains(g.parts, part) })
+// implicates reports whether evidence counts against a subject.
+func (j *judgement) implicates(id string) bool {
+	return len(j.against[id]) > 0 || slices.ContainsFunc(j.refused, func(g group) bool { return slices.Contains(g.subjects, id) })
+}
+
+// needs reports whether a refusal rests on a suspect of the end of server k.
+func (j *judgement) needs(k servers.Key, s Suspect) bool {
+	return slices.ContainsFunc(j.refused, func(g group) bool {
+		return containsAll(s.Subjects, g.subjects) && slices.Contains(g.endings, k)
+	})
 }
 
 // judge derives the judgement, unless the evidence has not changed since the last call.
-// Parts against which most endings count are refused first, and explain these endings, so
-// that parts that were only on the same requests or servers are not refused for them.
+//
+// Requests are judged each by itself: an answer tells the one that ends servers from those that
+// were only beside it. Of the parts, those against which most endings count are refused first,
+// and explain these endings, so that parts that were only on the same requests or servers are
+// not refused for them.
 func (l *Ledger) judge() *judgement {
 	if l.judged != nil {
 		return l.judged
 	}
-	j := &judgement{against: l.partsWithEvidence(), needed: map[servers.Key]bool{}}
+	ordered := l.orderedEndings()
+	j := &judgement{against: l.requestsWithEvidence(ordered)}
+	parts := l.partsWithEvidence(ordered, j.against)
+	for _, id := range slices.Sorted(maps.Keys(j.against)) {
+		if len(j.against[id]) >= minEndings {
+			j.refused = append(j.refused, l.newGroup([]string{id}, j.against[id], 0))
+		}
+	}
 	for {
-		g, ok := l.strongest(j.against)
+		g, ok := l.strongest(parts)
 		if !ok {
 			break
 		}
 		j.refused = append(j.refused, g)
-		for _, k := range g.endings {
-			j.needed[k] = true
-		}
-		for id, keys := range j.against {
-			keys = slices.DeleteFunc(keys, func(k servers.Key) bool { return j.needed[k] })
-			if j.against[id] = keys; len(keys) == 0 {
-				delete(j.against, id)
+		for id, keys := range parts {
+			keys = slices.DeleteFunc(keys, func(k servers.Key) bool { return slices.Contains(g.endings, k) })
+			if parts[id] = keys; len(keys) == 0 {
+				delete(parts, id)
 			}
 		}
 	}
+	maps.Copy(j.against, parts)
 	l.judged = j
 	return j
 }
 
-// partsWithEvidence returns the endings that count against each part, oldest first.
-func (l *Ledger) partsWithEvidence() map[string][]servers.Key {
-	out := map[string][]servers.Key{}
-	ordered := slices.SortedFunc(maps.Values(l.endings), func(a, b Ending) int {
+// orderedEndings returns the endings, oldest first.
+func (l *Ledger) orderedEndings() []Ending {
+	return slices.SortedFunc(maps.Values(l.endings), func(a, b Ending) int {
 		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Server.ID, b.Server.ID), cmp.Compare(a.Server.Start, b.Server.Start))
 	})
+}
+
+// requestsWithEvidence returns the endings that count against each request, oldest first.
+func (l *Ledger) requestsWithEvidence(ordered []Ending) map[string][]servers.Key {
+	out := map[string][]servers.Key{}
 	for _, e := range ordered {
 		for _, s := range e.Suspects {
-			for _, id := range s.Parts {
-				if l.counts(id, e.AtMs) && !slices.Contains(out[id], e.Server) {
+			if id := s.requestID(); id != "" && l.counts(id, e.AtMs) && !slices.Contains(out[id], e.Server) {
+				out[id] = append(out[id], e.Server)
+			}
+		}
+	}
+	return out
+}
+
+// partsWithEvidence returns the endings that count against each prompt part, oldest first.
+// requests are the endings that count against requests: one that ended several servers counts
+// once against its parts, and explains the end of the others.
+func (l *Ledger) partsWithEvidence(ordered []Ending, requests map[string][]servers.Key) map[string][]servers.Key {
+	out := map[string][]servers.Key{}
+	for _, e := range ordered {
+		if slices.ContainsFunc(e.Suspects, func(s Suspect) bool {
+			ended := requests[s.requestID()]
+			return slices.Index(ended, e.Server) > 0
+		}) {
+			continue
+		}
+		for _, s := range e.Suspects {
+			for _, id := range s.Subjects {
+				if !IsRequest(id) && l.counts(id, e.AtMs) && !slices.Contains(out[id], e.Server) {
 					out[id] = append(out[id], e.Server)
 				}
 			}
@@ -98,33 +150,41 @@
 	if best == "" {
 		return group{}, false
 	}
-	g := group{endings: slices.Clone(against[best])}
+	alike := []string{best}
 	for _, id := range slices.Sorted(maps.Keys(against)) {
-		if slices.Equal(against[id], g.endings) {
-			g.parts = append(g.parts, id)
+		if id != best && slices.Equal(against[id], against[best]) {
+			alike = append(alike, id)
 		}
 	}
-	trials := 0
+	slices.Sort(alike)
+	return l.newGroup(alike, against[best], minTrials), true
+}
+
+// newGroup returns the group of subjects that explain endings, of which so many must have come
+// under trials.
+func (l *Ledger) newGroup(subjects []string, endings []servers.Key, needTrials int) group {
+	g := group{subjects: subjects, endings: slices.Clone(endings)}
+	id := subjects[0]
 	for i, k := range g.endings {
-		trials += l.trials(best, g.endings[i:i+1])
-		if g.sinceMs == 0 && i+1 >= minEndings && trials >= minTrials {
+		g.trials += l.trials(id, g.endings[i:i+1])
+		if g.sinceMs == 0 && i+1 >= minEndings && g.trials >= needTrials {
 			g.sinceMs = l.endings[k].AtMs
 		}
 		for _, s := range l.endings[k].Suspects {
-			if slices.Contains(s.Parts, best) && !slices.Contains(g.accounts, s.Account) {
+			if slices.Contains(s.Subjects, id) && !slices.Contains(g.accounts, s.Account) {
 				g.accounts = append(g.accounts, s.Account)
 			}
 		}
 	}
 	slices.Sort(g.accounts)
-	return g, true
+	return g
 }
 
-// trials returns how many of the endings came under a trial of a request with the part.
-func (l *Ledger) trials(part string, keys []servers.Key) int {
+// trials returns how many of the endings came under a trial of a request with the subject.
+func (l *Ledger) trials(id string, keys []servers.Key) int {
 	n := 0
 	for _, k := range keys {
-		if slices.ContainsFunc(l.endings[k].Suspects, func(s Suspect) bool { return s.Trial && slices.Contains(s.Parts, part) }) {
+		if slices.ContainsFunc(l.endings[k].Suspects, func(s Suspect) bool { return s.Trial && slices.Contains(s.Subjects, id) }) {
 			n++
 		}
 	}
--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -10,25 +10,15 @@
 )
 
 const (
-	// minEndings is the number of ended servers from which on requests with a part are
-	// refused, and minTrials how many of them must have ended under a trial: servers that
-	// are killed take requests with them too, but rarely two trials in a row.
-	minEndings = 3
-	minTrials  = 2
-	// knownEndings is the number of ended servers from which on a part is suspected although
-	// requests with it were answered before; other parts are from the first one on.
+	// knownEndings is the number of ended servers from which on a subject is suspected although
+	// requests with it were answered before; others are from the first one on.
 	knownEndings = 3
-	// answeredKeep is how long a part on which a request was answered counts as known.
+	// answeredKeep is how long a subject with which a request was answered counts as known.
 	answeredKeep = 600 * clock.Second
-	// maxAnswered bounds the known parts.
+	// maxAnswered bounds the known parts, and the known requests.
 	maxAnswered = 4096
 )
 
-// retrialDelays are the times, from when a part was first refused, after which one request
-// with it is tried again. There are no further ones: a part that is still refused then
-// stays so until its evidence expires or an operator clears it.
-var retrialDelays = []clock.Millis{5 * clock.Second, 600 * clock.Second}
-
 // State is what may be done with a request.
 type State int
 
@@ -47,19 +37,26 @@
 // Verdict is the decision on a request.
 type Verdict struct {
 	State State
-	// Parts are the suspected or refused parts of the request.
-	Parts []string
+	// Subjects are the suspected or refused subjects of the request.
+	Subjects []string
+	// ByRequest is set if the state is that of the request by itself, not of its parts.
+	ByRequest bool
 	// Endings is the largest number of ended servers that count against one of them.
 	Endings int
-	// Retrial is set if a suspected request has a refused part that may be tried again.
+	// Retrial is set if a suspected request has a refused subject that may be tried again.
 	Retrial bool
+	// Wait is set if a suspected request may not run before the result of a trial that runs
+	// now is known.
+	Wait bool
 }
 
-// Quarantined describes refused parts, for operators.
+// Quarantined describes refused subjects, for operators.
 type Quarantined struct {
-	// Parts are refused together: the evidence does not tell them apart, and only requests
-	// that have all of them are refused.
-	Parts    []string     `json:"parts"`
+	// Subjects are refused together: one request, or the parts that the evidence does not tell
+	// apart; only requests that have all of them are refused.
+	Subjects []string `json:"parts"`
+	// Prompt holds the shared prompt parts that all tries of a refused request had.
+	Prompt   []string     `json:"prompt,omitempty"`
 	SinceMs  clock.Millis `json:"sinceMs"`
 	Accounts []string     `json:"accounts"`
 	Retrials int          `json:"retrials"`
@@ -71,16 +68,16 @@
 	endings  map[servers.Key]Ending
 	cleared  marks
 	retrials map[string][]clock.Millis
-	// answered is when a request with a part was last answered at this gateway, or another
-	// one has told so.
-	answered marks
+	// answered and answeredRequests are when a request with a part, or a request, was last
+	// answered at this gateway, or another one has told so.
+	answered, answeredRequests marks
 	// judged is the decision derived from the evidence; nil if that has changed.
 	judged *judgement
 }
 
 // NewLedger returns a Ledger without evidence.
 func NewLedger() *Ledger {
-	return &Ledger{endings: map[servers.Key]Ending{}, cleared: marks{}, retrials: map[string][]clock.Millis{}, answered: marks{}}
+	return &Ledger{endings: map[servers.Key]Ending{}, cleared: marks{}, retrials: map[string][]clock.Millis{}, answered: marks{}, answeredRequests: marks{}}
 }
 
 // Merge adds evidence and returns the part of it that was not known yet. now bounds times
@@ -91,15 +88,15 @@
 		m.AtMs = min(m.AtMs, now)
 		if l.cleared.add(m, maxMarks) {
 			if !m.Operator {
-				l.answered.add(m, maxAnswered)
+				l.known(m.Subject).add(m, maxAnswered)
 			}
 			news.Cleared = append(news.Cleared, m)
 		}
 	}
 	for _, m := range e.Retrials {
 		m.AtMs = min(m.AtMs, now)
-		if !slices.Contains(l.retrials[m.Part], m.AtMs) && len(l.retrials[m.Part]) <= len(retrialDelays) {
-			l.retrials[m.Part] = append(l.retrials[m.Part], m.AtMs)
+		if !slices.Contains(l.retrials[m.Subject], m.AtMs) && len(l.retrials[m.Subject]) < maxRetrials {
+			l.retrials[m.Subject] = append(l.retrials[m.Subject], m.AtMs)
 			news.Retrials = append(news.Retrials, m)
 		}
 	}
@@ -124,14 +121,15 @@
 		known = Ending{Server: end.Server, AtMs: end.AtMs}
 	}
 	known.AtMs = min(known.AtMs, end.AtMs)
-	known.Suspects = slices.Clone(known.Suspects)
 	for _, s := range end.Suspects {
-		if len(known.Suspects) >= maxSuspects || !l.countsAgainstAny(s, known.AtMs) ||
-			slices.ContainsFunc(known.Suspects, func(o Suspect) bool { return o.Request == s.Request }) {
+		has := func() bool {
+			return slices.ContainsFunc(known.Suspects, func(o Suspect) bool { return o.Request == s.Request })
+		}
+		if !l.countsAgainstAny(s, known.AtMs) || has() {
 			continue
 		}
-		known.Suspects = append(known.Suspects, s)
-		changed = true
+		known = known.withSuspect(s, l.endingsUnder)
+		changed = changed || has()
 	}
 	if changed {
 		l.endings[end.Server] = known
@@ -139,56 +137,45 @@
 	return changed
 }
 
+// endingsUnder returns how many servers ended under the request of s.
+func (l *Ledger) endingsUnder(s Suspect) int {
+	id, n := s.requestID(), 0
+	for _, e := range l.endings {
+		if slices.ContainsFunc(e.Suspects, func(o Suspect) bool { return id != "" && o.requestID() == id }) {
+			n++
+		}
+	}
+	return n
+}
+
+// known returns the marks of what was answered for subjects like id.
+func (l *Ledger) known(id string) marks {
+	if IsRequest(id) {
+		return l.answeredRequests
+	}
+	return l.answered
+}
+
 // countsAgainstAny reports whether the end of a server at a time counts against one of the
-// parts of s.
+// subjects of s.
 func (l *Ledger) countsAgainstAny(s Suspect, at clock.Millis) bool {
-	return slices.ContainsFunc(s.Parts, func(id string) bool { return l.counts(id, at) })
+	return slices.ContainsFunc(s.Subjects, func(id string) bool { return l.counts(id, at) })
 }
 
-// counts reports whether the end of a server at a time counts against a part: the part was
-// not cleared since.
-func (l *Ledger) counts(part string, at clock.Millis) bool {
-	m, ok := l.cleared[part]
+// counts reports whether the end of a server at a time counts against a subject, which was not
+// cleared since.
+func (l *Ledger) counts(id string, at clock.Millis) bool {
+	m, ok := l.cleared[id]
 	return !ok || at > m.AtMs+skewMargin || m.Operator && at > m.AtMs
 }
 
-// drop removes evidence that counts against no part or is too old, and the oldest evidence
-// beyond the bounds: first what no refusal rests on.
-func (l *Ledger) drop(now clock.Millis) {
-	maps.DeleteFunc(l.endings, func(_ servers.Key, e Ending) bool {
-		return now-e.AtMs > evidenceKeep || !slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return l.countsAgainstAny(s, e.AtMs) })
-	})
-	maps.DeleteFunc(l.cleared, func(_ string, m Mark) bool { return now-m.AtMs > evidenceKeep })
-	for part, at := range l.retrials {
-		at = slices.DeleteFunc(at, func(t clock.Millis) bool { return now-t > evidenceKeep || !l.counts(part, t) })
-		l.retrials[part] = at
-		if len(at) == 0 {
-			delete(l.retrials, part)
-		}
-	}
-	for len(l.endings) > maxEndings {
-		needed := l.judge().needed
-		oldest := slices.MinFunc(slices.Collect(maps.Values(l.endings)), func(a, b Ending) int {
-			if needed[a.Server] != needed[b.Server] {
-				if needed[b.Server] {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(a.AtMs, b.AtMs)
-		})
-		delete(l.endings, oldest.Server)
-	}
-	l.judged = nil
-}
-
-// Answered records that a request with these parts was answered, and returns the news for
-// the other gateways: the parts that had evidence against them.
-func (l *Ledger) Answered(now clock.Millis, parts []string) Evidence {
+// Answered records that a request with these subjects was answered, and returns the news for
+// the other gateways: the subjects that had evidence against them.
+func (l *Ledger) Answered(now clock.Millis, subjects []string) Evidence {
 	var e Evidence
-	for _, id := range parts {
-		if l.answered.add(Mark{Part: id, AtMs: now}, maxAnswered); len(l.endings) > 0 && l.judge().implicates(id) {
-			e.Cleared = append(e.Cleared, Mark{Part: id, AtMs: now})
+	for _, id := range subjects {
+		if l.known(id).add(Mark{Subject: id, AtMs: now}, maxAnswered); len(l.endings) > 0 && l.judge().implicates(id) {
+			e.Cleared = append(e.Cleared, Mark{Subject: id, AtMs: now})
 		}
 	}
 	if e.Empty() {
@@ -197,112 +184,138 @@
 	return l.Merge(now, e)
 }
 
-// Lift clears a part on behalf of an operator, and returns the news for the other gateways.
-func (l *Ledger) Lift(now clock.Millis, part string) Evidence {
-	return l.Merge(now, Evidence{Cleared: []Mark{{Part: part, AtMs: now, Operator: true}}})
+// Lift clears a subject on behalf of an operator, and returns the news for the other gateways.
+// With a prompt part it clears the requests that ended servers with it: they are mended
+// together.
+func (l *Ledger) Lift(now clock.Millis, subject string) Evidence {
+	cleared := []Mark{{Subject: subject, AtMs: now, Operator: true}}
+	for _, e := range l.orderedEndings() {
+		for _, s := range e.Suspects {
+			id := s.requestID()
+			if id != "" && slices.Contains(s.Subjects, subject) && !slices.ContainsFunc(cleared, func(m Mark) bool { return m.Subject == id }) && len(cleared) < maxMarks {
+				cleared = append(cleared, Mark{Subject: id, AtMs: now, Operator: true})
+			}
+		}
+	}
+	return l.Merge(now, Evidence{Cleared: cleared})
 }
 
-// Judge decides on a request of an account with these parts.
-func (l *Ledger) Judge(now clock.Millis, account string, parts []string) Verdict {
+// Judge decides on a request of an account with these subjects.
+func (l *Ledger) Judge(now clock.Millis, account string, subjects []string) Verdict {
 	var v Verdict
 	if len(l.endings) == 0 {
 		return v
 	}
 	j := l.judge()
 	for _, g := range j.refused {
-		if !containsAll(parts, g.parts) || !g.concerns(account) {
-			v.add(Suspected, common(parts, g.parts), len(g.endings))
-			continue
-		}
-		if n := len(l.retrialsOf(g)); n < len(retrialDelays) && now >= g.sinceMs+retrialDelays[n] {
-			v.add(Suspected, g.parts, len(g.endings))
+		switch {
+		case !containsAll(subjects, g.subjects) || !g.concerns(account):
+			v.add(Suspected, common(subjects, g.subjects), len(g.endings))
+		case l.retrialDue(now, g):
+			v.add(Suspected, g.subjects, len(g.endings))
 			v.Retrial = true
-			continue
+		case l.resultDue(now, g):
+			v.add(Suspected, g.subjects, len(g.endings))
+			v.Wait = true
+		default:
+			v.add(Refused, g.subjects, len(g.endings))
 		}
-		v.add(Refused, g.parts, len(g.endings))
 	}
-	for _, id := range parts {
+	for _, id := range subjects {
 		n := len(j.against[id])
-		if n == 0 || slices.Contains(v.Parts, id) {
+		if n == 0 || slices.Contains(v.Subjects, id) {
 			continue
 		}
-		if m, ok := l.answered[id]; n >= knownEndings || !ok || now-m.AtMs > answeredKeep {
+		if m, ok := l.known(id)[id]; n >= knownEndings || !ok || now-m.AtMs > answeredKeep {
 			v.add(Suspected, []string{id}, n)
 		}
 	}
 	return v
 }
 
-// add adds parts in a state; the strictest state counts.
-func (v *Verdict) add(s State, parts []string, endings int) {
-	if len(parts) == 0 {
+// add adds subjects in a state; the strictest state counts.
+func (v *Verdict) add(s State, subjects []string, endings int) {
+	if len(subjects) == 0 {
 		return
 	}
-	v.State = max(v.State, s)
-	v.Parts = append(v.Parts, parts...)
-	v.Endings = max(v.Endings, endings)
-}
-
-// Retry returns the news of a retrial of refused parts that is about to begin; it is empty
-// if a request with them may not be tried again now.
-func (l *Ledger) Retry(now clock.Millis, parts []string) Evidence {
-	var e Evidence
-	for _, g := range l.judge().refused {
-		if !containsAll(parts, g.parts) {
-			continue
-		}
-		if n := len(l.retrialsOf(g)); n >= len(retrialDelays) || now < g.sinceMs+retrialDelays[n] {
-			return Evidence{}
-		}
-		for _, id := range g.parts {
-			e.Retrials = append(e.Retrials, Mark{Part: id, AtMs: now})
-		}
+	byRequest := slices.ContainsFunc(subjects, IsRequest)
+	if s > v.State {
+		v.State, v.ByRequest = s, byRequest
+	} else if s == v.State {
+		v.ByRequest = v.ByRequest && byRequest
 	}
-	return l.Merge(now, e)
+	v.Subjects = append(v.Subjects, subjects...)
+	v.Endings = max(v.Endings, endings)
 }
 
 // Evidence returns all evidence that counts.
 func (l *Ledger) Evidence() Evidence {
-	e := Evidence{Endings: slices.SortedFunc(maps.Values(l.endings), func(a, b Ending) int {
-		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Server.ID, b.Server.ID), cmp.Compare(a.Server.Start, b.Server.Start))
-	})}
-	// Marks of parts without evidence are kept too: older evidence may come back from a record
+	e := Evidence{Endings: l.orderedEndings()}
+	// Marks of subjects without evidence are kept too: older evidence may come back from a record
 	// that a gateway left behind.
 	e.Cleared = slices.SortedFunc(maps.Values(l.cleared), func(a, b Mark) int {
-		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Subject, b.Subject))
 	})
-	for _, part := range slices.Sorted(maps.Keys(l.retrials)) {
-		for _, at := range l.retrials[part] {
+	for _, id := range slices.Sorted(maps.Keys(l.retrials)) {
+		for _, at := range l.retrials[id] {
 			if len(e.Retrials) < maxMarks {
-				e.Retrials = append(e.Retrials, Mark{Part: part, AtMs: at})
+				e.Retrials = append(e.Retrials, Mark{Subject: id, AtMs: at})
 			}
 		}
 	}
 	return e
 }
 
-// Quarantined returns the refused parts.
+// Quarantined returns the refused subjects.
 func (l *Ledger) Quarantined() []Quarantined {
 	out := []Quarantined{}
 	for _, g := range l.judge().refused {
-		q := Quarantined{Parts: g.parts, SinceMs: g.sinceMs, Accounts: g.accounts, Retrials: len(l.retrialsOf(g))}
+		q := Quarantined{Subjects: g.subjects, SinceMs: g.sinceMs, Accounts: g.accounts, Retrials: len(l.retrialsOf(g))}
 		for _, k := range g.endings {
 			q.Endings = append(q.Endings, l.endings[k])
 		}
+		if g.isRequest() {
+			q.Prompt = promptOf(g.subjects[0], q.Endings)
+		}
 		out = append(out, q)
 	}
 	return out
 }
 
-// Len returns the numbers of refused groups of parts and of endings.
-func (l *Ledger) Len() (refused, endings int) {
-	if len(l.endings) == 0 {
-		return 0, 0
+// promptOf returns the shared prompt parts that all tries of a request had.
+func promptOf(request string, endings []Ending) []string {
+	var out []string
+	first := true
+	for _, e := range endings {
+		for _, s := range e.Suspects {
+			if s.requestID() != request {
+				continue
+			}
+			parts := slices.DeleteFunc(slices.Clone(s.Subjects), IsRequest)
+			if first {
+				out, first = parts, false
+			} else {
+				out = common(parts, out)
+			}
+		}
 	}
-	return len(l.judge().refused), len(l.endings)
+	return out
 }
 
-func (l *Ledger) retrialsOf(g group) []clock.Millis { return l.retrials[g.parts[0]] }
+// Len returns the numbers of refused groups of parts, of refused requests and of endings.
+func (l *Ledger) Len() (parts, requests, endings int) {
+	if len(l.endings) == 0 {
+		return 0, 0, 0
+	}
+	for _, g := range l.judge().refused {
+		if g.isRequest() {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	return parts, requests, len(l.endings)
+}
 
 // common returns the elements of some that are in all.
 func common(all, some []string) []string {
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -23,7 +23,7 @@
 	e := quarantine.Ending{Server: servers.Key{ID: fmt.Sprint("s", n), Start: 1}, AtMs: at}
 	for i, r := range requests {
 		parts, trial := strings.CutPrefix(r, "*")
-		e.Suspects = append(e.Suspects, quarantine.Suspect{Request: fmt.Sprint(n, "-", i), Account: account, Parts: strings.Fields(parts), Trial: trial})
+		e.Suspects = append(e.Suspects, quarantine.Suspect{Request: fmt.Sprint(n, "-", i), Account: account, Subjects: strings.Fields(parts), Trial: trial})
 	}
 	return quarantine.Evidence{Endings: []quarantine.Ending{e}}
 }
@@ -93,7 +93,7 @@
 	}
 	var got [][]string
 	for _, q := range l.Quarantined() {
-		got = append(got, q.Parts)
+		got = append(got, q.Subjects)
 	}
 	if diff := cmp.Diff([][]string{{"bad"}, {"worse"}}, got); diff != "" {
 		t.Error(diff)
@@ -109,7 +109,7 @@
 		want = append(want, e.Endings...)
 	}
 	got := l.Quarantined()
-	if diff := cmp.Diff([]quarantine.Quarantined{{Parts: []string{"bad"}, SinceMs: t0 + 2, Accounts: []string{"orchard"}, Endings: want}}, got); diff != "" {
+	if diff := cmp.Diff([]quarantine.Quarantined{{Subjects: []string{"bad"}, SinceMs: t0 + 2, Accounts: []string{"orchard"}, Endings: want}}, got); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -158,7 +158,7 @@
 			at := t0 + clock.Millis(rnd.IntN(20_000))
 			all = append(all, ended(rnd.IntN(8), at, "orchard", fmt.Sprintf("*a p%d", rnd.IntN(3)), fmt.Sprintf("a q%d", i)))
 			if rnd.IntN(3) == 0 {
-				all = append(all, quarantine.Evidence{Cleared: []quarantine.Mark{{Part: fmt.Sprintf("p%d", rnd.IntN(3)), AtMs: at}, {Part: "a", AtMs: at}}})
+				all = append(all, quarantine.Evidence{Cleared: []quarantine.Mark{{Subject: fmt.Sprintf("p%d", rnd.IntN(3)), AtMs: at}, {Subject: "a", AtMs: at}}})
 			}
 		}
 		for i := range all {
@@ -197,7 +197,7 @@
 func partsOf(l *quarantine.Ledger) [][]string {
 	var out [][]string
 	for _, q := range l.Quarantined() {
-		out = append(out, q.Parts)
+		out = append(out, q.Subjects)
 	}
 	return out
 }
@@ -232,7 +232,7 @@
 		l.Merge(at, ended(10+i, at, "rogue", fmt.Sprint("m", i)))
 		l.Answered(at, []string{fmt.Sprint("n", i)})
 	}
-	if _, n := l.Len(); n > 128 {
+	if _, _, n := l.Len(); n > 128 {
 		t.Errorf("%d endings kept", n)
 	}
 	if data, err := json.Marshal(l.Evidence()); err != nil || len(data) > 64<<10 {
@@ -314,7 +314,7 @@
 
 func TestBreaksProveEnds(t *testing.T) {
 	key := func(id string, start int64) servers.Key { return servers.Key{ID: id, Start: start} }
-	request := func(id string) quarantine.Suspect { return quarantine.Suspect{Request: id, Parts: []string{"bad"}} }
+	request := func(id string) quarantine.Suspect { return quarantine.Suspect{Request: id, Subjects: []string{"bad"}} }
 	b := quarantine.NewBreaks()
 	got := []bool{b.Add(t0, key("s1", 1), request("r1")), b.Add(t0+100, key("s1", 1), request("r2")), b.Add(t0+200, key("s2", 1), request("r3")), b.Add(t0+300, key("s3", 5), request("r4"))}
 	if diff := cmp.Diff([]bool{true, false, true, true}, got); diff != "" {
--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -50,3 +50,19 @@
 
 // IsRequest reports whether id is that of a request, not of a prompt part.
 func IsRequest(id string) bool { return strings.HasPrefix(id, requestPrefix) }
+
+// ParseSubject returns the id of a subject as it stands in evidence, from that of a prompt part
+// or a request as an operator gives it. The error is a *FieldError.
+func ParseSubject(id string) (string, error) {
+	id = strings.TrimSpace(id)
+	if id == "" {
+		return "", &FieldError{"subject", "no prompt part or request is named"}
+	}
+	if !IsRequest(id) {
+		return Normalize([]string{id})[0], nil
+	}
+	if data, err := hex.DecodeString(id[len(requestPrefix):]); err != nil || len(data) != requestHashBytes {
+		return "", &FieldError{"subject", "not the id of a request: want R and 32 hexadecimal digits"}
+	}
+	return id, nil
+}
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -114,35 +114,45 @@
 	return quarantine.Normalize(out)
 }
 
-// clearParts records that the server of s has answered j far enough to clear its prompt
-// parts.
+// clearParts records that the server of s has answered j far enough to clear the parts of its
+// prompt.
 func (g *Gateway) clearParts(j *job, s *send) {
-	if !s.cleared {
-		s.cleared = true
-		g.suspects.answered(j)
+	if parts := j.inquiry.subjects[:len(j.inquiry.subjects)-1]; !s.partsCleared && len(parts) > 0 {
+		g.suspects.answered(j, parts)
 	}
+	s.partsCleared = true
 }
 
+// clearRequest records that the server of s has answered j far enough to clear it, and ends its
+// trial.
+func (g *Gateway) clearRequest(j *job, s *send) {
+	if s.cleared {
+		return
+	}
+	s.cleared = true
+	g.suspects.answered(j, j.inquiry.subjects[len(j.inquiry.subjects)-1:])
+	g.suspects.release(j)
+}
+
+// beganAnswer reports whether the server of s had just begun to answer: what ends servers does
+// so then.
+func (s *send) beganAnswer() bool { return s.ans != nil && !s.partsCleared }
+
 // examineBreak finds out whether the server of s ended before it had answered j, and records
-// it as evidence against the shared parts of the prompt.
+// it as evidence against j and the shared parts of its prompt.
 func (g *Gateway) examineBreak(j *job, s *send) {
 	if s.cleared || s.notSent || s.reply.NotRun || s.outcome == retry.OutcomeFailed {
 		return
 	}
 	if s.broke && g.serverEnded(j, s) {
 		j.log.WithFields(logrus.Fields{
-			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "subject": j.subject, "parts": j.inquiry.parts, "trial": j.inquiry.trial, "send": j.sends,
+			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "subjects": j.inquiry.subjects, "trial": j.inquiry.trial, "send": j.sends,
 		}).Warn()
-		if len(j.inquiry.parts) == 0 {
-			return
-		}
 		g.suspects.ended(j, s)
 		g.suspects.release(j)
 		return
 	}
-	if len(j.inquiry.parts) > 0 {
-		g.suspects.brokeOff(j, s)
-	}
+	g.suspects.brokeOff(j, s)
 }
 
 // recheckEnding looks again whether the server of s has ended.
--- a/internal/role/gateway/evidence.go
+++ b/internal/role/gateway/evidence.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,7 +22,7 @@
 	evidenceRead = 5 * clock.Second
 )
 
-// QuarantinePath is the path of the refused parts at the metrics address.
+// QuarantinePath is the path of what is refused at the metrics address.
 const QuarantinePath = "/quarantine"
 
 // keepEvidence reads the evidence from the store, and keeps it there as it changes, until
@@ -133,8 +132,8 @@
 	}
 }
 
-// operatorHandler serves the metrics, and at QuarantinePath the refused parts: GET lists
-// them, DELETE with the id of a part behind the path clears it.
+// operatorHandler serves the metrics, and at QuarantinePath what is refused: GET lists it, DELETE
+// with the id of a prompt part or a request behind the path clears it.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", g.metrics.root.Handler)
@@ -147,26 +146,26 @@
 			g.log.WithField("event", "operatorLeft").Info(err)
 		}
 	})
-	mux.HandleFunc("DELETE "+QuarantinePath+"/{part}", func(w http.ResponseWriter, r *http.Request) {
-		ids := quarantine.Normalize([]string{strings.TrimSpace(r.PathValue("part"))})
-		if len(ids) == 0 {
-			http.Error(w, "the path does not name a part", http.StatusBadRequest)
+	mux.HandleFunc("DELETE "+QuarantinePath+"/{subject}", func(w http.ResponseWriter, r *http.Request) {
+		id, err := quarantine.ParseSubject(r.PathValue("subject"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		g.suspects.lift(ids[0])
+		g.suspects.lift(id)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
 }
 
-// lift clears a part on behalf of an operator.
-func (s *suspects) lift(part string) {
+// lift clears a subject on behalf of an operator.
+func (s *suspects) lift(id string) {
 	s.mu.Lock()
-	news := s.ledger.Lift(s.wall(), part)
+	news := s.ledger.Lift(s.wall(), id)
 	if !news.Empty() {
 		s.changedLocked()
 	}
 	s.mu.Unlock()
-	s.g.log.WithFields(logrus.Fields{"event": "partLifted", "part": part}).Warn("cleared by an operator")
+	s.logSubject("Lifted", id).Warn("cleared by an operator")
 	s.tell(news)
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -285,8 +285,9 @@
 	m.Gauge("config_version").Update(float64(g.configVersion()))
 	m.Gauge("store_era").Update(float64(g.store.currentEpoch().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
-	refused, endings := g.suspects.counts()
-	m.Gauge("quarantined_parts").Update(float64(refused))
+	parts, requests, endings := g.suspects.counts()
+	m.Gauge("quarantined_parts").Update(float64(parts))
+	m.Gauge("quarantined_requests").Update(float64(requests))
 	m.Gauge("suspect_endings").Update(float64(endings))
 	m.Gauge("server_limits").Update(float64(g.fleet.limitCount()))
 	for name, left := range g.fleet.retriesLeft(g.clock.Now(), g.retrySharers()) {
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -62,11 +62,9 @@
 	sends   int      // attempts that reached a server
 	exclude []string // ids of servers not to try again
 	// limitedSends is the number of attempts that were withheld, for lack of a valid permit or
-	// because of a prompt part. limitedMs is when the request was first denied one; 0 if it was not.
+	// because the request is suspected. limitedMs is when the request was first denied one; 0 if it was not.
 	limitedSends int
 	limitedMs    clock.Millis
-	// subject is the id of what all tries of the request have in common.
-	subject string
 	// inquiry is the request's part in the end of servers.
 	inquiry inquiry
 	// stream is the software version to which the stream is bound.
@@ -158,8 +156,8 @@
 		return j, failure
 	}
 	j.body, j.header = body, exchange.EndToEnd(r.Header)
-	j.subject = quarantine.Request{Account: j.account, Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body}.ID()
-	j.inquiry.parts = promptParts(j.Blocks)
+	id := quarantine.Request{Account: j.account, Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body}.ID()
+	j.inquiry.subjects = append(promptParts(j.Blocks), id)
 	j.pool = g.fleet.pool(j.route.Choose(j.streamOrigin()))
 	j.placeReq = place.Request{Engine: j.route.Engine, Prompt: j.PromptTokens, Blocks: j.Blocks}
 	j.pool.mu.Lock()
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -102,9 +102,10 @@
 // serverEnded counts a server that refuses connections after a request broke off there.
 func (m *gatewayMetrics) serverEnded() { m.root.Counter("servers_ended").Inc(1) }
 
-// inquiry counts a request with suspected or refused prompt parts, by its outcome.
-func (m *gatewayMetrics) inquiry(outcome string) {
-	m.root.Tagged(map[string]string{"outcome": outcome}).Counter("prompt_inquiries").Inc(1)
+// inquiry counts a request that is suspected or refused, by its outcome and by what for: kind
+// is "request" or "prompt".
+func (m *gatewayMetrics) inquiry(outcome, kind string) {
+	m.root.Tagged(map[string]string{"outcome": outcome, "kind": kind}).Counter("prompt_inquiries").Inc(1)
 }
 
 // trial counts an answer of the examiner.
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -133,9 +133,6 @@
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
 	}
 	g.gate.addMessage(len(data))
-	if ok && len(data) < bufferedAnswerBytes {
-		g.clearParts(j, s)
-	}
 	j.stopAbandon()
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
@@ -145,6 +142,11 @@
 	o := place.OutcomeOK
 	if s.ans.Status >= http.StatusInternalServerError {
 		o = place.OutcomeFailed
+	} else if s.reply.FromServer && (err == nil || len(data) < bufferedAnswerBytes) {
+		if ok {
+			g.clearParts(j, s)
+		}
+		g.clearRequest(j, s)
 	}
 	g.endSend(j, s, o, "answered")
 	g.answered(j, s, err == nil)
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -19,10 +19,12 @@
 
 const (
 	// answeredEvents and answeredAfter are the number of events, and the time since the
-	// first one, from which on a request counts as answered: a part that ends servers does
-	// so when they begin to answer.
-	answeredEvents = 2
-	answeredAfter  = 250 * clock.Millisecond
+	// first one, from which on the parts of a prompt count as answered: what ends servers does
+	// so when they begin to answer. A request counts as answered after requestAnsweredAfter:
+	// no other one clears it meanwhile.
+	answeredEvents       = 2
+	answeredAfter        = 250 * clock.Millisecond
+	requestAnsweredAfter = clock.Second
 	// trialTimeout is how long a request waits for the examiner's answer, and trialRetry
 	// after how long it asks again.
 	trialTimeout = 250 * clock.Millisecond
@@ -33,7 +35,7 @@
 	maxHold     = 1500 * clock.Millisecond
 	holdDivisor = 2
 	// endedHold is how long a request under which a server ended waits for others to clear
-	// its parts.
+	// its subjects.
 	endedHold = 500 * clock.Millisecond
 	// unprovedHold is how long after a trial broke off no other one runs, unless its server is
 	// known to have ended: about the time in which a server starts anew.
@@ -43,13 +45,16 @@
 	// suspectRetryAfter is the shortest Retry-After of a suspected request, and the span in
 	// which these callers return.
 	suspectRetryAfter = 500 * clock.Millisecond
-	// clearedSpread is the span in which gateways tell that a part is cleared: one that
+	// trialRenewal is the interval at which a gateway tells the examiner that its trial still
+	// runs.
+	trialRenewal = 2 * clock.Second
+	// clearedSpread is the span in which gateways tell that a subject is cleared: one that
 	// hears it meanwhile does not repeat it.
 	clearedSpread = 120 * clock.Millisecond
 )
 
-// suspects keeps requests from servers that a part of their prompts would end. It is safe
-// for concurrent use.
+// suspects keeps requests from servers that they, or a part of their prompts, would end. It is
+// safe for concurrent use.
 type suspects struct {
 	g *Gateway
 
@@ -63,13 +68,13 @@
 	// of another gateway was read.
 	version int
 	loaded  bool
-	// unsent are cleared parts of which the other gateways are not told yet.
+	// unsent are cleared subjects of which the other gateways are not told yet.
 	unsent map[string]quarantine.Mark
-	// holders are the requests that ask for, or have, the permission to run a trial with a
-	// part, by the first suspected part.
+	// holders are the requests that ask for, or have, the permission to run a trial, by the
+	// first suspected subject.
 	holders map[string]*job
 	held    int
-	// refused are the parts that were refused at the last change, for the log.
+	// refused are the subjects that were refused at the last change, for the log.
 	refused []string
 }
 
@@ -82,15 +87,18 @@
 
 // inquiry is what is known of one request's part in the end of servers.
 type inquiry struct {
-	parts []string // shared parts of the prompt, as in evidence
+	// subjects are the shared parts of the prompt and the request itself, as in evidence.
+	subjects []string
 	// trial is set while the request has the permission to run although it is suspected, and
-	// retrial if it has it although its parts are refused.
+	// retrial if it has it although it is refused.
 	trial, retrial bool
 	// barred is set if a server ended as it answered the request, or after another one had
-	// ended under one of its parts: it runs again only if its parts are cleared.
+	// ended under one of its subjects: it runs again only if these are cleared.
 	barred bool
 	// heldUntil is when the request stops waiting; 0 if it has not waited.
 	heldUntil clock.Millis
+	// renewal ends the renewal of the trial; nil if there was none.
+	renewal context.CancelFunc
 }
 
 // wall returns the time of evidence.
@@ -100,14 +108,11 @@
 func (s *suspects) judge(j *job) quarantine.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Judge(s.wall(), j.account, j.inquiry.parts)
+	return s.ledger.Judge(s.wall(), j.account, j.inquiry.subjects)
 }
 
 // maySend reports whether j may be sent now.
 func (s *suspects) maySend(j *job) bool {
-	if len(j.inquiry.parts) == 0 {
-		return true
-	}
 	v := s.judge(j)
 	return v.State == quarantine.Clear || j.inquiry.allows(v)
 }
@@ -117,16 +122,13 @@
 	return q.trial && (v.State == quarantine.Suspected || q.retrial)
 }
 
-// admit waits until j may be sent. The failure is final: a part of the prompt is refused,
-// or was suspected for too long.
+// admit waits until j may be sent. The failure is final: the request or a part of its prompt
+// is refused, or was suspected for too long.
 func (s *suspects) admit(ctx context.Context, j *job) *exchange.Failure {
-	if len(j.inquiry.parts) == 0 {
-		return nil
-	}
 	began := s.g.clock.Now()
 	for {
 		s.mu.Lock()
-		v := s.ledger.Judge(s.wall(), j.account, j.inquiry.parts)
+		v := s.ledger.Judge(s.wall(), j.account, j.inquiry.subjects)
 		changed := s.changed
 		s.mu.Unlock()
 		switch {
@@ -139,14 +141,14 @@
 		case v.State == quarantine.Refused || v.Retrial && j.mayHaveRun:
 			s.release(j)
 			s.logAdmitted(j, v, began, "refused")
-			return &exchange.Failure{Status: http.StatusBadGateway, Code: "promptQuarantined", NotRun: !j.mayHaveRun}
+			return &exchange.Failure{Status: http.StatusBadGateway, Code: quarantinedCode(v), NotRun: !j.mayHaveRun}
 		}
 		if !s.mayWait(j, v) {
 			s.release(j)
 			s.logAdmitted(j, v, began, "waited")
-			return s.heldTooLong(j)
+			return s.heldTooLong(j, v)
 		}
-		if !j.inquiry.barred && s.obtainTrial(ctx, j, v) {
+		if !j.inquiry.barred && !v.Wait && s.obtainTrial(ctx, j, v) {
 			s.logAdmitted(j, v, began, "trial")
 			return nil
 		}
@@ -154,7 +156,21 @@
 	}
 }
 
-// mayWait reports whether j may wait for its suspected parts to be cleared or for a trial.
+// quarantinedCode and suspectedCode return the codes of failures of requests that are refused
+// and that were suspected for too long.
+func quarantinedCode(v quarantine.Verdict) string { return kindOf(v) + "Quarantined" }
+
+func suspectedCode(v quarantine.Verdict) string { return kindOf(v) + "Suspected" }
+
+// kindOf returns what a verdict rests on: the request, or parts of its prompt.
+func kindOf(v quarantine.Verdict) string {
+	if v.ByRequest {
+		return "request"
+	}
+	return "prompt"
+}
+
+// mayWait reports whether j may wait for its subjects to be cleared or for a trial.
 func (s *suspects) mayWait(j *job, v quarantine.Verdict) bool {
 	now, q := s.g.clock.Now(), &j.inquiry
 	if q.heldUntil == 0 {
@@ -190,9 +206,9 @@
 	s.mu.Unlock()
 }
 
-// heldTooLong returns the failure of a request whose parts remained suspected.
-func (s *suspects) heldTooLong(j *job) *exchange.Failure {
-	const reason = "promptSuspected"
+// heldTooLong returns the failure of a request that remained suspected.
+func (s *suspects) heldTooLong(j *job, v quarantine.Verdict) *exchange.Failure {
+	reason := suspectedCode(v)
 	if j.mayHaveRun {
 		return s.g.abandon(j, reason)
 	}
@@ -204,16 +220,16 @@
 	if outcome == "cleared" && j.inquiry.heldUntil == 0 {
 		return
 	}
-	s.g.metrics.inquiry(outcome)
+	s.g.metrics.inquiry(outcome, kindOf(v))
 	j.log.WithFields(logrus.Fields{
-		"event": "promptExamined", "outcome": outcome, "parts": v.Parts, "endings": v.Endings, "retrial": v.Retrial, "waitedMs": int64(s.g.clock.Now() - began),
+		"event": "requestExamined", "outcome": outcome, "subjects": v.Subjects, "endings": v.Endings, "retrial": v.Retrial, "waitedMs": int64(s.g.clock.Now() - began),
 	}).Info()
 }
 
 // obtainTrial asks the examiner for the permission to run j, and reports whether it was
-// given. Of the requests of this gateway with a part only one asks, until release.
+// given. Of the requests of this gateway with a subject only one asks, until release.
 func (s *suspects) obtainTrial(ctx context.Context, j *job, v quarantine.Verdict) bool {
-	key := v.Parts[0]
+	key := v.Subjects[0]
 	s.mu.Lock()
 	if h := s.holders[key]; h != nil && h != j {
 		s.mu.Unlock()
@@ -221,20 +237,40 @@
 	}
 	s.holders[key] = j
 	s.mu.Unlock()
-	granted, answered := s.g.peers.askTrial(ctx, enginequeue.TrialRequest{Request: j.ID, Parts: v.Parts, Retrial: v.Retrial})
+	ask := enginequeue.TrialRequest{Request: j.ID, Subjects: v.Subjects, Retrial: v.Retrial}
+	granted, answered := s.g.peers.askTrial(ctx, ask)
 	if granted || !answered && !v.Retrial {
 		// Without an examiner, this gateway alone runs one trial at a time.
 		j.inquiry.trial, j.inquiry.retrial = true, v.Retrial
+		ask.Retrial = false
+		s.renewTrial(j, ask)
 		return true
 	}
 	return false
 }
 
+// renewTrial tells the examiner at intervals that the trial of j still runs.
+func (s *suspects) renewTrial(j *job, ask enginequeue.TrialRequest) {
+	j.inquiry.stopRenewal()
+	ctx, cancel := context.WithCancel(context.Background())
+	j.inquiry.renewal = cancel
+	go func() {
+		for s.g.clock.Sleep(ctx, trialRenewal) == nil {
+			s.g.peers.notifyExaminer(enginequeue.MethodTrial, ask)
+		}
+	}()
+}
+
+// stopRenewal ends the renewal of a trial.
+func (q *inquiry) stopRenewal() {
+	if q.renewal != nil {
+		q.renewal()
+	}
+}
+
 // release ends the trial of j, or its wait for one.
 func (s *suspects) release(j *job) {
-	if len(j.inquiry.parts) == 0 {
-		return
-	}
+	j.inquiry.stopRenewal()
 	s.mu.Lock()
 	had := false
 	for key, h := range s.holders {
@@ -265,27 +301,36 @@
 	s.notifyLocked()
 	var refused []string
 	for _, q := range s.ledger.Quarantined() {
-		refused = append(refused, q.Parts...)
-		for _, id := range q.Parts {
+		refused = append(refused, q.Subjects...)
+		for _, id := range q.Subjects {
 			if !slices.Contains(s.refused, id) {
-				s.g.log.WithFields(logrus.Fields{"event": "partQuarantined", "part": id, "with": q.Parts, "endings": len(q.Endings), "accounts": q.Accounts}).Warn()
+				s.logSubject("Quarantined", id).WithFields(logrus.Fields{"with": q.Subjects, "endings": len(q.Endings), "accounts": q.Accounts}).Warn()
 			}
 		}
 	}
 	for _, id := range s.refused {
 		if !slices.Contains(refused, id) {
-			s.g.log.WithFields(logrus.Fields{"event": "partCleared", "part": id}).Warn()
+			s.logSubject("Cleared", id).Warn()
 		}
 	}
 	s.refused = refused
 }
 
+// logSubject returns a log line about a subject.
+func (s *suspects) logSubject(what, id string) logrus.FieldLogger {
+	kind := "part"
+	if quarantine.IsRequest(id) {
+		kind = "request"
+	}
+	return s.g.log.WithFields(logrus.Fields{"event": kind + what, "subject": id})
+}
+
 // merge adds evidence and tells the other gateways what was new, if tell is set.
 func (s *suspects) merge(e quarantine.Evidence, tell bool) {
 	s.mu.Lock()
 	news := s.ledger.Merge(s.wall(), e)
 	for _, m := range e.Cleared {
-		delete(s.unsent, m.Part)
+		delete(s.unsent, m.Subject)
 	}
 	if !news.Empty() {
 		s.changedLocked()
@@ -307,18 +352,17 @@
 	s.merge(quarantine.Evidence{Endings: []quarantine.Ending{{
 		Server: a.engine.Key(), AtMs: s.wall(), Suspects: []quarantine.Suspect{j.suspect()},
 	}}}, true)
-	// A server that had sent a header was answering the request.
-	q.barred = q.barred || a.ans != nil
+	q.barred = q.barred || a.beganAnswer()
 	q.heldUntil = 0
 }
 
 // suspect returns j as it stands in evidence.
 func (j *job) suspect() quarantine.Suspect {
-	return quarantine.Suspect{Request: j.ID, Account: j.account, Parts: j.inquiry.parts, Trial: j.inquiry.trial}
+	return quarantine.Suspect{Request: j.ID, Account: j.account, Subjects: j.inquiry.subjects, Trial: j.inquiry.trial}
 }
 
 // brokeOff records that j broke off at a server of which it is not known whether it has ended.
-// If j was a trial, no other one runs until that may be known.
+// If j was a trial, no other one runs until that may be known, unless the caller ended it.
 func (s *suspects) brokeOff(j *job, a *send) {
 	s.mu.Lock()
 	first := s.breaks.Add(s.wall(), a.engine.Key(), j.suspect())
@@ -326,9 +370,10 @@
 	if first && a.broke {
 		time.AfterFunc(endingRecheck.Duration(), func() { s.g.recheckEnding(j.pool, a) })
 	}
-	if j.inquiry.trial && a.broke {
+	if j.inquiry.trial && j.r.Context().Err() == nil {
+		j.inquiry.stopRenewal()
 		j.inquiry.trial, j.inquiry.retrial = false, false
-		j.inquiry.barred = j.inquiry.barred || a.ans != nil
+		j.inquiry.barred = j.inquiry.barred || a.beganAnswer()
 		time.AfterFunc(unprovedHold.Duration(), func() { s.g.peers.endTrial(j.ID) })
 	}
 	s.release(j)
@@ -343,7 +388,7 @@
 	for _, end := range e.Endings {
 		for _, r := range end.Suspects {
 			s.g.log.WithFields(logrus.Fields{
-				"event": "serverEnded", "request": r.Request, "server": end.Server.ID, "start": end.Server.Start, "parts": r.Parts, "trial": r.Trial, "later": true,
+				"event": "serverEnded", "request": r.Request, "server": end.Server.ID, "start": end.Server.Start, "subjects": r.Subjects, "trial": r.Trial, "later": true,
 			}).Warn()
 		}
 		s.g.metrics.serverEnded()
@@ -351,14 +396,11 @@
 	s.merge(e, true)
 }
 
-// answered records that j was answered far enough to clear its parts, and ends its trial.
-func (s *suspects) answered(j *job) {
-	if len(j.inquiry.parts) == 0 {
-		return
-	}
+// answered records that j was answered far enough to clear subjects of it.
+func (s *suspects) answered(j *job, subjects []string) {
 	trial := j.inquiry.trial
 	s.mu.Lock()
-	news := s.ledger.Answered(s.wall(), j.inquiry.parts)
+	news := s.ledger.Answered(s.wall(), subjects)
 	if !news.Empty() {
 		s.changedLocked()
 		if !trial {
@@ -366,20 +408,19 @@
 		}
 	}
 	s.mu.Unlock()
-	if trial {
+	if trial && !news.Empty() {
 		s.tell(news)
-		s.release(j)
 	}
 }
 
-// tellLaterLocked tells the other gateways of cleared parts after a while, unless they tell
+// tellLaterLocked tells the other gateways of cleared subjects after a while, unless they tell
 // the same first; s.mu is held.
 func (s *suspects) tellLaterLocked(e quarantine.Evidence) {
 	if len(s.unsent) == 0 {
 		time.AfterFunc(clock.Millis(rand.Int64N(int64(clearedSpread))).Duration(), s.tellCleared)
 	}
 	for _, m := range e.Cleared {
-		s.unsent[m.Part] = m
+		s.unsent[m.Subject] = m
 	}
 }
 
@@ -403,8 +444,9 @@
 	return s.ledger.Evidence(), s.version
 }
 
-// counts returns the numbers of refused groups of parts and of endings in the evidence.
-func (s *suspects) counts() (refused, endings int) {
+// counts returns the numbers of refused groups of parts, of refused requests and of endings in
+// the evidence.
+func (s *suspects) counts() (parts, requests, endings int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.ledger.Len()
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -51,12 +51,14 @@
 	// limited is set if the request was not sent because the server has a limit and the
 	// request no valid permit.
 	limited bool
-	// suspected is set if the request was not sent because a part of its prompt is suspected
-	// or refused.
+	// suspected is set if the request was not sent because it, or a part of its prompt, is
+	// suspected or refused.
 	suspected bool
-	// broke is set if the connection to the server broke off. cleared is set once the
-	// request was answered far enough to clear its prompt parts.
-	broke, cleared bool
+	// broke is set if the connection to the server broke off.
+	broke bool
+	// partsCleared and cleared are set once the request was answered far enough to clear the
+	// parts of its prompt, and the request.
+	partsCleared, cleared bool
 }
 
 // wallTime converts a time of the gateway's clock to a time.Time.
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -63,6 +63,7 @@
 		x.begin(s)
 		j.stream.whole = true
 		g.clearParts(j, s)
+		g.clearRequest(j, s)
 		progress := j.caller.Progress()
 		g.endSend(j, s, place.OutcomeOK, "answered")
 		g.mu.Lock()
@@ -145,12 +146,25 @@
 	if id := sse.ID(event); id != "" {
 		x.lastID = id
 	}
-	if s.events++; s.events >= answeredEvents && g.clock.Now()-s.beganMs >= answeredAfter {
-		g.clearParts(x.j, s)
-	}
+	s.events++
+	x.clear(s)
 	return nil
 }
 
+// clear records how far the request was answered.
+func (x *relay) clear(s *send) {
+	if s.events < answeredEvents {
+		return
+	}
+	switch took := x.g.clock.Now() - s.beganMs; {
+	case took >= requestAnsweredAfter:
+		x.g.clearParts(x.j, s)
+		x.g.clearRequest(x.j, s)
+	case took >= answeredAfter:
+		x.g.clearParts(x.j, s)
+	}
+}
+
 // begin sends the header of the answer of s to the caller, unless an earlier
 // attempt's has been sent.
 func (x *relay) begin(s *send) {
--- a/internal/role/gateway/trials.go
+++ b/internal/role/gateway/trials.go
@@ -17,10 +17,10 @@
 	}
 	s := g.suspects
 	s.mu.Lock()
-	granted := s.examiner.Ask(g.clock.Now(), entry+"/"+m.Request, m.Parts)
+	granted := s.examiner.Ask(g.clock.Now(), entry+"/"+m.Request, m.Subjects)
 	var news quarantine.Evidence
 	if granted && m.Retrial {
-		if news = s.ledger.Retry(s.wall(), m.Parts); news.Empty() {
+		if news = s.ledger.Retry(s.wall(), m.Subjects); news.Empty() {
 			s.examiner.End(entry + "/" + m.Request)
 			granted = false
 		} else {
@@ -97,9 +97,14 @@
 
 // endTrial tells the examiner that the trial of a request has ended.
 func (t *peerTable) endTrial(request string) {
+	t.notifyExaminer(enginequeue.MethodTrialEnd, enginequeue.TrialRequest{Request: request})
+}
+
+// notifyExaminer sends m to the examiner, if there is one.
+func (t *peerTable) notifyExaminer(method string, m enginequeue.TrialRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.examinerLocked(); p != nil {
-		p.link.Notify(enginequeue.MethodTrialEnd, enginequeue.TrialRequest{Request: request})
+		p.link.Notify(method, m)
 	}
 }
