Direct: a response without an id on a kept connection proves nothing

Cause: a response without a request id counted as that of the request that waits, also on a connection that had served another one, where it may be a copy of an earlier rejection.

Change: such a response fails the attempt as one that may have run, and no connection to the server is kept for 10 s. On a connection that has served no request it is believed, since it can answer nothing else. Requests without an id get such a connection.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -42,6 +42,9 @@
 	// closedAtOnce is the time within which a server that has ended closes a connection that
 	// was still accepted for it.
 	closedAtOnce = 20 * time.Millisecond
+	// unkeptTime is how long connections are not kept after a response without a request ID on
+	// one that was.
+	unkeptTime = 10 * clock.Second
 )
 
 // NotSentError reports a request of which no byte was sent to the server.
@@ -71,6 +74,8 @@
 	// carry a request ID. The connection is then not reused, since a later response
 	// on it may be taken for the response to the next request.
 	noReuse bool
+	// served is set once a request was sent on the connection and its response was read.
+	served bool
 }
 
 func dial(ctx context.Context, addr string) (*conn, error) {
@@ -146,6 +151,8 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// unkeptUntilMs is until when connections are closed after one request.
+	unkeptUntilMs clock.Millis
 }
 
 // NewPool returns an empty Pool of connections to addr, given as host:port.
@@ -218,7 +225,7 @@
 	c.idleSinceMs = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdlePerHost {
+	if p.closed || len(p.idle) >= maxIdlePerHost || c.idleSinceMs < p.unkeptUntilMs {
 		_ = c.Close()
 		return
 	}
@@ -241,11 +248,24 @@
 	p.idle = kept
 }
 
+// keepNone closes the idle connections and keeps none for unkeptTime.
+func (p *Pool) keepNone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unkeptUntilMs = p.clock.Now() + unkeptTime
+	p.closeIdle()
+}
+
 // Close closes the idle connections; those in use are closed at the end of their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections; p.mu is held.
+func (p *Pool) closeIdle() {
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -33,14 +34,27 @@
 	// Mine reports whether a response with this status and header belongs to the
 	// request (mine), and whether it carries a request ID at all (identified). The connection is
 	// not reused after a response that doesn't, since a second copy of it would be
-	// taken for the response to the next request. If Mine is nil, every response is
-	// taken to belong to the request and to carry its ID.
+	// taken for the response to the next request. On a connection that has served another
+	// request, one that doesn't proves nothing: it may be a copy of an earlier one. If Mine
+	// is nil, every response is taken to belong to the request and to carry its ID.
 	Mine func(status int, h http.Header) (mine, identified bool)
 	// Allowed reports whether the request may still be sent on a connection that was
 	// opened at a time. It is called right before the first byte is written, because the
 	// answer may change while a connection is opened. If Allowed is nil, the request is
 	// sent.
 	Allowed func(openedMs clock.Millis) bool
+	// Fresh requests a connection that has served no other request, for a request without an
+	// ID that its response could carry.
+	Fresh bool
+}
+
+// UnidentifiedError reports a response that carries no request ID on a connection that has
+// served another request. The server may have executed the request.
+type UnidentifiedError struct{ Status int }
+
+// Error returns the status of the response.
+func (e *UnidentifiedError) Error() string {
+	return fmt.Sprintf("response with status %d and no request ID on a connection that has served another request", e.Status)
 }
 
 // ErrWithheld is the cause of the NotSentError for a request whose Allowed function
@@ -65,7 +79,11 @@
 // was sent; after any other error the server may have executed r. When ctx ends, the
 // connection is closed, also while the body is being read.
 func (p *Pool) Do(ctx context.Context, r Request) (*Answer, error) {
-	c, err := p.get(ctx)
+	get := p.get
+	if r.Fresh {
+		get = p.dial
+	}
+	c, err := get(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -89,9 +107,13 @@
 		writeDone <- err
 	}()
 	res, err := c.readResponse(r)
+	c.served = true
 	if err != nil {
 		stop()
 		_ = c.Close()
+		if unidentified := (*UnidentifiedError)(nil); errors.As(err, &unidentified) {
+			p.keepNone()
+		}
 		if werr := <-writeDone; werr != nil && ctx.Err() == nil {
 			err = errors.Wrap(err, werr.Error())
 		}
@@ -126,6 +148,9 @@
 			mine, identified = r.Mine(res.StatusCode, res.Header)
 		}
 		c.noReuse = c.noReuse || !mine || !identified
+		if mine && !identified && c.served {
+			return nil, &UnidentifiedError{res.StatusCode}
+		}
 		if mine {
 			return res, nil
 		}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -103,7 +103,7 @@
 		defer t.Stop()
 	}
 	ans, err := to.conns.Do(sctx, direct.Request{
-		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body,
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Fresh: j.ID == "",
 		Mine: func(status int, h http.Header) (mine, said bool) {
 			r := g.codec.Reply(status, h)
 			used := permit{}
