--- a/internal/role/gateway/evidence.go
+++ b/internal/role/gateway/evidence.go
@@ -166,6 +166,6 @@
 		s.changedLocked()
 	}
 	s.mu.Unlock()
-	s.logSubject("Lifted", id).Warn("cleared by an operator")
+	s.logSubject(id).WithField("event", "subjectLifted").Warn("cleared by an operator")
 	s.tell(news)
 }
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -304,25 +304,25 @@
 		refused = append(refused, q.Subjects...)
 		for _, id := range q.Subjects {
 			if !slices.Contains(s.refused, id) {
-				s.logSubject("Quarantined", id).WithFields(logrus.Fields{"with": q.Subjects, "endings": len(q.Endings), "accounts": q.Accounts}).Warn()
+				s.logSubject(id).WithFields(logrus.Fields{"event": "subjectQuarantined", "with": q.Subjects, "endings": len(q.Endings), "accounts": q.Accounts}).Warn()
 			}
 		}
 	}
 	for _, id := range s.refused {
 		if !slices.Contains(refused, id) {
-			s.logSubject("Cleared", id).Warn()
+			s.logSubject(id).WithField("event", "subjectCleared").Warn()
 		}
 	}
 	s.refused = refused
 }
 
-// logSubject returns a log line about a subject.
-func (s *suspects) logSubject(what, id string) logrus.FieldLogger {
+// logSubject returns a logger for lines about a subject.
+func (s *suspects) logSubject(id string) logrus.FieldLogger {
 	kind := "part"
 	if quarantine.IsRequest(id) {
 		kind = "request"
 	}
-	return s.g.log.WithFields(logrus.Fields{"event": kind + what, "subject": id})
+	return s.g.log.WithFields(logrus.Fields{"kind": kind, "subject": id})
 }
 
 // merge adds evidence and tells the other gateways what was new, if tell is set.
