--- a/internal/role/gateway/leader.go
+++ b/internal/role/gateway/leader.go
@@ -283,7 +283,10 @@
 			}
 		case keySealed:
 			var u Usage
-			if err = json.Unmarshal(rec.Value, &u); err != nil {
+			if err = json.Unmarshal(rec.Value, &u); err == nil {
+				err = l.g.checkSeal(u)
+			}
+			if err != nil {
 				break
 			}
 			if rec.Key == epochKey(keySealed, e) {
--- a/internal/role/gateway/usage.go
+++ b/internal/role/gateway/usage.go
@@ -306,7 +306,7 @@
 		return err
 	}
 	g.usage.mergeCopy(m.Key, m.Counts, g.usage.window(g.clock.Wall()))
-	if m.Seal != nil {
+	if m.Seal != nil && g.checkSeal(*m.Seal) == nil {
 		g.keepSeal(*m.Seal)
 	}
 	return nil
@@ -356,12 +356,24 @@
 	}
 }
 
+// checkSeal returns an error, after a log line, if u cannot be a seal.
+func (g *Gateway) checkSeal(u Usage) error {
+	err := u.Check(g.clock.Wall(), g.usage.windowMs)
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"event": "dutyUnreadable", "window": u.Window}).Warn(err)
+	}
+	return err
+}
+
 // receiveSeal applies a sealed window that the leader sent.
 func (g *Gateway) receiveSeal(_ string, data json.RawMessage) error {
 	var u Usage
 	if err := json.Unmarshal(data, &u); err != nil {
 		return err
 	}
+	if err := g.checkSeal(u); err != nil {
+		return err
+	}
 	g.keepSeal(u)
 	return nil
 }
--- a/internal/state/election/election.go
+++ b/internal/state/election/election.go
@@ -21,6 +21,8 @@
 package election
 
 import (
+	"encoding/json"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/epoch"
 )
@@ -40,6 +42,30 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// maxTerm bounds the term in a record: after that of the last store epoch no other would come.
+const maxTerm = 1 << 62
+
+// FieldError reports an invalid field of a record.
+type FieldError struct{ Field, Reason string }
+
+// Error returns the name of the field and the reason.
+func (e *FieldError) Error() string { return "leader record field " + e.Field + " " + e.Reason }
+
+// UnmarshalJSON decodes and checks a record. The error is a *FieldError if the term is out of
+// range.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	type plain Record
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.Term < 0 || p.Term > maxTerm {
+		return &FieldError{"term", "is out of range"}
+	}
+	*r = Record(p)
+	return nil
+}
+
 // Config holds the parameters of a Candidate.
 type Config struct {
 	Leader  string // name of this candidate
--- a/internal/state/sealing/sealing.go
+++ b/internal/state/sealing/sealing.go
@@ -39,6 +39,24 @@
 	Counts map[string]int64 `json:"counts"`
 }
 
+// maxAhead is how far in the future the window of a seal may begin, as clocks differ.
+const maxAhead = 60 * clock.Second
+
+// FieldError reports an invalid field of a seal.
+type FieldError struct{ Field, Reason string }
+
+// Error returns the name of the field and the reason.
+func (e *FieldError) Error() string { return "seal field " + e.Field + " " + e.Reason }
+
+// Check returns a *FieldError if u cannot be a seal at time wall: all windows up to that of a
+// seal count as sealed.
+func (u Usage) Check(wall, windowMs clock.Millis) error {
+	if u.Window < 0 || u.Window > int64((wall+maxAhead)/windowMs) {
+		return &FieldError{"window", "is not one of the past"}
+	}
+	return nil
+}
+
 // Seals tracks the newest seal that a gateway knows of and the windows that it has
 // reported. It has a single owner and is not safe for concurrent use.
 type Seals struct {
