Direct: a server that closes new connections only has not ended

Cause: a new connection that was closed at once counted as the end of the server. One that has too many connections closes new ones as well, and its requests became evidence against them.

Change: such a connection proves the end only if no idle one to the server is open.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -189,13 +190,14 @@
 	return c, nil
 }
 
-// Refused reports whether the server refuses connections, or closes a new one at once: its
-// process has ended. A connection that stays open is kept for the next request. It
-// returns false if the server cannot be reached.
+// Refused reports whether the server refuses connections, or closes a new one at once and has
+// closed the idle ones too: its process has ended. A server that has too many connections
+// closes new ones as well. A connection that stays open is kept for the next request.
+// Refused returns false if the server cannot be reached.
 func (p *Pool) Refused(ctx context.Context) bool {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) && !p.hasLive()
 	}
 	_ = c.SetReadDeadline(time.Now().Add(closedAtOnce))
 	_, err = c.br.Peek(1)
@@ -206,7 +208,14 @@
 		return false
 	}
 	_ = c.Close()
-	return err != nil
+	return err != nil && !p.hasLive()
+}
+
+// hasLive reports whether an idle connection is open.
+func (p *Pool) hasLive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, (*conn).alive)
 }
 
 func (p *Pool) pop() *conn {
