Quarantine: evidence fits into one record of the store, whatever callers send

Cause: the id of a try is the caller's and was kept in evidence at any length, and ids of parts with characters that JSON escapes grow sixfold: evidence could exceed the 262,144 bytes of a record, and would not be kept. Eviction counted requests, not bytes.

Measured: TestAccountsDoNotCrowdOutEachOther with a try whose id has 1 MiB: evidence within 262,144 bytes, the request of the other account refused.

--- a/internal/policy/quarantine/bounds.go
+++ b/internal/policy/quarantine/bounds.go
@@ -56,13 +56,13 @@
 // evict drops the oldest evidence against the account against which there is most, first what no
 // refusal rests on, so that no account's evidence crowds out that of another.
 func (l *Ledger) evict() {
-	suspects := map[string]int{}
+	perAccount := map[string]int{}
 	for _, e := range l.endings {
 		for _, s := range e.Suspects {
-			suspects[s.Account]++
+			perAccount[s.Account] += s.bytes()
 		}
 	}
-	account := largest(suspects)
+	account := largest(perAccount)
 	j := l.judge()
 	var oldest Ending
 	oldestNeeded := true
--- a/internal/policy/quarantine/breaks.go
+++ b/internal/policy/quarantine/breaks.go
@@ -35,6 +35,7 @@
 		}
 		e = Ending{Server: k, AtMs: now}
 	}
+	s.Request = shortID(s.Request)
 	b.byServer[k] = e.withSuspect(s, func(Suspect) int { return 0 })
 	return first
 }
--- a/internal/policy/quarantine/evidence.go
+++ b/internal/policy/quarantine/evidence.go
@@ -18,6 +18,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,17 +27,19 @@
 )
 
 const (
-	// maxPartBytes is the length from which the id of a part is replaced by its hash.
-	maxPartBytes = 64
+	// maxIDBytes is the length in the store above which the id of a part or of a try is replaced by its hash.
+	maxIDBytes = 64
 	// maxSubjects bounds the subjects of one request that are examined, and maxSuspects the
 	// requests that are kept of one Ending.
 	maxSubjects = 32
 	maxSuspects = 16
-	// maxEndings bounds the endings in a ledger, maxSuspectBytes their suspects, and maxMarks
-	// the marks of one kind. Together they fit into one record of the store.
+	// maxEndings bounds the endings in a ledger, maxSuspectBytes their suspects, maxMarks the
+	// marks of one kind, and maxRetrialMarks those of retrials that are told. Together they fit
+	// into one record of the store.
 	maxEndings      = 128
-	maxSuspectBytes = 128 << 10
+	maxSuspectBytes = 96 << 10
 	maxMarks        = 1024
+	maxRetrialMarks = 256
 	// evidenceKeep is how long evidence counts.
 	evidenceKeep = 24 * 3600 * clock.Second
 	// skewMargin is the difference of two gateways' clocks up to which an answer that came
@@ -75,9 +78,21 @@
 // bytes returns about the size of s in the store.
 func (s Suspect) bytes() int {
 	const names = 48 // names of the fields and punctuation
-	n := names + len(s.Request) + len(s.Account)
+	n := names + jsonBytes(s.Request) + jsonBytes(s.Account)
 	for _, id := range s.Subjects {
-		n += len(id) + 3
+		n += jsonBytes(id) + 3
+	}
+	return n
+}
+
+// jsonBytes returns the length of s in JSON, at most.
+func jsonBytes(s string) int {
+	const escaped = 6 // \u003c
+	n := len(s)
+	for _, c := range []byte(s) {
+		if c < ' ' || c >= utf8.RuneSelf || strings.IndexByte(`"\\<>&`, c) >= 0 {
+			n += escaped - 1
+		}
 	}
 	return n
 }
@@ -140,17 +155,14 @@
 	return nil
 }
 
-func invalidSubject(id string) bool { return id == "" || len(id) > maxPartBytes }
+func invalidSubject(id string) bool { return id == "" || len(id) > maxIDBytes }
 
 // Normalize returns the parts of a prompt as they stand in evidence: without duplicates, long
 // ids replaced by a hash, and so few that there is room for the id of the request.
 func Normalize(parts []string) []string {
 	out := make([]string, 0, min(len(parts)+1, maxSubjects))
 	for _, id := range parts {
-		id = strings.ToLower(id)
-		if len(id) > maxPartBytes {
-			id = fmt.Sprintf("#%016x", xxhash.Sum64String(id))
-		}
+		id = shortID(strings.ToLower(id))
 		if id != "" && len(out) < maxSubjects-1 && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
@@ -158,6 +170,14 @@
 	return out
 }
 
+// shortID returns id, or its hash if it is long in the store.
+func shortID(id string) string {
+	if jsonBytes(id) > maxIDBytes {
+		return fmt.Sprintf("#%016x", xxhash.Sum64String(id))
+	}
+	return id
+}
+
 // marks are the newest times of events by subject.
 type marks map[string]Mark
 
--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -122,6 +122,7 @@
 	}
 	known.AtMs = min(known.AtMs, end.AtMs)
 	for _, s := range end.Suspects {
+		s.Request = shortID(s.Request)
 		has := func() bool {
 			return slices.ContainsFunc(known.Suspects, func(o Suspect) bool { return o.Request == s.Request })
 		}
@@ -258,7 +259,7 @@
 	})
 	for _, id := range slices.Sorted(maps.Keys(l.retrials)) {
 		for _, at := range l.retrials[id] {
-			if len(e.Retrials) < maxMarks {
+			if len(e.Retrials) < maxRetrialMarks {
 				e.Retrials = append(e.Retrials, Mark{Subject: id, AtMs: at})
 			}
 		}
--- a/internal/policy/quarantine/subjects_test.go
+++ b/internal/policy/quarantine/subjects_test.go
@@ -173,6 +173,9 @@
 		l.Merge(at, ended(100+i, at, "rogue", requests...))
 	}
 	at := t0 + 2000
+	huge := ended(9, at, "rogue", strings.Repeat(`"<`, 30)+" Rhuge")
+	huge.Endings[0].Suspects[0].Request = strings.Repeat("x", 1<<20)
+	l.Merge(at, huge)
 	last := ended(3, at, "rogue", slices.Repeat([]string{"shared Rother"}, 30)...)
 	mine := ended(3, at, "orchard", "Ra")
 	mine.Endings[0].Suspects[0].Request = "mine"
@@ -182,7 +185,7 @@
 		t.Errorf("verdict %+v, want refused by three ends", v)
 	}
 	data, err := json.Marshal(l.Evidence())
-	if err != nil || len(data) > 256<<10 {
+	if err != nil || len(data) > 262144 {
 		t.Errorf("%d bytes of evidence, error %v", len(data), err)
 	}
 	// Bounds of the build before: it rejects records beyond them.
