Place: equal servers share the requests, also where an entry sends few

Cause: each gateway kept to the server with the shortest mean time per request. A server that had not been used counted with 30 ms, one that was a millisecond slower or had one slow answer was not used again, and nothing corrected its time.

Change: a first sample replaces the assumed time; what a server takes longer than the fastest counts beyond its own variation only, half of it each 2 s without a sample; differences below a millisecond are not told apart.

--- a/internal/policy/place/cost.go
+++ b/internal/policy/place/cost.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"math"
+
 	"github.com/damaskport/damaskport/internal/policy/batch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
@@ -110,12 +112,18 @@
 }
 
 // expectedRequestMs returns the time per request in ms that is expected of s, which is not a
-// model engine.
+// model engine. What it takes longer than the fastest server counts beyond its own variation
+// only, and less and less until it is measured again: a server that is not chosen has no other
+// way to show that it is fast.
 func (b *ServerTable) expectedRequestMs(now clock.Millis, s *serverState) float64 {
-	if s.paced && now-s.sampledMs > pacedSampleAge {
-		return min(s.requestMs, b.shortestRequestMs())
+	shortest := b.shortestRequestMs()
+	excess := s.requestMs - shortest
+	age := now - s.sampledMs
+	if s.sampledMs == 0 || s.paced && age > pacedSampleAge {
+		excess = 0
 	}
-	return s.requestMs
+	excess = max(excess-s.requestDeviationMs, 0) * math.Exp2(-float64(age)/float64(sampleHalfLife))
+	return max(shortest+excess, requestTimeResolutionMs)
 }
 
 // serviceCost returns the cost in ms of sending a request to s, which is not a
--- a/internal/policy/place/outcome.go
+++ b/internal/policy/place/outcome.go
@@ -50,8 +50,7 @@
 		s.failRate -= s.failRate * successWeight
 		s.backOff, s.backOffUntilMs = 0, 0
 		if !r.Engine {
-			s.requestMs += (float64(tookMs) - s.requestMs) * requestTimeWeight
-			s.sampledMs = now
+			s.addRequestTime(now, float64(tookMs))
 		}
 	case OutcomeFull:
 		s.backOffUntilMs = max(s.backOffUntilMs, now+minBackOff/2)
@@ -118,3 +117,14 @@
 func (o Outcome) String() string {
 	return [...]string{"ok", "full", "failed", "unreached", "left"}[o]
 }
+
+// addRequestTime adds the time in ms that the server took for a request.
+func (s *serverState) addRequestTime(now clock.Millis, took float64) {
+	if s.sampledMs == 0 {
+		s.requestMs = took
+	}
+	diff := took - s.requestMs
+	s.requestMs += diff * requestTimeWeight
+	s.requestDeviationMs += (math.Abs(diff) - s.requestDeviationMs) * requestTimeWeight
+	s.sampledMs = now
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -122,6 +122,11 @@
 	// requestTimeWeight is the weight of a new value in the moving average of a server's
 	// time per request.
 	requestTimeWeight = 0.15
+	// requestTimeResolutionMs is the difference of two times per request that is not told apart,
+	// and sampleHalfLife the time in which the excess of a server's time per request over that
+	// of the fastest counts half, while the server is not chosen.
+	requestTimeResolutionMs = 1
+	sampleHalfLife          = 2 * clock.Second
 	// crossZoneCostMs is the cost, in ms per request, that is added for a server in another
 	// availability zone than the entry.
 	crossZoneCostMs = 1.5
@@ -213,13 +218,15 @@
 	limitedUntilMs, urgentLimitedUntilMs clock.Millis
 	// paced is set while the server has a limit; sampledMs is when requestMs was last
 	// updated.
-	paced          bool
-	sampledMs      clock.Millis
-	requestMs      float64      // mean time per request, in ms; not used for model engines
-	serverLoadMs   clock.Millis // when the server last reported its load
-	running        int          // requests running at the server, as it reported
-	waiting        int          // requests waiting at the server, as it reported
-	inFlightAtLoad int          // this entry's requests in flight when the server reported its load
+	paced     bool
+	sampledMs clock.Millis
+	requestMs float64 // mean time per request, in ms; not used for model engines
+	// requestDeviationMs is the mean deviation of a time per request from requestMs.
+	requestDeviationMs float64
+	serverLoadMs       clock.Millis // when the server last reported its load
+	running            int          // requests running at the server, as it reported
+	waiting            int          // requests waiting at the server, as it reported
+	inFlightAtLoad     int          // this entry's requests in flight when the server reported its load
 }
 
 // ServerTable is the server table of one pool: the state that an entry keeps of each
@@ -452,6 +459,9 @@
 		}
 		// Random noise spreads requests evenly over servers of equal cost.
 		cost *= 1 + rnd.Float64()*0.02
+		if !r.Engine {
+			cost += rnd.Float64() * requestTimeResolutionMs
+		}
 		if cost < best {
 			best, ok = cost, true
 			c = Choice{ID: s.ID, UncachedTokens: uncached, CopyFrom: copyFrom, Cost: cost, LoadAgeMs: s.reportAge(now)}
--- /dev/null
+++ b/internal/policy/place/share_test.go
@@ -0,0 +1,44 @@
+package place_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/damaskport/damaskport/internal/policy/place"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// TestEqualServersShareRequests lets eight entries send few requests each to two equal servers,
+// whose times vary by little and now and then by much: neither server is left out by most of
+// the entries.
+func TestEqualServersShareRequests(t *testing.T) {
+	const entries, trials, requests, window = 8, 200, 60, 10
+	few := 0
+	for trial := range trials {
+		rnd := rand.New(rand.NewPCG(uint64(trial), 1))
+		n := map[string]int{}
+		for range entries {
+			b := place.NewServerTable("a")
+			b.SetServers([]place.Server{{ID: "x", Start: 1, Zone: "a", Slots: 8}, {ID: "y", Start: 1, Zone: "a", Slots: 8}})
+			for i := range requests {
+				now := clock.Millis(1 + 200*i)
+				c, _ := b.Choose(now, place.Request{}, nil, rnd)
+				took := clock.Millis(rnd.IntN(2))
+				if rnd.IntN(30) == 0 {
+					took = clock.Millis(5 + rnd.IntN(40))
+				}
+				b.Sent(c, place.Request{})
+				b.Ended(now+took, c, place.Request{}, place.OutcomeOK, false, took)
+				if i >= requests-window {
+					n[c.ID]++
+				}
+			}
+		}
+		if min(n["x"], n["y"]) < entries*window/4 {
+			few++
+		}
+	}
+	if few > 0 {
+		t.Errorf("in %d of %d trials one of two equal servers got less than a quarter of the requests", few, trials)
+	}
+}
