--- a/internal/policy/place/cost.go
+++ b/internal/policy/place/cost.go
@@ -116,7 +116,7 @@
 // only, and less and less until it is measured again: a server that is not chosen has no other
 // way to show that it is fast.
 func (b *ServerTable) expectedRequestMs(now clock.Millis, s *serverState) float64 {
-	shortest := b.shortestRequestMs()
+	shortest := min(b.shortestRequestMs(), s.requestMs)
 	excess := s.requestMs - shortest
 	age := now - s.sampledMs
 	if s.sampledMs == 0 || s.paced && age > pacedSampleAge {
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -284,15 +284,20 @@
 	}
 }
 
-// shortestRequestMs returns the shortest time per request of the servers without a limit.
+// shortestRequestMs returns the shortest time per request of the servers without a limit, or of
+// all if all have one.
 func (b *ServerTable) shortestRequestMs() float64 {
-	shortest := math.Inf(1)
+	shortest, unpaced := math.Inf(1), math.Inf(1)
 	for _, s := range b.ranked {
+		shortest = min(shortest, s.requestMs)
 		if !s.paced {
-			shortest = min(shortest, s.requestMs)
+			unpaced = min(unpaced, s.requestMs)
 		}
 	}
-	return shortest
+	if math.IsInf(unpaced, 1) {
+		return shortest
+	}
+	return unpaced
 }
 
 // availableMs returns from when on the server may receive r, by its back-off and its limit.
--- a/internal/policy/place/share_test.go
+++ b/internal/policy/place/share_test.go
@@ -42,3 +42,21 @@
 		t.Errorf("in %d of %d trials one of two equal servers got less than a quarter of the requests", few, trials)
 	}
 }
+
+// TestAllServersWithLimitsAreUsed gives all servers limits: each of them may be chosen.
+func TestAllServersWithLimitsAreUsed(t *testing.T) {
+	b, rnd := place.NewServerTable("a"), rand.New(rand.NewPCG(1, 1))
+	b.SetServers([]place.Server{{ID: "x", Start: 1, Zone: "a", Slots: 8}, {ID: "y", Start: 1, Zone: "a", Slots: 8}})
+	b.SetPaced("x", true)
+	b.SetPaced("y", true)
+	n := map[string]int{}
+	for i := range 100 {
+		c, _ := b.Choose(clock.Millis(1+10*i), place.Request{}, nil, rnd)
+		b.Sent(c, place.Request{})
+		b.Ended(clock.Millis(2+10*i), c, place.Request{}, place.OutcomeOK, false, 1)
+		n[c.ID]++
+	}
+	if n["x"] < 20 || n["y"] < 20 {
+		t.Errorf("requests by server: %v", n)
+	}
+}
