--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -100,6 +100,8 @@
 	Subjects []string `json:"parts,omitempty"`
 	// Retrial is set if the subjects are refused, to try them again.
 	Retrial bool `json:"retrial,omitempty"`
+	// Marks is set if the sender itself records the retrial, when it sends the request.
+	Marks bool `json:"marks,omitempty"`
 }
 
 // TrialReply answers the TrialRequest with the same ID.
--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -71,6 +71,8 @@
 	// answered and answeredRequests are when a request with a part, or a request, was last
 	// answered at this gateway, or another one has told so.
 	answered, answeredRequests marks
+	// lastEndingMs is when the last server ended under a request.
+	lastEndingMs clock.Millis
 	// judged is the decision derived from the evidence; nil if that has changed.
 	judged *judgement
 }
@@ -102,6 +104,7 @@
 	}
 	for _, end := range e.Endings {
 		end.AtMs = min(end.AtMs, now)
+		l.lastEndingMs = max(l.lastEndingMs, end.AtMs)
 		if end.AtMs > now-evidenceKeep && l.addEnding(end) {
 			news.Endings = append(news.Endings, end)
 		}
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -90,8 +90,8 @@
 	// subjects are the shared parts of the prompt and the request itself, as in evidence.
 	subjects []string
 	// trial is set while the request has the permission to run although it is suspected, and
-	// retrial if it has it although it is refused.
-	trial, retrial bool
+	// retrial if it has it although it is refused; retried once that was recorded.
+	trial, retrial, retried bool
 	// barred is set if a server ended as it answered the request, or after another one had
 	// ended under one of its subjects: it runs again only if these are cleared.
 	barred bool
@@ -111,10 +111,33 @@
 	return s.ledger.Judge(s.wall(), j.account, j.inquiry.subjects)
 }
 
-// maySend reports whether j may be sent now.
+// maySend reports whether j may be sent now. It records a retrial, of which there are few, only
+// here.
 func (s *suspects) maySend(j *job) bool {
 	v := s.judge(j)
-	return v.State == quarantine.Clear || j.inquiry.allows(v)
+	if v.State == quarantine.Clear {
+		return true
+	}
+	q := &j.inquiry
+	if !q.allows(v) {
+		return false
+	}
+	if !q.retrial || q.retried {
+		return true
+	}
+	s.mu.Lock()
+	news := s.ledger.Retry(s.wall(), q.subjects)
+	if !news.Empty() {
+		s.changedLocked()
+	}
+	s.mu.Unlock()
+	if news.Empty() {
+		s.release(j)
+		return false
+	}
+	q.retried = true
+	s.tell(news)
+	return true
 }
 
 // allows reports whether a request may run although the verdict on it is not Clear.
@@ -237,11 +260,11 @@
 	}
 	s.holders[key] = j
 	s.mu.Unlock()
-	ask := enginequeue.TrialRequest{Request: j.ID, Subjects: v.Subjects, Retrial: v.Retrial}
+	ask := enginequeue.TrialRequest{Request: j.ID, Subjects: v.Subjects, Retrial: v.Retrial, Marks: true}
 	granted, answered := s.g.peers.askTrial(ctx, ask)
 	if granted || !answered && !v.Retrial {
 		// Without an examiner, this gateway alone runs one trial at a time.
-		j.inquiry.trial, j.inquiry.retrial = true, v.Retrial
+		j.inquiry.trial, j.inquiry.retrial, j.inquiry.retried = true, v.Retrial, false
 		ask.Retrial = false
 		s.renewTrial(j, ask)
 		return true
