Quarantine: ends that nothing refused explains doubt the refusal of a known request

Cause: a refused request stayed refused while servers went on to end without it: that shows another cause, and was not used.

Change: a refused request that was answered in the last ten minutes is only suspected once a server has ended since that no refused subject explains. One that never was answered stays refused.

--- a/internal/policy/quarantine/judge.go
+++ b/internal/policy/quarantine/judge.go
@@ -28,6 +28,8 @@
 	endings []servers.Key // oldest first
 	// trials is how many of the endings came under a trial.
 	trials int
+	// doubted is set if servers went on to end without a refused subject to explain it.
+	doubted bool
 }
 
 // isRequest reports whether g is a request, not a set of prompt parts.
@@ -91,10 +93,23 @@
 		}
 	}
 	maps.Copy(j.against, parts)
+	j.doubt(ordered)
 	l.judged = j
 	return j
 }
 
+// doubt marks the groups after whose refusal servers ended that no refused subject explains.
+func (j *judgement) doubt(ordered []Ending) {
+	for _, e := range ordered {
+		if slices.ContainsFunc(e.Suspects, func(s Suspect) bool { return j.needs(e.Server, s) }) {
+			continue
+		}
+		for i := range j.refused {
+			j.refused[i].doubted = j.refused[i].doubted || e.AtMs > j.refused[i].sinceMs
+		}
+	}
+}
+
 // confounded reports whether another request was on two thirds or more of the servers that ended
 // under a request, and the other way round.
 func confounded(id string, requests map[string][]servers.Key) bool {
--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -152,6 +152,12 @@
 	return n
 }
 
+// isKnown reports whether a request with the subject was answered not long ago.
+func (l *Ledger) isKnown(now clock.Millis, id string) bool {
+	m, ok := l.known(id)[id]
+	return ok && now-m.AtMs <= answeredKeep
+}
+
 // known returns the marks of what was answered for subjects like id.
 func (l *Ledger) known(id string) marks {
 	if IsRequest(id) {
@@ -213,7 +219,7 @@
 	j := l.judge()
 	for _, g := range j.refused {
 		switch {
-		case !containsAll(subjects, g.subjects) || !g.concerns(account):
+		case !containsAll(subjects, g.subjects) || !g.concerns(account) || g.isRequest() && g.doubted && l.isKnown(now, g.subjects[0]):
 			v.add(Suspected, common(subjects, g.subjects), len(g.endings))
 		case l.retrialDue(now, g):
 			v.add(Suspected, g.subjects, len(g.endings))
@@ -230,7 +236,7 @@
 		if n == 0 || slices.Contains(v.Subjects, id) {
 			continue
 		}
-		if m, ok := l.known(id)[id]; n >= knownEndings || !ok || now-m.AtMs > answeredKeep {
+		if n >= knownEndings || !l.isKnown(now, id) {
 			v.add(Suspected, []string{id}, n)
 		}
 	}
--- a/internal/policy/quarantine/subjects_test.go
+++ b/internal/policy/quarantine/subjects_test.go
@@ -189,6 +189,31 @@
 	}
 }
 
+// Servers that go on to end while a request is refused show another cause: a request that was
+// answered before runs as a trial again, one that never was stays refused.
+func TestEndsWithoutARefusedRequestDoubtIt(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.Answered(t0, []string{"Rsound"})
+	for i, id := range []string{"Rsound", "Rbad"} {
+		for n := range 3 {
+			l.Merge(t0+2000, ended(10*i+n, t0+2000+clock.Millis(n), "orchard", "*"+id))
+		}
+	}
+	states := func(at clock.Millis) [2]quarantine.State {
+		return [2]quarantine.State{l.Judge(at, "orchard", []string{"Rsound"}).State, l.Judge(at, "orchard", []string{"Rbad"}).State}
+	}
+	got := [][2]quarantine.State{states(t0 + 2100)}
+	l.Merge(t0+2200, ended(50, t0+2200, "orchard", "*Rbad"))
+	got = append(got, states(t0+2300))
+	l.Merge(t0+2400, ended(51, t0+2400, "orchard", "Rother"))
+	got = append(got, states(t0+2500))
+	both := [2]quarantine.State{quarantine.Refused, quarantine.Refused}
+	want := [][2]quarantine.State{both, both, {quarantine.Suspected, quarantine.Refused}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error("-want +got\n" + diff)
+	}
+}
+
 // The result of the first trial of a refused request is waited for; if it does not come, the
 // request is refused until the next one.
 func TestResultOfFirstTrialIsWaitedFor(t *testing.T) {
