Quarantine: a request that was answered before is not blamed for ends that others explain

Cause: requests were judged each by itself, whatever else explained the ends.

Change: a refused request that was answered in the last ten minutes is only suspected while fewer than three of its ends are explained by nothing else that is refused. One that never was answered is judged as before.

Measured: TestKnownRequestIsNotRefusedForExplainedEnds fails without the change.

--- a/internal/policy/quarantine/judge.go
+++ b/internal/policy/quarantine/judge.go
@@ -28,6 +28,8 @@
 	endings []servers.Key // oldest first
 	// trials is how many of the endings came under a trial.
 	trials int
+	// unexplained is how many of the endings no other refused group explains.
+	unexplained int
 	// doubted is set if servers went on to end without a refused subject to explain it.
 	doubted bool
 }
@@ -93,11 +95,33 @@
 		}
 	}
 	maps.Copy(j.against, parts)
+	j.explain()
 	j.doubt(ordered)
 	l.judged = j
 	return j
 }
 
+// explain counts the endings of each group that no other one explains.
+func (j *judgement) explain() {
+	groups := map[servers.Key]int{}
+	for _, g := range j.refused {
+		for _, k := range g.endings {
+			groups[k]++
+		}
+	}
+	for i, g := range j.refused {
+		for _, k := range g.endings {
+			if groups[k] == 1 {
+				j.refused[i].unexplained++
+			}
+		}
+	}
+}
+
+// innocent reports whether a refused request that was answered not long ago may be a victim of
+// what else ends servers.
+func (g group) innocent() bool { return g.isRequest() && (g.doubted || g.unexplained < minEndings) }
+
 // doubt marks the groups after whose refusal servers ended that no refused subject explains.
 func (j *judgement) doubt(ordered []Ending) {
 	for _, e := range ordered {
--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -219,7 +219,7 @@
 	j := l.judge()
 	for _, g := range j.refused {
 		switch {
-		case !containsAll(subjects, g.subjects) || !g.concerns(account) || g.isRequest() && g.doubted && l.isKnown(now, g.subjects[0]):
+		case !containsAll(subjects, g.subjects) || !g.concerns(account) || g.innocent() && l.isKnown(now, g.subjects[0]):
 			v.add(Suspected, common(subjects, g.subjects), len(g.endings))
 		case l.retrialDue(now, g):
 			v.add(Suspected, g.subjects, len(g.endings))
--- a/internal/policy/quarantine/subjects_test.go
+++ b/internal/policy/quarantine/subjects_test.go
@@ -214,6 +214,25 @@
 	}
 }
 
+// A request that was answered before is not refused for servers that another refused subject
+// ended, and one that never was is.
+func TestKnownRequestIsNotRefusedForExplainedEnds(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.Answered(t0, []string{"Rsound"})
+	for i := range 6 {
+		at := t0 + 2000 + clock.Millis(i)
+		if i%2 == 0 {
+			l.Merge(at, ended(i, at, "orchard", "*Rbad", "*Rsound"))
+		} else {
+			l.Merge(at, ended(i, at, "orchard", "*bad Rbad", "*bad Rother"))
+		}
+	}
+	got := [2]quarantine.State{l.Judge(t0+2100, "orchard", []string{"Rsound"}).State, l.Judge(t0+2100, "orchard", []string{"Rbad"}).State}
+	if diff := cmp.Diff([2]quarantine.State{quarantine.Suspected, quarantine.Refused}, got); diff != "" {
+		t.Error("-want +got\n" + diff)
+	}
+}
+
 // The result of the first trial of a refused request is waited for; if it does not come, the
 // request is refused until the next one.
 func TestResultOfFirstTrialIsWaitedFor(t *testing.T) {
