Quarantine: a part of a request that was answered is blamed before the request

Sound requests got 502 (TestCrashingPartIsFound/held, race detector, 0 of 165 answered): all requests of that play have one path and no body, so that they are one request with several prompts.

Cause: a request that ended several servers counted once against its parts, also one that had been answered: the part never had the three ends that refuse it.

Change: only a request that was never answered explains the ends of its parts. hasLive closes the idle connections that are not open: it could take a byte from one. The plays of crashing requests leave out sound requests that were in flight when a server crashed: the retrial that is allowed takes those on its server with it (1 of 176 in fourAtOnce, unexpected EOF).

Measured: TestPartOfAKnownRequestIsBlamed fails without the change.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -211,11 +211,18 @@
 	return err != nil && !p.hasLive()
 }
 
-// hasLive reports whether an idle connection is open.
+// hasLive reports whether an idle connection is open, and closes those that are not.
 func (p *Pool) hasLive() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle, (*conn).alive)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		dead := !c.alive()
+		if dead {
+			_ = c.Close()
+		}
+		return dead
+	})
+	return len(p.idle) > 0
 }
 
 func (p *Pool) pop() *conn {
--- a/internal/policy/quarantine/judge.go
+++ b/internal/policy/quarantine/judge.go
@@ -176,14 +176,15 @@
 }
 
 // partsWithEvidence returns the endings that count against each prompt part, oldest first.
-// requests are the endings that count against requests: one that ended several servers counts
-// once against its parts, and explains the end of the others.
+// requests are the endings that count against requests: one that ended several servers, and was
+// never answered, counts once against its parts and explains the end of the others.
 func (l *Ledger) partsWithEvidence(ordered []Ending, requests map[string][]servers.Key) map[string][]servers.Key {
 	out := map[string][]servers.Key{}
 	for _, e := range ordered {
 		if slices.ContainsFunc(e.Suspects, func(s Suspect) bool {
-			ended := requests[s.requestID()]
-			return slices.Index(ended, e.Server) > 0
+			id := s.requestID()
+			_, known := l.answeredRequests[id]
+			return !known && slices.Index(requests[id], e.Server) > 0
 		}) {
 			continue
 		}
--- a/internal/policy/quarantine/subjects_test.go
+++ b/internal/policy/quarantine/subjects_test.go
@@ -233,6 +233,21 @@
 	}
 }
 
+// Requests without a body of their own are one request with several prompts: it was answered, so
+// that the part which all that ended servers had is refused.
+func TestPartOfAKnownRequestIsBlamed(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.Answered(t0, []string{"a", "Rsame"})
+	for i := range 4 {
+		at := t0 + 2000 + clock.Millis(i)
+		l.Merge(at, ended(i, at, "orchard", "*a bad Rsame"))
+	}
+	got := [2]quarantine.State{l.Judge(t0+2100, "orchard", []string{"a", "Rsame"}).State, l.Judge(t0+2100, "orchard", []string{"a", "bad", "Rsame"}).State}
+	if diff := cmp.Diff([2]quarantine.State{quarantine.Suspected, quarantine.Refused}, got); diff != "" {
+		t.Error("-want +got\n" + diff)
+	}
+}
+
 // The result of the first trial of a refused request is waited for; if it does not come, the
 // request is refused until the next one.
 func TestResultOfFirstTrialIsWaitedFor(t *testing.T) {
