--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -281,9 +281,7 @@
 	out := []Quarantined{}
 	for _, g := range l.judge().refused {
 		q := Quarantined{Subjects: g.subjects, SinceMs: g.sinceMs, Accounts: g.accounts, Retrials: len(l.retrialsOf(g))}
-		for _, k := range g.endings {
-			q.Endings = append(q.Endings, l.endings[k])
-		}
+		q.Endings = l.endingsOf(g)
 		if g.isRequest() {
 			q.Prompt = promptOf(g.subjects[0], q.Endings)
 		}
@@ -292,6 +290,15 @@
 	return out
 }
 
+// endingsOf returns the endings that g explains.
+func (l *Ledger) endingsOf(g group) []Ending {
+	out := make([]Ending, 0, len(g.endings))
+	for _, k := range g.endings {
+		out = append(out, l.endings[k])
+	}
+	return out
+}
+
 // promptOf returns the shared prompt parts that all tries of a request had.
 func promptOf(request string, endings []Ending) []string {
 	var out []string
