Direct, place: comments and names for a newcomer

Cause: some comments told how a value came about, and names spoke of connections that are not kept, where the package says reused.

Change: comments and names only.

Measured: vet, revive and the tests of both packages pass.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -43,9 +43,9 @@
 	// closedAtOnce is the time within which a server that has ended closes a connection that
 	// was still accepted for it.
 	closedAtOnce = 20 * time.Millisecond
-	// unkeptTime is how long connections are not kept after a response without a request ID on
-	// one that was.
-	unkeptTime = 10 * clock.Second
+	// noReuseTime is how long connections are not reused after a response without a request ID
+	// has arrived on a reused one.
+	noReuseTime = 10 * clock.Second
 )
 
 // NotSentError reports a request of which no byte was sent to the server.
@@ -152,8 +152,8 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	// unkeptUntilMs is until when connections are closed after one request.
-	unkeptUntilMs clock.Millis
+	// noReuseUntilMs is the time until which connections are closed after one request.
+	noReuseUntilMs clock.Millis
 }
 
 // NewPool returns an empty Pool of connections to addr, given as host:port.
@@ -241,7 +241,7 @@
 	c.idleSinceMs = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdlePerHost || c.idleSinceMs < p.unkeptUntilMs {
+	if p.closed || len(p.idle) >= maxIdlePerHost || c.idleSinceMs < p.noReuseUntilMs {
 		_ = c.Close()
 		return
 	}
@@ -264,11 +264,11 @@
 	p.idle = kept
 }
 
-// keepNone closes the idle connections and keeps none for unkeptTime.
-func (p *Pool) keepNone() {
+// stopReuse closes the idle connections and reuses none for noReuseTime.
+func (p *Pool) stopReuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unkeptUntilMs = p.clock.Now() + unkeptTime
+	p.noReuseUntilMs = p.clock.Now() + noReuseTime
 	p.closeIdle()
 }
 
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -112,7 +112,7 @@
 		stop()
 		_ = c.Close()
 		if unidentified := (*UnidentifiedError)(nil); errors.As(err, &unidentified) {
-			p.keepNone()
+			p.stopReuse()
 		}
 		if werr := <-writeDone; werr != nil && ctx.Err() == nil {
 			err = errors.Wrap(err, werr.Error())
--- a/internal/policy/place/cost.go
+++ b/internal/policy/place/cost.go
@@ -111,10 +111,9 @@
 	return n
 }
 
-// expectedRequestMs returns the time per request in ms that is expected of s, which is not a
-// model engine. What it takes longer than the fastest server counts beyond its own variation
-// only, and less and less until it is measured again: a server that is not chosen has no other
-// way to show that it is fast.
+// expectedRequestMs returns the expected time per request of s in ms; s is not a model engine.
+// Its excess over the fastest server counts only beyond its deviation, and decays while there
+// are no new samples, since a server that is not chosen gets none.
 func (b *ServerTable) expectedRequestMs(now clock.Millis, s *serverState) float64 {
 	shortest := min(b.shortestRequestMs(), s.requestMs)
 	excess := s.requestMs - shortest
--- a/internal/policy/place/outcome.go
+++ b/internal/policy/place/outcome.go
@@ -121,7 +121,7 @@
 // addRequestTime adds the time in ms that the server took for a request.
 func (s *serverState) addRequestTime(now clock.Millis, took float64) {
 	if s.sampledMs == 0 {
-		// One time says little of the next ones.
+		// The deviation of a single sample is unknown.
 		s.requestMs, s.requestDeviationMs = took, took
 	}
 	diff := took - s.requestMs
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -122,9 +122,8 @@
 	// requestTimeWeight is the weight of a new value in the moving average of a server's
 	// time per request.
 	requestTimeWeight = 0.15
-	// requestTimeResolutionMs is the difference of two times per request that is not told apart,
-	// and sampleHalfLife the time in which the excess of a server's time per request over that
-	// of the fastest counts half, while the server is not chosen.
+	// requestTimeResolutionMs is the smallest significant difference between times per request.
+	// sampleHalfLife is the half-life of a server's excess time per request without new samples.
 	requestTimeResolutionMs = 1
 	sampleHalfLife          = 2 * clock.Second
 	// crossZoneCostMs is the cost, in ms per request, that is added for a server in another
