Quarantine: a request with several prompts is left to its parts, and a trial holds others no longer than it must

Cause: a request that was answered before and shares its id with bad ones was suspected beside the part to blame, so that all prompts of it ran one at a time; a trial that no server answered held the others for three seconds beyond its own timeout.

Change: such a request is not suspected while ends count against a part that all its ended tries had. The hold after a trial without an answer counts from its send.

--- a/internal/policy/quarantine/ledger.go
+++ b/internal/policy/quarantine/ledger.go
@@ -217,8 +217,12 @@
 		return v
 	}
 	j := l.judge()
+	// A request that was answered before may have come with other prompts then: its parts are
+	// judged instead.
+	leftToParts := func(id string) bool { return j.byPart[id] && l.isKnown(now, id) }
 	for _, g := range j.refused {
 		switch {
+		case leftToParts(g.subjects[0]):
 		case !containsAll(subjects, g.subjects) || !g.concerns(account) || g.innocent() && l.isKnown(now, g.subjects[0]):
 			v.add(Suspected, common(subjects, g.subjects), len(g.endings))
 		case l.retrialDue(now, g):
@@ -233,7 +237,7 @@
 	}
 	for _, id := range subjects {
 		n := len(j.against[id])
-		if n == 0 || slices.Contains(v.Subjects, id) {
+		if n == 0 || slices.Contains(v.Subjects, id) || leftToParts(id) {
 			continue
 		}
 		if n >= knownEndings || !l.isKnown(now, id) {
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -397,7 +397,12 @@
 		j.inquiry.stopRenewal()
 		j.inquiry.trial, j.inquiry.retrial = false, false
 		j.inquiry.barred = j.inquiry.barred || a.beganAnswer()
-		time.AfterFunc(unprovedHold.Duration(), func() { s.g.peers.endTrial(j.ID) })
+		hold := unprovedHold
+		if !a.broke {
+			// The server has had part of the time to show that it started anew.
+			hold = max(hold-(s.g.clock.Now()-a.sentMs), 0)
+		}
+		time.AfterFunc(hold.Duration(), func() { s.g.peers.endTrial(j.ID) })
 	}
 	s.release(j)
 }
