Engine queue: a stream that its caller takes up needs time for its next event, not for a whole answer

Cause: the engine queue weighed a request with Last-Event-Id like a new one, and refused what had no time left for the prefill and a whole answer. Change: batch.Request.Resumed. Such a request is feasible if its next event comes in time, does not count as late for its first event, and goes before new ones of its priority, after accounts over their share. Retry-After leaves it half of its time. "refused" logs what is taken up and the time left.

--- a/internal/caller/exchange/failure.go
+++ b/internal/caller/exchange/failure.go
@@ -27,6 +27,13 @@
 // Error returns code and message.
 func (f *Failure) Error() string { return f.Code + ": " + f.Message }
 
+// WithRetryAfter returns f with another RetryAfterMs.
+func (f *Failure) WithRetryAfter(ms clock.Millis) *Failure {
+	out := *f
+	out.RetryAfterMs = ms
+	return &out
+}
+
 // BadRequest returns a Failure with status 400 for a request that is invalid and was
 // therefore not run.
 func BadRequest(code, param, message string) *Failure {
--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -245,6 +245,8 @@
 	// request because its prefill alone would make latency-sensitive streams miss their
 	// ITL target. The name on the wire is "insists".
 	NoAlternative bool `json:"insists,omitempty"`
+	// Resumed is set if the caller has part of the answer.
+	Resumed bool `json:"resumed,omitempty"`
 	// UncachedTokens is the number of prompt tokens left to prefill (not cached).
 	UncachedTokens int `json:"unread"`
 	// Tokens is the engine memory that the request needs for itself, in tokens.
@@ -267,7 +269,7 @@
 // now is the time of receipt, from which the times in r count.
 func (r Reservation) Request(now clock.Millis, entry string) batch.Request {
 	return batch.Request{
-		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, LatencySensitive: r.LatencySensitive, ITLTargetMs: r.ITLTargetMs, NoAlternative: r.NoAlternative, UncachedTokens: r.UncachedTokens, Tokens: r.Tokens,
+		ID: r.ID, Entry: entry, Account: r.Account, Priority: r.Priority, LatencySensitive: r.LatencySensitive, ITLTargetMs: r.ITLTargetMs, NoAlternative: r.NoAlternative, Resumed: r.Resumed, UncachedTokens: r.UncachedTokens, Tokens: r.Tokens,
 		TargetMs: now + r.TargetMs, DeadlineMs: now + r.DeadlineMs, AnswerMs: r.AnswerMs,
 	}
 }
--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -12,10 +12,10 @@
 // (the duty cycle).
 //
 // Requests with the most urgent priority go first; within a priority those that
-// can still meet their target for the first streamed event, then those of accounts
-// that have not exceeded their share, then those with the earliest target. The
-// package is a pure state machine: time is an argument. A Scheduler is not safe for
-// concurrent use.
+// can still meet their target for the first streamed event and those that resume an
+// answer, then those of accounts that have not exceeded their share, then those that
+// resume an answer, then those with the earliest target. The package is a pure state
+// machine: time is an argument. A Scheduler is not safe for concurrent use.
 package batch
 
 import (
@@ -153,6 +153,9 @@
 	// events of the answer, in ms; 0 if unknown.
 	LatencySensitive bool
 	ITLTargetMs      clock.Millis
+	// Resumed is set if the caller has part of the answer. The request has less time left
+	// than a whole answer takes, and is of use also if it only adds to that part.
+	Resumed bool
 	// NoAlternative is set if no other engine is left to try: then the request is not
 	// held back or refused for stalling latency-sensitive streams.
 	NoAlternative bool
@@ -498,7 +501,11 @@
 	if !s.bypassesQueue(w) {
 		wait += max(s.nextGrantMs-now, 0)
 	}
-	return now+wait+s.prefillMs(w.UncachedTokens)+w.AnswerMs <= w.DeadlineMs
+	answer := w.AnswerMs
+	if w.Resumed {
+		answer = 0
+	}
+	return now+wait+s.prefillMs(w.UncachedTokens)+answer <= w.DeadlineMs
 }
 
 // refuse refuses w. The retry-after time is half of the time until a new prompt would
@@ -535,6 +542,9 @@
 	if oa, ob := s.exceedsShare(a.Account), s.exceedsShare(b.Account); oa != ob {
 		return !oa
 	}
+	if a.Resumed != b.Resumed {
+		return a.Resumed
+	}
 	if c := cmp.Compare(a.TargetMs, b.TargetMs); c != 0 {
 		return c < 0
 	}
@@ -542,9 +552,9 @@
 }
 
 // missesTarget reports whether w would miss the target for its first event even if it
-// were prefilled now.
+// were prefilled now. The first event of a resumed request has arrived long before.
 func (s *Scheduler) missesTarget(now clock.Millis, w *queuedRequest) bool {
-	return now+s.prefillMs(w.UncachedTokens) > w.TargetMs
+	return !w.Resumed && now+s.prefillMs(w.UncachedTokens) > w.TargetMs
 }
 
 // exceedsShare reports whether an account was granted more than overShareFactor times
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -405,3 +405,50 @@
 		}
 	})
 }
+
+// TestResumedRequestHasTimeForItsNextEvent submits requests that have less time left than a whole
+// answer takes. It guards against the refusal of those that resume an answer at an idle engine,
+// while new ones, and those whose next event would come too late, are refused.
+func TestResumedRequestHasTimeForItsNextEvent(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		resumed     bool
+		deadline    clock.Millis
+		wantGranted bool
+	}{
+		{"new", false, 1000, false},
+		{"resumed", true, 1000, true},
+		{"resumed, prefill takes longer", true, 150, false},
+	} {
+		s := batch.New(batch.Config{Slots: 64, MemoryTokens: 475000})
+		submit(s, 0, tc.name, func(r *batch.Request) { r.Resumed, r.DeadlineMs, r.AnswerMs = tc.resumed, tc.deadline, 900 })
+		if got := len(granted(s)) == 1; got != tc.wantGranted {
+			t.Errorf("%s: granted %v, want %v", tc.name, got, tc.wantGranted)
+		}
+	}
+}
+
+// TestResumedRequestGoesBeforeNewOnes queues requests with one priority. It guards against resumed
+// answers that wait for longer than their callers do, and against accounts that pass others by
+// resuming.
+func TestResumedRequestGoesBeforeNewOnes(t *testing.T) {
+	s := batch.New(batch.Config{Slots: 64, MemoryTokens: 475000})
+	submit(s, 0, "running", nil)
+	submit(s, 0, "light", func(r *batch.Request) { r.Account, r.UncachedTokens, r.Tokens = "light", 8000, 0 })
+	submit(s, 0, "new", nil)
+	submit(s, 0, "resumed", func(r *batch.Request) { r.Resumed, r.TargetMs = true, 10 })
+	submit(s, 0, "urgent", func(r *batch.Request) { r.Priority, r.TargetMs = 1, 5000 })
+	submit(s, 0, "heavy", func(r *batch.Request) { r.Account, r.Tokens, r.Resumed = "heavy", 250000, true })
+	submit(s, 0, "over", func(r *batch.Request) { r.Account, r.Resumed = "heavy", true })
+	got := granted(s)
+	for now := clock.Millis(10); len(got) < 7 && now < 10000; now += 10 {
+		for _, id := range got {
+			s.FirstEvent(now, id)
+		}
+		s.Tick(now)
+		got = append(got, granted(s)...)
+	}
+	if diff := cmp.Diff([]string{"running", "urgent", "resumed", "heavy", "light", "new", "over"}, got); diff != "" {
+		t.Errorf("order of starts (-want +got):\n%s", diff)
+	}
+}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -202,3 +202,9 @@
 	}
 	return clock.Millis(rnd.Int64N(int64(bound) + 1))
 }
+
+// ReturnAfter returns the Retry-After of a caller that resumes an answer and has left ms: after, but
+// at most half of left, so that the rest of the answer can still be of use. It is 0 if after is.
+func ReturnAfter(after, left clock.Millis) clock.Millis {
+	return min(after, max(left/2, 1))
+}
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -100,3 +100,12 @@
 		t.Error("P95 of samples older than two windows is known")
 	}
 }
+
+// TestReturnAfterLeavesTime guards against a Retry-After that ends after the caller's own time.
+func TestReturnAfterLeavesTime(t *testing.T) {
+	for _, tc := range []struct{ after, left, want clock.Millis }{{700, 5000, 700}, {5000, 1200, 600}, {700, 0, 1}, {0, 1000, 0}} {
+		if got := retry.ReturnAfter(tc.after, tc.left); got != tc.want {
+			t.Errorf("ReturnAfter(%d, %d) = %d, want %d", tc.after, tc.left, got, tc.want)
+		}
+	}
+}
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/quarantine"
+	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
 )
@@ -80,6 +81,9 @@
 	usageCounted bool
 }
 
+// resumes reports whether the caller has part of the answer, or may have.
+func (j *job) resumes() bool { return j.mayHaveRun || j.ResumesAt != "" }
+
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.draining.Load() || g.tooManyConns() || g.overloaded() {
@@ -212,9 +216,19 @@
 		g.interrupted(j, f.Code)
 		j.caller.Fail(f)
 	}
+	now := g.clock.Now()
+	if j.resumes() && j.timeoutMs > 0 {
+		f = f.WithRetryAfter(retry.ReturnAfter(f.RetryAfterMs, j.timeoutMs-now))
+	}
 	fields := logrus.Fields{
 		"event": "refused", "status": f.Status, "reason": f.Code, "retryAfterMs": int64(f.RetryAfterMs), "sends": j.sends,
-		"tookMs": int64(g.clock.Now() - j.arrivedMs),
+		"tookMs": int64(now - j.arrivedMs),
+	}
+	if j.timeoutMs > 0 {
+		fields["leftMs"] = int64(j.timeoutMs - now)
+	}
+	if j.ResumesAt != "" {
+		fields["resumes"] = j.Origin
 	}
 	if j.route != nil {
 		fields["route"] = j.route.Name
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -203,11 +203,10 @@
 	msg := enginequeue.Reservation{
 		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, LatencySensitive: j.placeReq.LatencySensitive, ITLTargetMs: j.route.ITLTargetMs, UncachedTokens: to.UncachedTokens,
 		Tokens: to.UncachedTokens + j.expectedTokens(), TargetMs: j.arrivedMs + j.route.TargetMs - now,
-		DeadlineMs: j.timeoutMs - now, AnswerMs: answerMs,
+		DeadlineMs: j.timeoutMs - now, AnswerMs: answerMs, Resumed: j.resumes(),
 	}
-	if j.mayHaveRun {
-		// Part of the answer may have been delivered: completing it is of use
-		// even if it began late.
+	if msg.Resumed {
+		// Queue owners of earlier builds do not know Resumed.
 		msg.AnswerMs = 0
 	}
 	// The last block is the request's own; the one before it is the last shared
