Gateway: a protected request that no server has yet is dropped when its caller leaves

Cause: protected requests ran under a context that never ends with the caller's, also while they waited for a connection, a permit, a trial, an engine queue or a retry. Change: exchange.Departure, with the phases waiting, sent and dropped, decides for all kinds. The first byte is written only if Departure.Send says so, at the point where the list and limits are asked for the last time; a refusal puts the request back to waiting. On the way: nothing is retried once the request has ended; a request that was not sent says so in its failure (503, not run); a permit that was not awaited to the end is no silence of its issuer and excludes no server for others; a trial whose request has ended is given back to the examiner.

--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -70,6 +70,8 @@
 	inquiry inquiry
 	// stream is the software version to which the stream is bound.
 	stream streamVersion
+	// departure drops the request when its caller leaves.
+	departure *exchange.Departure
 	// stopAbandon is called when the answer begins. From then on the request is
 	// no longer abandoned shortly before the process exits, but may continue
 	// until the exit.
@@ -99,16 +101,19 @@
 	defer g.suspects.release(j)
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(r.Context()), g.wallTime(j.timeoutMs), errTimeout)
 	defer cancel()
+	// A protected request that a server may have is completed when its caller disconnects,
+	// so that its outcome is known.
+	log := j.log
+	j.departure = exchange.NewDeparture(j.route.Kind == routing.KindProtected, func() {
+		log.WithField("event", "callerLeft").Info()
+		cancel()
+	})
+	stopDeparture := context.AfterFunc(r.Context(), j.departure.Left)
+	defer stopDeparture()
 	// A request whose answer has not begun is abandoned shortly before the
 	// process exits, while there is time to send the caller a response.
 	j.stopAbandon = context.AfterFunc(g.ending, cancel)
 	defer j.stopAbandon()
-	if j.route.Kind != routing.KindProtected {
-		// A protected request continues when its caller disconnects, so that its
-		// outcome is known.
-		stop := context.AfterFunc(r.Context(), cancel)
-		defer stop()
-	}
 	if j.route.Kind == routing.KindStream {
 		defer g.streams.end(j)
 		exchange.Run(ctx, &relay{g: g, j: j})
@@ -249,6 +254,9 @@
 // server. If no server can have run the request, the failure says so and has a
 // Retry-After.
 func (g *Gateway) abandon(j *job, reason string) *exchange.Failure {
+	if j.departure.Dropped() {
+		reason = "callerLeft"
+	}
 	switch {
 	case !j.mayHaveRun:
 		return notRun(http.StatusServiceUnavailable, reason, g.retryAfter(j))
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -189,6 +189,9 @@
 	now := g.clock.Now()
 	outcome := "granted"
 	switch {
+	case !ok && ctx.Err() != nil:
+		// The silence is the request's, not the issuer's.
+		return false
 	case !ok:
 		outcome = "unanswered"
 		a.WaitMs = permitTimeout
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -41,6 +41,9 @@
 		if j.timeoutMs-now < minTimeLeft {
 			return target{}, nil, g.abandon(j, "noTimeLeft")
 		}
+		if ctx.Err() != nil {
+			return target{}, nil, g.abandon(j, "endedWaiting")
+		}
 		if !j.mayHaveRun && g.mayExitBefore(j, now) {
 			return target{}, nil, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 		}
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -61,9 +61,9 @@
 }
 
 // Again returns nil if the request is to be retried, or the failure that ends it.
-func (x *plain) Again(_ context.Context, s *send, _ error) *exchange.Failure {
+func (x *plain) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
 	x.g.examineBreak(x.j, s)
-	if x.g.retryAllowed(x.j, s, 0) {
+	if x.g.retryAllowed(ctx, x.j, s, 0) {
 		return nil
 	}
 	return x.g.lastFailure(x.j, s)
@@ -84,13 +84,12 @@
 // lastFailure returns the final failure of a request whose last attempt, s, had
 // no answer to forward.
 func (g *Gateway) lastFailure(j *job, s *send) *exchange.Failure {
-	if j.r.Context().Err() != nil {
-		j.log.WithField("event", "callerLeft").Info()
-	}
 	reason := "serverFull"
 	switch {
 	case j.caller.Progress().Begun:
 		reason = "interrupted"
+	case s.notSent:
+		reason = "notSent"
 	case !s.reply.NotRun:
 		reason = "noAnswer"
 	}
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -132,6 +132,7 @@
 			o = place.OutcomeUnreachable
 		}
 		g.endSend(j, s, o, "notRun")
+		j.departure.Unsent()
 		return s, nil
 	}
 	j.mayHaveRun = true
@@ -147,7 +148,7 @@
 	}
 	s.limited = !g.mayBeSent(g.clock.Now(), to)
 	s.suspected = !g.suspects.maySend(j)
-	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine)
+	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine) && j.departure.Send()
 }
 
 // maxPriority is the least urgent priority class of a model engine; 0 is the most
@@ -166,7 +167,9 @@
 			j.sends++
 			j.mayHaveRun = true
 		}
-		s.outcome = retry.OutcomeUnknown
+		if s.outcome = retry.OutcomeUnknown; s.notSent {
+			s.outcome = retry.OutcomeNotRun
+		}
 		o := place.OutcomeAbandoned
 		if errors.Is(context.Cause(ctx), errTimeout) {
 			o = place.OutcomeFailed
@@ -187,6 +190,9 @@
 		s.broke = !errors.Is(err, errServerTimeout)
 		g.endSend(j, s, place.OutcomeUnreachable, "noAnswer")
 	}
+	if s.notSent {
+		j.departure.Unsent()
+	}
 }
 
 // endSend ends an attempt and reports its outcome to the queue owner and the
@@ -217,8 +223,11 @@
 // retryAllowed reports whether j may be sent again after the attempt s, and excludes the
 // server of s, unless the attempt was withheld for another reason than the server. delivered
 // is the number of events that the caller has received. A retry is taken from the pool's
-// budget unless the request did not reach the server of s.
-func (g *Gateway) retryAllowed(j *job, s *send, delivered int) bool {
+// budget unless the request did not reach the server of s. ctx has ended if the request has.
+func (g *Gateway) retryAllowed(ctx context.Context, j *job, s *send, delivered int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	now := g.clock.Now()
 	if (s.limited || s.suspected) && j.limitedSends < maxNotSent {
 		j.limitedSends++
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -37,8 +37,7 @@
 // or the failure that ends it.
 func (x *relay) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
 	x.g.examineBreak(x.j, s)
-	callerLeft := ctx.Err() != nil && x.j.r.Context().Err() != nil
-	if !callerLeft && x.g.retryAllowed(x.j, s, x.j.caller.Progress().Writes) {
+	if x.g.retryAllowed(ctx, x.j, s, x.j.caller.Progress().Writes) {
 		return nil
 	}
 	return x.g.lastFailure(x.j, s)
--- a/internal/role/gateway/trials.go
+++ b/internal/role/gateway/trials.go
@@ -85,6 +85,8 @@
 		t.g.metrics.trial(granted)
 		return granted, true
 	case <-ctx.Done():
+		// The permission may be granted later, and would hold up other requests.
+		t.endTrial(m.Request)
 		return false, true
 	case <-timeout.C:
 		return false, false
