Gateway: a timer that is stopped too late no longer cuts an answer that has begun

Cause: the timer of one attempt, and the end of a planned stop, cancel the request's context. Both were stopped when the answer began, and whether they had fired by then was not looked at: the connection to the server was closed under an answer that was being passed on. Change: exchange.Latch decides between the beginning of the answer and the timer. An attempt that was given up first counts as without an answer, and nothing of it is passed on; of one that has begun nothing is cut. The other contexts that reach an answer are the route's time and a caller that left.

--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -72,10 +72,9 @@
 	stream streamVersion
 	// departure drops the request when its caller leaves.
 	departure *exchange.Departure
-	// stopAbandon is called when the answer begins. From then on the request is
-	// no longer abandoned shortly before the process exits, but may continue
-	// until the exit.
-	stopAbandon func() bool
+	// ending decides between the beginning of the answer and the end of the process: a
+	// request whose answer has begun may continue until the exit.
+	ending exchange.Latch
 	// mayHaveRun is set if a server may have run the request.
 	mayHaveRun bool
 	// usageCounted is set once the request is counted in the usage of its
@@ -112,8 +111,8 @@
 	defer stopDeparture()
 	// A request whose answer has not begun is abandoned shortly before the
 	// process exits, while there is time to send the caller a response.
-	j.stopAbandon = context.AfterFunc(g.ending, cancel)
-	defer j.stopAbandon()
+	stopEnding := context.AfterFunc(g.ending, func() { j.ending.GiveUp(cancel) })
+	defer stopEnding()
 	if j.route.Kind == routing.KindStream {
 		defer g.streams.end(j)
 		exchange.Run(ctx, &relay{g: g, j: j})
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -127,12 +127,16 @@
 		g.endSend(j, s, place.OutcomeFailed, "serverError")
 		return false
 	}
+	if !j.ending.Begin() {
+		s.outcome = retry.OutcomeUnknown
+		g.endSend(j, s, place.OutcomeAbandoned, "ending")
+		return false
+	}
 	h := exchange.EndToEnd(s.ans.Header)
 	if s.ans.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
 	}
 	g.gate.addMessage(len(data))
-	j.stopAbandon()
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
 	if err == nil && len(data) == bufferedAnswerBytes {
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -22,6 +22,8 @@
 	// errServerTimeout is the cause with which an attempt is cancelled while
 	// another server can still answer within the request's timeout.
 	errServerTimeout = errors.New("server did not answer within the time limit for one attempt")
+	// errEnding reports an answer that began when the process was about to exit.
+	errEnding = errors.New("the process is about to exit")
 )
 
 // maxNotSent limits how many servers one request may fail to reach: it is tried
@@ -98,8 +100,9 @@
 	})
 	sctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
+	var timely exchange.Latch
 	if serverTimeout > 0 {
-		t := time.AfterFunc(serverTimeout.Duration(), func() { cancel(errServerTimeout) })
+		t := time.AfterFunc(serverTimeout.Duration(), func() { timely.GiveUp(func() { cancel(errServerTimeout) }) })
 		defer t.Stop()
 	}
 	ans, err := to.conns.Do(sctx, direct.Request{
@@ -115,6 +118,10 @@
 		},
 		Allowed: func(openedMs clock.Millis) bool { return g.mayWrite(sctx, j, s, to, openedMs) },
 	})
+	if err == nil && !timely.Begin() {
+		_ = ans.Body.Close()
+		err = errServerTimeout
+	}
 	if err != nil {
 		g.noAnswer(ctx, j, s, err)
 		return s, nil
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -127,8 +127,10 @@
 func (x *relay) write(s *send, event []byte, more bool) error {
 	g := x.g
 	if !s.begun {
+		if !x.j.ending.Begin() {
+			return errEnding
+		}
 		s.begun = true
-		x.j.stopAbandon()
 		g.countUsage(x.j)
 		now := g.clock.Now()
 		s.beganMs = now
