Gateway: a slow server keeps a safe request while another one is tried

TestSlowSafeRequestIsAnswered failed before: 504 for 3 of 3 requests, each run 3 times. Cause: the time limit of one attempt ended the attempt before another one began. Change: an attempt that exceeds its limit and was written is kept; the next one, from the retry budget as before, runs beside it, and the first answer counts. The other is cancelled then. What no other server may be tried for waits for the servers that have it. Attempts that were not written yet are ended as before.

--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -75,6 +75,8 @@
 	// ending decides between the beginning of the answer and the end of the process: a
 	// request whose answer has begun may continue until the exit.
 	ending exchange.Latch
+	// beside are the attempts of a safe request that run beside each other.
+	beside sendsBeside
 	// mayHaveRun is set if a server may have run the request.
 	mayHaveRun bool
 	// usageCounted is set once the request is counted in the usage of its
@@ -118,6 +120,7 @@
 		exchange.Run(ctx, &relay{g: g, j: j})
 		return
 	}
+	defer g.endKept(ctx, j)
 	exchange.Run(ctx, &plain{g: g, j: j})
 }
 
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -20,9 +20,8 @@
 	// bufferedAnswerBytes is the size up to which an answer is buffered before
 	// any of it is forwarded, so that a truncated answer can be retried.
 	bufferedAnswerBytes = 64 << 10
-	// serverTimeoutTargets is how long a safe request waits for one server, as a
-	// multiple of the route's latency target, while another server could still
-	// answer in time.
+	// serverTimeoutTargets is how long a safe request waits for one server before
+	// another one is tried beside it, as a multiple of the route's latency target.
 	serverTimeoutTargets = 2
 )
 
@@ -41,10 +40,16 @@
 type plain struct {
 	g *Gateway
 	j *job
+	// sent is set once no other server may be tried, and only servers that have the request
+	// are waited for.
+	sent bool
 }
 
 // Send makes one attempt to send the request.
 func (x *plain) Send(ctx context.Context) (*send, *exchange.Failure) {
+	if x.sent {
+		return x.g.firstAnswer(ctx, x.j, nil, 0), nil
+	}
 	return x.g.sendOnce(ctx, x.j, "", x.g.serverTimeout(x.j))
 }
 
@@ -62,8 +67,14 @@
 
 // Again returns nil if the request is to be retried, or the failure that ends it.
 func (x *plain) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
-	x.g.examineBreak(x.j, s)
-	if x.g.retryAllowed(ctx, x.j, s, 0) {
+	if !s.slow || s.err != nil {
+		x.g.examineBreak(x.j, s)
+	}
+	if !x.sent && x.g.retryAllowed(ctx, x.j, s, 0) {
+		return nil
+	}
+	if len(x.j.beside.kept) > 0 && ctx.Err() == nil {
+		x.sent = true
 		return nil
 	}
 	return x.g.lastFailure(x.j, s)
@@ -72,8 +83,8 @@
 // Fail sends f to the caller as the final response.
 func (x *plain) Fail(f *exchange.Failure) { x.g.fail(x.j, f) }
 
-// serverTimeout returns how long the next attempt of a safe request may wait for
-// its server; 0 if only the request's own timeout applies.
+// serverTimeout returns how long the next attempt of a safe request waits for its
+// server before another one is tried; 0 if only the request's own timeout applies.
 func (g *Gateway) serverTimeout(j *job) clock.Millis {
 	if j.route.Kind != routing.KindSafe || j.sends+1 >= j.route.Attempts || j.route.TargetMs <= 0 {
 		return 0
@@ -122,7 +133,7 @@
 		g.endSend(j, s, place.OutcomeFailed, "cut")
 		return false
 	}
-	if s.ans.Status >= http.StatusInternalServerError && j.route.MayRunAgain() && j.sends < j.route.Attempts {
+	if s.ans.Status >= http.StatusInternalServerError && j.route.MayRunAgain() && (j.sends < j.route.Attempts || len(j.beside.kept) > 0) {
 		s.outcome = retry.OutcomeFailed
 		g.endSend(j, s, place.OutcomeFailed, "serverError")
 		return false
@@ -132,6 +143,7 @@
 		g.endSend(j, s, place.OutcomeAbandoned, "ending")
 		return false
 	}
+	j.beside.cancel()
 	h := exchange.EndToEnd(s.ans.Header)
 	if s.ans.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(s.ans.Length, 10))
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -19,9 +19,6 @@
 
 var (
 	errTimeout = errors.New("request timed out")
-	// errServerTimeout is the cause with which an attempt is cancelled while
-	// another server can still answer within the request's timeout.
-	errServerTimeout = errors.New("server did not answer within the time limit for one attempt")
 	// errEnding reports an answer that began when the process was about to exit.
 	errEnding = errors.New("the process is about to exit")
 )
@@ -46,6 +43,10 @@
 	beganMs clock.Millis
 	events  int // events received
 	cancel  context.CancelFunc
+	// written decides between the first byte of the request and the time limit of the attempt.
+	written exchange.Latch
+	// slow is set once the attempt has exceeded its time limit. It may still be answered.
+	slow    bool
 	outcome retry.Outcome // set if there is no answer to forward
 	err     error
 	// notSent is set if no byte of the request reached the server.
@@ -69,9 +70,10 @@
 }
 
 // sendOnce makes one attempt: it chooses the best server, waits for the request's
-// turn in the engine queue, sends j and waits for the header of the answer, for
-// at most serverTimeout if that is positive. resumesAt is the id of the last event
-// that the caller has received; empty for none.
+// turn in the engine queue, sends j and waits for the header of the answer. If
+// serverTimeout is positive, it waits for at most that long, and the attempt that it
+// returns may be another one that was answered meanwhile; see firstAnswer. resumesAt is
+// the id of the last event that the caller has received; empty for none.
 func (g *Gateway) sendOnce(ctx context.Context, j *job, resumesAt string, serverTimeout clock.Millis) (*send, *exchange.Failure) {
 	now := g.clock.Now()
 	if j.timeoutMs-now < minTimeLeft {
@@ -98,14 +100,9 @@
 		Server: to.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
 		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt, CopyFrom: to.copyFromAddr,
 	})
-	sctx, cancel := context.WithCancelCause(ctx)
-	s.cancel = func() { cancel(nil) }
-	var timely exchange.Latch
-	if serverTimeout > 0 {
-		t := time.AfterFunc(serverTimeout.Duration(), func() { timely.GiveUp(func() { cancel(errServerTimeout) }) })
-		defer t.Stop()
-	}
-	ans, err := to.conns.Do(sctx, direct.Request{
+	sctx, cancel := context.WithCancel(ctx)
+	s.cancel = cancel
+	r := direct.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Fresh: j.ID == "",
 		Mine: func(status int, h http.Header) (mine, said bool) {
 			r := g.codec.Reply(status, h)
@@ -117,20 +114,32 @@
 			return r.RequestID == "" || r.RequestID == j.ID, r.RequestID != ""
 		},
 		Allowed: func(openedMs clock.Millis) bool { return g.mayWrite(sctx, j, s, to, openedMs) },
-	})
-	if err == nil && !timely.Begin() {
-		_ = ans.Body.Close()
-		err = errServerTimeout
 	}
-	if err != nil {
-		g.noAnswer(ctx, j, s, err)
-		return s, nil
+	if serverTimeout > 0 || len(j.beside.kept) > 0 {
+		j.beside.start(sctx, s, r)
+		return g.firstAnswer(ctx, j, s, serverTimeout), nil
+	}
+	s.ans, s.err = to.conns.Do(sctx, r)
+	g.settleSend(ctx, j, s)
+	return s, nil
+}
+
+// settleSend applies the result of an attempt: its answer, or the error. It ends the attempt
+// if there is no answer to forward.
+func (g *Gateway) settleSend(ctx context.Context, j *job, s *send) {
+	if s.err != nil {
+		g.noAnswer(ctx, j, s, s.err)
+		return
+	}
+	if !s.slow {
+		j.sends++
 	}
-	j.sends++
 	g.gate.addMessage(len(j.body))
-	s.ans, s.reply = ans, g.codec.Reply(ans.Status, ans.Header)
+	s.reply = g.codec.Reply(s.ans.Status, s.ans.Header)
 	if s.reply.HasLoad {
-		j.pool.withTable(func(t *place.ServerTable) { t.ServerLoad(g.clock.Now(), to.ID, s.reply.Running, s.reply.Waiting) })
+		j.pool.withTable(func(t *place.ServerTable) {
+			t.ServerLoad(g.clock.Now(), s.choice.ID, s.reply.Running, s.reply.Waiting)
+		})
 	}
 	if s.reply.NotRun {
 		s.outcome = retry.OutcomeNotRun
@@ -140,10 +149,9 @@
 		}
 		g.endSend(j, s, o, "notRun")
 		j.departure.Unsent()
-		return s, nil
+		return
 	}
 	j.mayHaveRun = true
-	return s, nil
 }
 
 // mayWrite reports whether j may still be written to its server, on a connection that was
@@ -155,7 +163,7 @@
 	}
 	s.limited = !g.mayBeSent(g.clock.Now(), to)
 	s.suspected = !g.suspects.maySend(j)
-	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine) && j.departure.Send()
+	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine) && j.departure.Send() && s.written.Begin()
 }
 
 // maxPriority is the least urgent priority class of a model engine; 0 is the most
@@ -165,14 +173,12 @@
 // noAnswer ends an attempt without an answer and records whether the server may
 // have run the request.
 func (g *Gateway) noAnswer(ctx context.Context, j *job, s *send, err error) {
-	s.err = err
 	var notSent *direct.NotSentError
 	switch {
 	case ctx.Err() != nil:
 		s.notSent = errors.As(err, &notSent)
 		if !s.notSent {
-			j.sends++
-			j.mayHaveRun = true
+			j.countSend(s)
 		}
 		if s.outcome = retry.OutcomeUnknown; s.notSent {
 			s.outcome = retry.OutcomeNotRun
@@ -191,10 +197,9 @@
 		s.outcome = retry.OutcomeNotRun
 		g.endSend(j, s, place.OutcomeUnreachable, "notSent")
 	default:
-		j.sends++
-		j.mayHaveRun = true
+		j.countSend(s)
 		s.outcome = retry.OutcomeUnknown
-		s.broke = !errors.Is(err, errServerTimeout)
+		s.broke = true
 		g.endSend(j, s, place.OutcomeUnreachable, "noAnswer")
 	}
 	if s.notSent {
@@ -202,6 +207,14 @@
 	}
 }
 
+// countSend counts an attempt without an answer that reached its server.
+func (j *job) countSend(s *send) {
+	if !s.slow {
+		j.sends++
+	}
+	j.mayHaveRun = true
+}
+
 // endSend ends an attempt and reports its outcome to the queue owner and the
 // server table.
 func (g *Gateway) endSend(j *job, s *send, o place.Outcome, reason string) {
@@ -211,7 +224,9 @@
 	}
 	s.cancel()
 	s.reservation.done(o == place.OutcomeUnreachable && s.notSent, s.reply.BackOffMs)
-	j.pool.withTable(func(t *place.ServerTable) { t.Ended(now, s.choice, j.placeReq, o, s.begun, now-s.sentMs) })
+	if !s.slow {
+		j.pool.withTable(func(t *place.ServerTable) { t.Ended(now, s.choice, j.placeReq, o, s.begun, now-s.sentMs) })
+	}
 	f := logrus.Fields{"event": "sendEnded", "server": s.choice.ID, "outcome": o.String(), "reason": reason, "tookMs": int64(now - s.sentMs)}
 	if s.ans != nil {
 		f["status"] = s.ans.Status
