Log: a request that waits in engine queues logs its choice of a server once a second

Cause: each look at the other engines that finds a better one chooses again, often the same one, and each choice was logged.

--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -17,6 +17,10 @@
 // the caller's request is refused.
 const maxQueueRefusals = 3
 
+// placedInterval is the shortest time between two log lines of a request that waits in engine
+// queues about the server that it has chosen.
+const placedInterval = clock.Second
+
 // placement is the search for a server for one attempt of a request.
 type placement struct {
 	g *Gateway
@@ -28,6 +32,10 @@
 	// denied holds the servers for which no permit is asked for again, since the request may
 	// not wait any longer.
 	denied []string
+	// moves counts how often the request has chosen again while it waited. loggedMs is when a
+	// choice was last logged.
+	moves    int
+	loggedMs clock.Millis
 }
 
 // place chooses a server for j and obtains a permit if the server has a limit. If it is a
@@ -55,7 +63,7 @@
 		if !ok || to.conns == nil {
 			return target{}, nil, p.noServer()
 		}
-		g.logPlaced(j, to, now)
+		p.logPlaced(to, now)
 		if !g.obtainPermit(ctx, j, &to) {
 			p.withoutPermit(to)
 			continue
@@ -109,6 +117,7 @@
 		return false, g.abandon(j, "endedWaiting")
 	}
 	if v.chooseAgain {
+		p.moves++
 		return false, nil
 	}
 	p.refused = append(p.refused, to.ID)
@@ -158,13 +167,22 @@
 	return p.g.abandon(p.j, p.j.noServerReason())
 }
 
-// logPlaced logs the chosen server and what the choice was based on.
-func (g *Gateway) logPlaced(j *job, to target, now clock.Millis) {
+// logPlaced logs the chosen server and what the choice was based on, for a request that waits
+// not more often than each placedInterval.
+func (p *placement) logPlaced(to target, now clock.Millis) {
+	if p.moves > 0 && now-p.loggedMs < placedInterval {
+		return
+	}
+	g, j := p.g, p.j
+	p.loggedMs = now
 	f := logrus.Fields{
 		"event": "placed", "route": j.route.Name, "server": to.ID, "cost": int64(to.Cost), "unread": to.UncachedTokens,
 		"fetchFrom": to.CopyFrom, "loadAgeMs": int64(to.LoadAgeMs), "config": j.cfg.Version, "configAgeMs": int64(g.fleet.configAge()),
 		"priority": j.priority, "send": j.sends + 1, "leftMs": int64(j.timeoutMs - now),
 	}
+	if p.moves > 0 {
+		f["moves"] = p.moves
+	}
 	if limit, ok := g.fleet.limit(to.engine.Key()); ok {
 		f["limit"] = limit
 	}
