Planned stop: answers that have begun run to the end of the grace period

TestAnswerRunsToTheEndOfTheGracePeriod failed before: a stream of 3.5 s was cut 3.1 s after the signal, of 4 s. Cause: the connections of callers were closed with the other tasks, and 0.9 s of the grace period are kept for the last usage counts. Change: the tasks end as before; callers' connections stay until their answers end, or until 0.3 s before the end of the grace period. Requests are taken, refused and abandoned as before: they are counted with the last counts. Measured: the test and those of drains pass with -race.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -9,10 +9,13 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
-// endMargin is the part of the grace period that is reserved for the exit of the
-// process, after the drain. The last usage counts are published in the first part
-// of it.
-const endMargin = 900 * clock.Millisecond
+// endMargin is the part of the grace period after the drain, in which the last usage
+// counts are published. Answers that have begun continue until exitMargin is left,
+// in which the process exits.
+const (
+	endMargin  = 900 * clock.Millisecond
+	exitMargin = 300 * clock.Millisecond
+)
 
 // answerMargin is how long before the end of the drain requests without an answer
 // are abandoned, so that there is time to send their callers a response.
@@ -57,7 +60,8 @@
 // drain completes the requests in flight. The readiness check fails at once, so
 // that the platform stops sending new connections; connections close after their
 // answers, and requests that might not complete in time are refused. At the end,
-// the latest usage counts are copied to other gateways.
+// the latest usage counts are copied to other gateways; see finishAnswers for the
+// answers that are still being sent.
 func (g *Gateway) drain(srv *http.Server) {
 	end := g.drainPeriod()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Duration())
@@ -73,6 +77,18 @@
 	g.handOver()
 }
 
+// finishAnswers waits for the answers that have not ended with the drain, until
+// exitMargin is left of the grace period.
+func (g *Gateway) finishAnswers(srv *http.Server) {
+	since := g.clock.Now() - clock.Millis(g.drainMs.Load())
+	left := max(g.drainPeriod()+endMargin-exitMargin-since, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		g.log.WithField("event", "answersCut").Warn(err)
+	}
+}
+
 // mayExitBefore reports whether the gateway is draining and may exit before j is
 // complete.
 func (g *Gateway) mayExitBefore(j *job, now clock.Millis) bool {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -210,6 +210,9 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// The connections of callers outlive the other tasks.
+	serve, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.connState,
@@ -217,6 +220,8 @@
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
 		stop()
+		g.finishAnswers(srv)
+		stopServing()
 	})
 	defer stopDrain()
 	g.log.WithFields(logrus.Fields{"event": "start", "role": "gateway", "process": g.processID, "url": g.URL()}).Info("gateway started")
@@ -244,7 +249,7 @@
 		supervise.Task{Name: "metrics", Run: func(ctx context.Context) error {
 			return supervise.Serve(ctx, newOperatorServer(g.operatorHandler()), g.metricsLn)
 		}},
-		supervise.Task{Name: "callers", Run: func(ctx context.Context) error { return supervise.Serve(ctx, srv, g.callerLn) }},
+		supervise.Task{Name: "callers", Run: func(context.Context) error { return supervise.Serve(serve, srv, g.callerLn) }},
 	)
 	_ = g.metrics.root.Close()
 	g.log.WithFields(logrus.Fields{"event": "stop", "role": "gateway"}).Info("gateway stopped")
