Streams: an answer that does not go on after the caller's last event is not joined

Cause: any answer of a server with status 200 was taken for the rest of the stream. Change: within one answer, a server joins only with the media type that the caller has, and its first event has to bear an id after the last one (sse.Follows; comments may come before it). Otherwise the send counts as failed, and another server is tried.

--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -42,6 +42,9 @@
 	begun   bool
 	beganMs clock.Millis
 	events  int // events received
+	// joined is set once an event with an id has shown that the answer goes on after those that
+	// the caller has.
+	joined bool
 	cancel  context.CancelFunc
 	// written decides between the first byte of the request and the time limit of the attempt.
 	written exchange.Latch
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -22,8 +23,13 @@
 	// lastID is the id of the last event that was sent to the caller; empty
 	// without one.
 	lastID string
+	// contentType is the media type of the answer that the caller has part of.
+	contentType string
 }
 
+// errNotFollowing reports an answer that does not go on after the events that the caller has.
+var errNotFollowing = errors.New("answer does not continue the stream")
+
 // Send makes one attempt to send the request. The server resumes after the events
 // that the caller has received.
 func (x *relay) Send(ctx context.Context) (*send, *exchange.Failure) {
@@ -53,7 +59,7 @@
 	if s.ans == nil || s.reply.NotRun {
 		return errNoAnswer
 	}
-	if s.ans.Status != http.StatusOK || !s.reply.FromServer || s.reply.Encoded {
+	if s.ans.Status != http.StatusOK || !s.reply.FromServer || s.reply.Encoded || j.caller.Progress().Begun && mediaType(s.ans.Header) != x.contentType {
 		return x.forwardOther(s)
 	}
 	err := x.copy(s)
@@ -78,6 +84,10 @@
 			o = place.OutcomeFailed
 		}
 		g.endSend(j, s, o, "ended")
+	case errors.Is(err, errNotFollowing):
+		s.err = err
+		s.outcome = retry.OutcomeFailed
+		g.endSend(j, s, place.OutcomeFailed, "notFollowing")
 	default:
 		s.err = err
 		s.outcome = retry.OutcomeUnknown
@@ -87,6 +97,12 @@
 	return err
 }
 
+// mediaType returns the media type in a header without its parameters; empty if there is none.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // forwardOther forwards an answer that is not a successful stream of events.
 func (x *relay) forwardOther(s *send) error {
 	g, j := x.g, x.j
@@ -126,6 +142,11 @@
 // available.
 func (x *relay) write(s *send, event []byte, more bool) error {
 	g := x.g
+	id := sse.ID(event)
+	if !s.joined && x.lastID != "" && !sse.Follows(x.lastID, event) {
+		return errNotFollowing
+	}
+	s.joined = s.joined || id != ""
 	if !s.begun {
 		if !x.j.ending.Begin() {
 			return errEnding
@@ -144,7 +165,7 @@
 	if err := x.j.caller.Write(event, more); err != nil {
 		return err
 	}
-	if id := sse.ID(event); id != "" {
+	if id != "" {
 		x.lastID = id
 	}
 	s.events++
@@ -170,6 +191,7 @@
 // attempt's has been sent.
 func (x *relay) begin(s *send) {
 	if !x.j.caller.Progress().Begun {
+		x.contentType = mediaType(s.ans.Header)
 		x.j.caller.Head(s.ans.Status, exchange.EndToEnd(s.ans.Header))
 	}
 }
--- a/internal/stream/sse/sse.go
+++ b/internal/stream/sse/sse.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -101,3 +102,18 @@
 	}
 	return ""
 }
+
+// Follows reports whether an event may come next in a stream of which lastID was the last id: its
+// id is higher, or is another one if the ids are no numbers. A comment follows any event.
+func Follows(lastID string, event []byte) bool {
+	id := ID(event)
+	if id == "" {
+		return bytes.HasPrefix(event, []byte(":"))
+	}
+	last, err := strconv.ParseUint(lastID, 10, 64)
+	if err != nil {
+		return id != lastID
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && n > last
+}
--- a/internal/stream/sse/sse_test.go
+++ b/internal/stream/sse/sse_test.go
@@ -111,3 +111,28 @@
 		}
 	}
 }
+
+// TestFollows guards against a stream that is joined with events of its beginning, or with bytes that
+// are none of its events.
+func TestFollows(t *testing.T) {
+	for _, tc := range []struct {
+		last, event string
+		want        bool
+	}{
+		{"3", "id: 4\ndata: a\n\n", true},
+		{"3", "id: 7\ndata: a\n\n", true},
+		{"9", "id: 10\ndata: a\n\n", true},
+		{"3", "id: 3\ndata: a\n\n", false},
+		{"3", "id: 1\ndata: a\n\n", false},
+		{"3", "id: x\ndata: a\n\n", false},
+		{"a-3", "id: a-4\ndata: a\n\n", true},
+		{"a-3", "id: a-3\ndata: a\n\n", false},
+		{"3", "data: a\n\n", false},
+		{"3", "<html>\n\n", false},
+		{"3", ": still here\n\n", true},
+	} {
+		if got := sse.Follows(tc.last, []byte(tc.event)); got != tc.want {
+			t.Errorf("Follows(%q, %q) = %v, want %v", tc.last, tc.event, got, tc.want)
+		}
+	}
+}
