--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -45,7 +45,7 @@
 	// joined is set once an event with an id has shown that the answer goes on after those that
 	// the caller has.
 	joined bool
-	cancel  context.CancelFunc
+	cancel context.CancelFunc
 	// written decides between the first byte of the request and the time limit of the attempt.
 	written exchange.Latch
 	// slow is set once the attempt has exceeded its time limit. It may still be answered.
