Gateway: callers' connections end with the other tasks if these end without a drain

Cause: since answers may outlive the tasks in a planned stop, the task that serves callers ended only after a drain. If another task had ended the process by a violated invariant, it would have gone on serving without them. Found by reading. Change: without a drain it ends with the others.

--- a/internal/caller/exchange/latch.go
+++ b/internal/caller/exchange/latch.go
@@ -11,15 +11,15 @@
 	latchGivenUp
 )
 
-// Latch decides between the beginning of an answer and a timer that gives it up: whichever comes
-// first holds, so that no answer that has begun is cut by a timer that was stopped too late. The
-// zero Latch is open. It is safe for concurrent use.
+// Latch decides between the beginning of something, such as an answer, and a timer that gives it
+// up: whichever comes first holds, so that nothing that has begun is cut by a timer that was stopped
+// too late. The zero Latch is open. It is safe for concurrent use.
 type Latch struct {
 	mu    sync.Mutex
 	state latchState
 }
 
-// Begin reports whether the answer may begin, or has begun: it was not given up.
+// Begin reports whether it may begin, or has begun: it was not given up.
 func (l *Latch) Begin() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -29,7 +29,7 @@
 	return l.state == latchBegun
 }
 
-// GiveUp calls end unless the answer has begun. end must not block.
+// GiveUp calls end unless it has begun or was given up. end must not block.
 func (l *Latch) GiveUp(end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -210,9 +210,17 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	// The connections of callers outlive the other tasks.
-	serve, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	// After a drain, the connections of callers outlive the other tasks; see finishAnswers.
+	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
+	serveCallers := func(ctx context.Context, srv *http.Server) error {
+		defer context.AfterFunc(ctx, func() {
+			if !g.draining.Load() {
+				stopServing()
+			}
+		})()
+		return supervise.Serve(serveCtx, srv, g.callerLn)
+	}
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.connState,
@@ -249,7 +257,7 @@
 		supervise.Task{Name: "metrics", Run: func(ctx context.Context) error {
 			return supervise.Serve(ctx, newOperatorServer(g.operatorHandler()), g.metricsLn)
 		}},
-		supervise.Task{Name: "callers", Run: func(context.Context) error { return supervise.Serve(serve, srv, g.callerLn) }},
+		supervise.Task{Name: "callers", Run: func(ctx context.Context) error { return serveCallers(ctx, srv) }},
 	)
 	_ = g.metrics.root.Close()
 	g.log.WithFields(logrus.Fields{"event": "stop", "role": "gateway"}).Info("gateway stopped")
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -40,14 +40,14 @@
 type plain struct {
 	g *Gateway
 	j *job
-	// sent is set once no other server may be tried, and only servers that have the request
+	// waitOnly is set once no other server may be tried: only the servers that have the request
 	// are waited for.
-	sent bool
+	waitOnly bool
 }
 
 // Send makes one attempt to send the request.
 func (x *plain) Send(ctx context.Context) (*send, *exchange.Failure) {
-	if x.sent {
+	if x.waitOnly {
 		return x.g.firstAnswer(ctx, x.j, nil, 0), nil
 	}
 	return x.g.sendOnce(ctx, x.j, "", x.g.serverTimeout(x.j))
@@ -70,11 +70,11 @@
 	if !s.slow || s.err != nil {
 		x.g.examineBreak(x.j, s)
 	}
-	if !x.sent && x.g.retryAllowed(ctx, x.j, s, 0) {
+	if !x.waitOnly && x.g.retryAllowed(ctx, x.j, s, 0) {
 		return nil
 	}
 	if len(x.j.beside.kept) > 0 && ctx.Err() == nil {
-		x.sent = true
+		x.waitOnly = true
 		return nil
 	}
 	return x.g.lastFailure(x.j, s)
