--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -17,8 +17,8 @@
 // the caller's request is refused.
 const maxQueueRefusals = 3
 
-// placedInterval is the shortest time between two log lines of a request that waits in engine
-// queues about the server that it has chosen.
+// placedInterval is the shortest time between two "placed" log lines of a request that waits in
+// engine queues.
 const placedInterval = clock.Second
 
 // placement is the search for a server for one attempt of a request.
@@ -32,8 +32,8 @@
 	// denied holds the servers for which no permit is asked for again, since the request may
 	// not wait any longer.
 	denied []string
-	// moves counts how often the request has chosen again while it waited. loggedMs is when a
-	// choice was last logged.
+	// moves is the number of choices made while the request waited. loggedMs is the time of the
+	// last "placed" log line.
 	moves    int
 	loggedMs clock.Millis
 }
@@ -167,8 +167,8 @@
 	return p.g.abandon(p.j, p.j.noServerReason())
 }
 
-// logPlaced logs the chosen server and what the choice was based on, for a request that waits
-// not more often than each placedInterval.
+// logPlaced logs the chosen server and the inputs of the choice. For a request that waits it logs at
+// most once per placedInterval.
 func (p *placement) logPlaced(to target, now clock.Millis) {
 	if p.moves > 0 && now-p.loggedMs < placedInterval {
 		return
