Test: starts, stops and closed logs that end processes (red)

Cause: not fixed yet. SIGHUP before it is handled, settings or addresses that are not there yet, a second SIGTERM and a log whose reader has gone end processes.

--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -67,8 +67,10 @@
 	cmd   *exec.Cmd
 	lines chan string
 	log   logBuffer
-	ended chan struct{}
-	err   error
+	// logPipe is the read end of the pipe of a process that StartLogged has started.
+	logPipe *os.File
+	ended   chan struct{}
+	err     error
 }
 
 // logBuffer collects a process's standard error.
@@ -119,13 +121,22 @@
 func StartLogged(t testing.TB, name, skewPath string, args ...string) *Proc {
 	t.Helper()
 	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	out, in, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.logPipe = out
+	p.cmd.Stdout, p.cmd.Stderr = in, in
 	prepare(p.cmd)
 	p.cmd.Env = append(p.cmd.Env, "DAMASKPORT_CLOCK_SKEW="+skewPath)
-	if err := p.cmd.Start(); err != nil {
+	err = p.cmd.Start()
+	_ = in.Close()
+	if err != nil {
 		t.Fatal(err)
 	}
 	go func() {
+		_, _ = io.Copy(&p.log, out)
+		_ = out.Close()
 		p.err = p.cmd.Wait()
 		close(p.ended)
 	}()
@@ -167,6 +178,10 @@
 // Log returns what the process wrote to standard error so far.
 func (p *Proc) Log() string { return p.log.String() }
 
+// CloseLog closes the read end of the log of a process that StartLogged has started, as a log
+// collector does that ends.
+func (p *Proc) CloseLog() { _ = p.logPipe.Close() }
+
 // Pid returns the id of the process.
 func (p *Proc) Pid() int { return p.cmd.Process.Pid }
 
