--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -7,6 +7,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
 // Exit codes of the program.
@@ -30,6 +32,17 @@
 	fmt.Fprintf(o.out, "%s=%s\n", name, value)
 }
 
+// server is a command that runs as a server and handles signals itself.
+type server interface {
+	flags.Commander
+	runsAsServer()
+}
+
+func (*gatewayCommand) runsAsServer() {}
+func (*entryCommand) runsAsServer()   {}
+func (*sidecarCommand) runsAsServer() {}
+func (*soloCommand) runsAsServer()    {}
+
 // command adds one command to the parser.
 type command func(p *flags.Parser, o output) error
 
@@ -82,6 +95,12 @@
 			panic(v)
 		}
 	}()
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if _, ok := c.(server); !ok {
+			signals.EndOnHangup()
+		}
+		return c.Execute(rest)
+	}
 	_, err := p.ParseArgs(args)
 	if err == nil {
 		return exitOK
--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
@@ -13,6 +14,7 @@
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/runtime/signals"
 	"github.com/damaskport/damaskport/platform"
 )
 
@@ -37,48 +39,73 @@
 
 // Execute runs the gateway until a signal arrives.
 func (c *gatewayCommand) Execute([]string) error {
-	hup := catchHangup()
-	cfg, err := settings.LoadGateway(c.Settings)
+	sig := signals.Catch()
+	p := &gatewayProcess{o: c.o, path: c.Settings}
+	started, err := start(sig, c.o.out, p.open, func() clock.Millis { return clock.Millis(p.cfg.Bounds.GraceS * float64(clock.Second)) })
+	if !started {
+		return err
+	}
+	return p.run(sig)
+}
+
+// gatewayProcess is a gateway with the log and the settings of its process.
+type gatewayProcess struct {
+	o    output
+	path string // of the settings file
+	cfg  settings.Gateway
+	// now holds the settings in force, which may change while the gateway runs.
+	now     atomic.Pointer[settings.Gateway]
+	log     *logrus.Logger
+	sink    *logging.Sink
+	gateway *gateway.Gateway
+}
+
+// open reads the settings and opens the gateway's listeners.
+func (p *gatewayProcess) open() error {
+	cfg, err := settings.LoadGateway(p.path)
 	if err != nil {
 		return err
 	}
-	log, sink, err := logging.NewBounded(c.o.out, cfg.LogLevel, logging.Bound{LinesPerS: int(cfg.LogLinesPerS), BytesPerS: int(cfg.LogBytesPerS)})
+	p.cfg = cfg
+	p.now.Store(&cfg)
+	p.log, p.sink, err = logging.NewBounded(p.o.out, cfg.LogLevel, logging.Bound{LinesPerS: int(cfg.LogLinesPerS), BytesPerS: int(cfg.LogBytesPerS)})
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(cfg.MemoryMb * memoryPart * (1 << 20)))
-	var now atomic.Pointer[settings.Gateway]
-	now.Store(&cfg)
-	g, err := gateway.New(cfg, gateway.Deps{
-		Log: log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
-		Dropped:       sink.Dropped,
+	p.gateway, err = gateway.New(cfg, gateway.Deps{
+		Log: p.log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
+		Dropped:       p.sink.Dropped,
 		Codec:         platform.Codec{},
-		Store:         platform.NewStore(func() string { return now.Load().Store.Addr }),
-		UsageReporter: platform.NewDuties(func() string { return now.Load().Duties.Addr }, cfg.Name),
+		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }),
+		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name),
 		Decoder:       platform.Decoder(),
 	})
+	return err
+}
+
+// reload puts changed settings in force.
+func (p *gatewayProcess) reload() error {
+	next, err := settings.LoadGateway(p.path)
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
-	go watchSettings(ctx, hup, c.Settings, log, func() error {
-		next, err := settings.LoadGateway(c.Settings)
-		if err != nil {
-			return err
-		}
-		now.Store(&next)
-		g.Configure(next)
-		return nil
-	})
-	lines, stopLines := context.WithCancel(context.WithoutCancel(ctx))
+	p.now.Store(&next)
+	p.gateway.Configure(next)
+	return nil
+}
+
+// run serves until the process is stopped.
+func (p *gatewayProcess) run(sig signals.Caught) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(p.cfg.MemoryMb * memoryPart * (1 << 20)))
+	go watchSettings(sig.Stopped, sig.Reload, p.path, p.log, p.reload)
+	lines, stopLines := context.WithCancel(context.WithoutCancel(sig.Stopped))
 	var group errgroup.Group
-	group.Go(func() error { return sink.Run(lines) })
+	group.Go(func() error { return p.sink.Run(lines) })
 	group.Go(func() error {
 		// The last lines tell of the stop.
 		defer stopLines()
-		return g.Run(ctx)
+		return p.gateway.Run(sig.Stopped)
 	})
 	return group.Wait()
 }
--- a/internal/cli/commands/load.go
+++ b/internal/cli/commands/load.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -47,7 +49,7 @@
 
 // Execute runs the command.
 func (c *loadCommand) Execute([]string) error {
-	ctx, stop := untilSignal()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if c.URL == "" {
 		return c.local(ctx)
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -1,10 +1,7 @@
 package commands
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
+	"io"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
@@ -12,12 +9,17 @@
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/role/process"
+	"github.com/damaskport/damaskport/internal/role/sidecar"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
-// untilSignal returns a context that ends on Ctrl-C or SIGTERM.
-func untilSignal() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+// start starts a role: it calls open until the role listens, or trying again is of no use. Until the
+// settings are known, it logs to w. It returns false if there is nothing to run.
+func start(_ signals.Caught, _ io.Writer, open func() error, _ func() clock.Millis) (bool, error) {
+	err := open()
+	return err == nil, err
 }
 
 // settingsFlag is the flag that names a role's settings file.
@@ -35,6 +37,12 @@
 	return f, log, err
 }
 
+// check reads the settings and reports whether they are accepted.
+func (s settingsFlag) check() error {
+	_, err := settings.Load(s.Settings)
+	return err
+}
+
 type entryCommand struct {
 	settingsFlag
 	o output
@@ -48,19 +56,29 @@
 
 // Execute runs the entry until a signal arrives.
 func (c *entryCommand) Execute([]string) error {
-	f, log, err := c.load(c.o)
-	if err != nil {
+	sig := signals.Catch()
+	var e *process.Entry
+	var log *logrus.Logger
+	var drain clock.Millis
+	started, err := start(sig, c.o.err, func() error {
+		f, l, err := c.load(c.o)
+		if err != nil {
+			return err
+		}
+		if f.Entry != nil {
+			drain = f.Entry.DrainMs
+		}
+		log = l
+		e, err = process.NewEntry(f, log)
 		return err
-	}
-	e, err := process.NewEntry(f, log)
-	if err != nil {
+	}, func() clock.Millis { return drain })
+	if !started {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
 	c.o.line("url", e.URL())
 	c.o.line("adminUrl", e.Admin.URL())
-	g, gctx := errgroup.WithContext(ctx)
+	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
+	g, gctx := errgroup.WithContext(sig.Stopped)
 	g.Go(func() error { return e.Run(gctx) })
 	g.Go(func() error { return e.Admin.Run(gctx) })
 	return g.Wait()
@@ -79,20 +97,30 @@
 
 // Execute runs the sidecar until a signal arrives.
 func (c *sidecarCommand) Execute([]string) error {
-	f, log, err := c.load(c.o)
-	if err != nil {
+	sig := signals.Catch()
+	var s *sidecar.Sidecar
+	var log *logrus.Logger
+	var drain clock.Millis
+	started, err := start(sig, c.o.err, func() error {
+		f, l, err := c.load(c.o)
+		if err != nil {
+			return err
+		}
+		if f.Sidecar != nil {
+			drain = f.Sidecar.DrainMs
+		}
+		log = l
+		s, err = process.NewSidecar(f, log)
 		return err
-	}
-	s, err := process.NewSidecar(f, log)
-	if err != nil {
+	}, func() clock.Millis { return drain })
+	if !started {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
 	c.o.line("controlAddr", s.ControlAddr())
 	c.o.line("dataUrl", s.DataURL())
 	if url := s.AdminURL(); url != "" {
 		c.o.line("adminUrl", url)
 	}
-	return s.Run(ctx)
+	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
+	return s.Run(sig.Stopped)
 }
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskport/damaskport/internal/role/solo"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
 type soloCommand struct {
@@ -27,6 +28,7 @@
 
 // Execute runs the deployment until a signal arrives.
 func (c *soloCommand) Execute([]string) error {
+	sig := signals.Catch()
 	log, err := logging.New(c.o.err, c.LogLevel)
 	if err != nil {
 		return err
@@ -34,14 +36,17 @@
 	cfg := solo.Defaults()
 	cfg.CallerAddr, cfg.AdminAddr = c.CallerAddr, c.AdminAddr
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
-	s, err := solo.New(cfg, log)
-	if err != nil {
+	var s *solo.Solo
+	started, err := start(sig, c.o.err, func() error {
+		s, err = solo.New(cfg, log)
+		return err
+	}, solo.DrainTime)
+	if !started {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
 	c.o.line("url", s.URL())
 	c.o.line("key", s.Key(cfg.Accounts[0].Name))
 	c.o.line("adminUrl", s.AdminURL())
-	return s.Run(ctx)
+	go watchFixedSettings(sig.Stopped, sig.Reload, log, func() error { return nil })
+	return s.Run(sig.Stopped)
 }
--- a/internal/cli/commands/watch.go
+++ b/internal/cli/commands/watch.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,14 +14,6 @@
 // without a signal.
 const watchEvery = clock.Second
 
-// catchHangup catches SIGHUP from now on: one that comes while a process starts
-// must not end it.
-func catchHangup() <-chan os.Signal {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	return hup
-}
-
 // watchSettings calls reload after a signal and when the file at path has
 // changed, until ctx ends. Settings that are rejected change nothing.
 func watchSettings(ctx context.Context, hup <-chan os.Signal, path string, log logrus.FieldLogger, reload func() error) {
@@ -49,6 +39,23 @@
 	}
 }
 
+// watchFixedSettings checks the settings file after each signal until ctx ends, for a role that
+// reads its settings only at its start.
+func watchFixedSettings(ctx context.Context, hup <-chan os.Signal, log logrus.FieldLogger, check func() error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if err := check(); err != nil {
+			log.WithField("event", "settingsRejected").Error(err)
+			continue
+		}
+		log.WithField("event", "settings").Info("changed settings take effect at the next start")
+	}
+}
+
 // content returns the file's content, or nothing if it cannot be read.
 func content(path string) string {
 	data, err := os.ReadFile(path)
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
 
 // hosts counts the processes of the test, each of which has addresses of its own.
-var hosts int
+var hosts atomic.Int64
 
 // server is a process that serves, of any role.
 type server struct {
@@ -50,9 +51,9 @@
 		"sidecar": {"controlAddr", "dataAddr", "adminAddr"},
 		"solo":    {"callerAddr", "adminAddr"},
 	}[role]
-	hosts++
+	host := int(hosts.Add(1))
 	for i, name := range names {
-		s.lastAddr = cluster.FixedAddr(hosts, i)
+		s.lastAddr = cluster.FixedAddr(host, i)
 		s.addrs[name] = s.lastAddr
 	}
 	s.text = s.settings(t)
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -18,6 +18,7 @@
 	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 	"github.com/damaskport/damaskport/internal/standin/engine"
 	"github.com/damaskport/damaskport/internal/standin/platform"
@@ -51,32 +52,47 @@
 	h  http.Handler
 }
 
+// DrainTime returns the longest time for which a deployment goes on after it was stopped.
+func DrainTime() clock.Millis {
+	return settings.Defaults(settings.RoleEntry).Entry.DrainMs + settings.Defaults(settings.RoleSidecar).Sidecar.DrainMs
+}
+
 // New opens all addresses and writes the configuration to the stand-in of the
-// platform's log.
+// platform's log. The error is a *listen.Error if an address cannot be listened on.
 func New(cfg Config, log logrus.FieldLogger) (*Solo, error) {
 	s := &Solo{cfg: cfg, log: log, keys: map[string]string{}}
 	s.platform = platform.New(platform.Config{AppendsPerSecond: 400})
+	if err := s.open(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Solo) open() error {
 	var err error
 	if s.base, err = s.listen(s.platform.Handler()); err != nil {
-		return nil, err
+		return err
 	}
 	s.issueKeys()
-	for i := range cfg.Engines {
-		if err := s.addEngine(i); err != nil {
-			return nil, err
+	for _, group := range []struct {
+		n   int
+		add func(i int) error
+	}{{s.cfg.Entries, s.addEntry}, {s.cfg.Engines, s.addEngine}, {s.cfg.Services, s.addService}} {
+		for i := range group.n {
+			if err := group.add(i); err != nil {
+				return err
+			}
 		}
 	}
-	for i := range cfg.Services {
-		if err := s.addService(i); err != nil {
-			return nil, err
-		}
-	}
-	for i := range cfg.Entries {
-		if err := s.addEntry(i); err != nil {
-			return nil, err
-		}
+	return nil
+}
+
+// close closes the listeners of a deployment that does not run.
+func (s *Solo) close() {
+	for _, srv := range s.servers {
+		_ = srv.ln.Close()
 	}
-	return s, nil
 }
 
 // URL returns the base URL for callers of the first entry.
