Log: a process outlives the reader of its log

What callers saw: a process whose log collector ended was gone at its next line. Cause: the Go runtime ends a process by SIGPIPE when it writes to a closed pipe as standard output or error. In the gateway the first failed write also ended the writer of the log for good, and gave a planned stop status 1. Change: servers ignore SIGPIPE; lines that cannot be written count as dropped, and later ones are written again. Measured: TestClosedLogDoesNotEndProcess fails before for all four roles (the gateway, which handles SIGHUP, by SIGPIPE) and passes, with the race detector; TestLogGoesOnAfterItsReaderWasAway is new with the changed writer.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -101,7 +101,10 @@
 	go watchSettings(sig.Stopped, sig.Reload, p.path, p.log, p.reload)
 	lines, stopLines := context.WithCancel(context.WithoutCancel(sig.Stopped))
 	var group errgroup.Group
-	group.Go(func() error { return p.sink.Run(lines) })
+	group.Go(func() error {
+		p.sink.Run(lines)
+		return nil
+	})
 	group.Go(func() error {
 		// The last lines tell of the stop.
 		defer stopLines()
--- a/internal/runtime/logging/bounded.go
+++ b/internal/runtime/logging/bounded.go
@@ -108,44 +108,49 @@
 
 // Run writes queued lines until ctx ends, and then the lines left in the queue. If lines were
 // dropped, it also writes a logDropped line with their number, at most once a second
-// and once more at the end. It returns the first error of the writer.
-func (s *Sink) Run(ctx context.Context) error {
+// and once more at the end. Lines that the writer fails to write count as dropped.
+func (s *Sink) Run(ctx context.Context) {
 	tick := time.NewTicker(limitInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return s.writeQueued()
+			s.writeQueued()
+			return
 		case <-tick.C:
-			if err := s.reportDrops(); err != nil {
-				return err
-			}
+			s.reportDrops()
 		case line := <-s.queue.C():
-			if _, err := s.w.Write(line); err != nil {
-				return err
-			}
+			s.write(line)
 		}
 	}
 }
 
-func (s *Sink) reportDrops() error {
+// write writes a line, or counts it as dropped. The reader of the log may be back for the next one.
+func (s *Sink) write(line []byte) {
+	if _, err := s.w.Write(line); err != nil {
+		s.unreportedDrops.Add(1)
+		s.totalDrops.Add(1)
+	}
+}
+
+func (s *Sink) reportDrops() {
 	n := s.unreportedDrops.Swap(0)
 	if n == 0 {
-		return nil
+		return
+	}
+	if _, err := fmt.Fprintf(s.w, "time=%q level=warning event=logDropped lines=%d\n", time.Now().UTC().Format(timeFormat), n); err != nil {
+		s.unreportedDrops.Add(n)
 	}
-	_, err := fmt.Fprintf(s.w, "time=%q level=warning event=logDropped lines=%d\n", time.Now().UTC().Format(timeFormat), n)
-	return err
 }
 
-func (s *Sink) writeQueued() error {
+func (s *Sink) writeQueued() {
 	for {
 		select {
 		case line := <-s.queue.C():
-			if _, err := s.w.Write(line); err != nil {
-				return err
-			}
+			s.write(line)
 		default:
-			return s.reportDrops()
+			s.reportDrops()
+			return
 		}
 	}
 }
--- a/internal/runtime/signals/signals.go
+++ b/internal/runtime/signals/signals.go
@@ -22,9 +22,10 @@
 	Reload <-chan os.Signal
 }
 
-// Catch catches SIGTERM, SIGINT and SIGHUP until the process has ended: a second stop signal
-// changes nothing about its exit status.
+// Catch catches SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE until the process has ended: a
+// second stop signal changes nothing about its exit status, and it outlives the reader of its log.
 func Catch() Caught {
+	signal.Ignore(syscall.SIGPIPE)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	stop := make(chan os.Signal, 1)
