Start: a process waits for settings and addresses that are on their way

Cause: starting was no state. Whatever was not there at the first look ended the process. Change: policy/startup names the state and its obstacles. A settings file that cannot be read or is no document is tried again for 5 s, an address that is held or not there yet for 3 s beyond the grace period; a reload signal makes the process try at once, a stop signal ends it with status 0; a wrong setting ends it at once, as before. Listeners are opened all or none, that of callers last, before anything else is built.

--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -17,9 +17,12 @@
 
 // start starts a role: it calls open until the role listens, or trying again is of no use. Until the
 // settings are known, it logs to w. It returns false if there is nothing to run.
-func start(_ signals.Caught, _ io.Writer, open func() error, _ func() clock.Millis) (bool, error) {
-	err := open()
-	return err == nil, err
+func start(sig signals.Caught, w io.Writer, open func() error, grace func() clock.Millis) (bool, error) {
+	log, err := logging.New(w, logrus.InfoLevel.String())
+	if err != nil {
+		return false, err
+	}
+	return process.Starter{Signals: sig, Log: log, Clock: clock.System{}, Open: open, Grace: grace}.Run()
 }
 
 // settingsFlag is the flag that names a role's settings file.
--- a/internal/operator/strictjson/document.go
+++ b/internal/operator/strictjson/document.go
@@ -42,6 +42,8 @@
 // Errors reports all problems of a file, in the order of its lines.
 type Errors struct {
 	Problems []Problem
+	// Syntax is set if the text is no document at all, as that of a file that is being written.
+	Syntax bool
 }
 
 // Error returns one line per problem.
@@ -66,7 +68,7 @@
 func Parse(name string, data []byte) (*Document, error) {
 	root, err := hujson.Parse(data)
 	if err != nil {
-		return nil, &Errors{[]Problem{syntaxProblem(name, err)}}
+		return nil, &Errors{Problems: []Problem{syntaxProblem(name, err)}, Syntax: true}
 	}
 	return &Document{name: name, data: data, root: root}, nil
 }
@@ -114,7 +116,7 @@
 	if len(d.problems) == 0 {
 		return nil
 	}
-	return &Errors{d.problems}
+	return &Errors{Problems: d.problems}
 }
 
 func (d *Document) add(offset int, path, value, want string) {
--- /dev/null
+++ b/internal/policy/startup/startup_test.go
@@ -0,0 +1,57 @@
+package startup_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/damaskport/damaskport/internal/policy/startup"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+// TestWaitIsBoundedByTheObstacle lets attempts to start fail every 100 ms.
+func TestWaitIsBoundedByTheObstacle(t *testing.T) {
+	const grace = 8 * clock.Second
+	var (
+		settings = startup.IncompleteSettings
+		address  = startup.HeldAddress
+	)
+	for _, c := range []struct {
+		name     string
+		obstacle func(now clock.Millis) startup.Obstacle
+		endsMs   clock.Millis
+	}{
+		{"wrong setting", func(clock.Millis) startup.Obstacle { return startup.Permanent }, 0},
+		{"settings", func(clock.Millis) startup.Obstacle { return settings }, 5 * clock.Second},
+		{"address", func(clock.Millis) startup.Obstacle { return address }, grace + 3*clock.Second},
+		{"settings, then address", func(now clock.Millis) startup.Obstacle {
+			if now < 2*clock.Second {
+				return settings
+			}
+			return address
+		}, 2*clock.Second + grace + 3*clock.Second},
+		{"settings, then a wrong one", func(now clock.Millis) startup.Obstacle {
+			if now < 2*clock.Second {
+				return settings
+			}
+			return startup.Permanent
+		}, 2 * clock.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s startup.State
+			var d startup.Decision
+			now := clock.Millis(0)
+			for ; ; now += 100 {
+				if s, d = s.WithFailure(now, c.obstacle(now), grace); d.GiveUp {
+					break
+				}
+				if d.RetryMs <= 0 {
+					t.Fatalf("no pause before the next attempt at %d ms", now)
+				}
+			}
+			if diff := cmp.Diff(c.endsMs, now); diff != "" {
+				t.Errorf("time at which the process gives up (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -82,23 +83,24 @@
 }
 
 // New returns an Entry that listens on the address for callers but does not serve
-// yet.
+// yet. The error is a *listen.Error.
 func New(f settings.File, d Deps) (*Entry, error) {
+	lns, err := listen.All(listen.Address{Setting: "entry.callerAddr", HostPort: f.Entry.CallerAddr})
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
+		callerLn: lns[0],
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
 	e.retries = newRetryBudgets(d.Clock)
 	e.dispatcher = &dispatcher{e: e, http: newDataClient(false), singleUse: newDataClient(true)}
-	var err error
-	if e.callerLn, err = net.Listen("tcp", e.cfg.CallerAddr); err != nil {
-		return nil, errors.Wrap(err, "entry.callerAddr")
-	}
 	return e, nil
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	host "github.com/damaskport/damaskport/internal/control/enginequeue"
@@ -27,6 +26,7 @@
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -122,12 +122,25 @@
 	streams         *streams
 }
 
-// New creates a gateway and opens its listeners.
+// New creates a gateway and opens its listeners. The error is a *listen.Error if an address cannot
+// be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
+	gate, err := newOverloadGate(cfg.LinkMbps)
+	if err != nil {
+		return nil, err
+	}
+	lns, err := listen.All(
+		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr},
+		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
+	)
+	if err != nil {
+		return nil, err
+	}
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: lns[3],
 	}
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
@@ -157,22 +170,6 @@
 	g.queueHost.OnFetch = func() any { return g.config.full() }
 	g.queueHost.OnBeat = g.receiveHeartbeat
 	g.usage = newUsageCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
-	var err error
-	if g.gate, err = newOverloadGate(cfg.LinkMbps); err != nil {
-		return nil, err
-	}
-	if g.callerLn, err = net.Listen("tcp", cfg.CallerAddr); err != nil {
-		return nil, errors.Wrap(err, "callerAddr")
-	}
-	if g.readyLn, err = net.Listen("tcp", cfg.ReadyAddr); err != nil {
-		return nil, errors.Wrap(err, "readyAddr")
-	}
-	if g.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
-		return nil, errors.Wrap(err, "controlAddr")
-	}
-	if g.metricsLn, err = net.Listen("tcp", cfg.MetricsAddr); err != nil {
-		return nil, errors.Wrap(err, "metricsAddr")
-	}
 	return g, nil
 }
 
--- a/internal/role/process/admin.go
+++ b/internal/role/process/admin.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -18,11 +19,11 @@
 }
 
 func listenAdmin(addr string) (*AdminServer, error) {
-	ln, err := net.Listen("tcp", addr)
+	lns, err := listen.All(listen.Address{Setting: "entry.adminAddr", HostPort: addr})
 	if err != nil {
 		return nil, err
 	}
-	return &AdminServer{ln: ln, mux: http.NewServeMux()}, nil
+	return &AdminServer{ln: lns[0], mux: http.NewServeMux()}, nil
 }
 
 // Addr returns the listening address as host:port.
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -77,7 +77,7 @@
 	logs := logservice.New(f.Platform.LogURL, h)
 	admin, err := listenAdmin(f.Entry.AdminAddr)
 	if err != nil {
-		return nil, errors.Wrap(err, "entry.adminAddr")
+		return nil, err
 	}
 	inc := NewIncarnation()
 	d := entryTasks{f: f, store: store, logs: logs, http: h, clock: clk, log: log, author: f.Name + "/" + inc}
@@ -90,6 +90,7 @@
 		Tasks:     []supervise.Task{{Name: "configReader", Run: reader.Run}},
 	})
 	if err != nil {
+		_ = admin.ln.Close()
 		return nil, err
 	}
 	e.AddTasks(d.leasedTasks(e)...)
--- /dev/null
+++ b/internal/role/process/start.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"context"
+	"io/fs"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/startup"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
+	"github.com/damaskport/damaskport/internal/runtime/signals"
+)
+
+// Starter starts a process that runs as a server.
+type Starter struct {
+	Signals signals.Caught
+	Log     logrus.FieldLogger
+	Clock   clock.Clock
+	// Open makes one attempt to start: it reads the settings and opens the listeners.
+	Open func() error
+	// Grace returns the longest time for which a process with the settings read last goes on after
+	// its stop signal.
+	Grace func() clock.Millis
+}
+
+// Run calls Open until it succeeds, as startup decides. It returns false if the process was stopped
+// before, and the error of Open if trying again is of no use. A reload signal makes it try at once.
+func (s Starter) Run() (started bool, err error) {
+	var state startup.State
+	logged := ""
+	for s.Signals.Stopped.Err() == nil {
+		err := s.Open()
+		if err == nil {
+			return true, nil
+		}
+		obstacle := obstacleOf(err)
+		var d startup.Decision
+		if state, d = state.WithFailure(s.Clock.Now(), obstacle, s.Grace()); d.GiveUp {
+			return false, err
+		}
+		if err.Error() != logged {
+			logged = err.Error()
+			s.Log.WithFields(logrus.Fields{"event": "startWaits", "for": obstacle}).Warn(err)
+		}
+		s.wait(d.RetryMs)
+	}
+	s.Log.WithField("event", "stop").Info("stopped before the process served")
+	return false, nil
+}
+
+// wait waits for d, or until a signal arrives.
+func (s Starter) wait(d clock.Millis) {
+	ctx, cancel := context.WithTimeout(s.Signals.Stopped, d.Duration())
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-s.Signals.Reload:
+	}
+}
+
+// obstacleOf classifies the error of an attempt to start.
+func obstacleOf(err error) startup.Obstacle {
+	var problems *settings.Errors
+	var path *fs.PathError
+	var addr *listen.Error
+	switch {
+	case errors.As(err, &addr):
+		if addr.Temporary() {
+			return startup.HeldAddress
+		}
+	case errors.As(err, &problems):
+		if problems.Syntax {
+			return startup.IncompleteSettings
+		}
+	case errors.As(err, &path):
+		return startup.IncompleteSettings
+	}
+	return startup.Permanent
+}
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/backend/engine"
@@ -24,6 +23,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/metrics"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
@@ -114,9 +114,17 @@
 }
 
 // New returns a Sidecar that listens on its configured addresses but does not
-// serve yet.
+// serve yet. The error is a *listen.Error.
 func New(f settings.File, d Deps) (*Sidecar, error) {
 	cfg := *f.Sidecar
+	addrs := []listen.Address{{Setting: "sidecar.controlAddr", HostPort: cfg.ControlAddr}, {Setting: "sidecar.dataAddr", HostPort: cfg.DataAddr}}
+	if cfg.AdminAddr != "" {
+		addrs = append(addrs, listen.Address{Setting: "sidecar.adminAddr", HostPort: cfg.AdminAddr})
+	}
+	lns, err := listen.All(addrs...)
+	if err != nil {
+		return nil, err
+	}
 	s := &Sidecar{
 		name: f.Name, zone: f.Zone, cfg: cfg, incarnation: d.Incarnation,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, claims: d.Claims, meter: d.Meter, store: d.Store,
@@ -124,28 +132,17 @@
 		service:  service.New(cfg.ServerURL, dialTimeout),
 		coreDone: make(chan struct{}),
 		tasks:    d.Duties,
+
+		controlLn: lns[0], dataLn: lns[1],
+	}
+	if len(lns) > 2 {
+		s.adminLn = lns[2]
 	}
 	s.metrics = metrics.New()
 	s.data = s.dataServer()
 	s.exchange = dispatch.NewExchange(d.Store, s.log)
 	s.core = newCore(slots.New(slotsConfig(cfg, f.Policy)), d.Clock, s.log, d.Store, s.metrics)
 	s.control = &control{s: s, links: map[*dispatch.Link]string{}}
-	var err error
-	if s.controlLn, err = net.Listen("tcp", cfg.ControlAddr); err != nil {
-		return nil, errors.Wrap(err, "sidecar.controlAddr")
-	}
-	if s.dataLn, err = net.Listen("tcp", cfg.DataAddr); err != nil {
-		_ = s.controlLn.Close()
-		return nil, errors.Wrap(err, "sidecar.dataAddr")
-	}
-	if cfg.AdminAddr == "" {
-		return s, nil
-	}
-	if s.adminLn, err = net.Listen("tcp", cfg.AdminAddr); err != nil {
-		_ = s.controlLn.Close()
-		_ = s.dataLn.Close()
-		return nil, errors.Wrap(err, "sidecar.adminAddr")
-	}
 	return s, nil
 }
 
