Test: a log that nobody reads holds up a planned stop (red)

Cause: not fixed yet. The last lines of the log are written without a bound on the time; entry, sidecar and solo write each line so, and stand still with the reader.

--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -11,9 +11,12 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -68,9 +71,10 @@
 	lines chan string
 	log   logBuffer
 	// logPipe is the read end of the pipe of a process that StartLogged has started.
-	logPipe *os.File
-	ended   chan struct{}
-	err     error
+	logPipe  *os.File
+	logStall stall
+	ended    chan struct{}
+	err      error
 }
 
 // logBuffer collects a process's standard error.
@@ -134,10 +138,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	copied := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(&p.log, out)
+		_, _ = io.Copy(&p.log, &stallableReader{out, &p.logStall})
 		_ = out.Close()
+		close(copied)
+	}()
+	go func() {
 		p.err = p.cmd.Wait()
+		if !p.logStall.on.Load() {
+			<-copied
+		}
 		close(p.ended)
 	}()
 	t.Cleanup(p.end)
@@ -182,6 +193,33 @@
 // collector does that ends.
 func (p *Proc) CloseLog() { _ = p.logPipe.Close() }
 
+// StallLog stops reading the log of a process that StartLogged has started, in a pipe of one page.
+func (p *Proc) StallLog() {
+	p.t.Helper()
+	if _, err := unix.FcntlInt(p.logPipe.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize()); err != nil {
+		p.t.Fatal(err)
+	}
+	p.logStall.on.Store(true)
+}
+
+// stall holds up the reader of a log.
+type stall struct{ on atomic.Bool }
+
+// stallableReader reads nothing more once stall is on.
+type stallableReader struct {
+	io.Reader
+	stall *stall
+}
+
+// Read implements io.Reader.
+func (r *stallableReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if r.stall.on.Load() {
+		select {}
+	}
+	return n, err
+}
+
 // Pid returns the id of the process.
 func (p *Proc) Pid() int { return p.cmd.Process.Pid }
 
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -311,3 +311,27 @@
 		}
 	})
 }
+
+// TestStalledLogDoesNotHoldUpStop guards against processes that do not end within their grace period
+// because nobody reads their log.
+func TestStalledLogDoesNotHoldUpStop(t *testing.T) {
+	t.Parallel()
+	eachRole(t, allRoles, func(t *testing.T, s *server) {
+		p := s.start(t)
+		awaitStart(t, p)
+		p.StallLog()
+		for range 200 {
+			p.Signal(syscall.SIGHUP)
+			time.Sleep(2 * time.Millisecond)
+		}
+		p.Signal(syscall.SIGTERM)
+		for end := time.Now().Add(graceS * time.Second); !p.Exited() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+		if !p.Exited() {
+			t.Fatalf("the process still runs %d s after its stop signal", graceS)
+		}
+		if code := p.WaitExit(); code != 0 {
+			t.Errorf("status %d, want 0", code)
+		}
+	})
+}
