Log: a reader that stands still holds up neither a role nor its stop

What callers saw: a process whose log nobody reads was killed at the end of its grace period; an entry, a sidecar or a deployment in one process answered nobody meanwhile. Cause: the last lines were written without a bound on the time, and all roles but the gateway wrote each line where it was logged. Change: all roles log through the sink; the end of a process waits 0.1 s for its last lines.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -1,13 +1,11 @@
 package commands
 
 import (
-	"context"
 	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/role/gateway"
@@ -99,16 +97,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(p.cfg.MemoryMb * memoryPart * (1 << 20)))
 	go watchSettings(sig.Stopped, sig.Reload, p.path, p.log, p.reload)
-	lines, stopLines := context.WithCancel(context.WithoutCancel(sig.Stopped))
-	var group errgroup.Group
-	group.Go(func() error {
-		p.sink.Run(lines)
-		return nil
-	})
-	group.Go(func() error {
-		// The last lines tell of the stop.
-		defer stopLines()
-		return p.gateway.Run(sig.Stopped)
-	})
-	return group.Wait()
+	stopLog := p.sink.Start()
+	defer stopLog() // after the lines that tell of the stop
+	return p.gateway.Run(sig.Stopped)
 }
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -31,15 +31,26 @@
 }
 
 // load reads the settings and sets up the log.
-func (s settingsFlag) load(o output) (settings.File, *logrus.Logger, error) {
+func (s settingsFlag) load(o output) (settings.File, roleLog, error) {
 	f, err := settings.Load(s.Settings)
 	if err != nil {
-		return f, nil, err
+		return f, roleLog{}, err
 	}
-	log, err := logging.New(o.err, f.LogLevel)
+	log, err := newRoleLog(o.err, f.LogLevel)
 	return f, log, err
 }
 
+// roleLog is the log of a role, with the sink that writes its lines.
+type roleLog struct {
+	*logrus.Logger
+	sink *logging.Sink
+}
+
+func newRoleLog(w io.Writer, level string) (roleLog, error) {
+	log, sink, err := logging.NewBounded(w, level, logging.Unlimited)
+	return roleLog{log, sink}, err
+}
+
 // check reads the settings and reports whether they are accepted.
 func (s settingsFlag) check() error {
 	_, err := settings.Load(s.Settings)
@@ -61,7 +72,7 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
-	var log *logrus.Logger
+	var log roleLog
 	var drain clock.Millis
 	started, err := start(sig, c.o.err, func() error {
 		f, l, err := c.load(c.o)
@@ -72,12 +83,13 @@
 			drain = f.Entry.DrainMs
 		}
 		log = l
-		e, err = process.NewEntry(f, log)
+		e, err = process.NewEntry(f, log.Logger)
 		return err
 	}, func() clock.Millis { return drain })
 	if !started {
 		return err
 	}
+	defer log.sink.Start()()
 	c.o.line("url", e.URL())
 	c.o.line("adminUrl", e.Admin.URL())
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
@@ -102,7 +114,7 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
-	var log *logrus.Logger
+	var log roleLog
 	var drain clock.Millis
 	started, err := start(sig, c.o.err, func() error {
 		f, l, err := c.load(c.o)
@@ -113,12 +125,13 @@
 			drain = f.Sidecar.DrainMs
 		}
 		log = l
-		s, err = process.NewSidecar(f, log)
+		s, err = process.NewSidecar(f, log.Logger)
 		return err
 	}, func() clock.Millis { return drain })
 	if !started {
 		return err
 	}
+	defer log.sink.Start()()
 	c.o.line("controlAddr", s.ControlAddr())
 	c.o.line("dataUrl", s.DataURL())
 	if url := s.AdminURL(); url != "" {
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -4,7 +4,6 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/damaskport/damaskport/internal/role/solo"
-	"github.com/damaskport/damaskport/internal/runtime/logging"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -29,7 +28,7 @@
 // Execute runs the deployment until a signal arrives.
 func (c *soloCommand) Execute([]string) error {
 	sig := signals.Catch()
-	log, err := logging.New(c.o.err, c.LogLevel)
+	log, err := newRoleLog(c.o.err, c.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -38,12 +37,13 @@
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
 	var s *solo.Solo
 	started, err := start(sig, c.o.err, func() error {
-		s, err = solo.New(cfg, log)
+		s, err = solo.New(cfg, log.Logger)
 		return err
 	}, solo.DrainTime)
 	if !started {
 		return err
 	}
+	defer log.sink.Start()()
 	c.o.line("url", s.URL())
 	c.o.line("key", s.Key(cfg.Accounts[0].Name))
 	c.o.line("adminUrl", s.AdminURL())
--- a/internal/runtime/logging/bounded.go
+++ b/internal/runtime/logging/bounded.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	// routineFraction is the fraction of the limits that lines of level info and below may
 	// use. The rest is reserved for warnings and errors, such as those of failed requests.
 	routineFraction = 0.7
+	// lastLinesWait is the longest time for which the end of a process waits for its last lines.
+	lastLinesWait = 100 * time.Millisecond
 	// limitInterval is the interval over which lines and bytes are counted against the limits.
 	limitInterval = time.Second
 )
@@ -28,6 +31,9 @@
 	BytesPerS int
 }
 
+// Unlimited is a Bound that drops lines only while the queue to a slow writer is full.
+var Unlimited = Bound{LinesPerS: math.MaxInt, BytesPerS: math.MaxInt}
+
 // Sink writes the lines of a logger in the background, so that logging never blocks. Lines
 // that exceed the limits, or arrive while the queue to a slow writer is full, are dropped and
 // counted. It is safe for concurrent use.
@@ -106,6 +112,24 @@
 	return true
 }
 
+// Start writes queued lines in the background until stop is called, which waits for the last lines
+// for at most lastLinesWait: nobody may read the log any more.
+func (s *Sink) Start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		s.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		select {
+		case <-written:
+		case <-time.After(lastLinesWait):
+		}
+	}
+}
+
 // Run writes queued lines until ctx ends, and then the lines left in the queue. If lines were
 // dropped, it also writes a logDropped line with their number, at most once a second
 // and once more at the end. Lines that the writer fails to write count as dropped.
