--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -75,6 +75,9 @@
 	logStall stall
 	ended    chan struct{}
 	err      error
+	// stopAsked is set once the test has sent a signal that ends the process; byItself is set if the
+	// process ended before.
+	stopAsked, byItself atomic.Bool
 }
 
 // logBuffer collects a process's standard error.
@@ -146,6 +149,7 @@
 	}()
 	go func() {
 		p.err = p.cmd.Wait()
+		p.byItself.Store(!p.stopAsked.Load())
 		if !p.logStall.on.Load() {
 			<-copied
 		}
@@ -225,6 +229,9 @@
 
 // Signal sends sig to the process.
 func (p *Proc) Signal(sig syscall.Signal) {
+	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
+		p.stopAsked.Store(true)
+	}
 	_ = p.cmd.Process.Signal(sig)
 }
 
@@ -262,6 +269,28 @@
 	}
 }
 
+// EndedByItself reports whether a process that StartLogged has started ended without having been
+// sent a signal that ends it, and its state.
+func (p *Proc) EndedByItself() (state string, ended bool) {
+	if !p.Exited() || !p.byItself.Load() {
+		return "", false
+	}
+	return p.cmd.ProcessState.String(), true
+}
+
+// Threads returns the number of threads of the process: one until its runtime starts, 0 once it has
+// ended.
+func (p *Proc) Threads() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "Threads:")
+	n := 0
+	_, _ = fmt.Sscan(rest, &n)
+	return n
+}
+
 // value returns what the process prints after name= on its next line.
 func (p *Proc) value(name string) string {
 	p.t.Helper()
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -145,7 +144,7 @@
 	eachRole(t, allRoles, func(t *testing.T, s *server) {
 		for range starts {
 			p := s.start(t)
-			for !p.Exited() && threads(p.Pid()) < 2 {
+			for !p.Exited() && p.Threads() < 2 {
 			}
 			for end := time.Now().Add(startTime); !p.Exited() && !started.MatchString(p.Log()) && time.Now().Before(end); time.Sleep(200 * time.Microsecond) {
 				p.Signal(syscall.SIGHUP)
@@ -161,18 +160,6 @@
 	})
 }
 
-// threads returns the number of threads of a process.
-func threads(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(data), "Threads:")
-	n := 0
-	_, _ = fmt.Sscan(rest, &n)
-	return n
-}
-
 // TestIncompleteSettingsDoNotEndStart guards against processes that end because their settings file
 // is being written as they start.
 func TestIncompleteSettingsDoNotEndStart(t *testing.T) {
