Callers: an answer outlives the close of its connection

What callers saw: a reset in place of 401, 404, 413 or 503, for requests whose body was still on its way: in a stop, and for callers that send Connection: close. Cause: a connection that is closed with unread bytes is reset, which fails the caller's next write and can destroy the answer. net/http closes at once where the caller asked for it, and after 500 ms otherwise, without reading on. Change: a wrapper of callers' connections, for gateway and entry. Closed after an answer, a connection is closed for writing first; what arrives is discarded until the caller closes it, 2 s without a byte or 10 s in all, with 4 KB of memory. The end of a stop waits for them within the grace period. Connections that are being closed count against the share of open files. Why it works: every close goes through the wrapper: the HTTP server's after a handler, after a head that it rejects, and those of a shutdown. Idle connections and those without an answer are closed at once, as before. Close does not block the server.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskport/damaskport/internal/caller/callerconn"
 	"github.com/damaskport/damaskport/internal/operator/admin"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
@@ -77,7 +78,7 @@
 	logRead        func() clock.Millis
 	leaseStatus    func() []admin.LeaseStatus
 	tasks          []supervise.Task
-	callerLn       net.Listener
+	callerLn       *callerconn.Listener
 	nextID         atomic.Int64
 	draining       atomic.Bool
 }
@@ -94,7 +95,7 @@
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
-		callerLn: lns[0],
+		callerLn: callerconn.NewListener(lns[0], d.Clock),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -161,7 +162,7 @@
 	mux.HandleFunc("/", e.servePlain)
 	return &http.Server{
 		Handler: e.closeWhenDraining(mux), ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: e.callerLn.Track,
 	}
 }
 
@@ -188,6 +189,7 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		e.log.WithField("event", "drainTimeout").Warn(err)
 	}
+	e.callerLn.Wait(ctx)
 }
 
 // watchConfig, after each configuration change, ends the requests of withdrawn API
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -77,8 +77,8 @@
 	g.handOver()
 }
 
-// finishAnswers waits for the answers that have not ended with the drain, until
-// exitMargin is left of the grace period.
+// finishAnswers waits for the answers that have not ended with the drain, and for callers to
+// read them, until exitMargin is left of the grace period.
 func (g *Gateway) finishAnswers(srv *http.Server) {
 	since := g.clock.Now() - clock.Millis(g.drainMs.Load())
 	left := max(g.drainPeriod()+endMargin-exitMargin-since, 0)
@@ -87,6 +87,7 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "answersCut").Warn(err)
 	}
+	g.callerLn.Wait(ctx)
 }
 
 // mayExitBefore reports whether the gateway is draining and may exit before j is
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/caller/callerconn"
 	host "github.com/damaskport/damaskport/internal/control/enginequeue"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
@@ -81,7 +82,8 @@
 	usage         *usageCounts
 	metrics       *gatewayMetrics
 
-	callerLn, readyLn, controlLn, metricsLn net.Listener
+	callerLn                      *callerconn.Listener
+	readyLn, controlLn, metricsLn net.Listener
 
 	// draining is set when the shutdown signal arrives, at the monotonic time
 	// drainMs. From then on the gateway reports that it is not ready and closes
@@ -92,7 +94,6 @@
 	// has not begun are then abandoned.
 	ending           context.Context
 	cancelUnanswered context.CancelFunc
-	openConns        atomic.Int64 // open connections of callers
 	gatewayCount     atomic.Int32 // known gateways, including this one
 	// membersRead is set once the records of the other gateways have been read
 	// from the store. settled is set once the configuration is known to be as new
@@ -140,7 +141,7 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: lns[3],
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: callerconn.NewListener(lns[3], d.Clock),
 	}
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
@@ -220,7 +221,7 @@
 	}
 	srv := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.connState,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.callerLn.Track,
 	}
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
@@ -261,21 +262,11 @@
 	return err
 }
 
-// connState counts the open connections of callers.
-func (g *Gateway) connState(_ net.Conn, st http.ConnState) {
-	switch st {
-	case http.StateNew:
-		g.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		g.openConns.Add(-1)
-	}
-}
-
 // tooManyConns reports whether callers' connections exceed callerFileShare of the
 // open-file limit. Each further answer then closes its connection, so that enough
 // files remain for connections to servers.
 func (g *Gateway) tooManyConns() bool {
-	return float64(g.openConns.Load()) > callerFileShare*g.Settings().MaxFiles
+	return float64(g.callerLn.Open()) > callerFileShare*g.Settings().MaxFiles
 }
 
 // overloaded reports whether this gateway's processor or network link is
