Callers: a head's time begins with its first byte, and its end is answered

What callers saw: 400 for a request begun as its connection was 9.75 s old; a closed connection where it had not been used for 10 s; no answer, or 400, to a head that was late, and no answer to one that was partly sent when a stop closed the connection. Cause: net/http times the first head from the opening of the connection, takes a line that the deadline cuts for a malformed one, and drops a head that a shutdown finds. Change: the wrapper sets the deadlines itself while no request is handled. An unused connection is an idle one. A late head gets 408, one that crosses the close 503, each with Connection: close and before the handler is called. Why it works: after such an answer nothing is read or written, and the handler is not called, so that neither status is given to a request that runs. The phases of a connection and their ends are a table without I/O; the HTTP server's deadlines pass only while it has a request.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -1,9 +1,14 @@
 package callerconn
 
 import (
+	"fmt"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
 const (
@@ -14,14 +19,21 @@
 	lingerPause = 2 * time.Second
 	// discardBytes is the size of the buffer into which the rest of a request is read.
 	discardBytes = 4 << 10
+	// refuseTime is how long the answer to a request that was not read may take to write. It
+	// fits into the buffers of any connection that is not broken.
+	refuseTime = 100 * time.Millisecond
 )
 
-// conn is a connection of a caller.
+// conn is a connection of a caller. While no request is handled, its read deadlines are its own,
+// and those of the HTTP server are ignored.
 type conn struct {
 	net.Conn
 	ln *Listener
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	phase Phase
+	// armedMs is the read deadline that is set on the connection; 0 if it is not known.
+	armedMs clock.Millis
 	// answered is set once something was written since the connection was last idle.
 	answered bool
 	// broken is set once a read or write failed, or the caller has sent its last byte: closing
@@ -31,81 +43,161 @@
 	lingering, closed bool
 }
 
-// Read reads from the caller.
+// Read reads from the caller. When the time of a head is over, it answers the request.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.note(err)
-	return n, err
+	for {
+		if !c.arm() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		n, err := c.Conn.Read(p)
+		if c.noteRead(n, err) {
+			return n, err
+		}
+	}
+}
+
+// arm sets the read deadline of the phase. It returns false if nothing is read any more.
+func (c *conn) arm() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.phase.Deadline(c.ln.limits)
+	if ok && at != c.armedMs {
+		c.armedMs = at
+		_ = c.Conn.SetReadDeadline(time.Now().Add((at - c.ln.clock.Now()).Duration()))
+	}
+	return c.phase.State != Closing
+}
+
+// noteRead records the result of a read, and reports whether it is that of Read too.
+func (c *conn) noteRead(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase.State == Closing:
+		return false
+	case err == nil:
+		if c.phase.State == Idle {
+			c.phase = c.phase.Received(c.ln.clock.Now(), c.ln.limits)
+		}
+		return true
+	case !isTimeout(err):
+		c.broken = true
+		return true
+	}
+	var over bool
+	if c.phase, over = c.phase.Waited(c.ln.clock.Now(), c.ln.limits); over && c.phase.State == Head {
+		c.refuse(http.StatusRequestTimeout, "headerTimeout")
+	}
+	return over
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
 }
 
-// Write writes to the caller.
+// refuse answers the request that is arriving as not run. The connection is used for nothing else
+// from then on. It must be called with mu held.
+func (c *conn) refuse(status int, code string) {
+	c.phase, c.answered = Phase{State: Closing}, true
+	body := `{"error":"` + code + `"}`
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime))
+	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), len(body), body)
+	c.broken = c.broken || err != nil
+}
+
+// Write writes to the caller. After refuse, which has written the answer, it writes nothing.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	refused := c.phase.State == Closing
 	c.answered = true
 	c.mu.Unlock()
+	if refused {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
-	c.note(err)
+	if err != nil {
+		c.mu.Lock()
+		c.broken = true
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
-// note records err, the result of a read or write. The HTTP server ends its own reads by a
-// deadline, which says nothing about the connection.
-func (c *conn) note(err error) {
-	if err == nil || isTimeout(err) {
-		return
-	}
+// SetReadDeadline sets the deadline of reads while a request is handled.
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
-	c.broken = true
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if _, own := c.phase.Deadline(c.ln.limits); own {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
-func isTimeout(err error) bool {
-	ne, ok := err.(net.Error)
-	return ok && ne.Timeout()
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
 }
 
-// setIdle records that the last request was read and answered completely.
-func (c *conn) setIdle() {
+// enter begins a phase with the state s. It returns false if the request was refused.
+func (c *conn) enter(s State) bool {
 	c.mu.Lock()
-	c.answered = false
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.phase.State == Closing {
+		return false
+	}
+	c.phase = Phase{State: s}
+	if s == Idle {
+		c.phase.SinceMs, c.phase.Limits, c.answered = c.ln.clock.Now(), c.ln.limits, false
+		return true
+	}
+	if c.armedMs != 0 {
+		c.armedMs = 0
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	return true
 }
 
 // CloseWrite tells the caller that no more is sent, and discards what still arrives, until the
 // caller closes the connection or its time is over.
 func (c *conn) CloseWrite() error {
-	if c.startLingering() {
-		go c.linger()
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startLingering()
 	return nil
 }
 
-// Close closes the connection, after an answer as CloseWrite does. It does not block.
+// Close closes the connection, after an answer as CloseWrite does. A request that has begun to
+// arrive and will not be handled is answered first. Close does not block.
 func (c *conn) Close() error {
-	if c.startLingering() {
-		go c.linger()
-		return nil
-	}
 	c.mu.Lock()
-	lingering := c.lingering
-	c.mu.Unlock()
-	if lingering {
+	defer c.mu.Unlock()
+	if c.phase.Unanswered() && !c.answered && !c.broken && !c.closed {
+		c.refuse(http.StatusServiceUnavailable, "ending")
+	}
+	if c.startLingering() {
 		return nil
 	}
 	return c.closeNow()
 }
 
-// startLingering closes the connection for writing, and reports whether linger has to be called:
-// once, and only if its caller may still send and has an answer to read.
+// startLingering begins to linger if the caller may still send and has an answer to read, and
+// reports whether the connection lingers. It must be called with mu held.
 func (c *conn) startLingering() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if c.lingering {
+		return true
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.answered || c.broken || c.lingering || c.closed || half.CloseWrite() != nil {
+	if !ok || !c.answered || c.broken || c.closed || half.CloseWrite() != nil {
 		return false
 	}
 	c.lingering = true
 	c.ln.lingering.Add(1)
+	go c.linger()
 	return true
 }
 
@@ -115,26 +207,23 @@
 	defer c.ln.lingering.Add(-1)
 	buf := make([]byte, discardBytes)
 	end := time.Now().Add(lingerTime)
-	for {
+	for err := error(nil); err == nil; {
 		until := time.Now().Add(lingerPause)
 		if until.After(end) {
 			until = end
 		}
 		_ = c.Conn.SetReadDeadline(until)
-		if _, err := c.Conn.Read(buf); err != nil {
-			_ = c.closeNow()
-			return
-		}
+		_, err = c.Conn.Read(buf)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.closeNow()
 }
 
-// closeNow closes the connection in both directions.
+// closeNow closes the connection in both directions. It must be called with mu held.
 func (c *conn) closeNow() error {
-	c.mu.Lock()
-	again := c.closed
-	c.closed = true
-	c.mu.Unlock()
-	if !again {
+	if !c.closed {
+		c.closed = true
 		c.ln.open.Add(-1)
 	}
 	return c.Conn.Close()
--- a/internal/caller/callerconn/listener.go
+++ b/internal/caller/callerconn/listener.go
@@ -1,7 +1,11 @@
-// Package callerconn wraps the connections of callers, below an HTTP server. A connection that
-// is closed after an answer is closed in one direction first, and what its caller still sends is
-// read and discarded: closing it with unread bytes would reset it, and destroy the answer before
-// the caller has read it.
+// Package callerconn wraps the connections of callers, below an HTTP server.
+//
+// It bounds the time in which a connection may be idle and the time of a request's head, which
+// begins with its first byte. A request that is not read in time is answered as not run.
+//
+// A connection that is closed after an answer is closed in one direction first, and what its
+// caller still sends is read and discarded: closing it with unread bytes would reset it, and
+// destroy the answer before the caller has read it.
 package callerconn
 
 import (
@@ -16,16 +20,18 @@
 // waitInterval is the interval at which Wait looks for connections that are being closed.
 const waitInterval = 10 * clock.Millisecond
 
-// Listener accepts the connections of callers for an http.Server, which must call Track as its
-// ConnState.
+// Listener accepts the connections of callers.
 type Listener struct {
 	net.Listener
 	clock           clock.Clock
+	limits          Limits
 	open, lingering atomic.Int64
 }
 
-// NewListener returns a Listener that accepts the connections of ln.
-func NewListener(ln net.Listener, c clock.Clock) *Listener { return &Listener{Listener: ln, clock: c} }
+// NewListener returns a Listener that accepts the connections of ln with the limits l.
+func NewListener(ln net.Listener, c clock.Clock, l Limits) *Listener {
+	return &Listener{Listener: ln, clock: c, limits: l}
+}
 
 // Accept returns the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -34,19 +40,40 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &conn{Conn: nc, ln: l}, nil
+	return &conn{Conn: nc, ln: l, phase: Phase{State: Idle, SinceMs: l.clock.Now(), Limits: l.limits}}, nil
 }
 
-// Open returns the number of open connections, with those that are being closed.
-func (l *Listener) Open() int { return int(l.open.Load()) }
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Attach makes srv report to l what it does with each connection. It must be called once, before
+// srv serves l. The server must have no limits of its own for heads and idle connections.
+func (l *Listener) Attach(srv *http.Server) {
+	srv.ConnState = track
+	srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) }
+	next := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.enter(Handled) {
+			panic(http.ErrAbortHandler) // closed in the meantime, and answered as not run
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
-// Track tells the connection nc the state that the HTTP server gives it.
-func (l *Listener) Track(nc net.Conn, st http.ConnState) {
-	if c, ok := nc.(*conn); ok && st == http.StateIdle {
-		c.setIdle()
+// track tells the connection nc the state that the HTTP server gives it.
+func track(nc net.Conn, st http.ConnState) {
+	c, ok := nc.(*conn)
+	switch {
+	case ok && st == http.StateActive:
+		c.enter(Read)
+	case ok && st == http.StateIdle:
+		c.enter(Idle)
 	}
 }
 
+// Open returns the number of open connections, with those that are being closed.
+func (l *Listener) Open() int { return int(l.open.Load()) }
+
 // Wait returns when no connection is being closed any more, or when ctx ends.
 func (l *Listener) Wait(ctx context.Context) {
 	for l.lingering.Load() > 0 && l.clock.Sleep(ctx, waitInterval) == nil {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -29,7 +28,7 @@
 const (
 	idleConnsPerSidecar = 256
 	maxHeaderBytes      = 64 << 10
-	idleTimeout         = 2 * time.Minute
+	idleTimeout         = 2 * clock.Minute
 	// drainGrace is how long a draining entry still accepts requests, until load
 	// balancers have seen that it is not ready.
 	drainGrace = 500 * clock.Millisecond
@@ -95,7 +94,7 @@
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
-		callerLn: callerconn.NewListener(lns[0], d.Clock),
+		callerLn: callerconn.NewListener(lns[0], d.Clock, callerconn.Limits{IdleMs: idleTimeout, HeadMs: f.Entry.HeaderTimeoutMs}),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -160,10 +159,9 @@
 	mux.HandleFunc("/v1/chat/completions", e.notAllowed(http.MethodPost))
 	mux.HandleFunc("/v1/models", e.notAllowed(http.MethodGet, http.MethodHead))
 	mux.HandleFunc("/", e.servePlain)
-	return &http.Server{
-		Handler: e.closeWhenDraining(mux), ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: e.callerLn.Track,
-	}
+	srv := &http.Server{Handler: e.closeWhenDraining(mux), MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	e.callerLn.Attach(srv)
+	return srv
 }
 
 // closeWhenDraining closes each connection after its current request while the entry
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -36,8 +35,8 @@
 	// idleTimeout is the time after which the gateway closes an idle connection
 	// of a caller. It exceeds the idle time for which any configuration lets
 	// callers reuse a connection.
-	idleTimeout   = 2 * time.Minute
-	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * clock.Minute
+	headerTimeout = 10 * clock.Second
 	sweepEvery    = 500 * clock.Millisecond
 	// callerFileShare is the share of the open-file limit (the setting maxFiles)
 	// that callers' connections may use before they are closed after each answer.
@@ -141,7 +140,7 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: callerconn.NewListener(lns[3], d.Clock),
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: callerconn.NewListener(lns[3], d.Clock, callerconn.Limits{IdleMs: idleTimeout, HeadMs: headerTimeout}),
 	}
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
@@ -219,10 +218,8 @@
 		})()
 		return supervise.Serve(serveCtx, srv, g.callerLn)
 	}
-	srv := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.callerLn.Track,
-	}
+	srv := &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	g.callerLn.Attach(srv)
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
 		stop()
@@ -277,7 +274,7 @@
 // newOperatorServer returns an HTTP server for the endpoints that operators use: readiness
 // and metrics.
 func newOperatorServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration()}
 }
 
 // updateGauges sets the metrics that show a current state.
