Callers: the configuration's limits of heads and idle connections are in force

What callers saw: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration had no effect: 64 KB, 10 s and 2 minutes held instead. Cause: the times were decoded and not used, MaxHeaderBytes was not decoded. Change: the gateway's connections take their limits from the configuration in force, and those above for what it does not set or while none is known. A head that is too long gets 431, 4 KB beyond the limit, as net/http allows. A changed limit is in force at once where it is longer, and from a connection's next idle time or head where it is shorter, since a caller may still know the longer one. Why it works: a connection is never closed before the limit that was in force when it became idle, nor before the one in force now; callers reuse it for four fifths of one of them. The limits are read at each read, so no connection has to be found again.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -43,7 +43,8 @@
 	lingering, closed bool
 }
 
-// Read reads from the caller. When the time of a head is over, it answers the request.
+// Read reads from the caller. When the time of a head is over or the head is too long, it answers the
+// request.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		if !c.arm() {
@@ -60,7 +61,11 @@
 func (c *conn) arm() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.phase.Deadline(c.ln.limits)
+	limits := c.ln.limits()
+	if c.phase.TooLong(limits) {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge")
+	}
+	at, ok := c.phase.Deadline(limits)
 	if ok && at != c.armedMs {
 		c.armedMs = at
 		_ = c.Conn.SetReadDeadline(time.Now().Add((at - c.ln.clock.Now()).Duration()))
@@ -76,16 +81,14 @@
 	case c.phase.State == Closing:
 		return false
 	case err == nil:
-		if c.phase.State == Idle {
-			c.phase = c.phase.Received(c.ln.clock.Now(), c.ln.limits)
-		}
+		c.phase = c.phase.Received(n, c.ln.clock.Now(), c.ln.limits())
 		return true
 	case !isTimeout(err):
 		c.broken = true
 		return true
 	}
 	var over bool
-	if c.phase, over = c.phase.Waited(c.ln.clock.Now(), c.ln.limits); over && c.phase.State == Head {
+	if c.phase, over = c.phase.Waited(c.ln.clock.Now(), c.ln.limits()); over && c.phase.State == Head {
 		c.refuse(http.StatusRequestTimeout, "headerTimeout")
 	}
 	return over
@@ -129,7 +132,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, own := c.phase.Deadline(c.ln.limits); own {
+	if _, own := c.phase.Deadline(c.ln.limits()); own {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -152,7 +155,7 @@
 	}
 	c.phase = Phase{State: s}
 	if s == Idle {
-		c.phase.SinceMs, c.phase.Limits, c.answered = c.ln.clock.Now(), c.ln.limits, false
+		c.phase.SinceMs, c.phase.Limits, c.answered = c.ln.clock.Now(), c.ln.limits(), false
 		return true
 	}
 	if c.armedMs != 0 {
--- a/internal/caller/callerconn/listener.go
+++ b/internal/caller/callerconn/listener.go
@@ -1,7 +1,8 @@
 // Package callerconn wraps the connections of callers, below an HTTP server.
 //
-// It bounds the time in which a connection may be idle and the time of a request's head, which
-// begins with its first byte. A request that is not read in time is answered as not run.
+// It bounds the time in which a connection may be idle, and the size and time of a request's
+// head; the time begins with the first byte. A request that is not read in time is answered as not
+// run.
 //
 // A connection that is closed after an answer is closed in one direction first, and what its
 // caller still sends is read and discarded: closing it with unread bytes would reset it, and
@@ -24,13 +25,14 @@
 type Listener struct {
 	net.Listener
 	clock           clock.Clock
-	limits          Limits
+	limits          func() Limits
 	open, lingering atomic.Int64
 }
 
-// NewListener returns a Listener that accepts the connections of ln with the limits l.
-func NewListener(ln net.Listener, c clock.Clock, l Limits) *Listener {
-	return &Listener{Listener: ln, clock: c, limits: l}
+// NewListener returns a Listener that accepts the connections of ln. limits returns the limits in
+// force; it is called often, and by several goroutines at once.
+func NewListener(ln net.Listener, c clock.Clock, limits func() Limits) *Listener {
+	return &Listener{Listener: ln, clock: c, limits: limits}
 }
 
 // Accept returns the next connection.
@@ -40,7 +42,7 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &conn{Conn: nc, ln: l, phase: Phase{State: Idle, SinceMs: l.clock.Now(), Limits: l.limits}}, nil
+	return &conn{Conn: nc, ln: l, phase: Phase{State: Idle, SinceMs: l.clock.Now(), Limits: l.limits()}}, nil
 }
 
 // connKey is the key of a request's connection in its context.
--- a/internal/caller/callerconn/phase.go
+++ b/internal/caller/callerconn/phase.go
@@ -2,14 +2,19 @@
 
 import "github.com/damaskport/damaskport/internal/runtime/clock"
 
-// lookTime is how long a connection is read once its time is over, for what arrived in time and
-// was not read: the process may not have run.
-const lookTime = 10 * clock.Millisecond
+const (
+	// lookTime is how long a connection is read once its time is over, for what arrived in time
+	// and was not read: the process may not have run.
+	lookTime = 10 * clock.Millisecond
+	// headSlackBytes is by how much a head may exceed its limit: callers may count less of it.
+	headSlackBytes = 4 << 10
+)
 
-// Limits bound the time of a connection while no request is handled.
+// Limits bound a connection while no request is handled.
 type Limits struct {
-	IdleMs clock.Millis // until the first byte of a request
-	HeadMs clock.Millis // from the first byte of a request's head to the end of the head
+	IdleMs    clock.Millis // until the first byte of a request
+	HeadMs    clock.Millis // from the first byte of a request's head to the end of the head
+	HeadBytes int          // size of a request's head
 }
 
 // State is what a connection is used for.
@@ -31,6 +36,7 @@
 	Limits  Limits // in force when the phase began
 	// LookUntilMs is the time to which the phase was extended by lookTime; 0 if it was not.
 	LookUntilMs clock.Millis
+	Bytes       int // of the head that have arrived
 }
 
 // Deadline returns the time at which p ends unless something arrives, and whether it has one. now
@@ -45,14 +51,22 @@
 	return 0, false
 }
 
-// Received returns the phase after bytes have arrived.
-func (p Phase) Received(nowMs clock.Millis, now Limits) Phase {
-	if p.State == Idle {
-		return Phase{State: Head, SinceMs: nowMs, Limits: now}
+// Received returns the phase after n bytes have arrived.
+func (p Phase) Received(n int, nowMs clock.Millis, now Limits) Phase {
+	switch p.State {
+	case Idle:
+		return Phase{State: Head, SinceMs: nowMs, Limits: now, Bytes: n}
+	case Head:
+		p.Bytes += n
 	}
 	return p
 }
 
+// TooLong reports whether the part of a head that has arrived is longer than a head may be.
+func (p Phase) TooLong(now Limits) bool {
+	return p.State == Head && p.Bytes > max(p.Limits.HeadBytes, now.HeadBytes)+headSlackBytes
+}
+
 // Waited returns the phase after nothing has arrived until nowMs, and whether it is over.
 func (p Phase) Waited(nowMs clock.Millis, now Limits) (Phase, bool) {
 	at, ok := p.Deadline(now)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -89,12 +89,13 @@
 	if err != nil {
 		return nil, err
 	}
+	limits := callerconn.Limits{IdleMs: idleTimeout, HeadMs: f.Entry.HeaderTimeoutMs, HeadBytes: maxHeaderBytes}
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
-		callerLn: callerconn.NewListener(lns[0], d.Clock, callerconn.Limits{IdleMs: idleTimeout, HeadMs: f.Entry.HeaderTimeoutMs}),
+		callerLn: callerconn.NewListener(lns[0], d.Clock, func() callerconn.Limits { return limits }),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -159,7 +160,7 @@
 	mux.HandleFunc("/v1/chat/completions", e.notAllowed(http.MethodPost))
 	mux.HandleFunc("/v1/models", e.notAllowed(http.MethodGet, http.MethodHead))
 	mux.HandleFunc("/", e.servePlain)
-	srv := &http.Server{Handler: e.closeWhenDraining(mux), MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	srv := &http.Server{Handler: e.closeWhenDraining(mux), ErrorLog: nil}
 	e.callerLn.Attach(srv)
 	return srv
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -31,13 +31,12 @@
 )
 
 const (
+	// maxHeaderBytes, idleTimeout and headerTimeout are the limits of callers' connections that
+	// the configuration does not set, or is not known to.
 	maxHeaderBytes = 64 << 10
-	// idleTimeout is the time after which the gateway closes an idle connection
-	// of a caller. It exceeds the idle time for which any configuration lets
-	// callers reuse a connection.
-	idleTimeout   = 2 * clock.Minute
-	headerTimeout = 10 * clock.Second
-	sweepEvery    = 500 * clock.Millisecond
+	idleTimeout    = 2 * clock.Minute
+	headerTimeout  = 10 * clock.Second
+	sweepEvery     = 500 * clock.Millisecond
 	// callerFileShare is the share of the open-file limit (the setting maxFiles)
 	// that callers' connections may use before they are closed after each answer.
 	// The rest is for connections to servers, of which each caller's connection
@@ -140,8 +139,9 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: callerconn.NewListener(lns[3], d.Clock, callerconn.Limits{IdleMs: idleTimeout, HeadMs: headerTimeout}),
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
 	}
+	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
@@ -218,7 +218,7 @@
 		})()
 		return supervise.Serve(serveCtx, srv, g.callerLn)
 	}
-	srv := &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	srv := &http.Server{Handler: g, ErrorLog: nil}
 	g.callerLn.Attach(srv)
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
@@ -259,6 +259,25 @@
 	return err
 }
 
+// connLimits returns the limits of callers' connections.
+func (g *Gateway) connLimits() callerconn.Limits {
+	l := callerconn.Limits{IdleMs: idleTimeout, HeadMs: headerTimeout, HeadBytes: maxHeaderBytes}
+	cfg := g.fleet.config()
+	if cfg == nil {
+		return l
+	}
+	if cfg.IdleTimeoutMs > 0 {
+		l.IdleMs = cfg.IdleTimeoutMs
+	}
+	if cfg.HeaderTimeoutMs > 0 {
+		l.HeadMs = cfg.HeaderTimeoutMs
+	}
+	if cfg.MaxHeaderBytes > 0 {
+		l.HeadBytes = cfg.MaxHeaderBytes
+	}
+	return l
+}
+
 // tooManyConns reports whether callers' connections exceed callerFileShare of the
 // open-file limit. Each further answer then closes its connection, so that enough
 // files remain for connections to servers.
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -80,6 +80,7 @@
 	Pools           []Pool
 	Accounts        []Account
 	MaxBodyBytes    int64        // maximum size of a request body
+	MaxHeaderBytes  int          // maximum size of a request header
 	HeaderTimeoutMs clock.Millis // time limit for the request header
 	IdleTimeoutMs   clock.Millis // time after which an idle connection is closed
 
