--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskport/damaskport/internal/caller/callerconn"
 	"github.com/damaskport/damaskport/internal/operator/admin"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
@@ -28,7 +28,7 @@
 const (
 	idleConnsPerSidecar = 256
 	maxHeaderBytes      = 64 << 10
-	idleTimeout         = 2 * time.Minute
+	idleTimeout         = 2 * clock.Minute
 	// drainGrace is how long a draining entry still accepts requests, until load
 	// balancers have seen that it is not ready.
 	drainGrace = 500 * clock.Millisecond
@@ -77,7 +77,7 @@
 	logRead        func() clock.Millis
 	leaseStatus    func() []admin.LeaseStatus
 	tasks          []supervise.Task
-	callerLn       net.Listener
+	callerLn       *callerconn.Listener
 	nextID         atomic.Int64
 	draining       atomic.Bool
 }
@@ -89,12 +89,13 @@
 	if err != nil {
 		return nil, err
 	}
+	limits := callerconn.Limits{IdleMs: idleTimeout, HeadMs: f.Entry.HeaderTimeoutMs, HeadBytes: maxHeaderBytes}
 	e := &Entry{
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
-		callerLn: lns[0],
+		callerLn: callerconn.NewListener(lns[0], d.Clock, func() callerconn.Limits { return limits }),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -159,10 +160,9 @@
 	mux.HandleFunc("/v1/chat/completions", e.notAllowed(http.MethodPost))
 	mux.HandleFunc("/v1/models", e.notAllowed(http.MethodGet, http.MethodHead))
 	mux.HandleFunc("/", e.servePlain)
-	return &http.Server{
-		Handler: e.closeWhenDraining(mux), ReadHeaderTimeout: e.cfg.HeaderTimeoutMs.Duration(), IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
-	}
+	srv := &http.Server{Handler: e.closeWhenDraining(mux), ErrorLog: nil}
+	e.callerLn.Attach(srv)
+	return srv
 }
 
 // closeWhenDraining closes each connection after its current request while the entry
@@ -188,6 +188,7 @@
 	if err := srv.Shutdown(ctx); err != nil {
 		e.log.WithField("event", "drainTimeout").Warn(err)
 	}
+	e.callerLn.Wait(ctx)
 }
 
 // watchConfig, after each configuration change, ends the requests of withdrawn API
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -16,10 +16,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/caller/callerconn"
 	host "github.com/damaskport/damaskport/internal/control/enginequeue"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
@@ -31,13 +31,12 @@
 )
 
 const (
+	// maxHeaderBytes, idleTimeout and headerTimeout are the limits of callers' connections that
+	// the configuration does not set, or is not known to.
 	maxHeaderBytes = 64 << 10
-	// idleTimeout is the time after which the gateway closes an idle connection
-	// of a caller. It exceeds the idle time for which any configuration lets
-	// callers reuse a connection.
-	idleTimeout   = 2 * time.Minute
-	headerTimeout = 10 * time.Second
-	sweepEvery    = 500 * clock.Millisecond
+	idleTimeout    = 2 * clock.Minute
+	headerTimeout  = 10 * clock.Second
+	sweepEvery     = 500 * clock.Millisecond
 	// callerFileShare is the share of the open-file limit (the setting maxFiles)
 	// that callers' connections may use before they are closed after each answer.
 	// The rest is for connections to servers, of which each caller's connection
@@ -81,7 +80,8 @@
 	usage         *usageCounts
 	metrics       *gatewayMetrics
 
-	callerLn, readyLn, controlLn, metricsLn net.Listener
+	callerLn                      *callerconn.Listener
+	readyLn, controlLn, metricsLn net.Listener
 
 	// draining is set when the shutdown signal arrives, at the monotonic time
 	// drainMs. From then on the gateway reports that it is not ready and closes
@@ -92,7 +92,6 @@
 	// has not begun are then abandoned.
 	ending           context.Context
 	cancelUnanswered context.CancelFunc
-	openConns        atomic.Int64 // open connections of callers
 	gatewayCount     atomic.Int32 // known gateways, including this one
 	// membersRead is set once the records of the other gateways have been read
 	// from the store. settled is set once the configuration is known to be as new
@@ -140,8 +139,9 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], callerLn: lns[3],
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
 	}
+	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
@@ -218,10 +218,8 @@
 		})()
 		return supervise.Serve(serveCtx, srv, g.callerLn)
 	}
-	srv := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil, ConnState: g.connState,
-	}
+	srv := &http.Server{Handler: g, ErrorLog: nil}
+	g.callerLn.Attach(srv)
 	stopDrain := context.AfterFunc(ctx, func() {
 		g.drain(srv)
 		stop()
@@ -261,21 +259,30 @@
 	return err
 }
 
-// connState counts the open connections of callers.
-func (g *Gateway) connState(_ net.Conn, st http.ConnState) {
-	switch st {
-	case http.StateNew:
-		g.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		g.openConns.Add(-1)
+// connLimits returns the limits of callers' connections.
+func (g *Gateway) connLimits() callerconn.Limits {
+	l := callerconn.Limits{IdleMs: idleTimeout, HeadMs: headerTimeout, HeadBytes: maxHeaderBytes}
+	cfg := g.fleet.config()
+	if cfg == nil {
+		return l
+	}
+	if cfg.IdleTimeoutMs > 0 {
+		l.IdleMs = cfg.IdleTimeoutMs
+	}
+	if cfg.HeaderTimeoutMs > 0 {
+		l.HeadMs = cfg.HeaderTimeoutMs
+	}
+	if cfg.MaxHeaderBytes > 0 {
+		l.HeadBytes = cfg.MaxHeaderBytes
 	}
+	return l
 }
 
 // tooManyConns reports whether callers' connections exceed callerFileShare of the
 // open-file limit. Each further answer then closes its connection, so that enough
 // files remain for connections to servers.
 func (g *Gateway) tooManyConns() bool {
-	return float64(g.openConns.Load()) > callerFileShare*g.Settings().MaxFiles
+	return float64(g.callerLn.Open()) > callerFileShare*g.Settings().MaxFiles
 }
 
 // overloaded reports whether this gateway's processor or network link is
@@ -286,7 +293,7 @@
 // newOperatorServer returns an HTTP server for the endpoints that operators use: readiness
 // and metrics.
 func newOperatorServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration()}
 }
 
 // updateGauges sets the metrics that show a current state.
