Log: a request that the end of a stop cuts has a line, and none that blames its caller

A request that was still being served at the end of a planned stop was logged as callerLeft, since the gateway closes its connection, or, if it may run only once, not at all.

The gateway keeps the requests that it serves and logs cutAtExit for each before it closes their connections; callerLeft is not logged from then on.

TestRequestThatEndsWithTheProcessIsLogged fails before (a callerLeft line, no cutAtExit) and passes now.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
@@ -86,6 +88,17 @@
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "answersCut").Warn(err)
+		g.logCut()
+	}
+}
+
+// logCut logs the requests that end with the process.
+func (g *Gateway) logCut() {
+	g.cut.Store(true)
+	now := g.clock.Now()
+	for k := range g.serving.Range {
+		j := k.(*job)
+		g.log.WithFields(logrus.Fields{"event": "cutAtExit", "request": j.ID, "route": j.route.Name, "tookMs": int64(now - j.arrivedMs)}).Warn()
 	}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -92,8 +92,12 @@
 	// has not begun are then abandoned.
 	ending           context.Context
 	cancelUnanswered context.CancelFunc
-	openConns        atomic.Int64 // open connections of callers
-	gatewayCount     atomic.Int32 // known gateways, including this one
+	// cut is set when the process closes the connections of callers that still wait, and serving
+	// holds the requests that have been admitted and not ended, as keys of type *job.
+	cut          atomic.Bool
+	serving      sync.Map
+	openConns    atomic.Int64 // open connections of callers
+	gatewayCount atomic.Int32 // known gateways, including this one
 	// membersRead is set once the records of the other gateways have been read
 	// from the store. settled is set once the configuration is known to be as new
 	// as theirs, or they did not answer in time; until then requests are refused.
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -104,6 +104,8 @@
 		return
 	}
 	g.metrics.started(j)
+	g.serving.Store(j, nil)
+	defer g.serving.Delete(j)
 	defer g.suspects.release(j)
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(r.Context()), g.wallTime(j.timeoutMs), errTimeout)
 	defer cancel()
@@ -111,7 +113,9 @@
 	// so that its outcome is known.
 	log := j.log
 	j.departure = exchange.NewDeparture(j.route.Kind == routing.KindProtected, func() {
-		log.WithField("event", "callerLeft").Info()
+		if !g.cut.Load() {
+			log.WithField("event", "callerLeft").Info()
+		}
 		cancel()
 	})
 	stopDeparture := context.AfterFunc(r.Context(), j.departure.Left)
