Engine queue: a stream that is taken up does not wait for its account's share

Cause: by the order of the queue a request that resumes went before new ones of its priority only if its account did not exceed its share of the tokens granted in the last seconds. In a burst the accounts with most streams, and so with most to take up, exceed it, and the new requests of the others went before.

Change: requests that resume go before new ones; the share orders them among each other. An account that marks new requests as resumed passes others of its priority.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -13,9 +13,10 @@
 //
 // Requests with the most urgent priority go first; within a priority those that
 // can still meet their target for the first streamed event and those that resume an
-// answer, then those of accounts that have not exceeded their share, then those that
-// resume an answer, then those with the earliest target. The package is a pure state
-// machine: time is an argument. A Scheduler is not safe for concurrent use.
+// answer, of these the latter first, then those of accounts that have not exceeded
+// their share, then those with the earliest target. New requests of other accounts do
+// not delay those that resume, which have little time left. The package is a pure
+// state machine: time is an argument. A Scheduler is not safe for concurrent use.
 package batch
 
 import (
@@ -539,12 +540,12 @@
 	if la, lb := s.missesTarget(now, a), s.missesTarget(now, b); la != lb {
 		return !la
 	}
-	if oa, ob := s.exceedsShare(a.Account), s.exceedsShare(b.Account); oa != ob {
-		return !oa
-	}
 	if a.Resumed != b.Resumed {
 		return a.Resumed
 	}
+	if oa, ob := s.exceedsShare(a.Account), s.exceedsShare(b.Account); oa != ob {
+		return !oa
+	}
 	if c := cmp.Compare(a.TargetMs, b.TargetMs); c != 0 {
 		return c < 0
 	}
