--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
@@ -86,10 +88,21 @@
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "answersCut").Warn(err)
+		g.logCut()
 	}
 	g.callerLn.Wait(ctx)
 }
 
+// logCut logs the requests that end with the process.
+func (g *Gateway) logCut() {
+	g.cut.Store(true)
+	now := g.clock.Now()
+	for k := range g.serving.Range {
+		j := k.(*job)
+		g.log.WithFields(logrus.Fields{"event": "cutAtExit", "request": j.ID, "route": j.route.Name, "tookMs": int64(now - j.arrivedMs)}).Warn()
+	}
+}
+
 // mayExitBefore reports whether the gateway is draining and may exit before j is
 // complete.
 func (g *Gateway) mayExitBefore(j *job, now clock.Millis) bool {
