Engine queue: what resumes goes first only within a wider share

Cause: with all requests that resume an answer go before new ones of their priority; an account that marks new requests so passes all others, without end. Change: tokens of an account count two thirds for requests that resume; those of accounts that exceed their share even so wait as before.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -13,9 +13,10 @@
 //
 // Requests with the most urgent priority go first; within a priority those that
 // can still meet their target for the first streamed event and those that resume an
-// answer, of these the latter first, then those of accounts that have not exceeded
-// their share, then those with the earliest target. New requests of other accounts do
-// not delay those that resume, which have little time left. The package is a pure
+// answer, of these the latter first unless their account has far exceeded its share,
+// then those of accounts that have not exceeded their share, then those that resume an
+// answer, then those with the earliest target. New requests of other accounts do not
+// delay those that resume, which have little time left. The package is a pure
 // state machine: time is an argument. A Scheduler is not safe for concurrent use.
 package batch
 
@@ -92,6 +93,9 @@
 	// accounts exceeds its share: other accounts go first. With two accounts, 1.5
 	// times the mean is three times the other's tokens.
 	overShareFactor = 1.5
+	// resumedWeight is the part of an account's tokens that counts for requests that resume an
+	// answer: after a fault, the accounts with most streams have most to resume.
+	resumedWeight = 2.0 / 3
 	// minRetryAfter and maxRetryAfter bound the retry-after time of refused
 	// requests.
 	minRetryAfter = 200 * clock.Millisecond
@@ -540,12 +544,15 @@
 	if la, lb := s.missesTarget(now, a), s.missesTarget(now, b); la != lb {
 		return !la
 	}
-	if a.Resumed != b.Resumed {
-		return a.Resumed
+	if ra, rb := s.resumesWithinShare(a), s.resumesWithinShare(b); ra != rb {
+		return ra
 	}
-	if oa, ob := s.exceedsShare(a.Account), s.exceedsShare(b.Account); oa != ob {
+	if oa, ob := s.exceedsShare(a.Account, 1), s.exceedsShare(b.Account, 1); oa != ob {
 		return !oa
 	}
+	if a.Resumed != b.Resumed {
+		return a.Resumed
+	}
 	if c := cmp.Compare(a.TargetMs, b.TargetMs); c != 0 {
 		return c < 0
 	}
@@ -558,17 +565,24 @@
 	return !w.Resumed && now+s.prefillMs(w.UncachedTokens) > w.TargetMs
 }
 
-// exceedsShare reports whether an account was granted more than overShareFactor times
-// the mean of all accounts.
-func (s *Scheduler) exceedsShare(account string) bool {
+// resumesWithinShare reports whether w resumes an answer and goes before new requests: its account
+// has not used that to take far more than its share.
+func (s *Scheduler) resumesWithinShare(w *queuedRequest) bool {
+	return w.Resumed && !s.exceedsShare(w.Account, resumedWeight)
+}
+
+// exceedsShare reports whether the tokens that an account was granted, of which only the part
+// weight counts, exceed overShareFactor times the mean of all accounts.
+func (s *Scheduler) exceedsShare(account string, weight float64) bool {
 	if len(s.grantedTokens) < 2 {
 		return false
 	}
-	sum := 0.0
+	own := weight * s.grantedTokens[account]
+	sum := own - s.grantedTokens[account]
 	for _, v := range s.grantedTokens {
 		sum += v
 	}
-	return s.grantedTokens[account] > overShareFactor*sum/float64(len(s.grantedTokens))
+	return own > overShareFactor*sum/float64(len(s.grantedTokens))
 }
 
 // dispatch grants queued requests in the order of precedes, up to the first one that
