Serve: a failed accept does not end a listener for good

What callers saw: nothing connects any more, the process lives. Found by the review: the real gateway with ENOBUFS at accept refuses connections for callers, readiness and metrics for good. Cause: net/http closes its listener after an error that is not temporary by the net package's rules, and the restarted task serves the closed one. Change: all errors but that of a closed listener are temporary: logged, tried again.

--- a/internal/runtime/supervise/serve.go
+++ b/internal/runtime/supervise/serve.go
@@ -14,7 +14,7 @@
 func Serve(ctx context.Context, srv *http.Server, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	err := srv.Serve(ln)
+	err := srv.Serve(patientListener{ln})
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return nil
@@ -22,6 +22,32 @@
 	return err
 }
 
+// patientListener marks errors of Accept as temporary, unless the listener is closed: an
+// http.Server logs such an error and goes on after a pause, and closes its listener after others.
+type patientListener struct{ net.Listener }
+
+// Accept returns the next connection. The error is an *acceptError or wraps net.ErrClosed.
+func (l patientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		err = &acceptError{err}
+	}
+	return c, err
+}
+
+// acceptError reports a connection that could not be accepted. Later ones may be.
+type acceptError struct{ err error }
+
+// Error returns the message of the cause.
+func (e *acceptError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *acceptError) Unwrap() error { return e.err }
+
+// Timeout and Temporary implement net.Error.
+func (e *acceptError) Timeout() bool   { return false }
+func (e *acceptError) Temporary() bool { return true }
+
 // Accept accepts connections on ln until ctx ends, and then closes ln. It calls handle with
 // each connection; handle must not block, as no other connection is accepted meanwhile. It is
 // meant as the Run function of a listener's task.
