Start: a stop ends an attempt that hangs, and waits end also when obstacles alternate

What the review showed: a settings file that cannot be read to its end, such as a named pipe, kept a process from ending by SIGTERM; settings and addresses that fail by turns were waited for without end; 4,201 reload signals in 3 s were as many attempts; each attempt left the two descriptors of the overload probe; a deployment in one process stopped while it wrote its configuration had status 1. The tests' processes inherited an ignored SIGHUP, since the test links package signals; they get the default action now, and TestReloadSignalDoesNotEndStart still passes.

--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -37,6 +37,7 @@
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
 	var s *solo.Solo
 	started, err := start(sig, c.o.err, func() error {
+		var err error
 		s, err = solo.New(cfg, log.Logger)
 		return err
 	}, solo.DrainTime)
--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -47,7 +47,8 @@
 type State struct {
 	waiting  bool
 	obstacle Obstacle
-	sinceMs  clock.Millis
+	// sinceMs is when the process met the obstacle, and firstMs when it met the first one.
+	sinceMs, firstMs clock.Millis
 }
 
 // Decision says what a process does after an attempt to start that failed.
@@ -59,12 +60,17 @@
 }
 
 // WithFailure returns the state after an attempt at time now that met obstacle o, and what to do.
-// grace is the longest time for which a process of this role goes on after its stop signal.
+// Obstacles that alternate are waited for as long as both together. grace is the longest time for which a process of this role goes on after its stop signal.
 func (s State) WithFailure(now clock.Millis, o Obstacle, grace clock.Millis) (State, Decision) {
-	if !s.waiting || s.obstacle != o {
-		s = State{waiting: true, obstacle: o, sinceMs: now}
+	if !s.waiting {
+		s = State{waiting: true, obstacle: o, sinceMs: now, firstMs: now}
 	}
-	return s, Decision{GiveUp: now-s.sinceMs >= longestWait(o, grace), RetryMs: retryEvery}
+	if s.obstacle != o {
+		s.obstacle, s.sinceMs = o, now
+	}
+	over := now-s.sinceMs >= longestWait(o, grace) ||
+		now-s.firstMs >= longestWait(IncompleteSettings, grace)+longestWait(HeldAddress, grace)
+	return s, Decision{GiveUp: over, RetryMs: retryEvery}
 }
 
 func longestWait(o Obstacle, grace clock.Millis) clock.Millis {
--- a/internal/policy/startup/startup_test.go
+++ b/internal/policy/startup/startup_test.go
@@ -30,6 +30,9 @@
 			}
 			return address
 		}, 2*clock.Second + grace + 3*clock.Second},
+		{"settings and address by turns", func(now clock.Millis) startup.Obstacle {
+			return []startup.Obstacle{settings, address}[now/1000%2]
+		}, 5*clock.Second + grace + 3*clock.Second},
 		{"settings, then a wrong one", func(now clock.Millis) startup.Obstacle {
 			if now < 2*clock.Second {
 				return settings
--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -34,6 +35,9 @@
 
 // Main builds the programs once, runs the tests of m and returns the exit code.
 func Main(m *testing.M) int {
+	// The test links the package signals, which ignores SIGHUP. Processes would inherit that, but not
+	// a handler.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	dir, err := os.MkdirTemp("", "proof")
 	if err != nil {
 		panic(err)
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -322,3 +322,55 @@
 		}
 	})
 }
+
+// TestStopSignalEndsStartThatHangs stops processes whose settings file nobody has written yet, a named
+// pipe.
+func TestStopSignalEndsStartThatHangs(t *testing.T) {
+	t.Parallel()
+	eachRole(t, settingsRoles, func(t *testing.T, s *server) {
+		if err := os.Remove(s.path); err != nil {
+			t.Fatal(err)
+		}
+		if err := syscall.Mkfifo(s.path, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p := s.start(t)
+		time.Sleep(500 * time.Millisecond)
+		p.Signal(syscall.SIGTERM)
+		if code := p.WaitExit(); code != 0 {
+			t.Errorf("status %d, want 0", code)
+		}
+	})
+}
+
+// TestEarlyStopSignalIsNoError stops processes soon after their start. They end with status 0, or by the
+// signal if they did not handle it yet.
+func TestEarlyStopSignalIsNoError(t *testing.T) {
+	t.Parallel()
+	eachRole(t, allRoles, func(t *testing.T, s *server) {
+		for ms := 2; ms < 80; ms += 19 {
+			p := s.start(t)
+			time.Sleep(time.Duration(ms) * time.Millisecond)
+			p.Signal(syscall.SIGTERM)
+			if code := p.WaitExit(); code > 0 {
+				t.Errorf("status %d after a stop signal %d ms after the start, want 0", code, ms)
+			}
+		}
+	})
+}
+
+// TestHangupEndsOtherCommands checks that commands that run for a person end when their terminal is
+// closed.
+func TestHangupEndsOtherCommands(t *testing.T) {
+	t.Parallel()
+	log := filepath.Join(t.TempDir(), "log")
+	if err := syscall.Mkfifo(log, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := cluster.StartLogged(t, "explain", "", "explain", "9c41d07be2a35f68", log)
+	time.Sleep(500 * time.Millisecond)
+	p.Signal(syscall.SIGHUP)
+	if code := p.WaitExit(); code != 129 {
+		t.Errorf("status %d, want 129", code)
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -128,10 +128,6 @@
 // New creates a gateway and opens its listeners. The error is a *listen.Error if an address cannot
 // be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
-	gate, err := newOverloadGate(cfg.LinkMbps)
-	if err != nil {
-		return nil, err
-	}
 	lns, err := listen.All(
 		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr},
 		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
@@ -139,6 +135,13 @@
 	if err != nil {
 		return nil, err
 	}
+	gate, err := newOverloadGate(cfg.LinkMbps)
+	if err != nil {
+		for _, ln := range lns {
+			_ = ln.Close()
+		}
+		return nil, err
+	}
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
--- a/internal/role/process/start.go
+++ b/internal/role/process/start.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"io/fs"
 
 	"github.com/pkg/errors"
@@ -27,12 +26,15 @@
 }
 
 // Run calls Open until it succeeds, as startup decides. It returns false if the process was stopped
-// before, and the error of Open if trying again is of no use. A reload signal makes it try at once.
+// before, and the error of Open if trying again is of no use.
 func (s Starter) Run() (started bool, err error) {
 	var state startup.State
 	logged := ""
 	for s.Signals.Stopped.Err() == nil {
-		err := s.Open()
+		done, err := s.attempt()
+		if !done {
+			break
+		}
 		if err == nil {
 			return true, nil
 		}
@@ -45,19 +47,22 @@
 			logged = err.Error()
 			s.Log.WithFields(logrus.Fields{"event": "startWaits", "for": obstacle}).Warn(err)
 		}
-		s.wait(d.RetryMs)
+		_ = s.Clock.Sleep(s.Signals.Stopped, d.RetryMs)
 	}
 	s.Log.WithField("event", "stop").Info("stopped before the process served")
 	return false, nil
 }
 
-// wait waits for d, or until a signal arrives.
-func (s Starter) wait(d clock.Millis) {
-	ctx, cancel := context.WithTimeout(s.Signals.Stopped, d.Duration())
-	defer cancel()
+// attempt calls Open and returns its error. done is false if the process was stopped before Open
+// returned, which a settings file may hold up that cannot be read.
+func (s Starter) attempt() (done bool, err error) {
+	result := make(chan error, 1)
+	go func() { result <- s.Open() }()
 	select {
-	case <-ctx.Done():
-	case <-s.Signals.Reload:
+	case err := <-result:
+		return true, err
+	case <-s.Signals.Stopped.Done():
+		return false, nil
 	}
 }
 
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -137,7 +137,7 @@
 	for _, srv := range s.servers {
 		bottom.Go(func() error { return srv.serve(standins) })
 	}
-	if err := s.configure(ctx); err != nil {
+	if err := s.configure(ctx); err != nil && ctx.Err() == nil {
 		return err
 	}
 	for _, sc := range s.sidecars {
