Answers: an end without framing is whole only if the server is alive after it

What callers saw: answers of killed servers that end with their connection, complete with part of their bytes, though the check for an ended server was made. Cause: the check waited 20 ms for a new connection to be closed, and an answer could use a check begun before its own end. Whatever did not prove an end counted as whole. Why it works: the connection belongs to the listener of the process that answered, and is closed with it at the latest.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -40,9 +40,6 @@
 	// no timeout in a Keep-Alive header.
 	defaultIdleTimeout = 4 * clock.Second
 	maxIdlePerHost     = 64
-	// closedAtOnce is the time within which a server that has ended closes a connection that
-	// was still accepted for it.
-	closedAtOnce = 20 * time.Millisecond
 	// noReuseTime is how long connections are not reused after a response without a request ID
 	// has arrived on a reused one.
 	noReuseTime = 10 * clock.Second
@@ -190,31 +187,12 @@
 	return c, nil
 }
 
-// Refused reports whether the server refuses connections, or closes a new one at once and has
-// closed the idle ones too: its process has ended. A server that has too many connections
-// closes new ones as well. A connection that stays open is kept for the next request.
-// Refused returns false if the server cannot be reached.
-func (p *Pool) Refused(ctx context.Context) bool {
-	c, err := p.dial(ctx)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) && !p.hasLive()
-	}
-	_ = c.SetReadDeadline(time.Now().Add(closedAtOnce))
-	_, err = c.br.Peek(1)
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		_ = c.SetReadDeadline(time.Time{})
-		p.put(c)
-		return false
-	}
-	_ = c.Close()
-	return err != nil && !p.hasLive()
-}
-
-// hasLive reports whether an idle connection is open, and closes those that are not.
-func (p *Pool) hasLive() bool {
+// closeDead closes the idle connections that the server has closed. It returns how many these were,
+// and how many are left.
+func (p *Pool) closeDead() (dead, left int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := len(p.idle)
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
 		dead := !c.alive()
 		if dead {
@@ -222,7 +200,7 @@
 		}
 		return dead
 	})
-	return len(p.idle) > 0
+	return before - len(p.idle), len(p.idle)
 }
 
 func (p *Pool) pop() *conn {
--- a/internal/backend/direct/conn_test.go
+++ b/internal/backend/direct/conn_test.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
+const settle = 20 * time.Millisecond
+
 // limitedServer accepts one connection, and closes further ones at once.
 type limitedServer struct {
 	ln   net.Listener
@@ -68,14 +71,14 @@
 		t.Fatal(err)
 	}
 	_ = ans.Body.Close()
-	if p.Refused(t.Context()) {
+	if l := p.Liveness(t.Context(), settle); l != direct.Alive {
 		t.Error("a server that closes new connections, but not an idle one, counts as ended")
 	}
 	s.mu.Lock()
 	_ = s.conn.Close()
 	s.mu.Unlock()
 	_ = s.ln.Close()
-	if !p.Refused(t.Context()) {
+	if l := p.Liveness(t.Context(), settle); l != direct.Ended {
 		t.Error("a server that refuses connections does not count as ended")
 	}
 }
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -20,8 +20,14 @@
 	// endingKeep is how long the result of a check whether a server has ended is used for the
 	// other requests that broke off there.
 	endingKeep = 500 * clock.Millisecond
-	// endingTimeout bounds the check: a server that cannot be reached may still run.
+	// endingTimeout bounds the time to open the connection of a check.
 	endingTimeout = 300 * time.Millisecond
+	// endingSettle is how long a new connection to a server has to stay open after a request broke
+	// off there, and unframedSettle after an answer without framing ended: nothing else tells
+	// whether that answer is whole. A killed process with up to 150 connections closes its listener
+	// within 9 ms of one of them, also on a busy processor.
+	endingSettle   = 20 * time.Millisecond
+	unframedSettle = 50 * time.Millisecond
 	// endingRecheck is when a server that accepted a connection after a request had broken off
 	// there is checked once more: it may have been about to end.
 	endingRecheck = 200 * clock.Millisecond
@@ -70,12 +76,30 @@
 	return c, true
 }
 
+// ended reports whether a recent check has shown that a server ended.
+func (e *endings) ended(now clock.Millis, k servers.Key) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.checks[k]
+	return c != nil && now-c.atMs <= endingKeep && c.ended.Load()
+}
+
+// add records that a server has ended. It reports whether that is new.
+func (e *endings) add(now clock.Millis, k servers.Key) bool {
+	c, first := e.check(now, k)
+	if first {
+		c.ended.Store(true)
+		close(c.checked)
+	}
+	return first
+}
+
 // serverEnded reports whether the server of s, at which a request broke off, has ended: it
 // is listed with a later start, or refuses connections now. A server that drains is expected
 // to.
 func (g *Gateway) serverEnded(j *job, s *send) bool {
 	k := s.engine.Key()
-	if g.fleet.currentStart(k.ID) > k.Start {
+	if g.startedAnew(k) {
 		return true
 	}
 	if s.conns == nil || !j.pool.lists(s.engine) {
@@ -83,7 +107,7 @@
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
-		c.ended.Store(refuses(s.conns))
+		c.ended.Store(liveness(s.conns, endingSettle) == direct.Ended)
 		close(c.checked)
 		if c.ended.Load() {
 			g.metrics.serverEnded()
@@ -93,16 +117,44 @@
 	return c.ended.Load()
 }
 
-// refuses reports whether a server refuses connections.
-func refuses(conns *direct.Pool) bool {
+// startedAnew reports whether a later start of a server is listed.
+func (g *Gateway) startedAnew(k servers.Key) bool { return g.fleet.currentStart(k.ID) > k.Start }
+
+// liveness returns what a new connection shows of a server.
+func liveness(conns *direct.Pool, settle time.Duration) direct.Liveness {
 	ctx, cancel := context.WithTimeout(context.Background(), endingTimeout)
 	defer cancel()
-	return conns.Refused(ctx)
+	return conns.Liveness(ctx, settle)
+}
+
+// cutUnframed reports whether an answer that has ended with its connection may be cut: unless its
+// server is alive, that end proves nothing. Other answers show by themselves whether they are whole.
+func (g *Gateway) cutUnframed(j *job, s *send) bool {
+	if s.ans.Framed || !j.pool.lists(s.engine) {
+		return !s.ans.Framed && g.startedAnew(s.engine.Key())
+	}
+	return g.livenessAfter(s) != direct.Alive
 }
 
-// cutUnframed reports whether an answer that ended with its connection was cut: its server
-// has ended. Other answers show by themselves whether they are whole.
-func (g *Gateway) cutUnframed(j *job, s *send) bool { return !s.ans.Framed && g.serverEnded(j, s) }
+// livenessAfter returns what is known of the server of s after its answer has ended. Only a check
+// that begins after that end can show that it is alive.
+func (g *Gateway) livenessAfter(s *send) direct.Liveness {
+	now, k := g.clock.Now(), s.engine.Key()
+	switch {
+	case g.startedAnew(k) || g.endings.ended(now, k):
+		return direct.Ended
+	case s.conns == nil:
+		return direct.Unknown
+	}
+	l := liveness(s.conns, unframedSettle)
+	if l == direct.Ended && g.endings.add(now, k) {
+		g.metrics.serverEnded()
+	}
+	if l == direct.Alive && (g.startedAnew(k) || g.endings.ended(g.clock.Now(), k)) {
+		return direct.Ended
+	}
+	return l
+}
 
 // promptParts returns the ids of the prompt parts that other requests may share, as they
 // stand in evidence: all but the last one.
@@ -158,7 +210,7 @@
 // recheckEnding looks again whether the server of s has ended.
 func (g *Gateway) recheckEnding(p *pool, s *send) {
 	k := s.engine.Key()
-	if p.lists(s.engine) && refuses(s.conns) {
+	if p.lists(s.engine) && liveness(s.conns, endingSettle) == direct.Ended {
 		g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence { return b.Ended(now, k) })
 	}
 }
