Answers: the check after an end without framing covers servers that are not listed

What callers saw: streams of a drained server that end with their connection, complete with 28 of 40 events once the server was gone, and not taken on elsewhere. Cause: the check was left out for servers that are not listed as ready: drained ones, which are the likeliest to end. Change: it is made for every server. What counts as evidence against a request is unchanged: the end of a server that is not listed is none. TestUnframedAnswerOfAnEndedServerIsNotWhole passes but for answers of more than 64 KiB; TestUnframedAnswerOfADrainedServerIsWhole passes before and after. Why it works: a server that drains serves on, so that new connections show it alive.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -129,11 +129,8 @@
 
 // cutUnframed reports whether an answer that has ended with its connection may be cut: unless its
 // server is alive, that end proves nothing. Other answers show by themselves whether they are whole.
-func (g *Gateway) cutUnframed(j *job, s *send) bool {
-	if s.ans.Framed || !j.pool.lists(s.engine) {
-		return !s.ans.Framed && g.startedAnew(s.engine.Key())
-	}
-	return g.livenessAfter(s) != direct.Alive
+func (g *Gateway) cutUnframed(s *send) bool {
+	return !s.ans.Framed && g.livenessAfter(s) != direct.Alive
 }
 
 // livenessAfter returns what is known of the server of s after its answer has ended. Only a check
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	data, err := io.ReadAll(io.LimitReader(s.ans.Body, bufferedAnswerBytes))
-	if err == nil && len(data) < bufferedAnswerBytes && g.cutUnframed(j, s) {
+	if err == nil && len(data) < bufferedAnswerBytes && g.cutUnframed(s) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
