Test: the answering server of the connection tests waits 10 ms

TestServerWithTooManyConnectionsHasNotEnded failed in 7 of 20 runs with the race detector at: a connection is kept only if the writer of the request is known to be done before the answer is read, and the answer came at once. 40 of 40 pass now, also of TestServerThatClosesConnectionsSlowlyHasEnded, which failed in 3 of 20 for the same reason.

--- a/internal/backend/direct/conn_test.go
+++ b/internal/backend/direct/conn_test.go
@@ -54,6 +54,8 @@
 		if _, err := http.ReadRequest(br); err != nil {
 			return
 		}
+		// A connection is kept only if its request was sent before the answer came.
+		time.Sleep(10 * time.Millisecond)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	}
 }
