Answers: the end of a long answer without framing is checked too

What callers saw: answers of more than 64 KiB that end with their connection, complete with less than half of their bytes, once their server was killed. Cause: only answers that fit into the buffer were checked; of longer ones the end of the connection was taken for the end of the answer. Change: the check is made at the end of these too. Their bytes are passed on as they arrive, only the end waits; if the server is not alive, the caller's connection is cut. Why it works: what was passed on has no end for the caller before the check.

--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -152,7 +152,7 @@
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
 	if err == nil && len(data) == bufferedAnswerBytes {
-		err = j.caller.Copy(s.ans.Body, func() {})
+		err = g.forwardRest(j, s)
 	}
 	o := place.OutcomeOK
 	if s.ans.Status >= http.StatusInternalServerError {
@@ -171,6 +171,17 @@
 	return true
 }
 
+// forwardRest forwards what follows the first bufferedAnswerBytes of an answer.
+func (g *Gateway) forwardRest(j *job, s *send) error {
+	if err := j.caller.Copy(s.ans.Body, func() {}); err != nil {
+		return err
+	}
+	if g.cutUnframed(s) {
+		return errTruncated
+	}
+	return nil
+}
+
 // answered logs and counts a request that a server has answered. whole is set if
 // the caller received the whole answer.
 func (g *Gateway) answered(j *job, s *send, whole bool) {
