Callers: a close does not cut a request that is being handled

Cause: http.Server.Shutdown looks at the state of a connection and closes it if it was idle then. Change: the connection knows from the handler's first to its last moment that a request is handled, and ignores a close then; net/http closes it after the answer. The end of a stop waits for these requests too, and cuts what is left. The instant itself was not provoked with a real Shutdown.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -175,10 +175,15 @@
 }
 
 // Close closes the connection, after an answer as CloseWrite does. A request that has begun to
-// arrive and will not be handled is answered first. Close does not block.
+// arrive and will not be handled is answered first. While a request is handled, Close does nothing
+// before Listener.Cut: the HTTP server closes the connection again when the handler has returned.
+// Close does not block.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase.State == Handled && !c.ln.cut.Load() {
+		return nil
+	}
 	if c.phase.Unanswered() && !c.answered && !c.broken && !c.closed {
 		c.refuse(http.StatusServiceUnavailable, "ending")
 	}
--- a/internal/caller/callerconn/listener.go
+++ b/internal/caller/callerconn/listener.go
@@ -24,9 +24,12 @@
 // Listener accepts the connections of callers.
 type Listener struct {
 	net.Listener
-	clock           clock.Clock
-	limits          func() Limits
-	open, lingering atomic.Int64
+	clock  clock.Clock
+	limits func() Limits
+	// handling and lingering count the open connections with a request that is handled, and those
+	// that are being closed.
+	open, handling, lingering atomic.Int64
+	cut                       atomic.Bool
 }
 
 // NewListener returns a Listener that accepts the connections of ln. limits returns the limits in
@@ -55,8 +58,15 @@
 	srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) }
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.enter(Handled) {
-			panic(http.ErrAbortHandler) // closed in the meantime, and answered as not run
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if !c.enter(Handled) {
+				panic(http.ErrAbortHandler) // closed in the meantime, and answered as not run
+			}
+			l.handling.Add(1)
+			defer func() {
+				c.enter(Returned)
+				l.handling.Add(-1)
+			}()
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -76,8 +86,13 @@
 // Open returns the number of open connections, with those that are being closed.
 func (l *Listener) Open() int { return int(l.open.Load()) }
 
-// Wait returns when no connection is being closed any more, or when ctx ends.
+// Cut makes closing a connection end it also while the handler has a request of it. Before, such a
+// connection stays open until the handler has returned: the HTTP server may take it for idle.
+func (l *Listener) Cut() { l.cut.Store(true) }
+
+// Wait returns when no request is handled and no connection is being closed any more, or when ctx
+// ends.
 func (l *Listener) Wait(ctx context.Context) {
-	for l.lingering.Load() > 0 && l.clock.Sleep(ctx, waitInterval) == nil {
+	for l.handling.Load()+l.lingering.Load() > 0 && l.clock.Sleep(ctx, waitInterval) == nil {
 	}
 }
--- a/internal/caller/callerconn/phase.go
+++ b/internal/caller/callerconn/phase.go
@@ -22,11 +22,12 @@
 
 // The states, in the order in which a request passes through them.
 const (
-	Idle    State = iota // nothing of the next request has arrived
-	Head                 // a part of a request's head has arrived
-	Read                 // the HTTP server has read a head, or has given up on it
-	Handled              // the handler has the request
-	Closing              // a request was refused unread, nothing more is read or written
+	Idle     State = iota // nothing of the next request has arrived
+	Head                  // a part of a request's head has arrived
+	Read                  // the HTTP server has read a head, or has given up on it
+	Handled               // the handler has the request
+	Returned              // the handler has returned
+	Closing               // a request was refused unread, nothing more is read or written
 )
 
 // Phase is a state of a connection with the time of its beginning. It is immutable.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -189,6 +189,7 @@
 		e.log.WithField("event", "drainTimeout").Warn(err)
 	}
 	e.callerLn.Wait(ctx)
+	e.callerLn.Cut()
 }
 
 // watchConfig, after each configuration change, ends the requests of withdrawn API
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -217,9 +217,11 @@
 	// After a drain, the connections of callers outlive the other tasks; see finishAnswers.
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
+	defer g.callerLn.Cut()
 	serveCallers := func(ctx context.Context, srv *http.Server) error {
 		defer context.AfterFunc(ctx, func() {
 			if !g.draining.Load() {
+				g.callerLn.Cut()
 				stopServing()
 			}
 		})()
@@ -231,6 +233,7 @@
 		g.drain(srv)
 		stop()
 		g.finishAnswers(srv)
+		g.callerLn.Cut()
 		stopServing()
 	})
 	defer stopDrain()
