Commands: roles with a settings file share their start

Cause: entry and sidecar had the same twenty lines; two comments told too much. Change: settingsFlag.start; the comments say what the values are for. Measured: the tests of internal/proof/startup and internal/cli pass.

--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -30,14 +30,35 @@
 	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"settings in JSON with comments"`
 }
 
-// load reads the settings and sets up the log.
-func (s settingsFlag) load(o output) (settings.File, roleLog, error) {
-	f, err := settings.Load(s.Settings)
-	if err != nil {
-		return f, roleLog{}, err
+// start starts a role with open, which gets the settings, and returns the role's log; nil if there is
+// nothing to run.
+func (s settingsFlag) start(sig signals.Caught, o output, open func(f settings.File, log *logrus.Logger) error) (*roleLog, error) {
+	var f settings.File
+	var log *roleLog
+	started, err := start(sig, o.err, func() (err error) {
+		if f, err = settings.Load(s.Settings); err != nil {
+			return err
+		}
+		if log, err = newRoleLog(o.err, f.LogLevel); err != nil {
+			return err
+		}
+		return open(f, log.Logger)
+	}, func() clock.Millis { return drainTime(f) })
+	if !started {
+		return nil, err
 	}
-	log, err := newRoleLog(o.err, f.LogLevel)
-	return f, log, err
+	return log, nil
+}
+
+// drainTime returns the longest time for which a role with these settings drains.
+func drainTime(f settings.File) clock.Millis {
+	switch {
+	case f.Entry != nil:
+		return f.Entry.DrainMs
+	case f.Sidecar != nil:
+		return f.Sidecar.DrainMs
+	}
+	return 0
 }
 
 // roleLog is the log of a role, with the sink that writes its lines.
@@ -46,9 +67,12 @@
 	sink *logging.Sink
 }
 
-func newRoleLog(w io.Writer, level string) (roleLog, error) {
+func newRoleLog(w io.Writer, level string) (*roleLog, error) {
 	log, sink, err := logging.NewBounded(w, level, logging.Unlimited)
-	return roleLog{log, sink}, err
+	if err != nil {
+		return nil, err
+	}
+	return &roleLog{log, sink}, nil
 }
 
 // check reads the settings and reports whether they are accepted.
@@ -72,21 +96,11 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
-	var log roleLog
-	var drain clock.Millis
-	started, err := start(sig, c.o.err, func() error {
-		f, l, err := c.load(c.o)
-		if err != nil {
-			return err
-		}
-		if f.Entry != nil {
-			drain = f.Entry.DrainMs
-		}
-		log = l
-		e, err = process.NewEntry(f, log.Logger)
+	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
+		e, err = process.NewEntry(f, log)
 		return err
-	}, func() clock.Millis { return drain })
-	if !started {
+	})
+	if log == nil {
 		return err
 	}
 	defer log.sink.Start()()
@@ -114,21 +128,11 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
-	var log roleLog
-	var drain clock.Millis
-	started, err := start(sig, c.o.err, func() error {
-		f, l, err := c.load(c.o)
-		if err != nil {
-			return err
-		}
-		if f.Sidecar != nil {
-			drain = f.Sidecar.DrainMs
-		}
-		log = l
-		s, err = process.NewSidecar(f, log.Logger)
+	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
+		s, err = process.NewSidecar(f, log)
 		return err
-	}, func() clock.Millis { return drain })
-	if !started {
+	})
+	if log == nil {
 		return err
 	}
 	defer log.sink.Start()()
--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -60,7 +60,8 @@
 }
 
 // WithFailure returns the state after an attempt at time now that met obstacle o, and what to do.
-// Obstacles that alternate are waited for as long as both together. grace is the longest time for which a process of this role goes on after its stop signal.
+// grace is the longest time for which a process of this role goes on after its stop signal.
+// Obstacles that alternate are waited for as long as both together.
 func (s State) WithFailure(now clock.Millis, o Obstacle, grace clock.Millis) (State, Decision) {
 	if !s.waiting {
 		s = State{waiting: true, obstacle: o, sinceMs: now, firstMs: now}
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -24,8 +24,7 @@
 	endingTimeout = 300 * time.Millisecond
 	// endingSettle is how long a new connection to a server has to stay open after a request broke
 	// off there, and unframedSettle after an answer without framing ended: nothing else tells
-	// whether that answer is whole. A killed process with up to 150 connections closes its listener
-	// within 9 ms of one of them, also on a busy processor.
+	// whether that answer is whole. The listener of a process that ends is closed among the last.
 	endingSettle   = 20 * time.Millisecond
 	unframedSettle = 50 * time.Millisecond
 	// endingRecheck is when a server that accepted a connection after a request had broken off
