--- /dev/null
+++ b/internal/proof/startup/address_test.go
@@ -0,0 +1,112 @@
+package startup_test
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// TestConnectionAtAnAddressDoesNotEndStart guards against processes that end because a connection, open or
+// in TIME_WAIT, has one of their addresses for longer than the process before could.
+func TestConnectionAtAnAddressDoesNotEndStart(t *testing.T) {
+	t.Parallel()
+	const longest = (graceS + 3) * time.Second // that the process before may have it
+	eachRole(t, allRoles, func(t *testing.T, s *server) {
+		t.Parallel()
+		for _, c := range []struct {
+			name   string
+			frees  time.Duration // the time until the system frees the address
+			linger int           // of its socket, in seconds; 0 leaves no TIME_WAIT
+		}{{"open", 0, 0}, {"closed", 60 * time.Second, -1}} {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				s := newServer(t, s.role)
+				conn := connectFrom(t, s.lastAddr)
+				if err := conn.SetLinger(c.linger); err != nil {
+					t.Fatal(err)
+				}
+				if c.frees > 0 {
+					_ = conn.Close()
+				}
+				p := s.start(t)
+				for end := time.Now().Add(longest + 2*time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					if p.Exited() {
+						t.Fatalf("ended with status %d while a connection had its address", p.WaitExit())
+					}
+				}
+				_ = conn.Close()
+				for end := time.Now().Add(c.frees); !started.MatchString(p.Log()) && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				}
+				awaitStart(t, p)
+			})
+		}
+	})
+}
+
+// connectFrom returns a connection that has the local address addr.
+func connectFrom(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	local, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", net.JoinHostPort(local.IP.String(), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	conn, err := net.DialTCP("tcp", local, ln.Addr().(*net.TCPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { // the end that closes first is left in TIME_WAIT
+		_, _ = far.Read(make([]byte, 1))
+		_ = far.Close()
+	}()
+	return conn
+}
+
+// TestOutgoingConnectionHoldsNoAddress guards against processes that cannot start because an outgoing
+// connection of another one got their address.
+func TestOutgoingConnectionHoldsNoAddress(t *testing.T) {
+	t.Parallel()
+	for _, role := range []string{"gateway", "entry"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		s := newServerAt(t, role, ln.Addr().String())
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			s.start(t)
+			conns, end := 0, time.Now().Add(startTime)
+			for {
+				_ = ln.(*net.TCPListener).SetDeadline(end)
+				c, err := ln.Accept()
+				if err != nil {
+					break
+				}
+				defer c.Close()
+				if conns++; conns == 1 {
+					end = time.Now().Add(3 * time.Second)
+				}
+				addr := c.RemoteAddr().String()
+				taken, err := net.Listen("tcp", addr)
+				if err != nil {
+					t.Errorf("an open connection of the process holds %s: %v", addr, err)
+					continue
+				}
+				_ = taken.Close()
+			}
+			if conns == 0 {
+				t.Errorf("no connection within %v", startTime)
+			}
+		})
+	}
+}
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -33,18 +33,25 @@
 type server struct {
 	role string
 	path string // of the settings file
-	// addrs are the fixed addresses by setting. The platform is at one where nothing listens.
+	// addrs are the fixed addresses by setting.
 	addrs    map[string]string
+	platform string // the address of the platform
 	lastAddr string // that the role listens on
 	text     []byte // of the settings file
 }
 
 var started = regexp.MustCompile(`event=start `)
 
-// newServer writes the settings of a role.
+// newServer writes the settings of a role. Its platform is at an address where nothing listens.
 func newServer(t *testing.T, role string) *server {
 	t.Helper()
-	s := &server{role: role, path: filepath.Join(t.TempDir(), "settings.json"), addrs: map[string]string{}}
+	return newServerAt(t, role, cluster.FixedAddr(0, 0))
+}
+
+// newServerAt writes the settings of a role with the platform at an address.
+func newServerAt(t *testing.T, role, platform string) *server {
+	t.Helper()
+	s := &server{role: role, path: filepath.Join(t.TempDir(), "settings.json"), addrs: map[string]string{}, platform: platform}
 	names := map[string][]string{
 		"gateway": {"callerAddr", "readyAddr", "controlAddr", "metricsAddr"},
 		"entry":   {"callerAddr", "adminAddr"},
@@ -63,26 +70,25 @@
 
 func (s *server) settings(t *testing.T) []byte {
 	t.Helper()
-	absent := cluster.FixedAddr(0, 0)
 	var v any
 	switch s.role {
 	case "gateway":
 		v = map[string]any{
 			"role": "gateway", "name": "g0", "zone": "a",
 			"callerAddr": s.addrs["callerAddr"], "readyAddr": s.addrs["readyAddr"], "controlAddr": s.addrs["controlAddr"], "metricsAddr": s.addrs["metricsAddr"],
-			"store": map[string]any{"addr": absent}, "duties": map[string]any{"addr": absent}, "bounds": map[string]any{"graceS": graceS},
+			"store": map[string]any{"addr": s.platform}, "duties": map[string]any{"addr": s.platform}, "bounds": map[string]any{"graceS": graceS},
 		}
 	case "entry", "sidecar":
 		f := settings.Defaults(settings.Role(s.role))
 		f.Name, f.Zone = "p0", "a"
-		f.Platform.LogURL, f.Platform.CapacityURL = "http://"+absent, "http://"+absent
-		f.Platform.UsageURL, f.Platform.InstancesURL = "http://"+absent, "http://"+absent
+		f.Platform.LogURL, f.Platform.CapacityURL = "http://"+s.platform, "http://"+s.platform
+		f.Platform.UsageURL, f.Platform.InstancesURL = "http://"+s.platform, "http://"+s.platform
 		if f.Entry != nil {
 			f.Entry.CallerAddr, f.Entry.AdminAddr, f.Entry.DrainMs = s.addrs["callerAddr"], s.addrs["adminAddr"], graceS*1000
 		}
 		if f.Sidecar != nil {
 			f.Sidecar.ControlAddr, f.Sidecar.DataAddr, f.Sidecar.AdminAddr = s.addrs["controlAddr"], s.addrs["dataAddr"], s.addrs["adminAddr"]
-			f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots, f.Sidecar.DrainMs = "booking", "http://"+absent, 4, graceS*1000
+			f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots, f.Sidecar.DrainMs = "booking", "http://"+s.platform, 4, graceS*1000
 		}
 		v = f
 	default:
