TCP: outgoing connections leave their local address to listeners

What operators saw: gateways that end with status 1, or never serve, because an address of theirs is taken. Cause: the system gives outgoing connections ports from the range that addresses are drawn from, and without SO_REUSEADDR on that socket nothing can listen there while it is open and for 60 s of TIME_WAIT. Change: one package opens all of them, with the option set, in all roles.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -19,6 +19,7 @@
 
 	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -92,13 +93,8 @@
 }
 
 func dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return setUnackedTimeout(c, unackedTimeout)
-		},
-	}
+	d := tcp.NewDialer(dialTimeout, unackedOption(unackedTimeout))
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &NotSentError{err}
@@ -107,17 +103,12 @@
 	return &conn{Conn: c, headerLimit: limit, br: bufio.NewReaderSize(limit, readBufferBytes), bw: bufio.NewWriter(c), idleTimeoutMs: defaultIdleTimeout}, nil
 }
 
-// setUnackedTimeout sets the time after which a connection whose peer does not acknowledge data is
+// unackedOption sets the time after which a connection whose peer does not acknowledge data is
 // closed; 0 for none.
-func setUnackedTimeout(c syscall.RawConn, d time.Duration) error {
-	var optErr error
-	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
-	})
-	if err != nil {
-		return err
+func unackedOption(d time.Duration) tcp.Option {
+	return func(fd int) error {
+		return errors.Wrap(unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond)), "set TCP_USER_TIMEOUT")
 	}
-	return optErr
 }
 
 // expectBody turns unackedTimeout on or off for a request with a body of n bytes; see windowBytes.
@@ -136,7 +127,7 @@
 		d = 0
 	}
 	c.lateReader = late
-	return setUnackedTimeout(raw, d)
+	return tcp.Set(raw, unackedOption(d))
 }
 
 // alive reports whether an idle connection is open and has no data to read. Data that
--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/damaskport/damaskport/internal/backend/attempt"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 // Request headers that the sidecar sets for its engine.
@@ -67,7 +67,7 @@
 // New returns a Client of the engine with the base URL base. It keeps up to idle
 // connections open for reuse. dialTimeout bounds the time to open a connection.
 func New(base string, dialTimeout time.Duration, idle int) *Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := tcp.NewDialer(dialTimeout)
 	return &Client{
 		baseURL: base, attempts: attempt.New(d.DialContext, idle),
 		control: &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})},
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/damaskport/damaskport/internal/backend/attempt"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 // Request headers that the sidecar sets for the service.
@@ -51,7 +52,7 @@
 // New returns a Client of the service with the base URL base. dialTimeout bounds the time
 // to open a connection.
 func New(base string, dialTimeout time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := tcp.NewDialer(dialTimeout)
 	return &Client{baseURL: strings.TrimSuffix(base, "/"), attempts: attempt.New(dialer.DialContext, maxIdleConns)}
 }
 
--- a/internal/platform/fenced/fenced.go
+++ b/internal/platform/fenced/fenced.go
@@ -23,6 +23,7 @@
 	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 // maxAnswerBytes bounds the body of an answer.
@@ -108,14 +109,14 @@
 // sent at the first one.
 func dialer(g Guard, sent *atomic.Bool) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		c, err := tcp.NewDialer(0).DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tc, ok := c.(*net.TCPConn); ok {
 			// With a linger time of 0, closing discards data that the kernel has not
 			// sent yet.
-			if err := tcp.SetLinger(0); err != nil {
+			if err := tc.SetLinger(0); err != nil {
 				c.Close()
 				return nil, err
 			}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -23,6 +22,7 @@
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -108,7 +108,7 @@
 // newDataClient returns a client for the data connections to sidecars; if single is
 // true, each request opens a new connection.
 func newDataClient(single bool) *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := tcp.NewDialer(dialTimeout)
 	return &http.Client{Transport: http1.Transport(&http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
 		DisableKeepAlives: single,
--- a/internal/role/entry/peer.go
+++ b/internal/role/entry/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
 	"github.com/damaskport/damaskport/internal/platform/membership"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -67,7 +67,7 @@
 // session dials the sidecar, says hello and exchanges heartbeats until the connection
 // ends, and returns why it ended.
 func (p *peer) session(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := tcp.NewDialer(dialTimeout)
 	conn, err := d.DialContext(ctx, "tcp", p.instance.Address)
 	if err != nil {
 		return err
--- a/internal/role/gateway/peertable.go
+++ b/internal/role/gateway/peertable.go
@@ -16,6 +16,7 @@
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/policy/route"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
@@ -159,7 +160,7 @@
 		t.g.queueHost.Serve(ctx, far)
 		return near, nil
 	}
-	d := net.Dialer{Timeout: peerDialTimeout.Duration()}
+	d := tcp.NewDialer(peerDialTimeout.Duration())
 	return d.DialContext(ctx, "tcp", p.addr)
 }
 
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -23,6 +22,7 @@
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/claim"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -46,7 +46,7 @@
 // platformHTTP returns a client with keep-alive connections and limits that leave room
 // for a long poll of readWait; callers set shorter deadlines where they need them.
 func platformHTTP(timeout clock.Millis) *http.Client {
-	d := &net.Dialer{Timeout: timeout.Duration()}
+	d := tcp.NewDialer(timeout.Duration())
 	return &http.Client{
 		Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()}),
 		Timeout:   (readWait + 2*timeout).Duration(),
@@ -56,7 +56,7 @@
 // singleHTTP returns a client that opens a connection for each call, so that a
 // connection that no longer responds is never reused.
 func singleHTTP(timeout clock.Millis) *http.Client {
-	d := &net.Dialer{Timeout: timeout.Duration()}
+	d := tcp.NewDialer(timeout.Duration())
 	return &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true})}
 }
 
