Servers: a back-off holds for the start that asked for it, listed or not

Cause: a server that has just started anew at its address asks for a back-off; the gateway keeps it for the start that is listed, and forgets it as the list shows the new one. Draining notices had a proof by the list, back-offs had none. Change: a notice that the list cannot assign yet holds both; until then a back-off applies to each start that may have sent it.

--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -39,20 +39,22 @@
 	key := servers.Key{ID: e.ID, Start: e.Start}
 	g.logMalformed(now, e.ID, r.Malformed)
 	g.applyLimit(now, key, r, used)
+	unproved := servers.Unproved{NeededMs: versions.ListNeeded(openedMs), SentMs: g.clock.Wall(), Draining: r.Draining}
 	if r.BackOffMs > 0 {
 		until := g.fleet.setBackOff(now, key, r.BackOffMs)
+		unproved.BackOffUntilMs = until
 		p.withTable(func(t *place.ServerTable) { t.Exclude(e.ID, until) })
 		g.peers.dropWaiting(e.ID)
 		g.metrics.countNotice("pause")
 		g.log.WithFields(logrus.Fields{"event": "serverPauses", "server": e.ID, "start": e.Start, "pauseMs": int64(r.BackOffMs), "forMs": int64(until - now)}).Info()
 	}
+	if (r.Draining || r.BackOffMs > 0) && g.fleet.startsAsOf() < unproved.NeededMs {
+		g.fleet.markUnproved(e.ID, unproved)
+	}
 	if !r.Draining {
 		return
 	}
 	g.serverDrains(now, key, "answer")
-	if needed := versions.ListNeeded(openedMs); g.fleet.startsAsOf() < needed {
-		g.fleet.markUnproved(e.ID, needed, g.clock.Wall())
-	}
 	if r.WrongServer && r.ServerID != "" && r.ServerID != e.ID {
 		// Another server has this address now, and the notice is about that server.
 		g.serverDrains(now, servers.Key{ID: r.ServerID, Start: g.fleet.currentStart(r.ServerID)}, "answer")
@@ -238,11 +240,11 @@
 	return v.notices.BackOffUntil(k)
 }
 
-// markUnproved records a draining notice of which it is not known which start sent it.
-func (v *fleetView) markUnproved(id string, needed, wall clock.Millis) {
+// markUnproved records a notice of which it is not known which start sent it.
+func (v *fleetView) markUnproved(id string, u servers.Unproved) {
 	v.noticeMu.Lock()
 	defer v.noticeMu.Unlock()
-	v.notices.MarkUnproved(id, needed, wall)
+	v.notices.MarkUnproved(id, u)
 }
 
 // proveNotices returns the starts that sent draining notices, as the list now shows.
--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -29,16 +29,28 @@
 type Notices struct {
 	draining map[string]drainNotice
 	backOffs map[Key]clock.Millis
-	// unproved are the draining notices by server of which it is not known which start sent
-	// them.
-	unproved map[string]unprovedNotice
+	// unproved are the notices by server of which it is not known which start sent them.
+	unproved map[string]Unproved
 }
 
-// unprovedNotice is a draining notice on a connection that was opened after the list of servers
-// was read: it may come from a later start than the listed one.
-type unprovedNotice struct {
-	neededMs clock.Millis // as of when a list shows which start sent the notice
-	sentMs   clock.Millis // when the notice arrived, in Unix ms
+// Unproved is a notice on a connection that was opened after the list of servers was read: it may
+// come from a later start than the listed one.
+type Unproved struct {
+	NeededMs clock.Millis // as of when a list shows which start sent the notice
+	SentMs   clock.Millis // when the notice arrived, in Unix ms
+	Draining bool
+	// BackOffUntilMs is the end of the back-off that the server asked for; 0 for none.
+	BackOffUntilMs clock.Millis
+}
+
+// mayBeOf reports whether a start, in Unix ms, may have sent u: a later one did not.
+func (u Unproved) mayBeOf(start int64) bool { return start != 0 && clock.Millis(start) <= u.SentMs }
+
+// with returns both u and the later notice next of the same server.
+func (u Unproved) with(next Unproved) Unproved {
+	next.Draining = next.Draining || u.Draining
+	next.BackOffUntilMs = max(next.BackOffUntilMs, u.BackOffUntilMs)
+	return next
 }
 
 // drainNotice is the draining notice of the latest start in which a server sent one.
@@ -49,7 +61,7 @@
 
 // NewNotices returns empty Notices.
 func NewNotices() *Notices {
-	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}, unproved: map[string]unprovedNotice{}}
+	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}, unproved: map[string]Unproved{}}
 }
 
 // MarkDraining records that a server sent a draining notice in the start k.Start, and
@@ -63,23 +75,27 @@
 	return true
 }
 
-// MarkUnproved records that a server sent a draining notice at wall, in Unix ms, on a connection
-// of which a list as of needed shows to which start it leads.
-func (n *Notices) MarkUnproved(id string, needed, wall clock.Millis) {
-	n.unproved[id] = unprovedNotice{needed, wall}
-}
+// MarkUnproved records a notice of a server. A back-off in it applies to each start that may have sent it.
+func (n *Notices) MarkUnproved(id string, u Unproved) { n.unproved[id] = n.unproved[id].with(u) }
 
-// Prove returns the starts that sent the unproved notices that a list as of a time proves.
-// starts holds the listed starts by server id. A start after the notice did not send it.
+// Prove finds the starts that sent the unproved notices that a list as of a time proves, and returns
+// those that drain. starts holds the listed starts by server id.
 func (n *Notices) Prove(asOf clock.Millis, starts map[string]int64) []Key {
 	var out []Key
 	for id, u := range n.unproved {
-		if asOf < u.neededMs {
+		if asOf < u.NeededMs {
 			continue
 		}
 		delete(n.unproved, id)
-		if start := starts[id]; start != 0 && clock.Millis(start) <= u.sentMs {
-			out = append(out, Key{id, start})
+		if !u.mayBeOf(starts[id]) {
+			continue
+		}
+		k := Key{id, starts[id]}
+		if u.Draining {
+			out = append(out, k)
+		}
+		if u.BackOffUntilMs > 0 {
+			n.backOffs[k] = max(n.backOffs[k], u.BackOffUntilMs)
 		}
 	}
 	return out
@@ -115,7 +131,12 @@
 
 // BackOffUntil returns the time at which the back-off of a server ends; 0 or a time in
 // the past if none applies.
-func (n *Notices) BackOffUntil(k Key) clock.Millis { return n.backOffs[k] }
+func (n *Notices) BackOffUntil(k Key) clock.Millis {
+	if u := n.unproved[k.ID]; u.mayBeOf(k.Start) {
+		return max(n.backOffs[k], u.BackOffUntilMs)
+	}
+	return n.backOffs[k]
+}
 
 // Sweep drops the back-offs that have ended, and the draining notices of servers that
 // have not been in the server list for more than unlistedKeepMs. The function listed
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -233,11 +233,11 @@
 
 func TestProveNotices(t *testing.T) {
 	n := servers.NewNotices()
-	n.MarkUnproved("same", 1000, 50_000)
-	n.MarkUnproved("anew", 1000, 50_000)
-	n.MarkUnproved("later", 1000, 50_000)
-	n.MarkUnproved("gone", 1000, 50_000)
-	n.MarkUnproved("fresh", 3000, 52_000)
+	early := servers.Unproved{NeededMs: 1000, SentMs: 50_000, Draining: true}
+	for _, id := range []string{"same", "anew", "later", "gone"} {
+		n.MarkUnproved(id, early)
+	}
+	n.MarkUnproved("fresh", servers.Unproved{NeededMs: 3000, SentMs: 52_000, Draining: true})
 	starts := map[string]int64{"same": 10_000, "anew": 49_000, "later": 51_000, "fresh": 51_500}
 	if got := n.Prove(999, starts); len(got) != 0 {
 		t.Errorf("an older list proves %v", got)
@@ -252,3 +252,22 @@
 		t.Errorf("a notice is proved twice: %v", got)
 	}
 }
+
+// TestBackOffIsOfEachStartThatMayHaveAsked guards against a back-off that is forgotten, or kept for a later start.
+func TestBackOffIsOfEachStartThatMayHaveAsked(t *testing.T) {
+	n := servers.NewNotices()
+	n.MarkUnproved("s", servers.Unproved{NeededMs: 1000, SentMs: 50_000, BackOffUntilMs: 4000})
+	ends := func() []clock.Millis {
+		return []clock.Millis{n.BackOffUntil(servers.Key{ID: "s", Start: 10_000}), n.BackOffUntil(servers.Key{ID: "s", Start: 50_000}), n.BackOffUntil(servers.Key{ID: "s", Start: 50_001})}
+	}
+	if diff := cmp.Diff([]clock.Millis{4000, 4000, 0}, ends()); diff != "" {
+		t.Errorf("ends before the list shows who asked (-want +got):\n%s", diff)
+	}
+	n.MarkUnproved("s", servers.Unproved{NeededMs: 1500, SentMs: 51_000, Draining: true})
+	if diff := cmp.Diff([]servers.Key{{ID: "s", Start: 50_000}}, n.Prove(1500, map[string]int64{"s": 50_000})); diff != "" {
+		t.Errorf("starts that drain (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]clock.Millis{0, 4000, 0}, ends()); diff != "" {
+		t.Errorf("ends once it is shown (-want +got):\n%s", diff)
+	}
+}
