Servers: a notice of a server that is not listed for a while is kept

Change: it is kept until the server is listed, as long as other draining notices are. The new case of TestProveNotices failed before: the start was not among those that drain.

--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -79,11 +79,12 @@
 func (n *Notices) MarkUnproved(id string, u Unproved) { n.unproved[id] = n.unproved[id].with(u) }
 
 // Prove finds the starts that sent the unproved notices that a list as of a time proves, and returns
-// those that drain. starts holds the listed starts by server id.
+// those that drain. starts holds the listed starts by server id. The notice of a server that is not
+// listed is kept, as those that Draining reports are.
 func (n *Notices) Prove(asOf clock.Millis, starts map[string]int64) []Key {
 	var out []Key
 	for id, u := range n.unproved {
-		if asOf < u.NeededMs {
+		if asOf < u.NeededMs || starts[id] == 0 {
 			continue
 		}
 		delete(n.unproved, id)
@@ -138,7 +139,7 @@
 	return n.backOffs[k]
 }
 
-// Sweep drops the back-offs that have ended, and the draining notices of servers that
+// Sweep drops the back-offs that have ended, and the draining and unproved notices of servers that
 // have not been in the server list for more than unlistedKeepMs. The function listed
 // reports whether a server is in the list.
 func (n *Notices) Sweep(now clock.Millis, listed func(id string) bool) {
@@ -147,6 +148,11 @@
 			delete(n.backOffs, k)
 		}
 	}
+	for id, u := range n.unproved {
+		if now-u.NeededMs > unlistedKeepMs {
+			delete(n.unproved, id)
+		}
+	}
 	for id, notice := range n.draining {
 		switch {
 		case listed(id):
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -251,6 +251,10 @@
 	if got := n.Prove(2000, map[string]int64{"later": 49_000}); len(got) != 0 {
 		t.Errorf("a notice is proved twice: %v", got)
 	}
+	again := map[string]int64{"gone": 49_000}
+	if diff := cmp.Diff([]servers.Key{{ID: "gone", Start: 49_000}}, n.Prove(2500, again)); diff != "" {
+		t.Errorf("a server that was not listed for a while (-want +got):\n%s", diff)
+	}
 }
 
 // TestBackOffIsOfEachStartThatMayHaveAsked guards against a back-off that is forgotten, or kept for a later start.
