Start: a taken address is waited for without end

An address that something on the machine has was waited for for the grace period and 3 s, though a connection has it for as long as it lives and 60 s more. The start then ended with status 1, and the platform started the process again. Now policy/startup knows a taken address (no end of the wait, tries each 50 ms, each 0.5 s once the process before cannot have it any more), one that the machine lacks (bounded as before) and alternating ones (only the time at bounded obstacles counts). The log tells of the wait at first, each 10 s, and when the reason changes, at most once a second.

--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -2,8 +2,11 @@
 //
 // A process starts from the moment at which it runs until it listens on all its addresses. What it
 // lacks then is often on its way: the settings file is being written, or the process before still
-// has an address in its grace period. It waits for such things for a bounded time; anything else
-// ends it at once.
+// has an address in its grace period. What else has an address may have it for longer: a connection
+// for as long as it lives and a minute after that, and nobody can tell when another process ends.
+// An end would change none of this, as the platform only starts the process again: a taken address is
+// waited for without end, other things for a bounded time, and a wrong setting ends the process at
+// once.
 package startup
 
 import "github.com/damaskport/damaskport/internal/runtime/clock"
@@ -17,8 +20,10 @@
 	Permanent Obstacle = iota
 	// IncompleteSettings is a settings file that is absent, empty or ends early.
 	IncompleteSettings
-	// HeldAddress is an address that another process has, or that the machine does not have yet.
-	HeldAddress
+	// MissingAddress is an address that the machine does not have (yet).
+	MissingAddress
+	// TakenAddress is an address that another process or a connection has.
+	TakenAddress
 )
 
 // String returns the obstacle as it appears in the log.
@@ -26,7 +31,9 @@
 	switch o {
 	case IncompleteSettings:
 		return "settings"
-	case HeldAddress:
+	case MissingAddress:
+		return "missingAddress"
+	case TakenAddress:
 		return "address"
 	default:
 		return "nothing"
@@ -34,12 +41,14 @@
 }
 
 const (
-	// retryEvery is the time between two attempts to start.
-	retryEvery = 50 * clock.Millisecond
+	// retryEvery is the time between two attempts to start while the process before may be in its
+	// way, and slowRetryEvery that after it.
+	retryEvery     = 50 * clock.Millisecond
+	slowRetryEvery = 500 * clock.Millisecond
 	// settingsWait is the longest wait for a complete settings file.
 	settingsWait = 5 * clock.Second
-	// addressMargin is how long beyond the grace period of the process before an address is waited
-	// for.
+	// addressMargin is how long beyond the grace period of the process before an address that the
+	// machine does not have is waited for.
 	addressMargin = 3 * clock.Second
 )
 
@@ -47,8 +56,11 @@
 type State struct {
 	waiting  bool
 	obstacle Obstacle
-	// sinceMs is when the process met the obstacle, and firstMs when it met the first one.
-	sinceMs, firstMs clock.Millis
+	// sinceMs is when the process met the obstacle, firstMs when it met the first one, and lastMs the
+	// time of the last attempt.
+	sinceMs, firstMs, lastMs clock.Millis
+	// boundedMs is the time spent at obstacles that are waited for for a bounded time.
+	boundedMs clock.Millis
 }
 
 // Decision says what a process does after an attempt to start that failed.
@@ -57,30 +69,50 @@
 	GiveUp bool
 	// RetryMs is the time to the next attempt otherwise.
 	RetryMs clock.Millis
-	// WaitedMs is the time since the first failure, and LeftMs the time until the process gives up if
-	// the obstacle stays.
-	WaitedMs, LeftMs clock.Millis
+	// WaitedMs is the time since the first failure.
+	WaitedMs clock.Millis
+	// Endless is set if the process never gives up while the obstacle stays; otherwise LeftMs is the
+	// time until it does.
+	Endless bool
+	LeftMs  clock.Millis
 }
 
 // WithFailure returns the state after an attempt at time now that met obstacle o, and what to do.
 // grace is the longest time for which a process of this role goes on after its stop signal.
-// Obstacles that alternate are waited for as long as both together.
+//
+// Of obstacles that alternate, each stay has the bound of its obstacle, and all stays at bounded ones
+// together have the sum of the bounds. The time at a taken address counts for neither.
 func (s State) WithFailure(now clock.Millis, o Obstacle, grace clock.Millis) (State, Decision) {
 	if !s.waiting {
-		s = State{waiting: true, obstacle: o, sinceMs: now, firstMs: now}
+		s = State{waiting: true, obstacle: o, sinceMs: now, firstMs: now, lastMs: now}
+	}
+	if s.obstacle != TakenAddress {
+		s.boundedMs += now - s.lastMs
 	}
+	s.lastMs = now
 	if s.obstacle != o {
 		s.obstacle, s.sinceMs = o, now
 	}
-	endMs := min(s.sinceMs+longestWait(o, grace), s.firstMs+longestWait(IncompleteSettings, grace)+longestWait(HeldAddress, grace))
-	return s, Decision{GiveUp: now >= endMs, RetryMs: retryEvery, WaitedMs: now - s.firstMs, LeftMs: max(endMs-now, 0)}
+	d := Decision{RetryMs: retryEvery, WaitedMs: now - s.firstMs}
+	if d.WaitedMs >= grace+addressMargin {
+		d.RetryMs = slowRetryEvery
+	}
+	if o == TakenAddress {
+		d.Endless = true
+		return s, d
+	}
+	together := longestWait(IncompleteSettings, grace) + longestWait(MissingAddress, grace)
+	d.LeftMs = max(min(longestWait(o, grace)-(now-s.sinceMs), together-s.boundedMs), 0)
+	d.GiveUp = d.LeftMs == 0
+	return s, d
 }
 
+// longestWait returns the longest stay at an obstacle that is waited for for a bounded time.
 func longestWait(o Obstacle, grace clock.Millis) clock.Millis {
 	switch o {
 	case IncompleteSettings:
 		return settingsWait
-	case HeldAddress:
+	case MissingAddress:
 		return grace + addressMargin
 	default:
 		return 0
--- a/internal/role/process/start.go
+++ b/internal/role/process/start.go
@@ -29,7 +29,7 @@
 // before, and the error of Open if trying again is of no use.
 func (s Starter) Run() (started bool, err error) {
 	var state startup.State
-	logged := ""
+	var waits waitLog
 	for s.Signals.Stopped.Err() == nil {
 		done, err := s.attempt()
 		if !done {
@@ -44,9 +44,8 @@
 			s.Log.WithFields(logrus.Fields{"event": "startFailed", "for": obstacle, "waitedMs": d.WaitedMs}).Error(err)
 			return false, err
 		}
-		if err.Error() != logged {
-			logged = err.Error()
-			s.Log.WithFields(logrus.Fields{"event": "startWaits", "for": obstacle, "leftMs": d.LeftMs}).Warn(err)
+		if waits.due(s.Clock.Now(), err) {
+			s.Log.WithFields(waitFields(obstacle, d)).Warn(err)
 		}
 		_ = s.Clock.Sleep(s.Signals.Stopped, d.RetryMs)
 	}
@@ -54,6 +53,42 @@
 	return false, nil
 }
 
+const (
+	// waitLogEvery is the time after which a line about the same obstacle is repeated, and
+	// minWaitLogEvery the least time between two lines.
+	waitLogEvery    = 10 * clock.Second
+	minWaitLogEvery = 1 * clock.Second
+)
+
+// waitLog decides which failed attempts are logged: the first one, each that fails in another way, and
+// one now and then. The zero value has logged none.
+type waitLog struct {
+	last   string
+	lastMs clock.Millis
+}
+
+// due reports whether err, the failure of an attempt at time now, is to be logged now.
+func (w *waitLog) due(now clock.Millis, err error) bool {
+	wait := waitLogEvery
+	if err.Error() != w.last {
+		wait = minWaitLogEvery
+	}
+	if w.last != "" && now-w.lastMs < wait {
+		return false
+	}
+	w.last, w.lastMs = err.Error(), now
+	return true
+}
+
+// waitFields returns the fields of a line about a start that waits.
+func waitFields(o startup.Obstacle, d startup.Decision) logrus.Fields {
+	f := logrus.Fields{"event": "startWaits", "for": o, "waitedMs": d.WaitedMs}
+	if !d.Endless {
+		f["leftMs"] = d.LeftMs
+	}
+	return f
+}
+
 // attempt calls Open and returns its error. done is false if the process was stopped before Open
 // returned, which a settings file may hold up that cannot be read.
 func (s Starter) attempt() (done bool, err error) {
@@ -74,8 +109,11 @@
 	var addr *listen.Error
 	switch {
 	case errors.As(err, &addr):
-		if addr.Temporary() {
-			return startup.HeldAddress
+		if addr.Taken() {
+			return startup.TakenAddress
+		}
+		if addr.Missing() {
+			return startup.MissingAddress
 		}
 	case errors.As(err, &problems):
 		if problems.Syntax {
--- a/internal/runtime/listen/listen.go
+++ b/internal/runtime/listen/listen.go
@@ -29,11 +29,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Temporary reports whether the address may become available: another process has it, or the
-// machine does not have it yet.
-func (e *Error) Temporary() bool {
-	return errors.Is(e.Err, syscall.EADDRINUSE) || errors.Is(e.Err, syscall.EADDRNOTAVAIL)
-}
+// Taken reports whether something on the machine has the address: another process, or a connection,
+// open or in TIME_WAIT.
+func (e *Error) Taken() bool { return errors.Is(e.Err, syscall.EADDRINUSE) }
+
+// Missing reports whether the machine does not have the address, or not yet.
+func (e *Error) Missing() bool { return errors.Is(e.Err, syscall.EADDRNOTAVAIL) }
 
 // All listens on all addresses in their order, or on none and returns an *Error. The address of
 // callers should be the last one, so that no connection is accepted and then closed again.
