Start: what a process could have of its addresses stays its own

An attempt to start that failed closed what it had and opened all anew 50 ms later, so an address that was free could go to a connection meanwhile, which has it up to 60 s more. listen.Held keeps the sockets bound from one attempt to the next and doesn't listen on them: the system gives such an address to nobody, and a connection to it is refused as if there were no process, so no peer, balancer or caller waits for one that does not serve. It listens once it has all, callers last; what changed settings no longer name is released. Two addresses of one process that conflict are an error that ends the start, as both could be bound and never be listened on. A name that is not known yet is waited for for a bounded time, as an address that the machine lacks. Sockets are plain TCP, where the standard library may use multipath TCP.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/damaskport/damaskport/internal/role/gateway"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 	"github.com/damaskport/damaskport/platform"
@@ -56,6 +57,8 @@
 	log     *logrus.Logger
 	sink    *logging.Sink
 	gateway *gateway.Gateway
+	// addresses are kept over the attempts to start.
+	addresses listen.Held
 }
 
 // open reads the settings and opens the gateway's listeners.
@@ -73,6 +76,7 @@
 	p.gateway, err = gateway.New(cfg, gateway.Deps{
 		Log: p.log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
 		Dropped:       p.sink.Dropped,
+		Addresses:     &p.addresses,
 		Codec:         platform.Codec{},
 		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }),
 		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name),
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -11,6 +11,7 @@
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
@@ -96,8 +97,9 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
+	var held listen.Held
 	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		e, err = process.NewEntry(f, log)
+		e, err = process.NewEntry(f, log, &held)
 		return err
 	})
 	if log == nil {
@@ -128,8 +130,9 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
+	var held listen.Held
 	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		s, err = process.NewSidecar(f, log)
+		s, err = process.NewSidecar(f, log, &held)
 		return err
 	})
 	if log == nil {
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -4,6 +4,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/damaskport/damaskport/internal/role/solo"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -34,6 +35,7 @@
 	}
 	cfg := solo.Defaults()
 	cfg.CallerAddr, cfg.AdminAddr = c.CallerAddr, c.AdminAddr
+	cfg.Addresses = &listen.Held{}
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
 	var s *solo.Solo
 	started, err := start(sig, c.o.err, func() error {
--- a/internal/load/deployment/processes.go
+++ b/internal/load/deployment/processes.go
@@ -70,7 +70,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = d.nextName(kind), zone, d.platformSettings(), d.policy
 	f.Sidecar.ControlAddr, f.Sidecar.DataAddr, f.Sidecar.AdminAddr = loopback, loopback, loopback
 	f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots, f.Sidecar.DrainMs = pool, url, slots, drainMs
-	sc, err := process.NewSidecar(f, d.log)
+	sc, err := process.NewSidecar(f, d.log, nil)
 	if err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = d.nextName("entry"), d.zone(i), d.platformSettings(), d.policy
 	f.Entry.CallerAddr, f.Entry.AdminAddr, f.Entry.DrainMs = loopback, loopback, drainMs
 	f.Entry.Duties = true
-	e, err := process.NewEntry(f, d.log)
+	e, err := process.NewEntry(f, d.log, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proof/startup/address_test.go
+++ b/internal/proof/startup/address_test.go
@@ -136,3 +136,52 @@
 	}
 	return false
 }
+
+// TestWaitingStartKeepsItsAddresses guards against processes that lose an address to a connection while they
+// wait for another one, and against those that look as if they served meanwhile.
+func TestWaitingStartKeepsItsAddresses(t *testing.T) {
+	t.Parallel()
+	eachRole(t, allRoles, func(t *testing.T, s *server) {
+		t.Parallel()
+		for taken := range s.addrs {
+			t.Run(taken, func(t *testing.T) {
+				t.Parallel()
+				s := newServer(t, s.role)
+				ln, err := net.Listen("tcp", s.addrs[taken])
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				p := s.start(t)
+				for end := time.Now().Add(startTime); !strings.Contains(p.Log(), "event=startWaits"); time.Sleep(time.Millisecond) {
+					if p.Exited() || time.Now().After(end) {
+						t.Fatal("the process does not tell that it waits")
+					}
+				}
+				for range 300 {
+					for name, addr := range s.addrs {
+						if name == taken {
+							continue
+						}
+						local, err := net.ResolveTCPAddr("tcp", addr)
+						if err != nil {
+							t.Fatal(err)
+						}
+						if c, err := net.DialTCP("tcp", local, ln.Addr().(*net.TCPAddr)); err == nil {
+							_ = c.SetLinger(0)
+							_ = c.Close()
+							t.Fatalf("a connection took %s", name)
+						}
+						if c, err := net.DialTimeout("tcp", addr, time.Second); err == nil {
+							_ = c.Close()
+							t.Fatalf("%s accepts a connection", name)
+						}
+					}
+					time.Sleep(time.Millisecond)
+				}
+				_ = ln.Close()
+				awaitStart(t, p)
+			})
+		}
+	})
+}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	Clock     clock.Clock
 	Store     *config.Store
 	Instances InstanceLister
+	// Callers is the listener for callers; nil has New listen on the address in the settings.
+	Callers net.Listener
 	// Incarnation is an id of this start of the process, unique among all entries.
 	Incarnation string
 	// LogRead returns the time of the last read of the configuration log, or 0.
@@ -85,9 +88,12 @@
 // New returns an Entry that listens on the address for callers but does not serve
 // yet. The error is a *listen.Error.
 func New(f settings.File, d Deps) (*Entry, error) {
-	lns, err := listen.All(listen.Address{Setting: "entry.callerAddr", HostPort: f.Entry.CallerAddr})
-	if err != nil {
-		return nil, err
+	if d.Callers == nil {
+		lns, err := listen.All(listen.Address{Setting: "entry.callerAddr", HostPort: f.Entry.CallerAddr})
+		if err != nil {
+			return nil, err
+		}
+		d.Callers = lns[0]
 	}
 	limits := callerconn.Limits{IdleMs: idleTimeout, HeadMs: f.Entry.HeaderTimeoutMs, HeadBytes: maxHeaderBytes}
 	e := &Entry{
@@ -95,7 +101,7 @@
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
-		callerLn: callerconn.NewListener(lns[0], d.Clock, func() callerconn.Limits { return limits }),
+		callerLn: callerconn.NewListener(d.Callers, d.Clock, func() callerconn.Limits { return limits }),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
@@ -115,6 +121,9 @@
 	})}
 }
 
+// Close closes the listener of an entry that does not run.
+func (e *Entry) Close() { _ = e.callerLn.Close() }
+
 // URL returns the base URL for callers.
 func (e *Entry) URL() string { return "http://" + e.callerLn.Addr().String() }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -55,6 +55,8 @@
 	// Dropped returns the number of log lines dropped so far; nil if that is not
 	// known.
 	Dropped func() int64
+	// Addresses keeps addresses over several calls of New; nil keeps none.
+	Addresses *listen.Held
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -128,7 +130,7 @@
 // New creates a gateway and opens its listeners. The error is a *listen.Error if an address cannot
 // be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
-	lns, err := listen.All(
+	lns, err := d.Addresses.Listen(
 		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr},
 		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
 	)
--- a/internal/role/process/admin.go
+++ b/internal/role/process/admin.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 )
 
@@ -18,12 +17,8 @@
 	mux *http.ServeMux
 }
 
-func listenAdmin(addr string) (*AdminServer, error) {
-	lns, err := listen.All(listen.Address{Setting: "entry.adminAddr", HostPort: addr})
-	if err != nil {
-		return nil, err
-	}
-	return &AdminServer{ln: lns[0], mux: http.NewServeMux()}, nil
+func newAdminServer(ln net.Listener) *AdminServer {
+	return &AdminServer{ln: ln, mux: http.NewServeMux()}
 }
 
 // Addr returns the listening address as host:port.
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -21,6 +21,7 @@
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/claim"
@@ -66,8 +67,9 @@
 	Admin *AdminServer
 }
 
-// NewEntry creates an entry and listens on its addresses; Run serves them.
-func NewEntry(f settings.File, log logrus.FieldLogger) (*Entry, error) {
+// NewEntry creates an entry and listens on its addresses; Run serves them. held, unless it is nil,
+// keeps addresses over several calls. The error is a *listen.Error if an address cannot be listened on.
+func NewEntry(f settings.File, log logrus.FieldLogger, held *listen.Held) (*Entry, error) {
 	if f.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
 	}
@@ -75,22 +77,26 @@
 	store := config.New(0)
 	h := platformHTTP(f.Platform.TimeoutMs)
 	logs := logservice.New(f.Platform.LogURL, h)
-	admin, err := listenAdmin(f.Entry.AdminAddr)
+	lns, err := held.Listen(
+		listen.Address{Setting: "entry.adminAddr", HostPort: f.Entry.AdminAddr}, listen.Address{Setting: "entry.callerAddr", HostPort: f.Entry.CallerAddr},
+	)
 	if err != nil {
 		return nil, err
 	}
+	admin := newAdminServer(lns[0])
 	inc := NewIncarnation()
 	d := entryTasks{f: f, store: store, logs: logs, http: h, clock: clk, log: log, author: f.Name + "/" + inc}
 	reader := d.reader()
 	e, err := entry.New(f, entry.Deps{
-		Log: log, Clock: clk, Store: store, Incarnation: inc,
+		Log: log, Clock: clk, Store: store, Incarnation: inc, Callers: lns[1],
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
 		IssueKey:  claim.IssueKey,
 		LogRead:   reader.LastRead,
 		Tasks:     []supervise.Task{{Name: "configReader", Run: reader.Run}},
 	})
 	if err != nil {
-		_ = admin.ln.Close()
+		_ = lns[0].Close()
+		_ = lns[1].Close()
 		return nil, err
 	}
 	e.AddTasks(d.leasedTasks(e)...)
@@ -98,6 +104,12 @@
 	return &Entry{Entry: e, Admin: admin}, nil
 }
 
+// Close closes the listeners of an entry that does not run.
+func (e *Entry) Close() {
+	e.Entry.Close()
+	_ = e.Admin.ln.Close()
+}
+
 // boundedLister lists the instances with a timeout on each call.
 type boundedLister struct {
 	c       *membership.Client
@@ -111,8 +123,9 @@
 	return l.c.List(ctx)
 }
 
-// NewSidecar creates a sidecar and listens on its addresses.
-func NewSidecar(f settings.File, log logrus.FieldLogger) (*sidecar.Sidecar, error) {
+// NewSidecar creates a sidecar and listens on its addresses. held, unless it is nil, keeps addresses
+// over several calls. The error is a *listen.Error if an address cannot be listened on.
+func NewSidecar(f settings.File, log logrus.FieldLogger, held *listen.Held) (*sidecar.Sidecar, error) {
 	if f.Sidecar == nil {
 		return nil, errors.New("the settings have no section sidecar")
 	}
@@ -135,7 +148,7 @@
 		return supervise.New(f.Name+"/claims", log, clk).Run(ctx, c.Tasks()...)
 	}}
 	return sidecar.New(f, sidecar.Deps{
-		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Incarnation: inc, Duties: []supervise.Task{claimsTask, {Name: "usage", Run: m.Run}},
+		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Addresses: held, Incarnation: inc, Duties: []supervise.Task{claimsTask, {Name: "usage", Run: m.Run}},
 	})
 }
 
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -79,6 +79,8 @@
 	Store  *config.Store
 	Claims Claimer
 	Meter  Meter
+	// Addresses keeps addresses over several calls of New; nil keeps none.
+	Addresses *listen.Held
 	// Incarnation is an id of this start of the process.
 	Incarnation string
 	// Duties are further tasks that run under the sidecar's supervisor.
@@ -121,7 +123,7 @@
 	if cfg.AdminAddr != "" {
 		addrs = append(addrs, listen.Address{Setting: "sidecar.adminAddr", HostPort: cfg.AdminAddr})
 	}
-	lns, err := listen.All(addrs...)
+	lns, err := d.Addresses.Listen(addrs...)
 	if err != nil {
 		return nil, err
 	}
@@ -154,6 +156,15 @@
 	}
 }
 
+// Close closes the listeners of a sidecar that does not run.
+func (s *Sidecar) Close() {
+	for _, ln := range []net.Listener{s.controlLn, s.dataLn, s.adminLn} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
 // ControlAddr returns the host and port on which control connections are accepted.
 func (s *Sidecar) ControlAddr() string { return s.controlLn.Addr().String() }
 
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
 
@@ -20,10 +21,12 @@
 type Config struct {
 	CallerAddr string
 	AdminAddr  string
-	Entries    int
-	Zones      []string
-	Engines    int
-	Services   int
+	// Addresses keeps the two over several calls of New; nil keeps none.
+	Addresses *listen.Held
+	Entries   int
+	Zones     []string
+	Engines   int
+	Services  int
 	// Slots is the number of requests that one engine runs at a time.
 	Slots int
 	// ServiceSlots is the number of requests that one service runs at a time.
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -19,6 +19,7 @@
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
 	"github.com/damaskport/damaskport/internal/standin/engine"
 	"github.com/damaskport/damaskport/internal/standin/platform"
@@ -90,6 +91,12 @@
 
 // close closes the listeners of a deployment that does not run.
 func (s *Solo) close() {
+	for _, e := range s.entries {
+		e.Close()
+	}
+	for _, sc := range s.sidecars {
+		sc.Close()
+	}
 	for _, srv := range s.servers {
 		_ = srv.ln.Close()
 	}
@@ -236,7 +243,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = name, zone, s.platformSettings(), s.cfg.Policy
 	f.Sidecar.ControlAddr, f.Sidecar.DataAddr, f.Sidecar.AdminAddr = loopback, loopback, loopback
 	f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots = pool, url, slots
-	sc, err := process.NewSidecar(f, s.log)
+	sc, err := process.NewSidecar(f, s.log, nil)
 	if err != nil {
 		return err
 	}
@@ -251,8 +258,10 @@
 	f := settings.Defaults(settings.RoleEntry)
 	f.Name, f.Zone, f.Platform, f.Policy = entryName(i), s.cfg.zone(i), s.platformSettings(), s.cfg.Policy
 	f.Entry.CallerAddr, f.Entry.AdminAddr = loopback, loopback
+	var held *listen.Held
 	if i == 0 {
 		f.Entry.CallerAddr, f.Entry.AdminAddr = s.cfg.CallerAddr, s.cfg.AdminAddr
+		held = s.cfg.Addresses
 	}
 	f.Entry.Duties = true
 	if s.cfg.BodyTimeoutMs > 0 {
@@ -261,7 +270,7 @@
 	if s.cfg.MaxWaiting > 0 {
 		f.Entry.MaxWaiting = s.cfg.MaxWaiting
 	}
-	e, err := process.NewEntry(f, s.log)
+	e, err := process.NewEntry(f, s.log, held)
 	if err != nil {
 		return err
 	}
