Settings: addresses that conflict are wrong, and the error names both

Two settings of a process with the same address were found by their text only, and the error did not name the other one.

--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/damaskport/damaskport/internal/operator/strictjson"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/state/claim"
 )
 
@@ -88,7 +89,7 @@
 func (c checker) entry(e Entry) {
 	c.addr("entry.callerAddr", e.CallerAddr)
 	c.addr("entry.adminAddr", e.AdminAddr)
-	c.differ("entry.adminAddr", e.AdminAddr, e.CallerAddr)
+	c.differ(listen.Address{Setting: "entry.callerAddr", HostPort: e.CallerAddr}, listen.Address{Setting: "entry.adminAddr", HostPort: e.AdminAddr})
 	within(c, "entry.maxBodyBytes", e.MaxBodyBytes, 1, maxBodyBytes)
 	within(c, "entry.headerTimeoutMs", e.HeaderTimeoutMs, 1, maxTimeout)
 	within(c, "entry.bodyTimeoutMs", e.BodyTimeoutMs, 1, maxTimeout)
@@ -105,11 +106,13 @@
 func (c checker) sidecar(s Sidecar) {
 	c.addr("sidecar.controlAddr", s.ControlAddr)
 	c.addr("sidecar.dataAddr", s.DataAddr)
-	c.differ("sidecar.dataAddr", s.DataAddr, s.ControlAddr)
 	if s.AdminAddr != "" {
 		c.addr("sidecar.adminAddr", s.AdminAddr)
-		c.differ("sidecar.adminAddr", s.AdminAddr, s.ControlAddr, s.DataAddr)
 	}
+	c.differ(
+		listen.Address{Setting: "sidecar.controlAddr", HostPort: s.ControlAddr}, listen.Address{Setting: "sidecar.dataAddr", HostPort: s.DataAddr},
+		listen.Address{Setting: "sidecar.adminAddr", HostPort: s.AdminAddr},
+	)
 	c.filled("sidecar.pool", s.Pool)
 	c.url("sidecar.serverUrl", s.ServerURL)
 	within(c, "sidecar.slots", s.Slots, 1, maxSlots)
@@ -139,13 +142,14 @@
 	}
 }
 
-// differ checks that value is none of others, unless its port is 0.
-func (c checker) differ(path, value string, others ...string) {
-	if value == "" || strings.HasSuffix(value, ":0") {
-		return
-	}
-	if slices.Contains(others, value) {
-		c.doc.Reject(path, value, "must differ from the other addresses of the process")
+// differ checks that the process can listen on all addrs, of which one may be empty.
+func (c checker) differ(addrs ...listen.Address) {
+	for i, a := range addrs {
+		for _, other := range addrs[:i] {
+			if a.HostPort != "" && listen.Conflict(a.HostPort, other.HostPort) {
+				c.doc.Reject(a.Setting, a.HostPort, fmt.Sprintf("must differ from %s, which is %q", other.Setting, other.HostPort))
+			}
+		}
 	}
 }
 
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/operator/strictjson"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 )
 
 // RoleGateway is the role of an entry that reaches backend servers directly.
@@ -138,9 +139,10 @@
 	c.addr("readyAddr", g.ReadyAddr)
 	c.addr("controlAddr", g.ControlAddr)
 	c.addr("metricsAddr", g.MetricsAddr)
-	c.differ("readyAddr", g.ReadyAddr, g.CallerAddr)
-	c.differ("controlAddr", g.ControlAddr, g.CallerAddr, g.ReadyAddr)
-	c.differ("metricsAddr", g.MetricsAddr, g.CallerAddr, g.ReadyAddr, g.ControlAddr)
+	c.differ(
+		listen.Address{Setting: "callerAddr", HostPort: g.CallerAddr}, listen.Address{Setting: "readyAddr", HostPort: g.ReadyAddr},
+		listen.Address{Setting: "controlAddr", HostPort: g.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: g.MetricsAddr},
+	)
 	c.peer("store.addr", g.Store.Addr)
 	c.peer("duties.addr", g.Duties.Addr)
 	c.positive("logLinesPerS", g.LogLinesPerS)
