Start: the log tells who has a taken address

startWaits named the setting and the address, but not whether another process, an open connection or one in TIME_WAIT has it, which decides what an operator can do. The times at which failures are told move to policy/startup.

Measured: TestConnectionAtAnAddressDoesNotEndStart expects the kind for an open connection and one in TIME_WAIT, in all roles, TestStartTellsOfAnAddressThatStaysTaken for a listener; both pass.

--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -118,3 +118,29 @@
 		return 0
 	}
 }
+
+const (
+	// tellEvery is the time after which a failure for the same reason is told again, and minTellEvery the
+	// least time between two that are told.
+	tellEvery    = 10 * clock.Second
+	minTellEvery = 1 * clock.Second
+)
+
+// Told is what the log was told of failed attempts. The zero value is nothing.
+type Told struct {
+	reason string
+	atMs   clock.Millis
+}
+
+// WithFailure returns what was told after an attempt at time now that failed for a reason, and whether
+// it is to be told: the first one, one for another reason, and one now and then.
+func (t Told) WithFailure(now clock.Millis, reason string) (Told, bool) {
+	wait := tellEvery
+	if reason != t.reason {
+		wait = minTellEvery
+	}
+	if t != (Told{}) && now-t.atMs < wait {
+		return t, false
+	}
+	return Told{reason: reason, atMs: now}, true
+}
--- a/internal/policy/startup/startup_test.go
+++ b/internal/policy/startup/startup_test.go
@@ -99,3 +99,30 @@
 		now += d.RetryMs
 	}
 }
+
+// TestFailuresAreToldAtBoundedIntervals has attempts each 50 ms fail for the reasons of a period each.
+func TestFailuresAreToldAtBoundedIntervals(t *testing.T) {
+	for name, c := range map[string]struct {
+		reason func(now clock.Millis) string
+		want   []clock.Millis
+	}{
+		"same":    {func(clock.Millis) string { return "a" }, []clock.Millis{0, 10_000, 20_000, 30_000}},
+		"another": {func(now clock.Millis) string { return string("ab"[min(now/2500, 1)]) }, []clock.Millis{0, 2500, 12_500, 22_500, 32_500}},
+		"by turns": {func(now clock.Millis) string { return string("ab"[now/50%2]) }, []clock.Millis{
+			0, 1050, 2100, 3150, 4200, 5250, 6300, 7350, 8400, 9450, 10_500, 11_550, 12_600, 13_650, 14_700, 15_750, 16_800, 17_850,
+			18_900, 19_950, 21_000, 22_050, 23_100, 24_150, 25_200, 26_250, 27_300, 28_350, 29_400, 30_450, 31_500, 32_550, 33_600, 34_650,
+		}},
+	} {
+		var told startup.Told
+		var got []clock.Millis
+		for now := clock.Millis(0); now < 35_000; now += 50 {
+			var due bool
+			if told, due = told.WithFailure(now, c.reason(now)); due {
+				got = append(got, now)
+			}
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: told at (-want +got):\n%s", name, diff)
+		}
+	}
+}
--- a/internal/proof/startup/address_test.go
+++ b/internal/proof/startup/address_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +21,11 @@
 			name   string
 			frees  time.Duration // the time until the system frees the address
 			linger int           // of its socket, in seconds; 0 leaves no TIME_WAIT
-		}{{"open", 0, 0}, {"closed", 60 * time.Second, -1}} {
+			told   string        // what the log tells of who has the address
+		}{
+			{"open", 0, 0, `holder=connection holderInode=[1-9][0-9]* holderRemote="127\.[0-9.]+:[0-9]+" holderSockets=1 holderState=established holderUid=[0-9]+ `},
+			{"closed", 60 * time.Second, -1, `holder=timeWait holderInode=0 holderRemote="127\.[0-9.]+:[0-9]+" holderSockets=1 holderState=timeWait `},
+		} {
 			t.Run(c.name, func(t *testing.T) {
 				t.Parallel()
 				s := newServer(t, s.role)
@@ -37,6 +42,9 @@
 						t.Fatalf("ended with status %d while a connection had its address", p.WaitExit())
 					}
 				}
+				if told := regexp.MustCompile(`event=startWaits .*` + c.told); !told.MatchString(p.Log()) {
+					t.Errorf("no line like %s", told)
+				}
 				_ = conn.Close()
 				for end := time.Now().Add(c.frees); !started.MatchString(p.Log()) && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				}
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -247,7 +247,7 @@
 				if d := time.Since(freed); d > servesSoon {
 					t.Errorf("served %v after its address was free, want at most %v", d, servesSoon)
 				}
-				taken := fmt.Sprintf(`(?im)msg="\S*%s: listen tcp %s: [^"]+" .*event=startWaits .*for=address .*waitedMs=([0-9]+)$`, name, regexp.QuoteMeta(s.addrs[name]))
+				taken := fmt.Sprintf(`(?im)msg="\S*%s: listen tcp %s: [^"]+" .*event=startWaits for=address holder=listener .*waitedMs=([0-9]+)$`, name, regexp.QuoteMeta(s.addrs[name]))
 				told := regexp.MustCompile(taken).FindAllStringSubmatch(p.Log(), -1)
 				if want := 1 + int(held/toldEvery); len(told) != want {
 					t.Fatalf("%d lines like %s, want %d", len(told), taken, want)
--- a/internal/role/process/start.go
+++ b/internal/role/process/start.go
@@ -29,7 +29,7 @@
 // before, and the error of Open if trying again is of no use.
 func (s Starter) Run() (started bool, err error) {
 	var state startup.State
-	var waits waitLog
+	var told startup.Told
 	for s.Signals.Stopped.Err() == nil {
 		done, err := s.attempt()
 		if !done {
@@ -44,8 +44,9 @@
 			s.Log.WithFields(logrus.Fields{"event": "startFailed", "for": obstacle, "waitedMs": d.WaitedMs}).Error(err)
 			return false, err
 		}
-		if waits.due(s.Clock.Now(), err) {
-			s.Log.WithFields(waitFields(obstacle, d)).Warn(err)
+		var due bool
+		if told, due = told.WithFailure(s.Clock.Now(), err.Error()); due {
+			s.Log.WithFields(waitFields(obstacle, d)).WithFields(listen.HolderFields(err)).Warn(err)
 		}
 		_ = s.Clock.Sleep(s.Signals.Stopped, d.RetryMs)
 	}
@@ -53,33 +54,6 @@
 	return false, nil
 }
 
-const (
-	// waitLogEvery is the time after which a line about the same obstacle is repeated, and
-	// minWaitLogEvery the least time between two lines.
-	waitLogEvery    = 10 * clock.Second
-	minWaitLogEvery = 1 * clock.Second
-)
-
-// waitLog decides which failed attempts are logged: the first one, each that fails in another way, and
-// one now and then. The zero value has logged none.
-type waitLog struct {
-	last   string
-	lastMs clock.Millis
-}
-
-// due reports whether err, the failure of an attempt at time now, is to be logged now.
-func (w *waitLog) due(now clock.Millis, err error) bool {
-	wait := waitLogEvery
-	if err.Error() != w.last {
-		wait = minWaitLogEvery
-	}
-	if w.last != "" && now-w.lastMs < wait {
-		return false
-	}
-	w.last, w.lastMs = err.Error(), now
-	return true
-}
-
 // waitFields returns the fields of a line about a start that waits.
 func waitFields(o startup.Obstacle, d startup.Decision) logrus.Fields {
 	f := logrus.Fields{"event": "startWaits", "for": o, "waitedMs": d.WaitedMs}
