Gateway: serves requests while something else has metricsAddr

A gateway opened all four addresses or none, so one that only operators need held up requests for as long as something else had it. Now it serves without and opens the address later, in a supervised task; the log tells of the wait as it does for a start (metricsWait, metricsServed).

Its case leaves TestStartTellsOfAnAddressThatStaysTaken and TestWaitingStartKeepsItsAddresses, which expect that the process does not serve. issue: 53

--- a/internal/proof/startup/address_test.go
+++ b/internal/proof/startup/address_test.go
@@ -152,6 +152,9 @@
 	eachRole(t, allRoles, func(t *testing.T, s *server) {
 		t.Parallel()
 		for taken := range s.addrs {
+			if taken == "metricsAddr" {
+				continue // the process serves without it
+			}
 			t.Run(taken, func(t *testing.T) {
 				t.Parallel()
 				s := newServer(t, s.role)
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -225,6 +226,9 @@
 	eachRole(t, allRoles, func(t *testing.T, s *server) {
 		t.Parallel()
 		for name := range s.addrs {
+			if name == "metricsAddr" {
+				continue // see TestTakenMetricsAddressHoldsUpNoRequests
+			}
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				s := newServer(t, s.role)
@@ -263,6 +267,49 @@
 	})
 }
 
+// TestTakenMetricsAddressHoldsUpNoRequests guards against gateways that don't serve because something else has
+// the address for operators.
+func TestTakenMetricsAddressHoldsUpNoRequests(t *testing.T) {
+	t.Parallel()
+	const held, servesSoon = (graceS + 8) * time.Second, time.Second
+	s := newServer(t, "gateway")
+	ln, err := net.Listen("tcp", s.addrs["metricsAddr"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p := s.start(t)
+	awaitStart(t, p)
+	for _, name := range []string{"callerAddr", "readyAddr"} {
+		res, err := http.Get("http://" + s.addrs[name])
+		if err != nil {
+			t.Fatalf("no answer at %s: %v", name, err)
+		}
+		_ = res.Body.Close()
+	}
+	time.Sleep(held)
+	_ = ln.Close()
+	for freed := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		res, err := http.Get("http://" + s.addrs["metricsAddr"] + "/metrics")
+		if err == nil && res.StatusCode == http.StatusOK {
+			_ = res.Body.Close()
+			break
+		}
+		if time.Since(freed) > servesSoon {
+			t.Fatalf("no metrics %v after their address was free: %v", servesSoon, err)
+		}
+	}
+	for what, want := range map[string]int{`event=metricsWait .*holder=listener .*waitedMs=[0-9]+$`: 2, `event=metricsServed`: 1} {
+		if got := len(regexp.MustCompile("(?m)"+what).FindAllString(p.Log(), -1)); got != want {
+			t.Errorf("%d lines like %s, want %d", got, what, want)
+		}
+	}
+	p.Signal(syscall.SIGTERM)
+	if code := p.WaitExit(); code != 0 {
+		t.Errorf("status %d after a planned stop, want 0", code)
+	}
+}
+
 // TestStopEndsAStartThatWaitsLong stops processes that have waited for an address for longer than the one
 // before could have it.
 func TestStopEndsAStartThatWaitsLong(t *testing.T) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -83,7 +83,8 @@
 	metrics       *gatewayMetrics
 
 	callerLn                      *callerconn.Listener
-	readyLn, controlLn, metricsLn net.Listener
+	readyLn, controlLn, metricsLn net.Listener // metricsLn is nil if something else has metricsAddr
+	metricsAddr                   string
 
 	// draining is set when the shutdown signal arrives, at the monotonic time
 	// drainMs. From then on the gateway reports that it is not ready and closes
@@ -131,7 +132,7 @@
 // be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
 	lns, err := d.Addresses.Listen(
-		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr},
+		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: metricsSetting, HostPort: cfg.MetricsAddr, Optional: true},
 		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
 	)
 	if err != nil {
@@ -139,16 +140,17 @@
 	}
 	gate, err := newOverloadGate(cfg.LinkMbps)
 	if err != nil {
-		for _, ln := range lns {
-			_ = ln.Close()
-		}
+		listen.Close(lns)
 		return nil, err
 	}
 	wall := clock.NewVoted(d.Clock)
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], metricsAddr: cfg.MetricsAddr,
+	}
+	if g.metricsLn != nil {
+		g.metricsAddr = g.metricsLn.Addr().String()
 	}
 	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
@@ -206,7 +208,7 @@
 func (g *Gateway) ReadyURL() string { return "http://" + g.readyLn.Addr().String() + "/readyz" }
 
 // MetricsURL returns the URL of the metrics endpoint.
-func (g *Gateway) MetricsURL() string { return "http://" + g.metricsLn.Addr().String() + "/metrics" }
+func (g *Gateway) MetricsURL() string { return "http://" + g.metricsAddr + "/metrics" }
 
 // retrySharers returns the number of gateways that share the retry limit: the
 // known gateways, but at least minRetrySharers.
@@ -261,9 +263,7 @@
 		supervise.Task{Name: "ready", Run: func(ctx context.Context) error {
 			return supervise.Serve(ctx, newOperatorServer(g.readyHandler()), g.readyLn)
 		}},
-		supervise.Task{Name: "metrics", Run: func(ctx context.Context) error {
-			return supervise.Serve(ctx, newOperatorServer(g.operatorHandler()), g.metricsLn)
-		}},
+		supervise.Task{Name: "metrics", Run: g.serveMetrics},
 		supervise.Task{Name: "callers", Run: func(ctx context.Context) error { return serveCallers(ctx, srv) }},
 	)
 	_ = g.metrics.root.Close()
--- a/internal/runtime/listen/held.go
+++ b/internal/runtime/listen/held.go
@@ -48,7 +48,7 @@
 		if err == nil {
 			lns[i] = ln
 		} else if !err.dispensable() {
-			closeAll(lns)
+			Close(lns)
 			return nil, err
 		}
 	}
@@ -211,7 +211,8 @@
 	return &Error{s.addr, &net.OpError{Op: "listen", Net: "tcp", Addr: s.to, Err: err}}
 }
 
-func closeAll(lns []net.Listener) {
+// Close closes listeners, of which any may be nil.
+func Close(lns []net.Listener) {
 	for _, ln := range lns {
 		if ln != nil {
 			_ = ln.Close()
