Start: nobody need read the log for a process to serve

A process that waited for an address wrote its lines itself, and all roles but the gateway their addresses to standard output: with a pipe that is full, as the process before may leave it, the write never ended and the process never served. Both are written in the background now, as the log of a process that serves.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -32,6 +32,16 @@
 	fmt.Fprintf(o.out, "%s=%s\n", name, value)
 }
 
+// namedValue is a value that a program reads from a line.
+type namedValue struct{ name, value string }
+
+// lines prints a line for each value, and waits for as long as nobody reads them.
+func (o output) lines(values ...namedValue) {
+	for _, v := range values {
+		o.line(v.name, v.value)
+	}
+}
+
 // server is a command that runs as a server and handles signals itself.
 type server interface {
 	flags.Commander
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -17,12 +17,14 @@
 )
 
 // start starts a role: it calls open until the role listens, or trying again is of no use. Until the
-// settings are known, it logs to w. It returns false if there is nothing to run.
+// settings are known, it logs to w, in the background: nobody may read w. It returns false if there is
+// nothing to run.
 func start(sig signals.Caught, w io.Writer, open func() error, grace func() clock.Millis) (bool, error) {
-	log, err := logging.New(w, logrus.InfoLevel.String())
+	log, err := newRoleLog(w, logrus.InfoLevel.String())
 	if err != nil {
 		return false, err
 	}
+	defer log.sink.Start()()
 	return process.Starter{Signals: sig, Log: log, Clock: clock.System{}, Open: open, Grace: grace}.Run()
 }
 
@@ -106,8 +108,7 @@
 		return err
 	}
 	defer log.sink.Start()()
-	c.o.line("url", e.URL())
-	c.o.line("adminUrl", e.Admin.URL())
+	go c.o.lines(namedValue{"url", e.URL()}, namedValue{"adminUrl", e.Admin.URL()})
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
 	g, gctx := errgroup.WithContext(sig.Stopped)
 	g.Go(func() error { return e.Run(gctx) })
@@ -139,11 +140,11 @@
 		return err
 	}
 	defer log.sink.Start()()
-	c.o.line("controlAddr", s.ControlAddr())
-	c.o.line("dataUrl", s.DataURL())
+	urls := []namedValue{{"controlAddr", s.ControlAddr()}, {"dataUrl", s.DataURL()}}
 	if url := s.AdminURL(); url != "" {
-		c.o.line("adminUrl", url)
+		urls = append(urls, namedValue{"adminUrl", url})
 	}
+	go c.o.lines(urls...)
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
 	return s.Run(sig.Stopped)
 }
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -47,9 +47,7 @@
 		return err
 	}
 	defer log.sink.Start()()
-	c.o.line("url", s.URL())
-	c.o.line("key", s.Key(cfg.Accounts[0].Name))
-	c.o.line("adminUrl", s.AdminURL())
+	go c.o.lines(namedValue{"url", s.URL()}, namedValue{"key", s.Key(cfg.Accounts[0].Name)}, namedValue{"adminUrl", s.AdminURL()})
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, func() error { return nil })
 	return s.Run(sig.Stopped)
 }
--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -130,6 +130,17 @@
 // Its time of day is off by the milliseconds in the file skewPath, if there is
 // one.
 func StartLogged(t testing.TB, name, skewPath string, args ...string) *Proc {
+	t.Helper()
+	return startLogged(t, name, skewPath, false, args)
+}
+
+// StartUnread is like StartLogged, but the pipe of the log is full from the start, and nobody reads it.
+func StartUnread(t testing.TB, name string, args ...string) *Proc {
+	t.Helper()
+	return startLogged(t, name, "", true, args)
+}
+
+func startLogged(t testing.TB, name, skewPath string, unread bool, args []string) *Proc {
 	t.Helper()
 	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
 	out, in, err := os.Pipe()
@@ -137,6 +148,13 @@
 		t.Fatal(err)
 	}
 	p.logPipe = out
+	if unread {
+		p.logStall.on.Store(true)
+		p.shrinkLogPipe()
+		if _, err := in.Write(make([]byte, os.Getpagesize())); err != nil {
+			t.Fatal(err)
+		}
+	}
 	p.cmd.Stdout, p.cmd.Stderr = in, in
 	prepare(p.cmd)
 	p.cmd.Env = append(p.cmd.Env, "DAMASKPORT_CLOCK_SKEW="+skewPath)
@@ -146,11 +164,13 @@
 		t.Fatal(err)
 	}
 	copied := make(chan struct{})
-	go func() {
-		_, _ = io.Copy(&p.log, &stallableReader{out, &p.logStall})
-		_ = out.Close()
-		close(copied)
-	}()
+	if !unread {
+		go func() {
+			_, _ = io.Copy(&p.log, &stallableReader{out, &p.logStall})
+			_ = out.Close()
+			close(copied)
+		}()
+	}
 	go func() {
 		p.err = p.cmd.Wait()
 		p.byItself.Store(!p.stopAsked.Load())
@@ -203,11 +223,17 @@
 
 // StallLog stops reading the log of a process that StartLogged has started, in a pipe of one page.
 func (p *Proc) StallLog() {
+	p.t.Helper()
+	p.shrinkLogPipe()
+	p.logStall.on.Store(true)
+}
+
+// shrinkLogPipe makes the pipe of the log hold one page.
+func (p *Proc) shrinkLogPipe() {
 	p.t.Helper()
 	if _, err := unix.FcntlInt(p.logPipe.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize()); err != nil {
 		p.t.Fatal(err)
 	}
-	p.logStall.on.Store(true)
 }
 
 // stall holds up the reader of a log.
