--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -11,17 +11,20 @@
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
 // start starts a role: it calls open until the role listens, or trying again is of no use. Until the
-// settings are known, it logs to w. It returns false if there is nothing to run.
+// settings are known, it logs to w, in the background: nobody may read w. It returns false if there is
+// nothing to run.
 func start(sig signals.Caught, w io.Writer, open func() error, grace func() clock.Millis) (bool, error) {
-	log, err := logging.New(w, logrus.InfoLevel.String())
+	log, err := newRoleLog(w, logrus.InfoLevel.String())
 	if err != nil {
 		return false, err
 	}
+	defer log.sink.Start()()
 	return process.Starter{Signals: sig, Log: log, Clock: clock.System{}, Open: open, Grace: grace}.Run()
 }
 
@@ -96,16 +99,16 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
+	var held listen.Held
 	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		e, err = process.NewEntry(f, log)
+		e, err = process.NewEntry(f, log, &held)
 		return err
 	})
 	if log == nil {
 		return err
 	}
 	defer log.sink.Start()()
-	c.o.line("url", e.URL())
-	c.o.line("adminUrl", e.Admin.URL())
+	go c.o.lines(namedValue{"url", e.URL()}, namedValue{"adminUrl", e.Admin.URL()})
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
 	g, gctx := errgroup.WithContext(sig.Stopped)
 	g.Go(func() error { return e.Run(gctx) })
@@ -128,19 +131,20 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
+	var held listen.Held
 	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		s, err = process.NewSidecar(f, log)
+		s, err = process.NewSidecar(f, log, &held)
 		return err
 	})
 	if log == nil {
 		return err
 	}
 	defer log.sink.Start()()
-	c.o.line("controlAddr", s.ControlAddr())
-	c.o.line("dataUrl", s.DataURL())
+	urls := []namedValue{{"controlAddr", s.ControlAddr()}, {"dataUrl", s.DataURL()}}
 	if url := s.AdminURL(); url != "" {
-		c.o.line("adminUrl", url)
+		urls = append(urls, namedValue{"adminUrl", url})
 	}
+	go c.o.lines(urls...)
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, c.check)
 	return s.Run(sig.Stopped)
 }
