Callers' connections: requests behind another one are answered before the close

Cause: an answer that closed its connection (a stop, too many connections, net/http's Shutdown) dropped what had been received behind its request, up to 4 KB of it in the HTTP server's own buffer. Change: callerconn watches where a request ends (Boundary, pure; requests are still taken by the HTTP server alone); the close is announced when an answer's head is written, and not while further requests have arrived; Listener.Shutdown closes idle connections in place of net/http's. A request that the close meets in its head is told Retry-After.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -22,6 +25,8 @@
 	// refuseTime is how long the answer to a request that was not read may take to write. It
 	// fits into the buffers of any connection that is not broken.
 	refuseTime = 100 * time.Millisecond
+	// unusedTime is how long a new connection stays open during a shutdown for its first request.
+	unusedTime = 5 * clock.Second
 )
 
 // conn is a connection of a caller. While no request is handled, its read deadlines are its own,
@@ -32,6 +37,9 @@
 
 	mu    sync.Mutex
 	phase Phase
+	next  Boundary // of the current request
+	// unused is set until the connection has had a request.
+	unused bool
 	// armedMs is the read deadline that is set on the connection; 0 if it is not known.
 	armedMs clock.Millis
 	// answered is set once something was written since the connection was last idle.
@@ -51,7 +59,7 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		n, err := c.Conn.Read(p)
-		if c.noteRead(n, err) {
+		if c.noteRead(p[:n], err) {
 			return n, err
 		}
 	}
@@ -70,18 +78,24 @@
 		c.armedMs = at
 		_ = c.Conn.SetReadDeadline(time.Now().Add((at - c.ln.clock.Now()).Duration()))
 	}
-	return c.phase.State != Closing
+	return !c.over()
+}
+
+// over reports whether nothing that arrives is handled any more. It must be called with mu held.
+func (c *conn) over() bool {
+	return c.phase.State == Closing || c.closed && c.phase.State < Handled
 }
 
-// noteRead records the result of a read, and reports whether it is that of Read too.
-func (c *conn) noteRead(n int, err error) bool {
+// noteRead records that p or err was read, and reports whether that is the result of Read too.
+func (c *conn) noteRead(p []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.phase.State == Closing:
+	case c.over():
 		return false
 	case err == nil:
-		c.phase = c.phase.Received(n, c.ln.clock.Now(), c.ln.limits())
+		c.phase = c.phase.Received(len(p), c.ln.clock.Now(), c.ln.limits())
+		c.next = c.next.Received(p)
 		return true
 	case !isTimeout(err):
 		c.broken = true
@@ -103,10 +117,13 @@
 // from then on. It must be called with mu held.
 func (c *conn) refuse(status int, code string) {
 	c.phase, c.answered = Phase{State: Closing}, true
-	body := `{"error":"` + code + `"}`
+	body, retry := `{"error":"`+code+`"}`, ""
+	if status == http.StatusServiceUnavailable {
+		retry = "Retry-After: 0\r\n" // at another process
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime))
-	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		status, http.StatusText(status), len(body), body)
+	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), len(body), retry, body)
 	c.broken = c.broken || err != nil
 }
 
@@ -156,6 +173,10 @@
 	c.phase = Phase{State: s}
 	if s == Idle {
 		c.phase.SinceMs, c.phase.Limits, c.answered = c.ln.clock.Now(), c.ln.limits(), false
+		if n := c.next.Behind(); n > 0 {
+			c.phase = c.phase.Received(n, c.phase.SinceMs, c.phase.Limits)
+		}
+		c.next = c.next.Next()
 		return true
 	}
 	if c.armedMs != 0 {
@@ -165,6 +186,52 @@
 	return true
 }
 
+// handle begins to handle a request with a body of length bytes, negative for chunks. It returns false if
+// the request was refused or the connection is closed.
+func (c *conn) handle(length int64) bool {
+	c.mu.Lock()
+	over := c.over() || c.lingering
+	c.next, c.unused = c.next.Framed(length), false
+	c.mu.Unlock()
+	return !over && c.enter(Handled)
+}
+
+// more reports whether the request that is handled has arrived whole, and a part of a further one.
+func (c *conn) more() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next.Behind() > 0 || c.next.Ended() && c.unread()
+}
+
+// unread reports whether bytes have arrived that were not read.
+func (c *conn) unread() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n, ierr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { n, ierr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	return err == nil && ierr == nil && n > 0
+}
+
+// closeIdle closes the connection if no request has arrived on it, and reports whether it is closed. A
+// caller has unusedTime to send the first request.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch p := c.phase; {
+	case p.State > Head, c.next.HeadArrived(), c.unread(),
+		p.State == Idle && c.unused && c.ln.clock.Now()-p.SinceMs < unusedTime:
+		return false
+	}
+	_ = c.close()
+	return true
+}
+
 // CloseWrite tells the caller that no more is sent, and discards what still arrives, until the
 // caller closes the connection or its time is over.
 func (c *conn) CloseWrite() error {
@@ -181,6 +248,11 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.close()
+}
+
+// close is Close with mu held.
+func (c *conn) close() error {
 	if c.phase.State == Handled && !c.ln.cut.Load() {
 		return nil
 	}
@@ -204,6 +276,7 @@
 		return false
 	}
 	c.lingering = true
+	c.ln.conns.Delete(c)
 	c.ln.lingering.Add(1)
 	go c.linger()
 	return true
@@ -232,6 +305,7 @@
 func (c *conn) closeNow() error {
 	if !c.closed {
 		c.closed = true
+		c.ln.conns.Delete(c)
 		c.ln.open.Add(-1)
 	}
 	return c.Conn.Close()
--- a/internal/caller/callerconn/listener.go
+++ b/internal/caller/callerconn/listener.go
@@ -7,14 +7,20 @@
 // A connection that is closed after an answer is closed in one direction first, and what its
 // caller still sends is read and discarded: closing it with unread bytes would reset it, and
 // destroy the answer before the caller has read it.
+//
+// A connection that is to be closed goes on while further requests have arrived on it. After an answer
+// that announces the close, nothing is taken for a request.
 package callerconn
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
+
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -29,7 +35,8 @@
 	// handling and lingering count the open connections with a request that is handled, and those
 	// that are being closed.
 	open, handling, lingering atomic.Int64
-	cut                       atomic.Bool
+	closing, ended, cut       atomic.Bool
+	conns                     sync.Map // open connections that do not linger, as keys of type *conn
 }
 
 // NewListener returns a Listener that accepts the connections of ln. limits returns the limits in
@@ -38,14 +45,19 @@
 	return &Listener{Listener: ln, clock: c, limits: limits}
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. The error is http.ErrServerClosed after Shutdown.
 func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	if err != nil && l.ended.Load() {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
 	l.open.Add(1)
-	return &conn{Conn: nc, ln: l, phase: Phase{State: Idle, SinceMs: l.clock.Now(), Limits: l.limits()}}, nil
+	c := &conn{Conn: nc, ln: l, phase: Phase{State: Idle, SinceMs: l.clock.Now(), Limits: l.limits()}, unused: true}
+	l.conns.Store(c, nil)
+	return c, nil
 }
 
 // connKey is the key of a request's connection in its context.
@@ -59,19 +71,71 @@
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			if !c.enter(Handled) {
+			if !c.handle(bodyLength(r)) {
 				panic(http.ErrAbortHandler) // closed in the meantime, and answered as not run
 			}
+			a := &announcer{ResponseWriter: w, c: c}
 			l.handling.Add(1)
 			defer func() {
 				c.enter(Returned)
 				l.handling.Add(-1)
 			}()
+			next.ServeHTTP(a, r)
+			a.announce()
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// bodyLength returns the length of the body of r in bytes, negative for chunks.
+func bodyLength(r *http.Request) int64 {
+	if len(r.TransferEncoding) > 0 {
+		return -1
+	}
+	return r.ContentLength
+}
+
+// announcer announces with an answer that the connection closes after it, unless further requests have
+// arrived: the HTTP server would drop them.
+type announcer struct {
+	http.ResponseWriter
+	c         *conn
+	announced bool
+}
+
+// Unwrap returns the HTTP server's writer, for http.ResponseController.
+func (a *announcer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// WriteHeader sends the head of the answer.
+func (a *announcer) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		a.announce()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes to the body of the answer.
+func (a *announcer) Write(p []byte) (int, error) {
+	a.announce()
+	return a.ResponseWriter.Write(p)
+}
+
+// announce sets the header Connection before the head of the answer.
+func (a *announcer) announce() {
+	if a.announced {
+		return
+	}
+	a.announced = true
+	h := a.Header()
+	switch closes := h.Get("Connection") == "close" || a.c.ln.closing.Load(); {
+	case closes && a.c.more():
+		h.Del("Connection")
+	case closes:
+		h.Set("Connection", "close")
+	}
+}
+
 // track tells the connection nc the state that the HTTP server gives it.
 func track(nc net.Conn, st http.ConnState) {
 	c, ok := nc.(*conn)
@@ -86,6 +150,36 @@
 // Open returns the number of open connections, with those that are being closed.
 func (l *Listener) Open() int { return int(l.open.Load()) }
 
+// CloseAfterAnswers makes each connection close after its next answer, once no further request has
+// arrived on it.
+func (l *Listener) CloseAfterAnswers() { l.closing.Store(true) }
+
+// Shutdown closes the listener, and each connection after its answers or once it is idle. It returns nil
+// when all connections have been closed, some of which may linger, or the error of ctx.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.CloseAfterAnswers()
+	if !l.ended.Swap(true) {
+		if err := l.Listener.Close(); err != nil {
+			return errors.Wrap(err, "close listener")
+		}
+	}
+	for {
+		// A connection that was accepted just before is known after this pause.
+		if err := l.clock.Sleep(ctx, waitInterval); err != nil {
+			return err
+		}
+		open := 0
+		for k := range l.conns.Range {
+			if !k.(*conn).closeIdle() {
+				open++
+			}
+		}
+		if open == 0 {
+			return nil
+		}
+	}
+}
+
 // Cut makes closing a connection end it also while the handler has a request of it. Before, such a
 // connection stays open until the handler has returned: the HTTP server may take it for idle.
 func (l *Listener) Cut() { l.cut.Store(true) }
--- a/internal/caller/callerconn/phase_test.go
+++ b/internal/caller/callerconn/phase_test.go
@@ -1,6 +1,7 @@
 package callerconn_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -45,3 +46,18 @@
 		}
 	}
 }
+
+func ExampleBoundary() {
+	var b callerconn.Boundary
+	b = b.Received([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;x\r\nab"))
+	b = b.Framed(-1).Received([]byte("\r\n\r\n0\r\nT: 1\r\n\r"))
+	fmt.Println(b.Ended(), b.Behind())
+	b = b.Received([]byte("\n\r\nGET / HTTP/1.1\r\n\r\nGET"))
+	fmt.Println(b.Ended(), b.Behind())
+	b = b.Next()
+	fmt.Println(b.HeadArrived(), b.Framed(0).Behind())
+	// Output:
+	// false 0
+	// true 21
+	// true 3
+}
--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -22,7 +22,7 @@
 		if r.ContentLength > l.Bytes {
 			return nil, tooLarge(l.Bytes)
 		}
-		body = http.MaxBytesReader(w, body, l.Bytes)
+		body = http.MaxBytesReader(serverWriter(w), body, l.Bytes)
 	}
 	rc := http.NewResponseController(w)
 	if l.Time > 0 {
@@ -41,6 +41,18 @@
 	return data, nil
 }
 
+// serverWriter returns the HTTP server's own writer below w: MaxBytesReader tells only that one that the
+// rest of the body is not to be read.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = u.Unwrap()
+	}
+}
+
 // readToEnd reads body to its end. size is its expected length in bytes; it is not
 // positive if the length is unknown or the body is empty. n is the number of bytes that
 // were received, also after an error.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -136,7 +136,7 @@
 	defer stop()
 	srv := e.server()
 	stopDrain := context.AfterFunc(ctx, func() {
-		e.drain(srv)
+		e.drain()
 		stop()
 	})
 	defer stopDrain()
@@ -160,32 +160,22 @@
 	mux.HandleFunc("/v1/chat/completions", e.notAllowed(http.MethodPost))
 	mux.HandleFunc("/v1/models", e.notAllowed(http.MethodGet, http.MethodHead))
 	mux.HandleFunc("/", e.servePlain)
-	srv := &http.Server{Handler: e.closeWhenDraining(mux), ErrorLog: nil}
+	srv := &http.Server{Handler: mux, ErrorLog: nil}
 	e.callerLn.Attach(srv)
 	return srv
 }
 
-// closeWhenDraining closes each connection after its current request while the entry
-// is draining.
-func (e *Entry) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // drain reports the entry as not ready and waits for the requests in flight. For
 // drainGrace it still accepts requests, each as the last one on its connection, since
 // callers and load balancers may send some before they see that it is not ready.
-func (e *Entry) drain(srv *http.Server) {
+func (e *Entry) drain() {
 	e.draining.Store(true)
+	e.callerLn.CloseAfterAnswers()
 	e.log.WithField("event", "drain").Info("draining: the entry reports not ready")
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainMs.Duration())
 	defer cancel()
 	_ = e.clock.Sleep(ctx, drainGrace)
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := e.callerLn.Shutdown(ctx); err != nil {
 		e.log.WithField("event", "drainTimeout").Warn(err)
 	}
 	e.callerLn.Wait(ctx)
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -64,16 +64,17 @@
 // answers, and requests that might not complete in time are refused. At the end,
 // the latest usage counts are copied to other gateways; see finishAnswers for the
 // answers that are still being sent.
-func (g *Gateway) drain(srv *http.Server) {
+func (g *Gateway) drain() {
 	end := g.drainPeriod()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Duration())
 	defer cancel()
 	defer time.AfterFunc((end - answerMargin).Duration(), g.cancelUnanswered).Stop()
 	g.drainMs.Store(int64(g.clock.Now()))
 	g.draining.Store(true)
+	g.callerLn.CloseAfterAnswers()
 	g.log.WithField("event", "drain").Info("the gateway is no longer ready")
 	_ = g.clock.Sleep(ctx, min(closeAfter, end*2/3))
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := g.callerLn.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "drainTimeout").Warn(err)
 	}
 	g.handOver()
@@ -81,12 +82,12 @@
 
 // finishAnswers waits for the answers that have not ended with the drain, and for callers to
 // read them, until exitMargin is left of the grace period.
-func (g *Gateway) finishAnswers(srv *http.Server) {
+func (g *Gateway) finishAnswers() {
 	since := g.clock.Now() - clock.Millis(g.drainMs.Load())
 	left := max(g.drainPeriod()+endMargin-exitMargin-since, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := g.callerLn.Shutdown(ctx); err != nil {
 		g.log.WithField("event", "answersCut").Warn(err)
 		g.logCut()
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -230,9 +230,9 @@
 	srv := &http.Server{Handler: g, ErrorLog: nil}
 	g.callerLn.Attach(srv)
 	stopDrain := context.AfterFunc(ctx, func() {
-		g.drain(srv)
+		g.drain()
 		stop()
-		g.finishAnswers(srv)
+		g.finishAnswers()
 		g.callerLn.Cut()
 		stopServing()
 	})
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -93,7 +93,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() || g.tooManyConns() || g.overloaded() {
+	if g.tooManyConns() || g.overloaded() {
 		w.Header().Set("Connection", "close")
 	}
 	j, failure := g.admit(w, r)
--- a/internal/runtime/supervise/serve.go
+++ b/internal/runtime/supervise/serve.go
@@ -9,7 +9,7 @@
 )
 
 // Serve runs srv on ln until ctx ends, and then closes srv at once. If srv is shut down
-// earlier, Serve still waits for ctx to end, so that the task does not end before ctx does. It
+// earlier, or ln returns http.ErrServerClosed, Serve still waits for ctx to end, so that the task does not end before ctx does. It
 // is meant as the Run function of an HTTP server's task.
 func Serve(ctx context.Context, srv *http.Server, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
@@ -26,10 +26,11 @@
 // http.Server logs such an error and goes on after a pause, and closes its listener after others.
 type patientListener struct{ net.Listener }
 
-// Accept returns the next connection. The error is an *acceptError or wraps net.ErrClosed.
+// Accept returns the next connection. The error is an *acceptError or wraps net.ErrClosed or
+// http.ErrServerClosed.
 func (l patientListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		err = &acceptError{err}
 	}
 	return c, err
