Sidecar: a core that failed and runs again is used again

The task that owns the slots told all others that it had ended, for good, whenever it ended. After a panic the supervisor ran it again, but requests were refused with "the sidecar has stopped" or their events dropped, by chance, until the process was restarted: a process that lives and hardly serves. It now tells so only when the sidecar ends.

--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -102,7 +102,7 @@
 	engine      *engine.Client
 	service     *service.Client
 	core        *core
-	coreDone    chan struct{}
+	coreDone    chan struct{} // closed when the core ends for good
 	control     *control
 	controlLn   net.Listener
 	dataLn      net.Listener
@@ -173,6 +173,8 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// A core that failed is run again, so its end is that of the sidecar.
+	context.AfterFunc(run, func() { close(s.coreDone) })
 	cancelDrain := context.AfterFunc(ctx, func() {
 		s.drain()
 		stop()
@@ -180,7 +182,7 @@
 	defer cancelDrain()
 	s.log.WithFields(logrus.Fields{"event": "start", "role": "sidecar", "control": s.ControlAddr(), "data": s.DataURL()}).Info("sidecar started")
 	tasks := append([]supervise.Task{
-		{Name: "core", Run: s.runCore},
+		{Name: "core", Run: s.core.Run},
 		{Name: "control", Run: func(ctx context.Context) error { return s.control.serve(ctx, s.controlLn) }},
 		{Name: "data", Run: func(ctx context.Context) error { return supervise.Serve(ctx, s.data, s.dataLn) }},
 		{Name: "config", Run: s.watchConfig},
@@ -192,12 +194,6 @@
 	return err
 }
 
-// runCore runs the core and closes coreDone when it has stopped.
-func (s *Sidecar) runCore(ctx context.Context) error {
-	defer close(s.coreDone)
-	return s.core.Run(ctx)
-}
-
 // sendEvent sends an event to the core, waiting while its queue is full. The event is
 // dropped if the core has stopped.
 func (s *Sidecar) sendEvent(e event) {
