Start: a machine that is short of memory or descriptors does not end it

An attempt to start that met ENFILE, ENOBUFS or ENOMEM at a socket ended the process at once with status 1, and one that met it at the settings file after 5 s, though all processes of the machine cause it and it passes. It is an obstacle of its own now (startWaits, for machine), waited for without end as a taken address. EMFILE is the process's own limit, and ends it.

Measured: TestStartOutlastsWhatOthersCause fails for these three at a socket before, and passes; the other eight cases hold in both.

--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -4,8 +4,8 @@
 // lacks then is often on its way: the settings file is being written, or the process before still
 // has an address in its grace period. What else has an address may have it for longer: a connection
 // for as long as it lives and a minute after that, and nobody can tell when another process ends.
-// An end would change none of this, as the platform only starts the process again: a taken address is
-// waited for without end, other things for a bounded time, and a wrong setting ends the process at
+// An end would change none of this, as the platform only starts the process again: a taken address, or
+// a machine that is short of memory or descriptors, is waited for without end, other things for a bounded time, and a wrong setting ends the process at
 // once.
 package startup
 
@@ -24,6 +24,9 @@
 	MissingAddress
 	// TakenAddress is an address that another process or a connection has.
 	TakenAddress
+	// Shortage is something that the machine has for all its processes, such as memory or descriptors,
+	// and that is used up.
+	Shortage
 )
 
 // String returns the obstacle as it appears in the log.
@@ -35,6 +38,8 @@
 		return "missingAddress"
 	case TakenAddress:
 		return "address"
+	case Shortage:
+		return "machine"
 	default:
 		return "nothing"
 	}
@@ -81,12 +86,12 @@
 // grace is the longest time for which a process of this role goes on after its stop signal.
 //
 // Of obstacles that alternate, each stay has the bound of its obstacle, and all stays at bounded ones
-// together have the sum of the bounds. The time at a taken address counts for neither.
+// together have the sum of the bounds. The time at what is waited for without end counts for neither.
 func (s State) WithFailure(now clock.Millis, o Obstacle, grace clock.Millis) (State, Decision) {
 	if !s.waiting {
 		s = State{waiting: true, obstacle: o, sinceMs: now, firstMs: now, lastMs: now}
 	}
-	if s.obstacle != TakenAddress {
+	if !s.obstacle.endless() {
 		s.boundedMs += now - s.lastMs
 	}
 	s.lastMs = now
@@ -97,7 +102,7 @@
 	if d.WaitedMs >= grace+addressMargin {
 		d.RetryMs = slowRetryEvery
 	}
-	if o == TakenAddress {
+	if o.endless() {
 		d.Endless = true
 		return s, d
 	}
@@ -107,6 +112,9 @@
 	return s, d
 }
 
+// endless reports whether an obstacle is waited for without end: others cause it, for as long as they like.
+func (o Obstacle) endless() bool { return o == TakenAddress || o == Shortage }
+
 // longestWait returns the longest stay at an obstacle that is waited for for a bounded time.
 func longestWait(o Obstacle, grace clock.Millis) clock.Millis {
 	switch o {
--- a/internal/policy/startup/startup_test.go
+++ b/internal/policy/startup/startup_test.go
@@ -79,14 +79,15 @@
 }
 
 // TestTakenAddressIsWaitedForWithoutEnd guards against starts that end, or hardly try, because an
-// address stays taken.
+// address stays taken or the machine short.
 func TestTakenAddressIsWaitedForWithoutEnd(t *testing.T) {
 	const grace, attempts = 8 * clock.Second, 100_000
 	var s startup.State
 	var d startup.Decision
 	now := clock.Millis(0)
-	for range attempts {
-		if s, d = s.WithFailure(now, startup.TakenAddress, grace); d.GiveUp || !d.Endless {
+	for i := range attempts {
+		o := []startup.Obstacle{startup.TakenAddress, startup.Shortage}[i%2]
+		if s, d = s.WithFailure(now, o, grace); d.GiveUp || !d.Endless {
 			t.Fatalf("decision at %d ms: %+v", now, d)
 		}
 		want := clock.Millis(50)
--- a/internal/role/process/start.go
+++ b/internal/role/process/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"io/fs"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -82,6 +83,8 @@
 	var path *fs.PathError
 	var addr *listen.Error
 	switch {
+	case errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+		return startup.Shortage
 	case errors.As(err, &addr):
 		if addr.Taken() {
 			return startup.TakenAddress
