Gateway: the kernel's memory for connections fits into a budget

What operators saw: processes that end by themselves under load. Suspected cause: the kernel's memory for a connection could grow to about 10 MB, for callers, servers, store, duties and other gateways alike, and a machine may count it towards the limit of the process. Change: policy/socketbuffer gives each connection its sizes from 0.3 of memoryMb, with a floor for maxFiles connections, and runtime/tcp.Buffers sets them: on sockets that are dialed, on listeners and so on their queues, and on accepted sockets that get more. Roles without a budget get 128 KB in each direction. A server's close counts as unseen from a quarter of the receive buffer on.

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/tcp"
@@ -92,10 +93,16 @@
 	lateReader bool
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
+func (p *Pool) connect(ctx context.Context) (*conn, error) {
 	d := tcp.NewDialer(dialTimeout, unackedOption(unackedTimeout))
 	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	open := d.DialContext
+	if p.Buffers != nil {
+		open = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return p.Buffers.Dial(ctx, d, socketbuffer.Server, network, addr)
+		}
+	}
+	c, err := open(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
@@ -185,8 +192,16 @@
 	}
 }
 
+// maxUnread returns the number of bytes from which on unread data may hold back the server's close.
+func (c *conn) maxUnread() int {
+	if limited, ok := c.Conn.(interface{ ReceiveBytes() int }); ok {
+		return min(windowBytes, limited.ReceiveBytes()/4) // a part of the buffer is the kernel's
+	}
+	return windowBytes
+}
+
 // open reports whether neither end has closed c; it may be called while a request uses c. With
-// windowBytes or more unread, the server's close may not have arrived yet, and c counts as closed.
+// maxUnread or more unread, the server's close may not have arrived yet, and c counts as closed.
 func (c *conn) open() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -204,7 +219,7 @@
 			n, perr = unix.Poll(fds, 0)
 		}
 		unread, ierr := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-		open = perr == nil && n == 0 && ierr == nil && unread < windowBytes
+		open = perr == nil && n == 0 && ierr == nil && unread < c.maxUnread()
 	})
 	return err == nil && open
 }
--- a/internal/backend/direct/pool.go
+++ b/internal/backend/direct/pool.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -25,6 +26,8 @@
 	clock clock.Clock
 	// Dialed, if not nil, is called before each attempt to open a connection.
 	Dialed func()
+	// Buffers, if not nil, gives the connections the sizes of their buffers.
+	Buffers *tcp.Buffers
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -81,7 +84,7 @@
 		p.Dialed()
 	}
 	beganMs := p.clock.Now()
-	c, err := dial(ctx, p.addr)
+	c, err := p.connect(ctx)
 	if err == nil || errors.Is(err, syscall.ECONNRESET) {
 		p.accepted(beganMs)
 	}
--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -70,12 +70,14 @@
 	if err != nil {
 		return err
 	}
+	log := p.log.WithField("instance", cfg.Name)
+	buffers := gateway.NewBuffers(cfg, log)
 	p.gateway, err = gateway.New(cfg, gateway.Deps{
-		Log: p.log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
+		Log: log, Buffers: buffers, Clock: clock.System{}, ProcessID: process.NewIncarnation(),
 		Dropped:       p.sink.Dropped,
 		Codec:         platform.Codec{},
-		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }),
-		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name),
+		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }).WithBuffers(buffers),
+		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name).WithBuffers(buffers),
 		Decoder:       platform.Decoder(),
 	})
 	return err
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/routing"
 	"github.com/damaskport/damaskport/internal/state/servers"
 )
@@ -34,6 +35,8 @@
 	// connection to a server.
 	listed atomic.Bool
 	dialed func()
+	// buffers gives the connections to servers the sizes of their buffers.
+	buffers *tcp.Buffers
 	// startsAsOfMs is when the list was last known to show the starts of all running servers:
 	// it does not shortly after an outage or a restore of the store (steady clock).
 	startsAsOfMs atomic.Int64
@@ -217,7 +220,7 @@
 		addrs[s.ID], versions[s.ID] = s.Addr, s.Version
 		if p.conns[s.Key()] == nil {
 			c := direct.NewPool(s.Addr, v.clock)
-			c.Dialed = v.dialed
+			c.Dialed, c.Buffers = v.dialed, v.buffers
 			p.conns[s.Key()] = c
 		}
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -25,9 +25,11 @@
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -55,6 +57,8 @@
 	// Dropped returns the number of log lines dropped so far; nil if that is not
 	// known.
 	Dropped func() int64
+	// Buffers gives connections the sizes of their buffers; nil for NewBuffers of the settings.
+	Buffers *tcp.Buffers
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -79,6 +83,7 @@
 	config        configDocument
 	usage         *usageCounts
 	metrics       *gatewayMetrics
+	buffers       *tcp.Buffers
 
 	callerLn                      *callerconn.Listener
 	readyLn, controlLn, metricsLn net.Listener
@@ -128,9 +133,10 @@
 // New creates a gateway and opens its listeners. The error is a *listen.Error if an address cannot
 // be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
+	floor := socketbuffer.Floor()
 	lns, err := listen.All(
-		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr},
-		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
+		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr, Buffers: floor}, listen.Address{Setting: "metricsAddr", HostPort: cfg.MetricsAddr, Buffers: floor},
+		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr, Buffers: floor}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr, Buffers: floor},
 	)
 	if err != nil {
 		return nil, err
@@ -146,13 +152,16 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
+		gate: gate, buffers: d.Buffers,
 	}
-	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
+	if g.buffers == nil {
+		g.buffers = NewBuffers(cfg, d.Log)
+	}
+	g.limitBuffers(lns, d.Clock)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
-	g.fleet.dialed = g.metrics.dialed
+	g.fleet.dialed, g.fleet.buffers = g.metrics.dialed, g.buffers
 	g.peers = newPeerTable(g)
 	g.queueHost = host.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.updates = newStoreUpdates(d.Clock)
--- a/internal/role/gateway/peertable.go
+++ b/internal/role/gateway/peertable.go
@@ -15,6 +15,7 @@
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/ratelimit"
 	"github.com/damaskport/damaskport/internal/policy/route"
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/servers"
@@ -161,7 +162,7 @@
 		return near, nil
 	}
 	d := tcp.NewDialer(peerDialTimeout.Duration())
-	return d.DialContext(ctx, "tcp", p.addr)
+	return t.g.buffers.Dial(ctx, d, socketbuffer.Gateway, "tcp", p.addr)
 }
 
 // session runs one connection to a peer until it fails or ctx ends.
--- a/internal/runtime/listen/listen.go
+++ b/internal/runtime/listen/listen.go
@@ -2,11 +2,16 @@
 package listen
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"net"
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 // Address is an address to listen on.
@@ -15,6 +20,19 @@
 	Setting string
 	// HostPort is host:port; port 0 takes a free port.
 	HostPort string
+	// Buffers are the sizes of the buffers of accepted connections, also before they are accepted; zero
+	// for socketbuffer.Fixed.
+	Buffers socketbuffer.Sizes
+}
+
+// open listens on the address. Without the sizes of buffers, if the system refuses them, it listens too.
+func (a Address) open() (net.Listener, error) {
+	sizes := cmp.Or(a.Buffers, socketbuffer.Fixed())
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		_ = tcp.Set(c, tcp.BufferSizes(sizes))
+		return nil
+	}}
+	return lc.Listen(context.Background(), "tcp", a.HostPort)
 }
 
 // Error reports an address on which the process cannot listen.
@@ -40,7 +58,7 @@
 func All(addrs ...Address) ([]net.Listener, error) {
 	var open []net.Listener
 	for _, a := range addrs {
-		ln, err := net.Listen("tcp", a.HostPort)
+		ln, err := a.open()
 		if err != nil {
 			for _, l := range open {
 				_ = l.Close()
