Gateway: metrics of the memory that a machine may count

An operator could not tell apart why a process ended: the heap, what the kernel holds for its sockets, or reserved memory under a limit on data. Change: socket_held_bytes by kind of peer, socket_budget_bytes, socket_given_bytes, resident_bytes and data_bytes, read by SO_MEMINFO and from /proc/self/status when metrics are asked for, and left out where the system does not tell.

--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -24,4 +24,5 @@
 	g.metricsLn = g.buffers.Listener(lns[1], socketbuffer.Operator)
 	g.readyLn = g.buffers.Listener(lns[2], socketbuffer.Operator)
 	g.callerLn = callerconn.NewListener(g.buffers.Listener(lns[3], socketbuffer.Caller), c, g.connLimits)
+	g.metrics.root.Observe(g.observeMemory)
 }
--- a/internal/runtime/metrics/metrics.go
+++ b/internal/runtime/metrics/metrics.go
@@ -22,7 +22,8 @@
 	tally.Scope
 	io.Closer
 	// Handler answers scrapes of /metrics.
-	Handler http.Handler
+	Handler  http.Handler
+	registry *prom.Registry
 }
 
 // New returns a Root with its own Prometheus registry, so that several roots in one
@@ -34,5 +35,5 @@
 		Prefix: metricPrefix, CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
-	return &Root{Scope: scope, Closer: closer, Handler: r.HTTPHandler()}
+	return &Root{Scope: scope, Closer: closer, Handler: r.HTTPHandler(), registry: registry}
 }
