--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -25,9 +25,11 @@
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/supervise"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 const (
@@ -57,6 +59,8 @@
 	Dropped func() int64
 	// Addresses keeps addresses over several calls of New; nil keeps none.
 	Addresses *listen.Held
+	// Buffers gives connections the sizes of their buffers; nil for NewBuffers of the settings.
+	Buffers *tcp.Buffers
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -81,6 +85,7 @@
 	config        configDocument
 	usage         *usageCounts
 	metrics       *gatewayMetrics
+	buffers       *tcp.Buffers
 
 	callerLn                      *callerconn.Listener
 	readyLn, controlLn, metricsLn net.Listener // metricsLn is nil if something else has metricsAddr
@@ -131,9 +136,11 @@
 // New creates a gateway and opens its listeners. The error is a *listen.Error if an address cannot
 // be listened on.
 func New(cfg settings.Gateway, d Deps) (*Gateway, error) {
+	floor := socketbuffer.Floor()
 	lns, err := d.Addresses.Listen(
-		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr}, listen.Address{Setting: metricsSetting, HostPort: cfg.MetricsAddr, Optional: true},
-		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr},
+		listen.Address{Setting: "controlAddr", HostPort: cfg.ControlAddr, Buffers: floor},
+		listen.Address{Setting: metricsSetting, HostPort: cfg.MetricsAddr, Optional: true, Buffers: floor},
+		listen.Address{Setting: "readyAddr", HostPort: cfg.ReadyAddr, Buffers: floor}, listen.Address{Setting: "callerAddr", HostPort: cfg.CallerAddr, Buffers: floor},
 	)
 	if err != nil {
 		return nil, err
@@ -147,16 +154,16 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2], metricsAddr: cfg.MetricsAddr,
+		gate: gate, buffers: d.Buffers, metricsAddr: cfg.MetricsAddr,
 	}
-	if g.metricsLn != nil {
-		g.metricsAddr = g.metricsLn.Addr().String()
+	if g.buffers == nil {
+		g.buffers = NewBuffers(cfg, d.Log)
 	}
-	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
+	g.limitBuffers(lns, d.Clock)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
-	g.fleet.dialed = g.metrics.dialed
+	g.fleet.dialed, g.fleet.buffers = g.metrics.dialed, g.buffers
 	g.peers = newPeerTable(g)
 	g.queueHost = host.NewHost(d.Log, d.Clock, g.metrics.root)
 	g.updates = newStoreUpdates(d.Clock)
--- a/internal/role/gateway/operators.go
+++ b/internal/role/gateway/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/policy/startup"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
@@ -33,10 +34,10 @@
 	var state startup.State
 	var told startup.Told
 	for {
-		lns, err := listen.All(listen.Address{Setting: metricsSetting, HostPort: g.metricsAddr})
+		lns, err := listen.All(listen.Address{Setting: metricsSetting, HostPort: g.metricsAddr, Buffers: socketbuffer.Floor()})
 		if err == nil {
 			g.log.WithFields(logrus.Fields{"event": "metricsServed", "addr": g.metricsAddr}).Info("the address for operators is served")
-			return lns[0]
+			return g.buffers.Listener(lns[0], socketbuffer.Operator)
 		}
 		var d startup.Decision
 		now := g.clock.Now()
--- a/internal/runtime/listen/held.go
+++ b/internal/runtime/listen/held.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"cmp"
 	"net"
 	"net/netip"
 	"os"
@@ -9,6 +10,9 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
+	"github.com/damaskport/damaskport/internal/runtime/tcp"
 )
 
 // backlog is the length of the queue of connections to accept; the system has a lower bound of its own.
@@ -170,6 +174,7 @@
 		_ = unix.Close(fd)
 		return -1, os.NewSyscallError("setsockopt", err)
 	}
+	_ = tcp.BufferSizes(cmp.Or(s.addr.Buffers, socketbuffer.Fixed()))(fd) // a listener works without them
 	if err = unix.Bind(fd, addr); err != nil {
 		_ = unix.Close(fd)
 		return -1, os.NewSyscallError("bind", err)
--- a/internal/runtime/listen/listen.go
+++ b/internal/runtime/listen/listen.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 )
 
 // Address is an address to listen on.
@@ -18,6 +20,9 @@
 	HostPort string
 	// Optional is set if the process can serve while something else has the address.
 	Optional bool
+	// Buffers are the sizes of the buffers of accepted connections, also before they are accepted; zero
+	// for socketbuffer.Fixed.
+	Buffers socketbuffer.Sizes
 }
 
 // Error reports an address on which the process cannot listen.
