--- a/internal/proof/cluster/proc.go
+++ b/internal/proof/cluster/proc.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -31,6 +32,28 @@
 	dir string
 	// damaskport and standin are the paths of the two programs.
 	damaskport, standin string
+	plainOnce           sync.Once
+	plainErr            error
+}
+
+// plainBinary returns the path of a damaskport that is built as for production, and builds it when it is
+// first asked for.
+func plainBinary(t testing.TB) string {
+	t.Helper()
+	path := filepath.Join(binaries.dir, "damaskport-plain")
+	binaries.plainOnce.Do(func() { binaries.plainErr = build(path, ".", "-ldflags=-linkmode=external") })
+	if binaries.plainErr != nil {
+		t.Fatal(binaries.plainErr)
+	}
+	return path
+}
+
+// build builds the package pkg of this module.
+func build(path, pkg string, flags ...string) error {
+	cmd := exec.Command("go", append(append([]string{"build"}, flags...), "-o", path, pkg)...)
+	cmd.Dir = moduleRoot()
+	text, err := cmd.CombinedOutput()
+	return errors.Wrapf(err, "build %s: %s", pkg, text)
 }
 
 // Main builds the programs once, runs the tests of m and returns the exit code.
@@ -47,15 +70,13 @@
 	binaries.damaskport = filepath.Join(dir, "damaskport")
 	binaries.standin = filepath.Join(dir, "damaskport-standin")
 	// The time of day of programs under test can be put wrong.
-	args := []string{"build", "-tags", "clockskew"}
+	args := []string{"-tags", "clockskew"}
 	if raceEnabled {
 		args = append(args, "-race")
 	}
 	for out, pkg := range map[string]string{binaries.damaskport: ".", binaries.standin: "./cmd/damaskport-standin"} {
-		cmd := exec.Command("go", append(args, "-o", out, pkg)...)
-		cmd.Dir = moduleRoot()
-		if text, err := cmd.CombinedOutput(); err != nil {
-			_, _ = os.Stderr.Write(text)
+		if err := build(out, pkg, args...); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
 	}
@@ -131,7 +152,32 @@
 // one.
 func StartLogged(t testing.TB, name, skewPath string, args ...string) *Proc {
 	t.Helper()
-	p := &Proc{t: t, name: name, cmd: exec.Command(binaries.damaskport, args...), ended: make(chan struct{})}
+	return startLogged(t, name, skewPath, exec.Command(binaries.damaskport, args...))
+}
+
+// Limits are what the system lets a process have; 0 for no limit of the test's.
+type Limits struct {
+	DataMb int // private memory that can be written to, reserved or resident
+	Files  int // open at a time
+}
+
+// StartLimited starts a damaskport that is built as for production, whose log is its standard output,
+// under limits.
+func StartLimited(t testing.TB, name string, l Limits, args ...string) *Proc {
+	t.Helper()
+	script := "exec \"$@\""
+	if l.DataMb > 0 {
+		script = fmt.Sprintf("ulimit -d %d && ", l.DataMb<<10) + script
+	}
+	if l.Files > 0 {
+		script = fmt.Sprintf("ulimit -n %d && ", l.Files) + script
+	}
+	return startLogged(t, name, "", exec.Command("/bin/sh", append([]string{"-c", script, name, plainBinary(t)}, args...)...))
+}
+
+func startLogged(t testing.TB, name, skewPath string, cmd *exec.Cmd) *Proc {
+	t.Helper()
+	p := &Proc{t: t, name: name, cmd: cmd, ended: make(chan struct{})}
 	out, in, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -284,12 +330,19 @@
 
 // Threads returns the number of threads of the process: one until its runtime starts, 0 once it has
 // ended.
-func (p *Proc) Threads() int {
+func (p *Proc) Threads() int { return p.status("Threads") }
+
+// DataMb returns the private memory of the process that can be written to, reserved or resident, in MB;
+// 0 once it has ended.
+func (p *Proc) DataMb() int { return p.status("VmData") >> 10 }
+
+// status returns a number of the process's status; 0 once it has ended.
+func (p *Proc) status(name string) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(data), "Threads:")
+	_, rest, _ := strings.Cut(string(data), "\n"+name+":")
 	n := 0
 	_, _ = fmt.Sscan(rest, &n)
 	return n
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -110,11 +110,15 @@
 
 func (s *server) start(t *testing.T) *cluster.Proc {
 	t.Helper()
-	args := []string{s.role, "--settings", s.path}
+	return cluster.StartLogged(t, s.role, "", s.args()...)
+}
+
+// args returns the arguments of the process.
+func (s *server) args() []string {
 	if s.role == "solo" {
-		args = []string{s.role, "--caller-addr", s.addrs["callerAddr"], "--admin-addr", s.addrs["adminAddr"]}
+		return []string{s.role, "--caller-addr", s.addrs["callerAddr"], "--admin-addr", s.addrs["adminAddr"]}
 	}
-	return cluster.StartLogged(t, s.role, "", args...)
+	return []string{s.role, "--settings", s.path}
 }
 
 // awaitStart waits until the process serves, and fails the test if it ends before.
