--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -12,6 +12,7 @@
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	_ "github.com/damaskport/damaskport/internal/runtime/memory" // threads reserve less from the start
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
