Memory: one account of what a process may have, in all roles and from the start

Cause: a gateway limited its heap to 0.6 of memoryMb whatever else it had reserved, and only once it had listened; entry, sidecar and solo limited nothing, and no role looked at the system's own limits. Change: policy/budget relates the limit (memoryMb, RLIMIT_DATA or the control group's, the smallest), what is reserved beside the heap at the start, stacks of later threads and the heap. Each role applies it before it listens and logs event=memory. memoryMb is a setting of entry and sidecar too, 0 by default.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -8,21 +8,18 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/gateway"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 	"github.com/damaskport/damaskport/platform"
 )
 
-const (
-	// memoryPart is the part of the process's memory that the garbage collector
-	// keeps the heap below; the rest is for stacks, buffers and bursts.
-	memoryPart = 0.6
-	// gcPercent trades memory, of which a gateway needs little, for processor time.
-	gcPercent = 200
-)
+// gcPercent trades memory, of which a gateway needs little, for processor time.
+const gcPercent = 200
 
 type gatewayCommand struct {
 	settingsFlag
@@ -53,6 +50,7 @@
 	cfg  settings.Gateway
 	// now holds the settings in force, which may change while the gateway runs.
 	now     atomic.Pointer[settings.Gateway]
+	account budget.Account
 	log     *logrus.Logger
 	sink    *logging.Sink
 	gateway *gateway.Gateway
@@ -66,6 +64,7 @@
 	}
 	p.cfg = cfg
 	p.now.Store(&cfg)
+	p.account = memory.Apply(cfg.MemoryMb)
 	p.log, p.sink, err = logging.NewBounded(p.o.out, cfg.LogLevel, logging.Bound{LinesPerS: int(cfg.LogLinesPerS), BytesPerS: int(cfg.LogBytesPerS)})
 	if err != nil {
 		return err
@@ -95,7 +94,7 @@
 // run serves until the process is stopped.
 func (p *gatewayProcess) run(sig signals.Caught) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(p.cfg.MemoryMb * memoryPart * (1 << 20)))
+	logMemory(p.log, p.account)
 	go watchSettings(sig.Stopped, sig.Reload, p.path, p.log, p.reload)
 	stopLog := p.sink.Start()
 	defer stopLog() // after the lines that tell of the stop
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -8,11 +8,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
-	_ "github.com/damaskport/damaskport/internal/runtime/memory" // threads reserve less from the start
+	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -43,11 +44,13 @@
 		if log, err = newRoleLog(o.err, f.LogLevel); err != nil {
 			return err
 		}
+		log.account = memory.Apply(f.MemoryMb)
 		return open(f, log.Logger)
 	}, func() clock.Millis { return drainTime(f) })
 	if !started {
 		return nil, err
 	}
+	logMemory(log, log.account)
 	return log, nil
 }
 
@@ -62,10 +65,20 @@
 	return 0
 }
 
-// roleLog is the log of a role, with the sink that writes its lines.
+// roleLog is the log of a role, with the sink that writes its lines, and the account of the
+// process's memory.
 type roleLog struct {
 	*logrus.Logger
-	sink *logging.Sink
+	sink    *logging.Sink
+	account budget.Account
+}
+
+// logMemory logs the account of a process's memory; a limit of 0 is not known.
+func logMemory(log logrus.FieldLogger, a budget.Account) {
+	mb := func(bytes int64) int64 { return bytes >> 20 }
+	log.WithFields(logrus.Fields{
+		"event": "memory", "limitMb": mb(a.Limit), "reservedMb": mb(a.Reserved), "growthMb": mb(a.Growth), "heapMb": mb(a.Heap()), "heldMb": mb(a.Held()),
+	}).Info()
 }
 
 func newRoleLog(w io.Writer, level string) (*roleLog, error) {
@@ -73,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &roleLog{log, sink}, nil
+	return &roleLog{Logger: log, sink: sink}, nil
 }
 
 // check reads the settings and reports whether they are accepted.
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -4,6 +4,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/damaskport/damaskport/internal/role/solo"
+	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -44,6 +45,7 @@
 	if !started {
 		return err
 	}
+	logMemory(log, memory.Apply(0))
 	defer log.sink.Start()()
 	c.o.line("url", s.URL())
 	c.o.line("key", s.Key(cfg.Accounts[0].Name))
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -45,6 +45,7 @@
 	if _, err := logrus.ParseLevel(f.LogLevel); err != nil {
 		c.doc.Reject("logLevel", f.LogLevel, logLevels)
 	}
+	c.notNegative("memoryMb", f.MemoryMb)
 	c.platform(f.Platform, f.Role)
 	oneOf(c, "policy.order", f.Policy.Order, OrderTiers, OrderFIFO)
 	oneOf(c, "policy.routing", f.Policy.Routing, RoutingAffinity, RoutingRoundRobin, RoutingLeastConnections)
--- a/internal/operator/settings/types.go
+++ b/internal/operator/settings/types.go
@@ -19,8 +19,10 @@
 	// Name is the instance's name in the platform's list.
 	Name string `json:"name"`
 	// Zone is the availability zone.
-	Zone     string   `json:"zone"`
-	LogLevel string   `json:"logLevel"`
+	Zone     string `json:"zone"`
+	LogLevel string `json:"logLevel"`
+	// MemoryMb is the memory that the process may have; 0 for what the system lets it have.
+	MemoryMb float64  `json:"memoryMb"`
 	Platform Platform `json:"platform"`
 	Entry    *Entry   `json:"entry,omitempty"`
 	Sidecar  *Sidecar `json:"sidecar,omitempty"`
--- /dev/null
+++ b/internal/policy/budget/held.go
@@ -0,0 +1,68 @@
+package budget
+
+import "sync/atomic"
+
+// Use is what memory is held for. It may have its share of the memory, which keeps some for the uses
+// with a larger one.
+type Use float64
+
+// The uses of memory: a body can still be refused, an answer was earned.
+const (
+	Body   Use = 0.75
+	Answer Use = 1
+)
+
+// Held counts the memory that a process holds for requests. It is safe for concurrent use.
+type Held struct {
+	limit int64
+	bytes atomic.Int64
+}
+
+// NewHeld returns a Held for at most limit bytes; 0 for no limit.
+func NewHeld(limit int64) *Held { return &Held{limit: limit} }
+
+// Bytes returns the number of bytes held.
+func (h *Held) Bytes() int64 { return h.bytes.Load() }
+
+// Limit returns the most bytes that may be held for a use; 0 for no limit.
+func (h *Held) Limit(u Use) int64 { return int64(float64(u) * float64(h.limit)) }
+
+// take holds n more bytes for a use, if that leaves the sum within its limit.
+func (h *Held) take(n int64, u Use) bool {
+	if sum := h.bytes.Add(n); h.limit > 0 && sum > h.Limit(u) {
+		h.bytes.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Request is what is held for one request; it is not safe for concurrent use. The zero value of it
+// has no limit.
+type Request struct {
+	held  *Held
+	bytes int64
+}
+
+// Request returns a request for which nothing is held yet.
+func (h *Held) Request() Request { return Request{held: h} }
+
+// Take holds n more bytes for the request. It returns false, and holds no more, if that would exceed
+// the limit.
+func (r *Request) Take(n int64, u Use) bool {
+	if r.held == nil {
+		return true
+	}
+	if !r.held.take(n, u) {
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
+// Release ends the holding of all bytes of the request.
+func (r *Request) Release() {
+	if r.held != nil {
+		r.held.bytes.Add(-r.bytes)
+		r.bytes = 0
+	}
+}
--- a/internal/proof/startup/memory_test.go
+++ b/internal/proof/startup/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,26 @@
 	})
 }
 
+// TestLimitOfTheSystemBoundsMemory guards against processes whose heap grows beyond what the system lets them have.
+func TestLimitOfTheSystemBoundsMemory(t *testing.T) {
+	t.Parallel()
+	const limitMb, heapMb = 150, 90
+	line := regexp.MustCompile(`event=memory growthMb=\d+ heapMb=(\d+) heldMb=(\d+) .*limitMb=(\d+) reservedMb=(\d+)`)
+	eachRole(t, allRoles, func(t *testing.T, s *server) {
+		p := s.startLimited(t, cluster.Limits{DataMb: limitMb})
+		awaitStart(t, p)
+		var heap, held, limit, reserved int
+		for end := time.Now().Add(startTime); limit == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if m := line.FindStringSubmatch(p.Log()); m != nil {
+				_, _ = fmt.Sscan(strings.Join(m[1:], " "), &heap, &held, &limit, &reserved)
+			}
+		}
+		if limit != limitMb || heap == 0 || heap > heapMb || held == 0 || held > heap/2 || reserved == 0 || heap+reserved > limit {
+			t.Errorf("limit %d MB, heap %d, held %d, reserved %d", limit, heap, held, reserved)
+		}
+	})
+}
+
 // load is what many callers of a gateway send at a time, and how its servers answer.
 type load struct {
 	callers, body, answer int           // body and answer in bytes
