Memory: bodies and buffered answers have a bound of their own

Cause: a body was read whole into memory of its declared size, and no code bounded the sum: callers times the largest body, 320 MB for 80 callers of 4 MB. The limit on the heap is soft and cannot hold that. Change: half of the heap's part of the account is for bodies (three quarters of it) and for the first 64 KB of answers. A body takes memory as it arrives; one for which there is none is refused before it is read, or in its middle (503 memoryFull, not run, back in 200 ms); an answer that gets none is forwarded as it comes. One that can never fit is too large (413). The entry does the same, for bodies.

--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -4,14 +4,38 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"time"
+
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+)
+
+const (
+	// firstBodyBytes is the size of the first buffer of a body. A longer one gets more as it
+	// arrives, since its caller may never send it.
+	firstBodyBytes = 64 << 10
+	// firstChunkBytes is that of a body whose length is not known.
+	firstChunkBytes = 4 << 10
+	// memoryRetryAfter is the Retry-After of a request whose body there was no memory for.
+	memoryRetryAfter = 200 * clock.Millisecond
 )
 
 // BodyLimits bound the body of a request; 0 means no limit.
 type BodyLimits struct {
 	Bytes int64
 	Time  time.Duration // from the start of reading to the last byte
+	// Memory is what the body may use; nil for no limit.
+	Memory Memory
+}
+
+// Memory is a limited amount of memory.
+type Memory interface {
+	// Room reports whether n bytes could be taken now.
+	Room(n int64) bool
+	// Take is called before n more bytes are used; it returns false if there are none.
+	Take(n int64) bool
 }
 
 // ReadBody reads the body of r within the limits l. The failure, if any, is the response
@@ -24,12 +48,19 @@
 		}
 		body = http.MaxBytesReader(w, body, l.Bytes)
 	}
+	take := func(int64) bool { return true }
+	if l.Memory != nil {
+		if !l.Memory.Room(r.ContentLength) {
+			return nil, bodyFailure(r, 0, bounded.ErrNoMemory)
+		}
+		take = l.Memory.Take
+	}
 	rc := http.NewResponseController(w)
 	if l.Time > 0 {
 		// The error is ignored: a connection without deadlines can't have a slow caller.
 		_ = rc.SetReadDeadline(time.Now().Add(l.Time))
 	}
-	data, n, err := readToEnd(body, r.ContentLength)
+	data, n, err := readToEnd(body, r.ContentLength, take)
 	if err != nil {
 		// The read deadline stays set: without it the HTTP server would wait for the rest of
 		// the body.
@@ -43,20 +74,25 @@
 
 // readToEnd reads body to its end. size is its expected length in bytes; it is not
 // positive if the length is unknown or the body is empty. n is the number of bytes that
-// were received, also after an error.
-func readToEnd(body io.Reader, size int64) (data []byte, n int, err error) {
-	if size <= 0 {
-		data, err = io.ReadAll(body)
+// were received, also after an error. take is Memory.Take.
+func readToEnd(body io.Reader, size int64, take func(n int64) bool) (data []byte, n int, err error) {
+	switch {
+	case size == 0:
+		return nil, 0, nil
+	case size < 0:
+		data, _, err = bounded.ReadGrowing(body, firstChunkBytes, math.MaxInt64, take)
 		return data, len(data), err
 	}
-	data = make([]byte, size)
-	if n, err = io.ReadFull(body, data); err != nil {
-		return nil, n, err
+	data, eof, err := bounded.ReadGrowing(body, firstBodyBytes, size, take)
+	if eof && int64(len(data)) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil && !eof {
+		// This read returns io.EOF; only after it does the HTTP server watch for the caller
+		// closing the connection.
+		_, _ = body.Read(make([]byte, 1))
 	}
-	// This read returns io.EOF; only after it does the HTTP server watch for the caller
-	// closing the connection.
-	_, _ = body.Read(make([]byte, 1))
-	return data, n, nil
+	return data, len(data), err
 }
 
 func tooLarge(limit int64) *Failure {
@@ -72,6 +108,12 @@
 	if errors.As(err, &large) {
 		return tooLarge(large.Limit)
 	}
+	if errors.Is(err, bounded.ErrNoMemory) {
+		return &Failure{
+			Status: http.StatusServiceUnavailable, Code: "memoryFull", NotRun: true, RetryAfterMs: memoryRetryAfter,
+			Message: "there is no memory for the request body now",
+		}
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return &Failure{
--- a/internal/caller/exchange/exchange_test.go
+++ b/internal/caller/exchange/exchange_test.go
@@ -172,7 +172,9 @@
 func TestReadBody(t *testing.T) {
 	const limit = 100
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, f := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: limit, Time: 200 * time.Millisecond})
+		data, f := exchange.ReadBody(w, r, exchange.BodyLimits{
+			Bytes: limit, Time: 200 * time.Millisecond, Memory: memory(func(int64) bool { return r.Header.Get("Full") == "" }),
+		})
 		if f != nil {
 			openai.Codec{}.Refuse(w, f)
 			return
@@ -195,6 +197,8 @@
 		{"too large", "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), false, 413, "bodyTooLarge"},
 		{"too large, chunked", chunked(strings.Repeat("x", 101)), false, 413, "bodyTooLarge"},
 		{"truncated", "Content-Length: 9\r\n\r\nabc", true, 400, "3 of 9 bytes"},
+		{"no memory", "Full: 1\r\nContent-Length: 3\r\n\r\nabc", false, 503, "memoryFull"},
+		{"no memory, chunked", "Full: 1\r\n" + chunked("abc"), false, 503, "memoryFull"},
 		{"slow", "Content-Length: 9\r\n\r\nabc", false, 408, "bodyTimeout"},
 	}
 	for _, tc := range tests {
--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -72,6 +72,7 @@
 	p.gateway, err = gateway.New(cfg, gateway.Deps{
 		Log: p.log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
 		Dropped:       p.sink.Dropped,
+		Held:          budget.NewHeld(p.account.Held()),
 		Codec:         platform.Codec{},
 		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }),
 		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name),
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -34,7 +34,7 @@
 
 // start starts a role with open, which gets the settings, and returns the role's log; nil if there is
 // nothing to run.
-func (s settingsFlag) start(sig signals.Caught, o output, open func(f settings.File, log *logrus.Logger) error) (*roleLog, error) {
+func (s settingsFlag) start(sig signals.Caught, o output, open func(f settings.File, log *roleLog) error) (*roleLog, error) {
 	var f settings.File
 	var log *roleLog
 	started, err := start(sig, o.err, func() (err error) {
@@ -45,7 +45,7 @@
 			return err
 		}
 		log.account = memory.Apply(f.MemoryMb)
-		return open(f, log.Logger)
+		return open(f, log)
 	}, func() clock.Millis { return drainTime(f) })
 	if !started {
 		return nil, err
@@ -110,8 +110,8 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
-	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		e, err = process.NewEntry(f, log)
+	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
+		e, err = process.NewEntry(f, budget.NewHeld(log.account.Held()), log)
 		return err
 	})
 	if log == nil {
@@ -142,7 +142,7 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
-	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
+	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
 		s, err = process.NewSidecar(f, log)
 		return err
 	})
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jessevdk/go-flags"
 
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/solo"
 	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
@@ -33,7 +34,9 @@
 	if err != nil {
 		return err
 	}
+	log.account = memory.Apply(0)
 	cfg := solo.Defaults()
+	cfg.Held = budget.NewHeld(log.account.Held())
 	cfg.CallerAddr, cfg.AdminAddr = c.CallerAddr, c.AdminAddr
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
 	var s *solo.Solo
@@ -45,7 +48,7 @@
 	if !started {
 		return err
 	}
-	logMemory(log, memory.Apply(0))
+	logMemory(log, log.account)
 	defer log.sink.Start()()
 	c.o.line("url", s.URL())
 	c.o.line("key", s.Key(cfg.Accounts[0].Name))
--- a/internal/load/deployment/processes.go
+++ b/internal/load/deployment/processes.go
@@ -114,7 +114,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = d.nextName("entry"), d.zone(i), d.platformSettings(), d.policy
 	f.Entry.CallerAddr, f.Entry.AdminAddr, f.Entry.DrainMs = loopback, loopback, drainMs
 	f.Entry.Duties = true
-	e, err := process.NewEntry(f, d.log)
+	e, err := process.NewEntry(f, nil, d.log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/policy/budget/budget_test.go
+++ b/internal/policy/budget/budget_test.go
@@ -12,16 +12,15 @@
 
 const mb = 1 << 20
 
-// The heap of a process that may have 284 MB is bounded by what is resident; that of one with much reserved
-// memory by what is left beside it.
+// The heap of a process that may have 284 MB is bounded by what is left beside its reserved memory.
 func ExampleAccount() {
 	for _, reserved := range []int64{75, 183} {
 		a := budget.Account{Limit: 284 * mb, Reserved: reserved * mb, Growth: 8 * mb}
 		fmt.Printf("heap %d MB, bodies and answers %d MB\n", a.Heap()/mb, a.Held()/mb)
 	}
 	// Output:
-	// heap 170 MB, bodies and answers 85 MB
-	// heap 79 MB, bodies and answers 39 MB
+	// heap 150 MB, bodies and answers 75 MB
+	// heap 71 MB, bodies and answers 35 MB
 }
 
 // TestAccountStaysWithinLimit guards against shares that add up to more than the machine has.
@@ -48,8 +47,8 @@
 		wg.Go(func() {
 			for range 1000 {
 				r := h.Request()
-				_ = r.Take(30, budget.Body)
-				_ = r.Take(20, budget.Answer)
+				_ = r.For(budget.Body).Take(30)
+				_ = r.For(budget.Answer).Take(20)
 				r.Release()
 			}
 		})
@@ -60,8 +59,11 @@
 	}
 	r := h.Request()
 	var none budget.Request
-	got := []bool{r.Take(75, budget.Body), r.Take(1, budget.Body), r.Take(25, budget.Answer), r.Take(1, budget.Answer), none.Take(1000, budget.Body)}
-	if d := cmp.Diff([]bool{true, false, true, false, true}, got); d != "" || h.Bytes() != 100 {
+	body, answer, unbounded := r.For(budget.Body), r.For(budget.Answer), none.For(budget.Body)
+	got := []bool{
+		body.Room(75), body.Room(76), body.Take(75), body.Take(1), body.Room(1), answer.Room(25), answer.Take(25), answer.Take(1), unbounded.Room(1000), unbounded.Take(1000),
+	}
+	if d := cmp.Diff([]bool{true, false, true, false, false, true, true, false, true, true}, got); d != "" || h.Bytes() != 100 {
 		t.Errorf("%d bytes held: %s", h.Bytes(), d)
 	}
 }
--- a/internal/policy/budget/held.go
+++ b/internal/policy/budget/held.go
@@ -46,16 +46,30 @@
 // Request returns a request for which nothing is held yet.
 func (h *Held) Request() Request { return Request{held: h} }
 
-// Take holds n more bytes for the request. It returns false, and holds no more, if that would exceed
-// the limit.
-func (r *Request) Take(n int64, u Use) bool {
-	if r.held == nil {
+// For returns the memory of the request for a use.
+func (r *Request) For(u Use) Memory { return Memory{r, u} }
+
+// Memory is the memory of a request for a use.
+type Memory struct {
+	r   *Request
+	use Use
+}
+
+// Room reports whether n more bytes could be held now.
+func (m Memory) Room(n int64) bool {
+	h := m.r.held
+	return h == nil || h.limit == 0 || h.bytes.Load()+n <= h.Limit(m.use)
+}
+
+// Take holds n more bytes. It returns false, and holds no more, if that would exceed the limit.
+func (m Memory) Take(n int64) bool {
+	if m.r.held == nil {
 		return true
 	}
-	if !r.held.take(n, u) {
+	if !m.r.held.take(n, m.use) {
 		return false
 	}
-	r.bytes += n
+	m.r.bytes += n
 	return true
 }
 
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
@@ -50,6 +51,8 @@
 	// IssueKey returns an idempotency key, from the wall-clock time and the request
 	// id, for a protected request that came without one.
 	IssueKey func(wall clock.Millis, id string) string
+	// Held bounds the memory of bodies; nil for no bound.
+	Held *budget.Held
 	// Tasks are further tasks that run under the entry's supervisor.
 	Tasks []supervise.Task
 }
@@ -80,6 +83,7 @@
 	callerLn       *callerconn.Listener
 	nextID         atomic.Int64
 	draining       atomic.Bool
+	held           *budget.Held
 }
 
 // New returns an Entry that listens on the address for callers but does not serve
@@ -94,7 +98,7 @@
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
-		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
+		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks, held: d.Held,
 		callerLn: callerconn.NewListener(lns[0], d.Clock, func() callerconn.Limits { return limits }),
 	}
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -25,7 +25,7 @@
 		return
 	}
 	defer done()
-	body, failure := e.readBody(w, r)
+	body, failure := e.readBody(q, w, r)
 	if failure != nil {
 		e.fail(w, r, q, failure)
 		return
--- a/internal/role/entry/plain.go
+++ b/internal/role/entry/plain.go
@@ -96,7 +96,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	body, failure := e.readBody(w, r)
+	body, failure := e.readBody(q, w, r)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -14,6 +14,7 @@
 
 	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -26,6 +27,7 @@
 	arrived clock.Millis
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	held    budget.Request // memory of the body
 }
 
 // activeRequests is the set of requests being served. It serves to end those whose
@@ -76,21 +78,24 @@
 		return nil, nil, failure
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	q = &callerRequest{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel}
+	q = &callerRequest{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel, held: e.held.Request()}
 	e.active.add(q)
 	// The key may have been withdrawn after authenticate and before add.
 	if e.store.Current().KeyWithdrawn(key.ID) {
 		cancel(errWithdrawn)
 	}
 	return q, func() {
+		q.held.Release()
 		e.active.remove(q)
 		cancel(nil)
 	}, nil
 }
 
 // readBody reads the request body within the configured size and time limits.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *exchange.Failure) {
-	return exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: e.cfg.MaxBodyBytes, Time: e.cfg.BodyTimeoutMs.Duration()})
+func (e *Entry) readBody(q *callerRequest, w http.ResponseWriter, r *http.Request) ([]byte, *exchange.Failure) {
+	return exchange.ReadBody(w, r, exchange.BodyLimits{
+		Bytes: e.cfg.MaxBodyBytes, Time: e.cfg.BodyTimeoutMs.Duration(), Memory: q.held.For(budget.Body),
+	})
 }
 
 // class returns the class with the given name, or the first class of the account if
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -10,6 +10,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -23,6 +24,7 @@
 	host "github.com/damaskport/damaskport/internal/control/enginequeue"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -55,6 +57,8 @@
 	// Dropped returns the number of log lines dropped so far; nil if that is not
 	// known.
 	Dropped func() int64
+	// Held bounds the memory of bodies and answers; nil for no bound.
+	Held *budget.Held
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -110,6 +114,7 @@
 	membersDigest atomic.Uint64
 	outage        *outage
 	gate          *overloadGate
+	held          *budget.Held
 
 	mu sync.Mutex
 	// streamDurations holds the durations of streamed answers from the first
@@ -146,7 +151,7 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
+		gate: gate, held: cmp.Or(d.Held, budget.NewHeld(0)), controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
 	}
 	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
@@ -313,6 +318,7 @@
 	m.Gauge("store_era").Update(float64(g.store.currentEpoch().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
 	parts, requests, endings := g.suspects.counts()
+	m.Gauge("held_bytes").Update(float64(g.held.Bytes()))
 	m.Gauge("quarantined_parts").Update(float64(parts))
 	m.Gauge("quarantined_requests").Update(float64(requests))
 	m.Gauge("suspect_endings").Update(float64(endings))
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/policy/retry"
@@ -57,7 +58,8 @@
 	pool     *pool
 	placeReq place.Request
 	body     []byte
-	header   http.Header // the headers to forward
+	held     budget.Request // memory of the body and of the buffered answer
+	header   http.Header    // the headers to forward
 	log      logrus.FieldLogger
 
 	arrivedMs  clock.Millis
@@ -97,6 +99,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j, failure := g.admit(w, r)
+	defer j.held.Release()
 	j.caller = exchange.NewCaller(w, callerCodec{g.codec, j.ID}, g.clock, j.arrivedMs)
 	j.caller.LimitWrites(g.wallTime(cmp.Or(j.timeoutMs, j.arrivedMs+defaultDeadline) + writeGrace))
 	if failure != nil {
@@ -137,7 +140,7 @@
 // the response if the request cannot be served; nil otherwise.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *exchange.Failure) {
 	now := g.clock.Now()
-	j := &job{Call: g.codec.Call(r.Header), r: r, arrivedMs: now}
+	j := &job{Call: g.codec.Call(r.Header), r: r, arrivedMs: now, held: g.held.Request()}
 	j.log = g.log.WithField("request", j.ID)
 	cfg := g.fleet.config()
 	if cfg == nil || !g.settled.Load() {
@@ -171,7 +174,7 @@
 	if !g.gate.admits(j.priority, cfg.LeastUrgent()) {
 		return j, notRun(http.StatusServiceUnavailable, "entryOverloaded", otherGatewayRetryAfter)
 	}
-	body, failure := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: cfg.MaxBodyBytes})
+	body, failure := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: g.maxBody(cfg), Memory: j.held.For(budget.Body)})
 	if failure != nil {
 		return j, failure
 	}
@@ -189,6 +192,16 @@
 	return j, nil
 }
 
+// maxBody returns the most bytes that a body may have: one for which there never is memory is refused for
+// good. 0 means no limit.
+func (g *Gateway) maxBody(cfg *routing.Config) int64 {
+	most := g.held.Limit(budget.Body)
+	if most == 0 || cfg.MaxBodyBytes > 0 {
+		return min(cmp.Or(cfg.MaxBodyBytes, most), cmp.Or(most, cfg.MaxBodyBytes))
+	}
+	return most
+}
+
 // notInConfig returns the refusal of a request whose route or key is not in the
 // configuration. If the store has not confirmed the configuration within
 // staleConfigAge, a newer one may contain it, and the caller is told to retry.
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -9,9 +9,12 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/damaskport/damaskport/internal/backend/direct"
 	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
 )
@@ -20,6 +23,8 @@
 	// bufferedAnswerBytes is the size up to which an answer is buffered before
 	// any of it is forwarded, so that a truncated answer can be retried.
 	bufferedAnswerBytes = 64 << 10
+	// firstAnswerBytes is the size of the first buffer of an answer whose length is not known.
+	firstAnswerBytes = 4 << 10
 	// serverTimeoutTargets is how long a safe request waits for one server before
 	// another one is tried beside it, as a multiple of the route's latency target.
 	serverTimeoutTargets = 2
@@ -128,8 +133,8 @@
 		g.endSend(j, s, place.OutcomeFailed, "unfit")
 		return false
 	}
-	data, err := io.ReadAll(io.LimitReader(s.ans.Body, bufferedAnswerBytes))
-	if err == nil && len(data) < bufferedAnswerBytes && g.cutUnframed(ctx, j, s) {
+	data, whole, err := readStart(s.ans, j.held.For(budget.Answer).Take)
+	if err == nil && whole && g.cutUnframed(ctx, j, s) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -157,13 +162,13 @@
 	g.gate.addMessage(len(data))
 	j.caller.Head(s.ans.Status, h)
 	err = j.caller.Write(data, true)
-	if err == nil && len(data) == bufferedAnswerBytes {
+	if err == nil && !whole {
 		err = g.forwardRest(ctx, j, s)
 	}
 	o := place.OutcomeOK
 	if s.ans.Status >= http.StatusInternalServerError {
 		o = place.OutcomeFailed
-	} else if s.reply.FromServer && (err == nil || len(data) < bufferedAnswerBytes) {
+	} else if s.reply.FromServer && (err == nil || whole) {
 		if ok {
 			g.clearParts(j, s)
 		}
@@ -177,7 +182,21 @@
 	return true
 }
 
-// forwardRest forwards what follows the first bufferedAnswerBytes of an answer.
+// readStart reads the first bufferedAnswerBytes of an answer, or fewer if take, which is called before n
+// more bytes are used, returns false. whole is set if that is all of it.
+func readStart(ans *direct.Answer, take func(n int64) bool) (data []byte, whole bool, err error) {
+	first := int64(firstAnswerBytes)
+	if ans.Length >= 0 {
+		first = ans.Length + 1 // the end shows with the first buffer
+	}
+	data, whole, err = bounded.ReadGrowing(ans.Body, first, bufferedAnswerBytes, take)
+	if errors.Is(err, bounded.ErrNoMemory) {
+		err = nil // what follows is forwarded as it arrives
+	}
+	return data, whole, err
+}
+
+// forwardRest forwards what follows the first bytes of an answer.
 func (g *Gateway) forwardRest(ctx context.Context, j *job, s *send) error {
 	if err := j.caller.Copy(s.ans.Body, func() {}); err != nil {
 		return err
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -17,6 +17,7 @@
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/platform/membership"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/entry"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -66,8 +67,9 @@
 	Admin *AdminServer
 }
 
-// NewEntry creates an entry and listens on its addresses; Run serves them.
-func NewEntry(f settings.File, log logrus.FieldLogger) (*Entry, error) {
+// NewEntry creates an entry and listens on its addresses; Run serves them. held bounds the memory
+// of bodies; nil for no bound.
+func NewEntry(f settings.File, held *budget.Held, log logrus.FieldLogger) (*Entry, error) {
 	if f.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
 	}
@@ -85,6 +87,7 @@
 	e, err := entry.New(f, entry.Deps{
 		Log: log, Clock: clk, Store: store, Incarnation: inc,
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
+		Held:      held,
 		IssueKey:  claim.IssueKey,
 		LogRead:   reader.LastRead,
 		Tasks:     []supervise.Task{{Name: "configReader", Run: reader.Run}},
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/directory"
 )
@@ -36,6 +37,8 @@
 	Accounts []directory.Account
 	Classes  []directory.Class
 	Policy   settings.Policy
+	// Held bounds the memory of bodies in all entries; nil for no bound.
+	Held *budget.Held
 	// MaxWaiting bounds the requests that wait in an entry; 0 takes the default.
 	MaxWaiting int
 	// BodyTimeoutMs bounds the time that a caller takes to send its body; 0 takes
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -261,7 +261,7 @@
 	if s.cfg.MaxWaiting > 0 {
 		f.Entry.MaxWaiting = s.cfg.MaxWaiting
 	}
-	e, err := process.NewEntry(f, s.log)
+	e, err := process.NewEntry(f, s.cfg.Held, s.log)
 	if err != nil {
 		return err
 	}
--- a/internal/runtime/bounded/bounded.go
+++ b/internal/runtime/bounded/bounded.go
@@ -32,6 +32,31 @@
 	return data, err
 }
 
+// ErrNoMemory reports that there was no memory for input.
+var ErrNoMemory = errors.New("no memory for the input")
+
+// ReadGrowing reads r to EOF, or until it has read most bytes; eof is set in the first case. Its buffer
+// has first bytes and doubles as the input arrives. Before n more bytes are used, it calls take, which
+// returns false if there is no memory; ReadGrowing then returns ErrNoMemory. It returns what it has read
+// also with an error. take may be nil.
+func ReadGrowing(r io.Reader, first, most int64, take func(n int64) bool) (data []byte, eof bool, err error) {
+	for space := min(first, most); err == nil && int64(len(data)) < most; space = min(2*space, most) {
+		if take != nil && !take(space-int64(len(data))) {
+			return data, false, ErrNoMemory
+		}
+		data = append(make([]byte, 0, space), data...)
+		for len(data) < int(space) && err == nil {
+			var n int
+			n, err = r.Read(data[len(data):space])
+			data = data[:len(data)+n]
+		}
+	}
+	if err == io.EOF {
+		return data, true, nil
+	}
+	return data, false, err
+}
+
 // Reader reads from an underlying reader and can limit the number of bytes read from it.
 // It has no limit until Bound is called. It is not safe for concurrent use.
 type Reader struct {
