Memory: requests in flight and open connections count towards what is held for callers

Cause: a request in flight costs 41 KB with its connections beside its body, and only the limit of open files bounded the sum: 3,500 callers ended a gateway under a limit on data of 284 MB. Change: an open connection of a caller counts 16 KB, a request that is served 24 KB and its body; beyond their shares requests are refused before their body is read (503 memoryFull, not run), in the gateway and the entry.

--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -18,7 +18,7 @@
 	firstBodyBytes = 64 << 10
 	// firstChunkBytes is that of a body whose length is not known.
 	firstChunkBytes = 4 << 10
-	// memoryRetryAfter is the Retry-After of a request whose body there was no memory for.
+	// memoryRetryAfter is the Retry-After of a request that there was no memory for.
 	memoryRetryAfter = 200 * clock.Millisecond
 )
 
@@ -51,7 +51,7 @@
 	take := func(int64) bool { return true }
 	if l.Memory != nil {
 		if !l.Memory.Room(r.ContentLength) {
-			return nil, bodyFailure(r, 0, bounded.ErrNoMemory)
+			return nil, MemoryFull()
 		}
 		take = l.Memory.Take
 	}
@@ -95,6 +95,14 @@
 	return data, len(data), err
 }
 
+// MemoryFull returns the failure of a request that there is no memory for.
+func MemoryFull() *Failure {
+	return &Failure{
+		Status: http.StatusServiceUnavailable, Code: "memoryFull", NotRun: true, RetryAfterMs: memoryRetryAfter,
+		Message: "there is no memory for the request now",
+	}
+}
+
 func tooLarge(limit int64) *Failure {
 	return &Failure{
 		Status: http.StatusRequestEntityTooLarge, Code: "bodyTooLarge", NotRun: true,
@@ -109,10 +117,7 @@
 		return tooLarge(large.Limit)
 	}
 	if errors.Is(err, bounded.ErrNoMemory) {
-		return &Failure{
-			Status: http.StatusServiceUnavailable, Code: "memoryFull", NotRun: true, RetryAfterMs: memoryRetryAfter,
-			Message: "there is no memory for the request body now",
-		}
+		return MemoryFull()
 	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/policy/budget/account.go
+++ b/internal/policy/budget/account.go
@@ -12,9 +12,9 @@
 	// leastShare is the share of the memory below which a smaller heap is of no use: the collector
 	// would run all the time.
 	leastShare = 0.25
-	// heldShare is the share of the heap for the bodies and answers held at a time; the rest is for
-	// connections, and for what the collector has not freed yet.
-	heldShare = 0.5
+	// heldShare is the share of the heap for what is held for callers at a time; the rest is for what
+	// the collector has not freed yet.
+	heldShare = 0.7
 )
 
 // Account is the account of a process's memory.
@@ -41,5 +41,5 @@
 	return int64(heap)
 }
 
-// Held returns the most memory of bodies and answers that may be held at a time; 0 for no limit.
+// Held returns the most memory that may be held for callers at a time; 0 for no limit.
 func (a Account) Held() int64 { return int64(heldShare * float64(a.Heap())) }
--- a/internal/policy/budget/held.go
+++ b/internal/policy/budget/held.go
@@ -6,30 +6,55 @@
 // with a larger one.
 type Use float64
 
-// The uses of memory: a body can still be refused, an answer was earned.
+// The uses of memory. What is held for a longer time, or can no longer be refused, has a larger share.
 const (
-	Body   Use = 0.75
+	Body   Use = 0.55
+	Serve  Use = 0.75 // a request besides its body, RequestBytes
 	Answer Use = 1
 )
 
-// Held counts the memory that a process holds for requests. It is safe for concurrent use.
+const (
+	// ConnBytes is what an open connection of a caller costs.
+	ConnBytes = 16 << 10
+	// RequestBytes is what a request costs while it is served, besides its body and with the
+	// connection to its server.
+	RequestBytes = 24 << 10
+)
+
+// Held counts the memory that a process holds for callers. It is safe for concurrent use.
 type Held struct {
 	limit int64
 	bytes atomic.Int64
+	conns func() int // open connections of callers; nil if they are not counted
 }
 
 // NewHeld returns a Held for at most limit bytes; 0 for no limit.
 func NewHeld(limit int64) *Held { return &Held{limit: limit} }
 
+// WithConns returns a Held with the limit of h that counts the open connections of callers.
+func (h *Held) WithConns(open func() int) *Held {
+	if h == nil {
+		return &Held{conns: open}
+	}
+	return &Held{limit: h.limit, conns: open}
+}
+
 // Bytes returns the number of bytes held.
-func (h *Held) Bytes() int64 { return h.bytes.Load() }
+func (h *Held) Bytes() int64 {
+	n := h.bytes.Load()
+	if h.conns != nil {
+		n += int64(h.conns()) * ConnBytes
+	}
+	return n
+}
 
 // Limit returns the most bytes that may be held for a use; 0 for no limit.
 func (h *Held) Limit(u Use) int64 { return int64(float64(u) * float64(h.limit)) }
 
 // take holds n more bytes for a use, if that leaves the sum within its limit.
 func (h *Held) take(n int64, u Use) bool {
-	if sum := h.bytes.Add(n); h.limit > 0 && sum > h.Limit(u) {
+	h.bytes.Add(n)
+	if h.limit > 0 && h.Bytes() > h.Limit(u) {
 		h.bytes.Add(-n)
 		return false
 	}
@@ -58,7 +83,7 @@
 // Room reports whether n more bytes could be held now.
 func (m Memory) Room(n int64) bool {
 	h := m.r.held
-	return h == nil || h.limit == 0 || h.bytes.Load()+n <= h.Limit(m.use)
+	return h == nil || h.limit == 0 || h.Bytes()+n <= h.Limit(m.use)
 }
 
 // Take holds n more bytes. It returns false, and holds no more, if that would exceed the limit.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -51,7 +51,7 @@
 	// IssueKey returns an idempotency key, from the wall-clock time and the request
 	// id, for a protected request that came without one.
 	IssueKey func(wall clock.Millis, id string) string
-	// Held bounds the memory of bodies; nil for no bound.
+	// Held bounds the memory held for callers; nil for no bound.
 	Held *budget.Held
 	// Tasks are further tasks that run under the entry's supervisor.
 	Tasks []supervise.Task
@@ -98,9 +98,10 @@
 		name: f.Name, zone: f.Zone, incarnation: d.Incarnation, cfg: *f.Entry, policy: f.Policy,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, store: d.Store,
 		waitQueue: newWaitQueue(f.Entry.MaxWaiting), active: &activeRequests{all: map[*callerRequest]struct{}{}}, configReported: newChangeNotifier(),
-		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks, held: d.Held,
+		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
 		callerLn: callerconn.NewListener(lns[0], d.Clock, func() callerconn.Limits { return limits }),
 	}
+	e.held = d.Held.WithConns(e.callerLn.Open)
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
--- a/internal/role/entry/query.go
+++ b/internal/role/entry/query.go
@@ -27,7 +27,7 @@
 	arrived clock.Millis
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	held    budget.Request // memory of the body
+	held    budget.Request // memory of the request and its body
 }
 
 // activeRequests is the set of requests being served. It serves to end those whose
@@ -77,8 +77,12 @@
 	if failure != nil {
 		return nil, nil, failure
 	}
+	held := e.held.Request()
+	if !held.For(budget.Serve).Take(budget.RequestBytes) {
+		return nil, nil, exchange.MemoryFull()
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	q = &callerRequest{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel, held: e.held.Request()}
+	q = &callerRequest{dir: d, key: key, account: account, arrived: e.clock.Now(), ctx: ctx, cancel: cancel, held: held}
 	e.active.add(q)
 	// The key may have been withdrawn after authenticate and before add.
 	if e.store.Current().KeyWithdrawn(key.ID) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -10,7 +10,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -57,7 +56,7 @@
 	// Dropped returns the number of log lines dropped so far; nil if that is not
 	// known.
 	Dropped func() int64
-	// Held bounds the memory of bodies and answers; nil for no bound.
+	// Held bounds the memory held for callers; nil for no bound.
 	Held *budget.Held
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
@@ -151,9 +150,10 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, held: cmp.Or(d.Held, budget.NewHeld(0)), controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
+		gate: gate, controlLn: lns[0], metricsLn: lns[1], readyLn: lns[2],
 	}
 	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
+	g.held = d.Held.WithConns(g.callerLn.Open)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -58,7 +58,7 @@
 	pool     *pool
 	placeReq place.Request
 	body     []byte
-	held     budget.Request // memory of the body and of the buffered answer
+	held     budget.Request // memory of the request, its body and the buffered answer
 	header   http.Header    // the headers to forward
 	log      logrus.FieldLogger
 
@@ -174,6 +174,9 @@
 	if !g.gate.admits(j.priority, cfg.LeastUrgent()) {
 		return j, notRun(http.StatusServiceUnavailable, "entryOverloaded", otherGatewayRetryAfter)
 	}
+	if !j.held.For(budget.Serve).Take(budget.RequestBytes) {
+		return j, exchange.MemoryFull()
+	}
 	body, failure := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: g.maxBody(cfg), Memory: j.held.For(budget.Body)})
 	if failure != nil {
 		return j, failure
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -68,7 +68,7 @@
 }
 
 // NewEntry creates an entry and listens on its addresses; Run serves them. held bounds the memory
-// of bodies; nil for no bound.
+// held for callers; nil for no bound.
 func NewEntry(f settings.File, held *budget.Held, log logrus.FieldLogger) (*Entry, error) {
 	if f.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
