--- a/internal/policy/budget/account.go
+++ b/internal/policy/budget/account.go
@@ -8,7 +8,7 @@
 	heapShare = 0.6
 	// mappedShare is the share of the heap's reserved memory that is in use at most. The runtime returns
 	// unused memory to the machine, but keeps it reserved.
-	mappedShare = 0.75
+	mappedShare = 0.7
 	// leastShare is the share of the memory below which a smaller heap is of no use: the collector
 	// would run all the time.
 	leastShare = 0.25
--- a/internal/policy/budget/budget_test.go
+++ b/internal/policy/budget/budget_test.go
@@ -19,7 +19,7 @@
 		fmt.Printf("heap %d MB, held for callers %d MB\n", a.Heap()/mb, a.Held()/mb)
 	}
 	// Output:
-	// heap 150 MB, held for callers 105 MB
+	// heap 140 MB, held for callers 98 MB
 	// heap 71 MB, held for callers 49 MB
 }
 
--- a/internal/proof/startup/memory_test.go
+++ b/internal/proof/startup/memory_test.go
@@ -28,7 +28,9 @@
 		p := s.startLimited(t, cluster.Limits{})
 		awaitStart(t, p)
 		time.Sleep(time.Second)
-		if got := p.DataMb(); got == 0 || got > memoryMb/2 {
+		got := p.DataMb()
+		t.Logf("%d MB reserved, %d threads", got, p.Threads())
+		if got == 0 || got > memoryMb/2 {
 			t.Errorf("%d MB reserved at rest, want at most %d", got, memoryMb/2)
 		}
 	})
