--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -8,11 +8,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/damaskport/damaskport/internal/operator/settings"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/process"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
 	"github.com/damaskport/damaskport/internal/runtime/logging"
+	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -35,7 +37,7 @@
 
 // start starts a role with open, which gets the settings, and returns the role's log; nil if there is
 // nothing to run.
-func (s settingsFlag) start(sig signals.Caught, o output, open func(f settings.File, log *logrus.Logger) error) (*roleLog, error) {
+func (s settingsFlag) start(sig signals.Caught, o output, open func(f settings.File, log *roleLog) error) (*roleLog, error) {
 	var f settings.File
 	var log *roleLog
 	started, err := start(sig, o.err, func() (err error) {
@@ -45,11 +47,13 @@
 		if log, err = newRoleLog(o.err, f.LogLevel); err != nil {
 			return err
 		}
-		return open(f, log.Logger)
+		log.account = memory.Apply(f.MemoryMb)
+		return open(f, log)
 	}, func() clock.Millis { return drainTime(f) })
 	if !started {
 		return nil, err
 	}
+	logMemory(log, log.account)
 	return log, nil
 }
 
@@ -64,10 +68,20 @@
 	return 0
 }
 
-// roleLog is the log of a role, with the sink that writes its lines.
+// roleLog is the log of a role, with the sink that writes its lines, and the account of the
+// process's memory.
 type roleLog struct {
 	*logrus.Logger
-	sink *logging.Sink
+	sink    *logging.Sink
+	account budget.Account
+}
+
+// logMemory logs the account of a process's memory; a limit of 0 is not known.
+func logMemory(log logrus.FieldLogger, a budget.Account) {
+	mb := func(bytes int64) int64 { return bytes >> 20 }
+	log.WithFields(logrus.Fields{
+		"event": "memory", "limitMb": mb(a.Limit), "reservedMb": mb(a.Reserved), "growthMb": mb(a.Growth), "heapMb": mb(a.Heap()), "heldMb": mb(a.Held()),
+	}).Info()
 }
 
 func newRoleLog(w io.Writer, level string) (*roleLog, error) {
@@ -75,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &roleLog{log, sink}, nil
+	return &roleLog{Logger: log, sink: sink}, nil
 }
 
 // check reads the settings and reports whether they are accepted.
@@ -99,9 +113,9 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
-	var held listen.Held
-	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		e, err = process.NewEntry(f, log, &held)
+	var addrs listen.Held
+	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
+		e, err = process.NewEntry(f, log, &addrs, budget.NewHeld(log.account.Held()))
 		return err
 	})
 	if log == nil {
@@ -131,9 +145,9 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
-	var held listen.Held
-	log, err := c.start(sig, c.o, func(f settings.File, log *logrus.Logger) (err error) {
-		s, err = process.NewSidecar(f, log, &held)
+	var addrs listen.Held
+	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
+		s, err = process.NewSidecar(f, log, &addrs)
 		return err
 	})
 	if log == nil {
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -3,8 +3,10 @@
 import (
 	"github.com/jessevdk/go-flags"
 
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/solo"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
+	"github.com/damaskport/damaskport/internal/runtime/memory"
 	"github.com/damaskport/damaskport/internal/runtime/signals"
 )
 
@@ -33,7 +35,9 @@
 	if err != nil {
 		return err
 	}
+	log.account = memory.Apply(0)
 	cfg := solo.Defaults()
+	cfg.Held = budget.NewHeld(log.account.Held())
 	cfg.CallerAddr, cfg.AdminAddr = c.CallerAddr, c.AdminAddr
 	cfg.Addresses = &listen.Held{}
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
@@ -46,6 +50,7 @@
 	if !started {
 		return err
 	}
+	logMemory(log, log.account)
 	defer log.sink.Start()()
 	go c.o.lines(namedValue{"url", s.URL()}, namedValue{"key", s.Key(cfg.Accounts[0].Name)}, namedValue{"adminUrl", s.AdminURL()})
 	go watchFixedSettings(sig.Stopped, sig.Reload, log, func() error { return nil })
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -115,12 +115,12 @@
 	return cluster.StartLogged(t, s.role, "", s.args()...)
 }
 
+// args returns the arguments of the process.
 func (s *server) args() []string {
-	args := []string{s.role, "--settings", s.path}
 	if s.role == "solo" {
-		args = []string{s.role, "--caller-addr", s.addrs["callerAddr"], "--admin-addr", s.addrs["adminAddr"]}
+		return []string{s.role, "--caller-addr", s.addrs["callerAddr"], "--admin-addr", s.addrs["adminAddr"]}
 	}
-	return args
+	return []string{s.role, "--settings", s.path}
 }
 
 // awaitStart waits until the process serves, and fails the test if it ends before.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/listen"
@@ -53,6 +54,8 @@
 	// IssueKey returns an idempotency key, from the wall-clock time and the request
 	// id, for a protected request that came without one.
 	IssueKey func(wall clock.Millis, id string) string
+	// Held bounds the memory held for callers; nil for no bound.
+	Held *budget.Held
 	// Tasks are further tasks that run under the entry's supervisor.
 	Tasks []supervise.Task
 }
@@ -83,6 +86,7 @@
 	callerLn       *callerconn.Listener
 	nextID         atomic.Int64
 	draining       atomic.Bool
+	held           *budget.Held
 }
 
 // New returns an Entry that listens on the address for callers but does not serve
@@ -103,6 +107,7 @@
 		metrics: newMetrics(), issueKey: d.IssueKey, logRead: d.LogRead, tasks: d.Tasks,
 		callerLn: callerconn.NewListener(d.Callers, d.Clock, func() callerconn.Limits { return limits }),
 	}
+	e.held = d.Held.WithConns(e.callerLn.Open)
 	e.exchange = dispatch.NewExchange(d.Store, e.log)
 	e.peers = newPeers(e, d.Instances)
 	e.router = newRouter(e)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -23,6 +23,7 @@
 	host "github.com/damaskport/damaskport/internal/control/enginequeue"
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/enginequeue"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/drain"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
@@ -61,6 +62,8 @@
 	Addresses *listen.Held
 	// Buffers gives connections the sizes of their buffers; nil for NewBuffers of the settings.
 	Buffers *tcp.Buffers
+	// Held bounds the memory held for callers; nil for no bound.
+	Held *budget.Held
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -118,6 +121,7 @@
 	membersDigest atomic.Uint64
 	outage        *outage
 	gate          *overloadGate
+	held          *budget.Held
 
 	mu sync.Mutex
 	// streamDurations holds the durations of streamed answers from the first
@@ -160,6 +164,7 @@
 		g.buffers = NewBuffers(cfg, d.Log)
 	}
 	g.limitBuffers(lns, d.Clock)
+	g.held = d.Held.WithConns(g.callerLn.Open)
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
@@ -322,6 +327,7 @@
 	m.Gauge("store_era").Update(float64(g.store.currentEpoch().Number()))
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
 	parts, requests, endings := g.suspects.counts()
+	m.Gauge("held_bytes").Update(float64(g.held.Bytes()))
 	m.Gauge("quarantined_parts").Update(float64(parts))
 	m.Gauge("quarantined_requests").Update(float64(requests))
 	m.Gauge("suspect_endings").Update(float64(endings))
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -17,6 +17,7 @@
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/platform/logservice"
 	"github.com/damaskport/damaskport/internal/platform/membership"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/entry"
 	"github.com/damaskport/damaskport/internal/role/sidecar"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -67,9 +68,10 @@
 	Admin *AdminServer
 }
 
-// NewEntry creates an entry and listens on its addresses; Run serves them. held, unless it is nil,
-// keeps addresses over several calls. The error is a *listen.Error if an address cannot be listened on.
-func NewEntry(f settings.File, log logrus.FieldLogger, held *listen.Held) (*Entry, error) {
+// NewEntry creates an entry and listens on its addresses; Run serves them. addrs, unless it is nil,
+// keeps addresses over several calls. mem bounds the memory held for callers; nil for no bound. The
+// error is a *listen.Error if an address cannot be listened on.
+func NewEntry(f settings.File, log logrus.FieldLogger, addrs *listen.Held, mem *budget.Held) (*Entry, error) {
 	if f.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
 	}
@@ -77,7 +79,7 @@
 	store := config.New(0)
 	h := platformHTTP(f.Platform.TimeoutMs)
 	logs := logservice.New(f.Platform.LogURL, h)
-	lns, err := held.Listen(
+	lns, err := addrs.Listen(
 		listen.Address{Setting: "entry.adminAddr", HostPort: f.Entry.AdminAddr}, listen.Address{Setting: "entry.callerAddr", HostPort: f.Entry.CallerAddr},
 	)
 	if err != nil {
@@ -90,6 +92,7 @@
 	e, err := entry.New(f, entry.Deps{
 		Log: log, Clock: clk, Store: store, Incarnation: inc, Callers: lns[1],
 		Instances: boundedLister{membership.New(f.Platform.InstancesURL, h), f.Platform.TimeoutMs},
+		Held:      mem,
 		IssueKey:  claim.IssueKey,
 		LogRead:   reader.LastRead,
 		Tasks:     []supervise.Task{{Name: "configReader", Run: reader.Run}},
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -258,10 +258,10 @@
 	f := settings.Defaults(settings.RoleEntry)
 	f.Name, f.Zone, f.Platform, f.Policy = entryName(i), s.cfg.zone(i), s.platformSettings(), s.cfg.Policy
 	f.Entry.CallerAddr, f.Entry.AdminAddr = loopback, loopback
-	var held *listen.Held
+	var addrs *listen.Held
 	if i == 0 {
 		f.Entry.CallerAddr, f.Entry.AdminAddr = s.cfg.CallerAddr, s.cfg.AdminAddr
-		held = s.cfg.Addresses
+		addrs = s.cfg.Addresses
 	}
 	f.Entry.Duties = true
 	if s.cfg.BodyTimeoutMs > 0 {
@@ -270,7 +270,7 @@
 	if s.cfg.MaxWaiting > 0 {
 		f.Entry.MaxWaiting = s.cfg.MaxWaiting
 	}
-	e, err := process.NewEntry(f, s.log, held)
+	e, err := process.NewEntry(f, s.log, addrs, s.cfg.Held)
 	if err != nil {
 		return err
 	}
