Tests: the kernel holds no more than the sizes of a connection say

The budget is as good as what the sizes count for: the kernel exceeds a send buffer by a packet of up to 64 KB, and doubles the values it is given. Nothing compared the two for peers with large windows. Change: TestKernelKeepsToSizes reads 4 MB fast, stops, and compares SO_MEMINFO with the sizes, from the floor to the largest.

--- a/internal/runtime/tcp/buffers_test.go
+++ b/internal/runtime/tcp/buffers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -97,3 +98,50 @@
 		t.Errorf("writing to a closed connection: %v", err)
 	}
 }
+
+// TestKernelKeepsToSizes guards against sizes that count for less than the kernel holds, from the floor to the
+// largest, for peers with large windows that have read fast and then stop.
+func TestKernelKeepsToSizes(t *testing.T) {
+	for _, memory := range []int{0, 1 << 20, 16 << 20, 64 << 20, 256 << 20, 1 << 30} {
+		t.Run(fmt.Sprintf("memory=%dMB", memory>>20), func(t *testing.T) {
+			t.Parallel()
+			log, _ := logtest.NewNullLogger()
+			b := tcp.NewBuffers(socketbuffer.NewBudget(memory, 2), log)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			near, err := b.Dial(t.Context(), tcp.NewDialer(time.Second), socketbuffer.Server, "tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			far, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			var wg sync.WaitGroup
+			for _, ends := range [][2]net.Conn{{near, far}, {far, near}} {
+				wg.Go(func() { _, _ = io.CopyN(io.Discard, ends[1], 4<<20) })
+				wg.Go(func() {
+					_ = ends[0].SetWriteDeadline(time.Now().Add(time.Second))
+					for p := make([]byte, 32<<10); ; {
+						if _, err := ends[0].Write(p); err != nil {
+							return
+						}
+					}
+				})
+			}
+			wg.Wait()
+			held, err := b.Usage()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := held[socketbuffer.Server]; n > b.Budget().Given() || n == 0 {
+				t.Errorf("the kernel holds %d bytes, want at most %d", n, b.Budget().Given())
+			}
+			t.Log(held, b.Budget().Given())
+		})
+	}
+}
