Tests: connections to look at come from an address that few connections have

Its platform listens on the IPv6 loopback address now, where the machine has one: the other sockets there are few. What is wanted of each connection is the same.

--- a/internal/proof/startup/address_test.go
+++ b/internal/proof/startup/address_test.go
@@ -1,13 +1,13 @@
 package startup_test
 
 import (
-	"fmt"
 	"net"
-	"os"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/damaskport/damaskport/internal/runtime/sockets"
 )
 
 // TestConnectionAtAnAddressDoesNotEndStart guards against processes that end because a connection, open or
@@ -87,25 +87,21 @@
 func TestOutgoingConnectionHoldsNoAddress(t *testing.T) {
 	t.Parallel()
 	for _, role := range []string{"gateway", "entry"} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = ln.Close() })
+		ln := listenWhereFewConnect(t)
 		s := newServerAt(t, role, ln.Addr().String())
 		t.Run(role, func(t *testing.T) {
 			t.Parallel()
 			s.start(t)
 			checked, end := 0, time.Now().Add(startTime)
 			for {
-				_ = ln.(*net.TCPListener).SetDeadline(end)
+				_ = ln.SetDeadline(end)
 				c, err := ln.Accept()
 				if err != nil {
 					break
 				}
 				defer c.Close()
 				addr := c.RemoteAddr().(*net.TCPAddr)
-				if sharedPort(t, addr, ln.Addr().(*net.TCPAddr)) {
+				if sharedPort(t, addr, ln.Addr()) {
 					continue
 				}
 				if checked++; checked == 1 {
@@ -127,22 +123,28 @@
 
 // sharedPort reports whether a socket other than the connection between local and remote has the address
 // local: the system gives a port to connections to several addresses at once.
-func sharedPort(t *testing.T, local, remote *net.TCPAddr) bool {
+func sharedPort(t *testing.T, local, remote net.Addr) bool {
 	t.Helper()
-	data, err := os.ReadFile("/proc/net/tcp")
+	l, r := local.(*net.TCPAddr).AddrPort(), remote.(*net.TCPAddr).AddrPort()
+	found, err := sockets.Find(func(s sockets.Socket) bool { return s.Local == l && s.Remote != r })
 	if err != nil {
 		t.Fatal(err)
 	}
-	hex := func(a *net.TCPAddr) string {
-		ip := a.IP.To4()
-		return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+	return len(found) > 0
+}
+
+// listenWhereFewConnect listens on a loopback address that has few connections, if the system has one.
+func listenWhereFewConnect(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "[::1]:0")
+	if err != nil {
+		ln, err = net.Listen("tcp", "127.0.0.1:0")
 	}
-	for line := range strings.Lines(string(data)) {
-		if f := strings.Fields(line); len(f) > 2 && f[1] == hex(local) && f[2] != hex(remote) {
-			return true
-		}
+	if err != nil {
+		t.Fatal(err)
 	}
-	return false
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.(*net.TCPListener)
 }
 
 // TestWaitingStartKeepsItsAddresses guards against processes that lose an address to a connection while they
