Metrics: the time that a gateway waited before it listened

A start can wait for an address for long now, and its metrics had no trace of it once it served. start_wait_ms is the time from the start of the process until it listened on all that it needs.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -39,7 +39,7 @@
 // Execute runs the gateway until a signal arrives.
 func (c *gatewayCommand) Execute([]string) error {
 	sig := signals.Catch()
-	p := &gatewayProcess{o: c.o, path: c.Settings}
+	p := &gatewayProcess{o: c.o, path: c.Settings, beganMs: clock.System{}.Now()}
 	started, err := start(sig, c.o.out, p.open, func() clock.Millis { return clock.Millis(p.cfg.Bounds.GraceS * float64(clock.Second)) })
 	if !started {
 		return err
@@ -57,8 +57,9 @@
 	log     *logrus.Logger
 	sink    *logging.Sink
 	gateway *gateway.Gateway
-	// addresses are kept over the attempts to start.
+	// addresses are kept over the attempts to start, of which the first was made at beganMs.
 	addresses listen.Held
+	beganMs   clock.Millis
 }
 
 // open reads the settings and opens the gateway's listeners.
@@ -77,6 +78,7 @@
 		Log: p.log.WithField("instance", cfg.Name), Clock: clock.System{}, ProcessID: process.NewIncarnation(),
 		Dropped:       p.sink.Dropped,
 		Addresses:     &p.addresses,
+		BeganMs:       p.beganMs,
 		Codec:         platform.Codec{},
 		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }),
 		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name),
--- a/internal/proof/startup/startup_test.go
+++ b/internal/proof/startup/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -255,6 +256,9 @@
 				if d := time.Since(freed); d > servesSoon {
 					t.Errorf("served %v after its address was free, want at most %v", d, servesSoon)
 				}
+				if s.role == "gateway" {
+					checkStartWait(t, s.addrs["metricsAddr"], held)
+				}
 				taken := fmt.Sprintf(`(?im)msg="\S*%s: listen tcp %s: [^"]+" .*event=startWaits for=address holder=listener .*waitedMs=([0-9]+)$`, name, regexp.QuoteMeta(s.addrs[name]))
 				told := regexp.MustCompile(taken).FindAllStringSubmatch(p.Log(), -1)
 				if want := 1 + int(held/toldEvery); len(told) != want {
@@ -271,6 +275,32 @@
 	})
 }
 
+// checkStartWait checks the time that a gateway says it waited before it listened.
+func checkStartWait(t *testing.T, metricsAddr string, want time.Duration) {
+	t.Helper()
+	text := ""
+	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		res, err := http.Get("http://" + metricsAddr + "/metrics")
+		if err != nil {
+			continue
+		}
+		data, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = string(data)
+		if m := regexp.MustCompile(`(?m)^damaskport_start_wait_ms ([1-9][0-9.e+]*)$`).FindStringSubmatch(text); m != nil {
+			ms, _ := strconv.ParseFloat(m[1], 64)
+			if waited := time.Duration(ms) * time.Millisecond; waited < want-time.Second || waited > want+2*time.Second {
+				t.Errorf("start_wait_ms is %v, want about %v", waited, want)
+			}
+			return
+		}
+	}
+	t.Errorf("no start_wait_ms in the metrics:\n%s", text)
+}
+
 // TestTakenMetricsAddressHoldsUpNoRequests guards against gateways that don't serve because something else has
 // the address for operators.
 func TestTakenMetricsAddressHoldsUpNoRequests(t *testing.T) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -57,6 +57,8 @@
 	Dropped func() int64
 	// Addresses keeps addresses over several calls of New; nil keeps none.
 	Addresses *listen.Held
+	// BeganMs is the monotonic time of the first attempt to start; 0 if that is not known.
+	BeganMs clock.Millis
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -153,6 +155,9 @@
 		g.metricsAddr = g.metricsLn.Addr().String()
 	}
 	g.callerLn = callerconn.NewListener(lns[3], d.Clock, g.connLimits)
+	if d.BeganMs > 0 {
+		g.metrics.root.Gauge("start_wait_ms").Update(float64(d.Clock.Now() - d.BeganMs))
+	}
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
