--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -36,7 +36,7 @@
 // Execute runs the gateway until a signal arrives.
 func (c *gatewayCommand) Execute([]string) error {
 	sig := signals.Catch()
-	p := &gatewayProcess{o: c.o, path: c.Settings}
+	p := &gatewayProcess{o: c.o, path: c.Settings, beganMs: clock.System{}.Now()}
 	started, err := start(sig, c.o.out, p.open, func() clock.Millis { return clock.Millis(p.cfg.Bounds.GraceS * float64(clock.Second)) })
 	if !started {
 		return err
@@ -55,8 +55,9 @@
 	log     *logrus.Logger
 	sink    *logging.Sink
 	gateway *gateway.Gateway
-	// addresses are kept over the attempts to start.
+	// addresses are kept over the attempts to start, of which the first was made at beganMs.
 	addresses listen.Held
+	beganMs   clock.Millis
 }
 
 // open reads the settings and opens the gateway's listeners.
@@ -79,6 +80,7 @@
 		Dropped:       p.sink.Dropped,
 		Addresses:     &p.addresses,
 		Held:          budget.NewHeld(p.account.Held()),
+		BeganMs:       p.beganMs,
 		Codec:         platform.Codec{},
 		Store:         platform.NewStore(func() string { return p.now.Load().Store.Addr }).WithBuffers(buffers),
 		UsageReporter: platform.NewDuties(func() string { return p.now.Load().Duties.Addr }, cfg.Name).WithBuffers(buffers),
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -64,6 +64,8 @@
 	Buffers *tcp.Buffers
 	// Held bounds the memory held for callers; nil for no bound.
 	Held *budget.Held
+	// BeganMs is the monotonic time of the first attempt to start; 0 if that is not known.
+	BeganMs clock.Millis
 	// ProcessID identifies the process: it differs for each start of an instance.
 	ProcessID string
 }
@@ -165,6 +167,9 @@
 	}
 	g.limitBuffers(lns, d.Clock)
 	g.held = d.Held.WithConns(g.callerLn.Open)
+	if d.BeganMs > 0 {
+		g.metrics.root.Gauge("start_wait_ms").Update(float64(d.Clock.Now() - d.BeganMs))
+	}
 	g.ending, g.cancelUnanswered = context.WithCancel(context.Background())
 	g.cfg.Store(&cfg)
 	g.fleet = newFleetView(cfg.Zone, d.Clock, d.Log, retryLimitOf(cfg))
