Tests: callers that read long answers slowly, under a limit on data

Change: a row of TestDataLimitDoesNotEndGateway. No change of code. Measured: one run of all six rows on the code of the parent commit passes, 127 MB reserved with slow callers.

--- a/internal/proof/startup/memory_test.go
+++ b/internal/proof/startup/memory_test.go
@@ -60,6 +60,7 @@
 type load struct {
 	callers, body, answer int           // body and answer in bytes
 	work                  time.Duration // of a server on a request
+	pause                 time.Duration // of a caller between reads of 16 KB
 }
 
 // TestDataLimitDoesNotEndGateway guards against gateways that end under load because memory that they have
@@ -68,6 +69,7 @@
 	for name, l := range map[string]load{
 		"bodies":  {callers: 80, body: 4 << 20, work: 200 * time.Millisecond},
 		"answers": {callers: 200, answer: 300 << 10},
+		"slow":    {callers: 400, answer: 300 << 10, pause: 100 * time.Millisecond},
 		"crowd":   {callers: 1200, body: 1 << 10, answer: 1 << 10, work: time.Second},
 		"files":   {callers: 3500, body: 1 << 10, answer: 1 << 10, work: time.Second}, // as many as the open files allow
 		"all":     {callers: 600, body: 300 << 10, answer: 300 << 10, work: 500 * time.Millisecond},
@@ -174,7 +176,7 @@
 	return answered, lost
 }
 
-func (load) request(tr *http.Transport, url, id string, body []byte) (status int, err error) {
+func (l load) request(tr *http.Transport, url, id string, body []byte) (status int, err error) {
 	r, err := http.NewRequest(http.MethodPost, url+"/read/1", bytes.NewReader(body))
 	if err != nil {
 		return 0, err
@@ -187,6 +189,12 @@
 		return 0, err
 	}
 	defer res.Body.Close()
-	_, err = io.Copy(io.Discard, res.Body)
+	for err == nil {
+		time.Sleep(l.pause)
+		_, err = io.CopyN(io.Discard, res.Body, 16<<10)
+	}
+	if err == io.EOF {
+		err = nil
+	}
 	return res.StatusCode, err
 }
