Direct: unread data hides a close only while the receive window is full

Cause: a connection with 32 KB or more unread counted as closed, since a server's close might wait behind the data. Checked by a few lines of code with killed processes: the close arrives at once behind 100,000 and 127,000 unread bytes; it is held back only once the window is 0 (128,000 of 140,000 and 10,000,000 bytes), keep-alive changes nothing, and only data sent to the server would bring the reset. Change: TCP_INFO tells the window (Linux 6.2 on; before, such a connection counts as closed as it did). With room in it and no data for a second the connection is open; while data arrives the look goes on (OthersUnread).

--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -32,6 +32,8 @@
 	// TCP_USER_TIMEOUT also expires while a full window is probed and the probes are acknowledged, so
 	// unackedTimeout is not set for requests with longer bodies: a server may read them late.
 	windowBytes = 32 << 10
+	// unreadQuiet is longer than a system waits before it probes a window that has too little room.
+	unreadQuiet = clock.Second
 	// TCP keep-alive closes an idle connection whose peer leaves keepAliveProbes probes,
 	// sent every keepAliveInterval, unanswered.
 	keepAliveInterval = time.Second
@@ -185,18 +187,32 @@
 	}
 }
 
-// open reports whether neither end has closed c; it may be called while a request uses c. With
-// windowBytes or more unread, the server's close may not have arrived yet, and c counts as closed.
-func (c *conn) open() bool {
+// connState is what the gateway's system knows of a connection.
+type connState int
+
+// The states of a connection. One with much unread data is connUnread while data arrives: a close follows
+// only behind what the server's system still has to send.
+const (
+	connClosed connState = iota
+	connUnread
+	connOpen
+)
+
+// open reports whether neither end has closed c; it may be called while a request uses c.
+func (c *conn) open() bool { return c.state() == connOpen }
+
+// state returns the state of c; it may be called while a request uses c. A full receive window holds the
+// server's close back, and c then counts as closed.
+func (c *conn) state() connState {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return connClosed
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return connClosed
 	}
-	open := false
+	state := connClosed
 	err = raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, perr := unix.Poll(fds, 0)
@@ -204,9 +220,33 @@
 			n, perr = unix.Poll(fds, 0)
 		}
 		unread, ierr := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-		open = perr == nil && n == 0 && ierr == nil && unread < windowBytes
+		switch {
+		case perr != nil || n != 0 || ierr != nil:
+		case unread < windowBytes:
+			state = connOpen
+		default:
+			state = unreadState(int(fd))
+		}
 	})
-	return err == nil && open
+	if err != nil {
+		return connClosed
+	}
+	return state
+}
+
+// unreadState returns the state of an open connection with much unread data. With room in the window for
+// unreadQuiet, the server's system has nothing left to send, also no close: it would have filled the
+// window by its first probe. Systems that do not tell the window's size (before Linux 6.2) give 0.
+func unreadState(fd int) connState {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	switch {
+	case err != nil || info.Rcv_wnd == 0:
+		return connClosed
+	case clock.Millis(info.Last_data_recv) < unreadQuiet:
+		return connUnread
+	default:
+		return connOpen
+	}
 }
 
 // setIdleTimeout applies the idle timeout that the server announces in the Keep-Alive
--- a/internal/backend/direct/endedserver_test.go
+++ b/internal/backend/direct/endedserver_test.go
@@ -177,3 +177,32 @@
 	}
 	_ = ans.Body.Close()
 }
+
+// TestCloseBehindUnreadDataIsSeen guards against taking a connection for open whose server has ended behind
+// data that waits to be read, also if that holds its close back.
+func TestCloseBehindUnreadDataIsSeen(t *testing.T) {
+	for _, bytes := range []int{100_000, 4 << 20} {
+		ln := listen(t)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = ln.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n")
+			_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			_, _ = c.Write(make([]byte, bytes))
+			_ = c.Close() // as with a killed process, the system sends what it has
+		}()
+		p := direct.NewPool(ln.Addr().String(), clock.System{})
+		ans := do(t, p)
+		<-closed
+		if l := p.Look(t.Context(), settle); l.Liveness() != direct.Ended {
+			t.Errorf("%d bytes unread: the server counts as %v: %+v", bytes, l.Liveness(), l)
+		}
+		_ = ans.Body.Close()
+	}
+}
--- a/internal/backend/direct/liveness.go
+++ b/internal/backend/direct/liveness.go
@@ -63,6 +63,8 @@
 	// OthersOpen is set if connections from before that are open, OthersClosed if the server has
 	// closed idle ones.
 	OthersOpen, OthersClosed bool
+	// OthersUnread is set if such connections may be open, but unread data may hold their close back.
+	OthersUnread bool
 	// Answered is set if the server has answered what was sent after the end, on a connection from
 	// before it.
 	Answered bool
@@ -89,12 +91,12 @@
 	switch {
 	case l.Answered:
 		return Alive
-	case (l.Refused || l.Closed) && !l.OthersOpen:
+	case l.Refuses():
 		return Ended
-	case l.Refused && l.Elapsed >= l.Settled():
+	case l.Refused && l.OthersOpen && l.Elapsed >= l.Settled():
 		// It has closed its listener, and serves the connections that it has.
 		return Alive
-	case l.Refused:
+	case l.Refused || l.Closed && !l.OthersOpen:
 		return Unknown
 	case l.Listening >= l.Settled():
 		return Alive
@@ -103,11 +105,17 @@
 	}
 }
 
+// Refuses reports whether no connection of the server is left, old or new.
+func (l Look) Refuses() bool {
+	return (l.Refused || l.Closed) && !l.OthersOpen && !l.OthersUnread
+}
+
 // Fields returns l as it stands in logs.
 func (l Look) Fields() map[string]any {
 	f := map[string]any{
 		"evidence": "connection", "elapsedMs": int64(l.Elapsed), "listeningMs": int64(l.Listening), "refused": l.Refused,
 		"closed": l.Closed, "othersOpen": l.OthersOpen, "othersClosed": l.OthersClosed,
+		"othersUnread": l.OthersUnread,
 	}
 	if l.Err != nil {
 		f["dialError"] = l.Err.Error()
@@ -154,14 +162,20 @@
 	if dead, _ := p.closeDead(); dead > 0 {
 		l.OthersClosed = true
 	}
-	l.OthersOpen = (l.Refused || l.Closed) && p.openBefore(k.refusedMs)
+	if l.Refused || l.Closed {
+		others := p.stateBefore(k.refusedMs)
+		l.OthersOpen, l.OthersUnread = others == connOpen, others == connUnread
+	}
 }
 
 // step waits for the next sign of the server, or causes one.
 func (k *check) step(ctx context.Context) {
 	wait := k.look.Settled() - k.look.Elapsed
 	switch {
-	case k.look.Refused:
+	case k.look.Refused || k.look.Closed && !k.look.OthersOpen:
+		if wait <= 0 {
+			wait = recheckInterval
+		}
 		k.sleep(ctx, min(wait, recheckInterval))
 	case k.conn != nil:
 		k.hold(wait)
--- a/internal/backend/direct/signs.go
+++ b/internal/backend/direct/signs.go
@@ -73,16 +73,22 @@
 	}
 }
 
-// openBefore reports whether a connection is open that was opened before a time. Idle ones that have
-// served no request do not count: if a listener is closed as a handshake completes, the caller's end
+// stateBefore returns the best state of the connections that were opened before a time. Idle ones that
+// have served no request do not count: if a listener is closed as a handshake completes, the caller's end
 // stays open with no process behind it.
-func (p *Pool) openBefore(ms clock.Millis) bool {
+func (p *Pool) stateBefore(ms clock.Millis) connState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	best := connClosed
 	for c := range p.inUse {
-		if c.openedMs < ms && c.open() {
-			return true
+		if c.openedMs < ms {
+			best = max(best, c.state())
 		}
 	}
-	return slices.ContainsFunc(p.idle, func(c *conn) bool { return c.served && c.openedMs < ms && c.open() })
+	for _, c := range p.idle {
+		if c.served && c.openedMs < ms {
+			best = max(best, c.state())
+		}
+	}
+	return best
 }
