Gateway: a server's entry in the store proves that it runs after its answer

Cause: whether an answer without framing is whole was decided by connections alone. A drained server closes its listener and its idle connections, so its last answer looked like that of an ended one; a full queue of new connections gave no sign for 2 s. Class: a sign that the planned end of a server gives as well as its failure was taken for the failure. An entry of the same start that is written after the end proves the process (servers.Renewals): it counts if it follows a read sent 250 ms after the end, so that one on its way at the end does not.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -121,6 +121,7 @@
 	drainNotices    *drainNotices
 	permits         *permitIssuer
 	endings         *endings
+	renewals        *renewals
 	suspects        *suspects
 	streams         *streams
 }
@@ -159,6 +160,7 @@
 	g.drainNotices = newDrainNotices()
 	g.permits = newPermitIssuer()
 	g.endings = newEndings()
+	g.renewals = newRenewals()
 	g.suspects = newSuspects(g)
 	g.streams = newStreams(g)
 	g.outage = newOutage()
