--- a/internal/proof/startup/memory_test.go
+++ b/internal/proof/startup/memory_test.go
@@ -78,7 +78,7 @@
 			s := newLoadedGateway(t, l)
 			p := s.startLimited(t, cluster.Limits{DataMb: memoryMb})
 			awaitStart(t, p)
-			answered, lost := l.send(p, "http://"+s.addrs["callerAddr"], 4*time.Second)
+			answered, lost := l.send(p, "http://"+s.addrs["callerAddr"], 6*time.Second)
 			if state, ended := p.EndedByItself(); ended {
 				t.Errorf("ended by itself: %s", state)
 			}
