Gateway: a check wakes the reader of the list only once it needs a read

Cause: each check after an answer without framing woke the task that reads the list of servers, though most checks last 50 ms and need no read; each wake copies the list's starts. Change: the task is woken when a check has lasted RenewalSettle (250 ms).

--- a/internal/role/gateway/renewals.go
+++ b/internal/role/gateway/renewals.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/servers"
@@ -10,15 +11,15 @@
 // renewals tells whether servers renew their entries. Reads of the list of servers are sent for it only
 // while a watch lasts longer than most do. It is safe for concurrent use.
 type renewals struct {
-	// added has an element after a watch was added.
-	added chan struct{}
+	// due has an element once a watch needs a read; most stop before.
+	due chan struct{}
 
 	mu  sync.Mutex
 	all *servers.Renewals
 }
 
 func newRenewals() *renewals {
-	return &renewals{added: make(chan struct{}, 1), all: servers.NewRenewals()}
+	return &renewals{due: make(chan struct{}, 1), all: servers.NewRenewals()}
 }
 
 // watch adds w until the function that it returns is called.
@@ -26,11 +27,14 @@
 	r.mu.Lock()
 	r.all.Watch(w)
 	r.mu.Unlock()
-	select {
-	case r.added <- struct{}{}:
-	default:
-	}
+	wake := time.AfterFunc(servers.RenewalSettle.Duration(), func() {
+		select {
+		case r.due <- struct{}{}:
+		default:
+		}
+	})
 	return func() {
+		wake.Stop()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.all.Stop(w)
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -98,7 +98,7 @@
 	defer cancel()
 	select {
 	case <-next:
-	case <-l.g.renewals.added:
+	case <-l.g.renewals.due:
 	case <-ctx.Done():
 	}
 }
--- a/internal/state/servers/renewals.go
+++ b/internal/state/servers/renewals.go
@@ -3,9 +3,9 @@
 import "github.com/damaskport/damaskport/internal/runtime/clock"
 
 const (
-	// renewalSettle is how long after a time an entry may still arrive at the store that was sent before
+	// RenewalSettle is how long after a time an entry may still arrive at the store that was sent before
 	// it: the entry of a process that has ended meanwhile.
-	renewalSettle = 250 * clock.Millisecond
+	RenewalSettle = 250 * clock.Millisecond
 	// renewalReadInterval is the time between two reads that are sent for renewals.
 	renewalReadInterval = 300 * clock.Millisecond
 )
@@ -61,7 +61,7 @@
 		if w.state != NoRenewal {
 			continue
 		}
-		if at := max(w.SinceMs+renewalSettle, readMs+renewalReadInterval); !ok || at < ms {
+		if at := max(w.SinceMs+RenewalSettle, readMs+renewalReadInterval); !ok || at < ms {
 			ms, ok = at, true
 		}
 	}
@@ -82,7 +82,7 @@
 		r.latest[s.ID] = entryVersion{s.Start, s.Seq}
 	}
 	for w := range r.watches {
-		if sent >= w.SinceMs+renewalSettle && w.state == NoRenewal {
+		if sent >= w.SinceMs+RenewalSettle && w.state == NoRenewal {
 			w.update(r.latest[w.Key.ID])
 		}
 	}
