Listen: kept addresses are Reserved, as budget has a type Held too

Two types of the same name stood side by side in the roles' dependencies: one keeps addresses, the other counts memory. No behaviour changes; the package's tests pass.

--- a/internal/cli/commands/gateway.go
+++ b/internal/cli/commands/gateway.go
@@ -56,7 +56,7 @@
 	sink    *logging.Sink
 	gateway *gateway.Gateway
 	// addresses are kept over the attempts to start, of which the first was made at beganMs.
-	addresses listen.Held
+	addresses listen.Reserved
 	beganMs   clock.Millis
 }
 
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -113,7 +113,7 @@
 func (c *entryCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var e *process.Entry
-	var addrs listen.Held
+	var addrs listen.Reserved
 	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
 		e, err = process.NewEntry(f, log, &addrs, budget.NewHeld(log.account.Held()))
 		return err
@@ -145,7 +145,7 @@
 func (c *sidecarCommand) Execute([]string) error {
 	sig := signals.Catch()
 	var s *sidecar.Sidecar
-	var addrs listen.Held
+	var addrs listen.Reserved
 	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
 		s, err = process.NewSidecar(f, log, &addrs)
 		return err
--- a/internal/cli/commands/solo.go
+++ b/internal/cli/commands/solo.go
@@ -39,7 +39,7 @@
 	cfg := solo.Defaults()
 	cfg.Held = budget.NewHeld(log.account.Held())
 	cfg.CallerAddr, cfg.AdminAddr = c.CallerAddr, c.AdminAddr
-	cfg.Addresses = &listen.Held{}
+	cfg.Addresses = &listen.Reserved{}
 	cfg.Engines, cfg.Services, cfg.Slots, cfg.TokenMs = c.Engines, c.Services, c.Slots, c.TokenMs
 	var s *solo.Solo
 	started, err := start(sig, c.o.err, func() error {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -59,7 +59,7 @@
 	// known.
 	Dropped func() int64
 	// Addresses keeps addresses over several calls of New; nil keeps none.
-	Addresses *listen.Held
+	Addresses *listen.Reserved
 	// Buffers gives connections the sizes of their buffers; nil for NewBuffers of the settings.
 	Buffers *tcp.Buffers
 	// Held bounds the memory held for callers; nil for no bound.
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -71,7 +71,7 @@
 // NewEntry creates an entry and listens on its addresses; Run serves them. addrs, unless it is nil,
 // keeps addresses over several calls. mem bounds the memory held for callers; nil for no bound. The
 // error is a *listen.Error if an address cannot be listened on.
-func NewEntry(f settings.File, log logrus.FieldLogger, addrs *listen.Held, mem *budget.Held) (*Entry, error) {
+func NewEntry(f settings.File, log logrus.FieldLogger, addrs *listen.Reserved, mem *budget.Held) (*Entry, error) {
 	if f.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
 	}
@@ -128,7 +128,7 @@
 
 // NewSidecar creates a sidecar and listens on its addresses. held, unless it is nil, keeps addresses
 // over several calls. The error is a *listen.Error if an address cannot be listened on.
-func NewSidecar(f settings.File, log logrus.FieldLogger, held *listen.Held) (*sidecar.Sidecar, error) {
+func NewSidecar(f settings.File, log logrus.FieldLogger, held *listen.Reserved) (*sidecar.Sidecar, error) {
 	if f.Sidecar == nil {
 		return nil, errors.New("the settings have no section sidecar")
 	}
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -80,7 +80,7 @@
 	Claims Claimer
 	Meter  Meter
 	// Addresses keeps addresses over several calls of New; nil keeps none.
-	Addresses *listen.Held
+	Addresses *listen.Reserved
 	// Incarnation is an id of this start of the process.
 	Incarnation string
 	// Duties are further tasks that run under the sidecar's supervisor.
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -23,7 +23,7 @@
 	CallerAddr string
 	AdminAddr  string
 	// Addresses keeps the two over several calls of New; nil keeps none.
-	Addresses *listen.Held
+	Addresses *listen.Reserved
 	Entries   int
 	Zones     []string
 	Engines   int
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -258,7 +258,7 @@
 	f := settings.Defaults(settings.RoleEntry)
 	f.Name, f.Zone, f.Platform, f.Policy = entryName(i), s.cfg.zone(i), s.platformSettings(), s.cfg.Policy
 	f.Entry.CallerAddr, f.Entry.AdminAddr = loopback, loopback
-	var addrs *listen.Held
+	var addrs *listen.Reserved
 	if i == 0 {
 		f.Entry.CallerAddr, f.Entry.AdminAddr = s.cfg.CallerAddr, s.cfg.AdminAddr
 		addrs = s.cfg.Addresses
--- a/internal/runtime/listen/listen.go
+++ b/internal/runtime/listen/listen.go
@@ -89,6 +89,6 @@
 
 // All listens on all addresses in their order, or on none and returns an *Error.
 func All(addrs ...Address) ([]net.Listener, error) {
-	var h *Held
+	var h *Reserved
 	return h.Listen(addrs...)
 }
--- a/internal/runtime/listen/listen_test.go
+++ b/internal/runtime/listen/listen_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var h listen.Held
+	var h listen.Reserved
 	addrs := []listen.Address{at("a", freeAddr(t)), at("b", taken.Addr().String()), at("c", freeAddr(t))}
 	for range 3 {
 		var addrErr *listen.Error
@@ -81,7 +81,7 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	var h listen.Held
+	var h listen.Reserved
 	before := at("a", freeAddr(t))
 	for _, a := range []listen.Address{before, at("a", freeAddr(t))} {
 		if _, err := h.Listen(a, at("b", taken.Addr().String())); err == nil {
--- a/internal/runtime/listen/held.go
+++ b/internal/runtime/listen/reserved.go
@@ -18,11 +18,11 @@
 // backlog is the length of the queue of connections to accept; the system has a lower bound of its own.
 const backlog = 1<<16 - 1
 
-// Held keeps the addresses that a process could have in an attempt to start for the next one, so that
+// Reserved keeps the addresses that a process could have in an attempt to start for the next one, so that
 // the system gives them to no connection meanwhile. The sockets are bound and don't listen: a
 // connection to such an address is refused, as if there were no process. The zero value holds none; a
-// nil *Held keeps nothing from one attempt to the next.
-type Held struct {
+// nil *Reserved keeps nothing from one attempt to the next.
+type Reserved struct {
 	sockets []socket
 }
 
@@ -37,9 +37,9 @@
 // of addrs that it could have, and no others. The listener of an optional address that is taken is nil.
 // The address of callers should be the last one, so that no connection is accepted and then closed
 // again.
-func (h *Held) Listen(addrs ...Address) ([]net.Listener, error) {
+func (h *Reserved) Listen(addrs ...Address) ([]net.Listener, error) {
 	if h == nil {
-		h = &Held{}
+		h = &Reserved{}
 		defer h.Release()
 	}
 	h.releaseOthers(addrs)
@@ -61,10 +61,10 @@
 }
 
 // Release gives up all addresses.
-func (h *Held) Release() { h.releaseOthers(nil) }
+func (h *Reserved) Release() { h.releaseOthers(nil) }
 
 // releaseOthers gives up all addresses but those of addrs.
-func (h *Held) releaseOthers(addrs []Address) {
+func (h *Reserved) releaseOthers(addrs []Address) {
 	h.sockets = slices.DeleteFunc(h.sockets, func(s socket) bool {
 		if slices.Contains(addrs, s.addr) {
 			return false
@@ -75,13 +75,13 @@
 }
 
 // index returns the index of the socket of an address, or -1 if the address is not held.
-func (h *Held) index(a Address) int {
+func (h *Reserved) index(a Address) int {
 	return slices.IndexFunc(h.sockets, func(s socket) bool { return s.addr == a })
 }
 
 // bindAll binds a socket to each address that is not held yet, as far as that is possible. It returns
 // the first *Error.
-func (h *Held) bindAll(addrs []Address) error {
+func (h *Reserved) bindAll(addrs []Address) error {
 	resolved, err := resolve(addrs)
 	if err != nil {
 		return err
@@ -192,7 +192,7 @@
 }
 
 // listen returns a listener on an address, which is not held any more then; nil if it was not held.
-func (h *Held) listen(a Address) (net.Listener, *Error) {
+func (h *Reserved) listen(a Address) (net.Listener, *Error) {
 	i := h.index(a)
 	if i < 0 {
 		return nil, nil
