Callers' connections: requests behind a body that was not read are answered

Cause: a request that is refused before its body is read (unknown key, 503 of a stop) announced the close with the body still unread, and dropped what was behind it.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -203,6 +203,14 @@
 	return c.next.Behind() > 0 || c.next.Ended() && c.unread()
 }
 
+// bodyWaits reports whether a part of the body of the request that is handled has arrived and was not
+// read.
+func (c *conn) bodyWaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.next.Ended() && c.unread()
+}
+
 // unread reports whether bytes have arrived that were not read.
 func (c *conn) unread() bool {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/caller/callerconn/listener.go
+++ b/internal/caller/callerconn/listener.go
@@ -14,10 +14,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -27,6 +29,9 @@
 // waitInterval is the interval at which Wait looks for connections that are being closed.
 const waitInterval = 10 * clock.Millisecond
 
+// unreadBytes is how much of a body that the handler did not read is read for the requests behind it.
+const unreadBytes = 256 << 10
+
 // Listener accepts the connections of callers.
 type Listener struct {
 	net.Listener
@@ -74,7 +79,7 @@
 			if !c.handle(bodyLength(r)) {
 				panic(http.ErrAbortHandler) // closed in the meantime, and answered as not run
 			}
-			a := &announcer{ResponseWriter: w, c: c}
+			a := &announcer{ResponseWriter: w, c: c, r: r}
 			l.handling.Add(1)
 			defer func() {
 				c.enter(Returned)
@@ -101,6 +106,7 @@
 type announcer struct {
 	http.ResponseWriter
 	c         *conn
+	r         *http.Request
 	announced bool
 }
 
@@ -128,14 +134,32 @@
 	}
 	a.announced = true
 	h := a.Header()
-	switch closes := h.Get("Connection") == "close" || a.c.ln.closing.Load(); {
-	case closes && a.c.more():
+	if h.Get("Connection") != "close" && !a.c.ln.closing.Load() {
+		return
+	}
+	a.discardBody()
+	if a.c.more() {
 		h.Del("Connection")
-	case closes:
+	} else {
 		h.Set("Connection", "close")
 	}
 }
 
+// discardBody reads what has arrived of a body that the handler did not read. If that is not all of it,
+// the HTTP server closes the connection after the answer.
+func (a *announcer) discardBody() {
+	if !a.c.bodyWaits() || a.r.Header.Get("Expect") != "" {
+		return
+	}
+	// Errors of deadlines are ignored: the connection is broken.
+	rc := http.NewResponseController(a.ResponseWriter)
+	_ = rc.SetReadDeadline(time.Now().Add(lookTime.Duration()))
+	// Unless the body ends, the deadline stays set: the HTTP server would wait for the rest.
+	if _, err := io.CopyN(io.Discard, a.r.Body, unreadBytes); err == io.EOF {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+}
+
 // track tells the connection nc the state that the HTTP server gives it.
 func track(nc net.Conn, st http.ConnState) {
 	c, ok := nc.(*conn)
