Gateway: an entry in the store is no proof that a server outlived its answer

What callers would see: a cut answer that looks whole. A drained server that was killed in the middle of its last unframed answer counted as alive if an entry that it had sent before reached the store later: the store may execute a call seconds after it was sent (its protocol says so), the proof allowed 250 ms. The sign behind unread data stays.

--- a/internal/backend/direct/liveness.go
+++ b/internal/backend/direct/liveness.go
@@ -49,17 +49,6 @@
 	}
 }
 
-// Entry is what the store tells of a server, beside what its connections show.
-type Entry struct {
-	// Leaving is set if the server is not listed as ready any more: it is expected to close its listener
-	// and its idle connections.
-	Leaving bool
-	// Renewed is set if the process has written its entry after the end of the answer, so that it ran.
-	Renewed bool
-	// Final is set if no renewal is to be waited for.
-	Final bool
-}
-
 // Look is what has been seen of a server since an answer of it ended. Times count from that end.
 type Look struct {
 	// Settle is the time within which a process that ended with the answer closes its listener.
@@ -76,8 +65,6 @@
 	OthersOpen, OthersClosed bool
 	// OthersUnread is set if such connections may be open, but unread data may hold their close back.
 	OthersUnread bool
-	// Entry is what the store tells of the server.
-	Entry Entry
 	// Answered is set if the server has answered what was sent after the end, on a connection from
 	// before it.
 	Answered bool
@@ -102,9 +89,9 @@
 // resets new ones.
 func (l Look) Liveness() Liveness {
 	switch {
-	case l.Answered || l.Entry.Renewed:
+	case l.Answered:
 		return Alive
-	case l.Refuses() && (!l.Entry.Leaving || l.Entry.Final):
+	case l.Refuses():
 		return Ended
 	case l.Refused && l.OthersOpen && l.Elapsed >= l.Settled():
 		// It has closed its listener, and serves the connections that it has.
@@ -118,33 +105,17 @@
 	}
 }
 
-// Refuses reports whether no connection of the server is left, old or new: it has ended, or it leaves and
-// has completed what it had.
+// Refuses reports whether no connection of the server is left, old or new.
 func (l Look) Refuses() bool {
 	return (l.Refused || l.Closed) && !l.OthersOpen && !l.OthersUnread
 }
 
-// ByConnection reports whether l rests on a new connection alone.
-func (l Look) ByConnection() bool { return !l.Refused && !l.Answered && !l.Entry.Renewed }
-
-// evidence returns what l rests on, for the log.
-func (l Look) evidence() string {
-	switch {
-	case l.Entry.Renewed:
-		return "renewal"
-	case l.Refuses() && l.Entry.Leaving:
-		return "leaving"
-	default:
-		return "connection"
-	}
-}
-
 // Fields returns l as it stands in logs.
 func (l Look) Fields() map[string]any {
 	f := map[string]any{
-		"evidence": l.evidence(), "elapsedMs": int64(l.Elapsed), "listeningMs": int64(l.Listening), "refused": l.Refused,
+		"evidence": "connection", "elapsedMs": int64(l.Elapsed), "listeningMs": int64(l.Listening), "refused": l.Refused,
 		"closed": l.Closed, "othersOpen": l.OthersOpen, "othersClosed": l.OthersClosed,
-		"othersUnread": l.OthersUnread, "leaving": l.Entry.Leaving, "renewed": l.Entry.Renewed,
+		"othersUnread": l.OthersUnread,
 	}
 	if l.Err != nil {
 		f["dialError"] = l.Err.Error()
@@ -158,8 +129,6 @@
 	endMs     clock.Millis
 	refusedMs clock.Millis // when a connection was refused, or closed in order
 	look      Look
-	// entry returns what the store tells; nil if nothing.
-	entry func() Entry
 	// conn is the connection that the check holds open, nil without one; kept is set once it was open
 	// until the look settled.
 	conn *conn
@@ -171,13 +140,8 @@
 // Look finds out whether the server has ended, now that an answer of it has. It returns once it is
 // known, or ctx has ended. A connection that stays open is kept for the next request.
 func (p *Pool) Look(ctx context.Context, settle clock.Millis) Look {
-	return p.LookWith(ctx, settle, nil)
-}
-
-// LookWith is Look that also asks entry, each time that it looks, what the store tells of the server.
-func (p *Pool) LookWith(ctx context.Context, settle clock.Millis, entry func() Entry) Look {
 	p.closeDead()
-	k := &check{pool: p, endMs: p.clock.Now(), look: Look{Settle: settle}, entry: entry}
+	k := &check{pool: p, endMs: p.clock.Now(), look: Look{Settle: settle}}
 	defer k.release()
 	for {
 		k.observe()
@@ -202,9 +166,6 @@
 		others := p.stateBefore(k.refusedMs)
 		l.OthersOpen, l.OthersUnread = others == connOpen, others == connUnread
 	}
-	if k.entry != nil {
-		l.Entry = k.entry()
-	}
 }
 
 // step waits for the next sign of the server, or causes one.
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -127,26 +127,6 @@
 	return ok && now.Start > s.engine.Start && now.Addr == s.conns.Addr()
 }
 
-// mayRunElsewhere reports whether j may be tried at another server than that of s.
-func (j *job) mayRunElsewhere(s *send) bool {
-	return j.route.MayRunAgain() && j.sends < j.route.Attempts && j.pool.hasOther(s.engine.ID, j.exclude)
-}
-
-// lookWithEntry returns what is seen of the server of s from now on, on its connections and of its entry
-// in the store, within a time.
-func (g *Gateway) lookWithEntry(ctx context.Context, j *job, s *send, timeout clock.Millis) direct.Look {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	w := &servers.RenewalWatch{Key: s.engine.Key(), SinceMs: g.clock.Now()}
-	defer g.renewals.watch(w)()
-	return s.conns.LookWith(ctx, unframedSettle, func() direct.Entry {
-		state := g.renewals.state(w)
-		return direct.Entry{
-			Leaving: !j.pool.lists(s.engine), Renewed: state == servers.Renewed, Final: state == servers.Gone || j.mayRunElsewhere(s),
-		}
-	})
-}
-
 // look returns what is seen of a server from now on, within a time.
 func look(ctx context.Context, conns *direct.Pool, settle, timeout clock.Millis) direct.Look {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
@@ -181,18 +161,18 @@
 		return direct.Unknown, logrus.Fields{"evidence": "none"}
 	case g.replaced(s):
 		return direct.Ended, logrus.Fields{"evidence": "laterStart"}
-	case g.endings.ended(now, k) && j.pool.lists(s.engine):
+	case g.endings.ended(now, k):
 		return direct.Ended, logrus.Fields{"evidence": "earlierCheck"}
 	}
-	seen := g.lookWithEntry(ctx, j, s, g.proofTimeout(j, s, now))
+	seen := look(ctx, s.conns, unframedSettle, g.proofTimeout(j, s, now))
 	l := seen.Liveness()
-	if l != direct.Alive && seen.Refuses() && g.endings.add(now, k) && l == direct.Ended {
+	if l == direct.Ended && g.endings.add(now, k) {
 		g.metrics.serverEnded()
 	}
 	switch {
 	case l == direct.Alive && g.replaced(s):
 		return direct.Ended, logrus.Fields{"evidence": "laterStart"}
-	case l == direct.Alive && seen.ByConnection() && g.endings.ended(g.clock.Now(), k):
+	case l == direct.Alive && g.endings.ended(g.clock.Now(), k):
 		return direct.Ended, logrus.Fields{"evidence": "earlierCheck"}
 	}
 	return l, seen.Fields()
@@ -202,7 +182,7 @@
 // be tried at another server leaves time for that.
 func (g *Gateway) proofTimeout(j *job, s *send, now clock.Millis) clock.Millis {
 	left := j.timeoutMs - minTimeLeft - now
-	if j.mayRunElsewhere(s) {
+	if j.route.MayRunAgain() && j.sends < j.route.Attempts && j.pool.hasOther(s.engine.ID, j.exclude) {
 		left /= 2
 	}
 	return max(min(left, unframedTimeout), 0)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -135,7 +135,6 @@
 	drainNotices    *drainNotices
 	permits         *permitIssuer
 	endings         *endings
-	renewals        *renewals
 	suspects        *suspects
 	streams         *streams
 }
@@ -181,7 +180,6 @@
 	g.drainNotices = newDrainNotices()
 	g.permits = newPermitIssuer()
 	g.endings = newEndings()
-	g.renewals = newRenewals()
 	g.suspects = newSuspects(g)
 	g.streams = newStreams(g)
 	g.outage = newOutage()
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -23,9 +23,9 @@
 	// position until the list was read in the current epoch.
 	asOf  epoch.Position
 	epoch epoch.Epoch
-	// readMs is when the last read was sent, and fullReadMs that of the whole list. reachableSinceMs is
+	// fullReadMs is when the last read of the whole list was sent. reachableSinceMs is
 	// since when the store has answered each read of the list; 0 if the last read failed.
-	readMs, fullReadMs, reachableSinceMs clock.Millis
+	fullReadMs, reachableSinceMs clock.Millis
 	// settledMs is the time from which on all running servers have registered again after an
 	// outage or a restore of the store.
 	settledMs clock.Millis
@@ -63,7 +63,7 @@
 		l.enterEpoch()
 		l.applyUpdates()
 		l.publishAge()
-		if now := g.clock.Now(); l.dueMs(now) > now {
+		if now := g.clock.Now(); l.schedule.DueMs(now, g.peers.rank(subjectReaders)) > now {
 			l.wait(ctx, next)
 			continue
 		}
@@ -91,27 +91,17 @@
 // wait waits until the list must be read, or until an update of a store reader arrives.
 func (l *serverList) wait(ctx context.Context, next <-chan struct{}) {
 	now := l.g.clock.Now()
-	due := l.dueMs(now)
+	due := l.schedule.DueMs(now, l.g.peers.rank(subjectReaders))
 	// The wait is at most one read interval, because the rank changes when gateways
 	// connect or disconnect.
 	ctx, cancel := context.WithTimeout(ctx, min(due-now, l.g.followTimes().ReadInterval).Duration())
 	defer cancel()
 	select {
 	case <-next:
-	case <-l.g.renewals.due:
 	case <-ctx.Done():
 	}
 }
 
-// dueMs returns when the list must be read next.
-func (l *serverList) dueMs(now clock.Millis) clock.Millis {
-	due := l.schedule.DueMs(now, l.g.peers.rank(subjectReaders))
-	if at, ok := l.g.renewals.dueMs(l.readMs); ok {
-		due = min(due, at)
-	}
-	return due
-}
-
 // applyUpdates applies the updates that store readers have sent since the last call.
 func (l *serverList) applyUpdates() {
 	g, now := l.g, l.g.clock.Now()
@@ -154,7 +144,6 @@
 // gateway is a store reader, it sends the result to the others.
 func (l *serverList) read(ctx context.Context) {
 	sent := l.g.clock.Now()
-	l.readMs = sent
 	if sent-l.fullReadMs > fullReadInterval || sent-l.reader.readMs > maxIncrementalReadGap || l.schedule.NeedsFullRead(sent) {
 		l.reader.next = epoch.Position{}
 	}
@@ -175,7 +164,7 @@
 	l.enterEpoch()
 	l.schedule.Answered(now, sent)
 	if !snap.Next.Known() {
-		if changes, _ := l.applyRead(now, snap, false); len(changes) > 0 {
+		if len(l.applyRead(now, snap, false)) > 0 {
 			l.publish()
 		}
 		return
@@ -187,9 +176,8 @@
 		l.fullReadMs = sent
 	}
 	before := l.asOf
-	changes, entries := l.applyRead(now, snap, whole)
+	changes := l.applyRead(now, snap, whole)
 	l.StoreAnswered(now, sent)
-	l.g.renewals.read(sent, entries, whole)
 	lapsed := l.DropExpired(now)
 	switch {
 	case whole && len(changes) > 0, lapsed:
@@ -232,23 +220,18 @@
 }
 
 // applyRead applies the records of a read and returns those that changed the list. If a
-// read of the whole list changed it, all records are returned. entries are those that were read, without a
-// start if deleted or unreadable.
-func (l *serverList) applyRead(now clock.Millis, snap Snapshot, whole bool) (changes []Record, entries []servers.Server) {
+// read of the whole list changed it, all records are returned.
+func (l *serverList) applyRead(now clock.Millis, snap Snapshot, whole bool) []Record {
+	var changes []Record
 	var all []servers.Server
 	for _, r := range snap.Records {
 		if len(r.Value) == 0 {
-			entries = append(entries, servers.Server{ID: r.Key})
 			if l.Remove(now, r.Key) {
 				changes = append(changes, r)
 			}
 			continue
 		}
 		s, ok := l.decode(r)
-		if !ok {
-			s = servers.Server{ID: r.Key}
-		}
-		entries = append(entries, s)
 		switch {
 		case !ok:
 		case whole:
@@ -260,7 +243,7 @@
 	if whole && l.Replace(now, all) {
 		changes = snap.Records
 	}
-	return changes, entries
+	return changes
 }
 
 // publish puts the changed list in force, so that requests are placed by it.
