Servers: notices of two starts of a server are not mixed

Change: each unproved notice is kept with its own time, unless a later one says as much; a back-off is counted from its own notice. TestNoticesOfTwoStartsAreNotMixed failed before and passes.

--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -30,7 +30,7 @@
 	draining map[string]drainNotice
 	backOffs map[Key]clock.Millis
 	// unproved are the notices by server of which it is not known which start sent them.
-	unproved map[string]Unproved
+	unproved map[string][]Unproved
 }
 
 // Unproved is a notice on a connection that was opened after the list of servers was read: it may
@@ -46,11 +46,9 @@
 // mayBeOf reports whether a start, in Unix ms, may have sent u: a later one did not.
 func (u Unproved) mayBeOf(start int64) bool { return start != 0 && clock.Millis(start) <= u.SentMs }
 
-// with returns both u and the later notice next of the same server.
-func (u Unproved) with(next Unproved) Unproved {
-	next.Draining = next.Draining || u.Draining
-	next.BackOffUntilMs = max(next.BackOffUntilMs, u.BackOffUntilMs)
-	return next
+// implies reports whether u says all that the earlier notice of the same server says.
+func (u Unproved) implies(earlier Unproved) bool {
+	return u.SentMs >= earlier.SentMs && u.BackOffUntilMs >= earlier.BackOffUntilMs && (u.Draining || !earlier.Draining)
 }
 
 // drainNotice is the draining notice of the latest start in which a server sent one.
@@ -61,7 +59,7 @@
 
 // NewNotices returns empty Notices.
 func NewNotices() *Notices {
-	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}, unproved: map[string]Unproved{}}
+	return &Notices{draining: map[string]drainNotice{}, backOffs: map[Key]clock.Millis{}, unproved: map[string][]Unproved{}}
 }
 
 // MarkDraining records that a server sent a draining notice in the start k.Start, and
@@ -76,32 +74,47 @@
 }
 
 // MarkUnproved records a notice of a server. A back-off in it applies to each start that may have sent it.
-func (n *Notices) MarkUnproved(id string, u Unproved) { n.unproved[id] = n.unproved[id].with(u) }
+func (n *Notices) MarkUnproved(id string, u Unproved) {
+	n.unproved[id] = append(slices.DeleteFunc(n.unproved[id], u.implies), u)
+}
 
 // Prove finds the starts that sent the unproved notices that a list as of a time proves, and returns
 // those that drain. starts holds the listed starts by server id. The notice of a server that is not
 // listed is kept, as those that Draining reports are.
 func (n *Notices) Prove(asOf clock.Millis, starts map[string]int64) []Key {
 	var out []Key
-	for id, u := range n.unproved {
-		if asOf < u.NeededMs || starts[id] == 0 {
-			continue
-		}
-		delete(n.unproved, id)
-		if !u.mayBeOf(starts[id]) {
+	for id, all := range n.unproved {
+		k := Key{id, starts[id]}
+		if k.Start == 0 {
 			continue
 		}
-		k := Key{id, starts[id]}
-		if u.Draining {
+		drains := false
+		n.keepUnproved(id, slices.DeleteFunc(all, func(u Unproved) bool {
+			if asOf < u.NeededMs {
+				return false
+			}
+			if u.mayBeOf(k.Start) {
+				drains = drains || u.Draining
+				n.backOffs[k] = max(n.backOffs[k], u.BackOffUntilMs)
+			}
+			return true
+		}))
+		if drains {
 			out = append(out, k)
 		}
-		if u.BackOffUntilMs > 0 {
-			n.backOffs[k] = max(n.backOffs[k], u.BackOffUntilMs)
-		}
 	}
 	return out
 }
 
+// keepUnproved replaces the unproved notices of a server.
+func (n *Notices) keepUnproved(id string, left []Unproved) {
+	if len(left) == 0 {
+		delete(n.unproved, id)
+		return
+	}
+	n.unproved[id] = left
+}
+
 // Draining reports whether a server sent a draining notice in the start k.Start or a
 // later one.
 func (n *Notices) Draining(k Key) bool {
@@ -133,10 +146,13 @@
 // BackOffUntil returns the time at which the back-off of a server ends; 0 or a time in
 // the past if none applies.
 func (n *Notices) BackOffUntil(k Key) clock.Millis {
-	if u := n.unproved[k.ID]; u.mayBeOf(k.Start) {
-		return max(n.backOffs[k], u.BackOffUntilMs)
+	until := n.backOffs[k]
+	for _, u := range n.unproved[k.ID] {
+		if u.mayBeOf(k.Start) {
+			until = max(until, u.BackOffUntilMs)
+		}
 	}
-	return n.backOffs[k]
+	return until
 }
 
 // Sweep drops the back-offs that have ended, and the draining and unproved notices of servers that
@@ -148,10 +164,8 @@
 			delete(n.backOffs, k)
 		}
 	}
-	for id, u := range n.unproved {
-		if now-u.NeededMs > unlistedKeepMs {
-			delete(n.unproved, id)
-		}
+	for id, all := range n.unproved {
+		n.keepUnproved(id, slices.DeleteFunc(all, func(u Unproved) bool { return now-u.NeededMs > unlistedKeepMs }))
 	}
 	for id, notice := range n.draining {
 		switch {
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -275,3 +275,21 @@
 		t.Errorf("ends once it is shown (-want +got):\n%s", diff)
 	}
 }
+
+// TestNoticesOfTwoStartsAreNotMixed guards against a start that inherits what the one before it has said.
+func TestNoticesOfTwoStartsAreNotMixed(t *testing.T) {
+	const start = 5000
+	n := servers.NewNotices()
+	n.MarkUnproved("s", servers.Unproved{NeededMs: 1000, SentMs: start - 1000, Draining: true, BackOffUntilMs: 600_000})
+	n.MarkUnproved("s", servers.Unproved{NeededMs: 2500, SentMs: start + 600, BackOffUntilMs: 3000})
+	k := servers.Key{ID: "s", Start: start}
+	if diff := cmp.Diff(clock.Millis(3000), n.BackOffUntil(k)); diff != "" {
+		t.Errorf("end before the list shows the start (-want +got):\n%s", diff)
+	}
+	if out := n.Prove(3000, map[string]int64{"s": start}); len(out) != 0 {
+		t.Errorf("starts that drain: %v", out)
+	}
+	if diff := cmp.Diff(clock.Millis(3000), n.BackOffUntil(k)); diff != "" {
+		t.Errorf("end once it shows it (-want +got):\n%s", diff)
+	}
+}
