Settings: free ports of one name do not conflict

Found by the review in: two addresses localhost:0 were a wrong setting, and the process ended with status 1 at once; the check compared names as they are written, also with port 0. The new row of TestConflictingAddressesAreWrong failed before (the review's run) and passes.

--- a/internal/operator/settings/conflict_test.go
+++ b/internal/operator/settings/conflict_test.go
@@ -24,6 +24,7 @@
 		{"127.0.0.1:2", "127.0.0.2:2", ""},
 		{"127.0.0.1:2", "[::1]:2", ""},
 		{"127.0.0.1:0", "127.0.0.1:0", ""},
+		{"localhost:0", "localhost:0", ""},
 	} {
 		text := strings.NewReplacer("127.0.0.1:1", c.callers, "127.0.0.1:2", c.ready).Replace(soundGateway)
 		_, err := settings.ParseGateway("g.json", []byte(text))
--- a/internal/runtime/listen/listen.go
+++ b/internal/runtime/listen/listen.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -64,7 +65,7 @@
 	x, errX := literal(a)
 	y, errY := literal(b)
 	if errX != nil || errY != nil {
-		return a == b
+		return a == b && !strings.HasSuffix(a, ":0")
 	}
 	return conflict(x, y)
 }
