Gateway: a length that no answer can reach does not end the handler

What callers saw: a closed connection. A server's Content-Length of 2^63-1 overflowed as the size of the first buffer, and the handler panicked; found by the review. The size is bounded first.

--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -187,7 +187,7 @@
 func readStart(ans *direct.Answer, take func(n int64) bool) (data []byte, whole bool, err error) {
 	first := int64(firstAnswerBytes)
 	if ans.Length >= 0 {
-		first = ans.Length + 1 // the end shows with the first buffer
+		first = min(ans.Length, bufferedAnswerBytes) + 1 // the end shows with the first buffer
 	}
 	data, whole, err = bounded.ReadGrowing(ans.Body, first, bufferedAnswerBytes, take)
 	if errors.Is(err, bounded.ErrNoMemory) {
