Memory: requests without a body need none, and stalled bodies are left at their deadline

Change: the room for a body is asked for only if there is one, and a body has until the request's own time-out. TestIdleConnectionsDoNotStopRequests and TestStalledBodiesAreLeft failed before (503) and pass.

--- a/internal/caller/exchange/body.go
+++ b/internal/caller/exchange/body.go
@@ -49,7 +49,7 @@
 		body = http.MaxBytesReader(serverWriter(w), body, l.Bytes)
 	}
 	take := func(int64) bool { return true }
-	if l.Memory != nil {
+	if l.Memory != nil && r.ContentLength != 0 {
 		if !l.Memory.Room(r.ContentLength) {
 			return nil, MemoryFull()
 		}
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -177,7 +177,9 @@
 	if !j.held.For(budget.Serve).Take(budget.RequestBytes) {
 		return j, exchange.MemoryFull()
 	}
-	body, failure := exchange.ReadBody(w, r, exchange.BodyLimits{Bytes: g.maxBody(cfg), Memory: j.held.For(budget.Body)})
+	body, failure := exchange.ReadBody(w, r, exchange.BodyLimits{
+		Bytes: g.maxBody(cfg), Time: max(j.timeoutMs-g.clock.Now(), 1).Duration(), Memory: j.held.For(budget.Body),
+	})
 	if failure != nil {
 		return j, failure
 	}
