Tests: the platform's names stay in its folder

The test of a limit on data named two headers of the platform; its servers sign their answers by the stand-in's own function now, and its requests have the time of their route.

--- a/internal/proof/startup/memory_test.go
+++ b/internal/proof/startup/memory_test.go
@@ -114,8 +114,7 @@
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			time.Sleep(l.work)
-			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-			w.Header().Set("Server-Stamp", "stamp."+id)
+			standin.Sign(w.Header(), r, id)
 			_, _ = w.Write(answer)
 		}))
 		t.Cleanup(srv.Close)
@@ -183,7 +182,6 @@
 	}
 	r.Host = "shop.example"
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "8000")
 	res, err := tr.RoundTrip(r)
 	if err != nil {
 		return 0, err
