Callers' connections, start: names and comments

A field of the current request was called next, and two comments had lines that were too long. No behaviour changes; the packages' tests pass.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -35,9 +35,9 @@
 	net.Conn
 	ln *Listener
 
-	mu    sync.Mutex
-	phase Phase
-	next  Boundary // of the current request
+	mu       sync.Mutex
+	phase    Phase
+	boundary Boundary // of the current request
 	// unused is set until the connection has had a request.
 	unused bool
 	// armedMs is the read deadline that is set on the connection; 0 if it is not known.
@@ -95,7 +95,7 @@
 		return false
 	case err == nil:
 		c.phase = c.phase.Received(len(p), c.ln.clock.Now(), c.ln.limits())
-		c.next = c.next.Received(p)
+		c.boundary = c.boundary.Received(p)
 		return true
 	case !isTimeout(err):
 		c.broken = true
@@ -173,10 +173,10 @@
 	c.phase = Phase{State: s}
 	if s == Idle {
 		c.phase.SinceMs, c.phase.Limits, c.answered = c.ln.clock.Now(), c.ln.limits(), false
-		if n := c.next.Behind(); n > 0 {
+		if n := c.boundary.Behind(); n > 0 {
 			c.phase = c.phase.Received(n, c.phase.SinceMs, c.phase.Limits)
 		}
-		c.next = c.next.Next()
+		c.boundary = c.boundary.Next()
 		return true
 	}
 	if c.armedMs != 0 {
@@ -191,7 +191,7 @@
 func (c *conn) handle(length int64) bool {
 	c.mu.Lock()
 	over := c.over() || c.lingering
-	c.next, c.unused = c.next.Framed(length), false
+	c.boundary, c.unused = c.boundary.Framed(length), false
 	c.mu.Unlock()
 	return !over && c.enter(Handled)
 }
@@ -200,7 +200,7 @@
 func (c *conn) more() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.next.Behind() > 0 || c.next.Ended() && c.unread()
+	return c.boundary.Behind() > 0 || c.boundary.Ended() && c.unread()
 }
 
 // bodyWaits reports whether a part of the body of the request that is handled has arrived and was not
@@ -208,7 +208,7 @@
 func (c *conn) bodyWaits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.next.Ended() && c.unread()
+	return !c.boundary.Ended() && c.unread()
 }
 
 // unread reports whether bytes have arrived that were not read.
@@ -232,7 +232,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch p := c.phase; {
-	case p.State > Head, c.next.HeadArrived(), c.unread(),
+	case p.State > Head, c.boundary.HeadArrived(), c.unread(),
 		p.State == Idle && c.unused && c.ln.clock.Now()-p.SinceMs < unusedTime:
 		return false
 	}
--- a/internal/policy/startup/startup.go
+++ b/internal/policy/startup/startup.go
@@ -4,9 +4,9 @@
 // lacks then is often on its way: the settings file is being written, or the process before still
 // has an address in its grace period. What else has an address may have it for longer: a connection
 // for as long as it lives and a minute after that, and nobody can tell when another process ends.
-// An end would change none of this, as the platform only starts the process again: a taken address, or
-// a machine that is short of memory or descriptors, is waited for without end, other things for a bounded time, and a wrong setting ends the process at
-// once.
+// An end would change none of this, as the platform only starts the process again. So a taken address,
+// or a machine that is short of memory or descriptors, is waited for without end; other things are
+// waited for for a bounded time, and a wrong setting ends the process at once.
 package startup
 
 import "github.com/damaskport/damaskport/internal/runtime/clock"
--- a/internal/runtime/supervise/serve.go
+++ b/internal/runtime/supervise/serve.go
@@ -9,8 +9,8 @@
 )
 
 // Serve runs srv on ln until ctx ends, and then closes srv at once. If srv is shut down
-// earlier, or ln returns http.ErrServerClosed, Serve still waits for ctx to end, so that the task does not end before ctx does. It
-// is meant as the Run function of an HTTP server's task.
+// earlier, or ln returns http.ErrServerClosed, Serve still waits for ctx to end, so that the
+// task does not end before ctx does. It is meant as the Run function of an HTTP server's task.
 func Serve(ctx context.Context, srv *http.Server, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
