Logs: the time left of a request whose answer is unproven or cut

Callers saw answers cut with a few milliseconds left, and the logs had only the whole milliseconds since the arrival. answerUnproven, interrupted and cutAtExit have leftMs now, which tells an answer that ended in time from one that did not. Logic does not change.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -100,7 +100,9 @@
 	now := g.clock.Now()
 	for k := range g.serving.Range {
 		j := k.(*job)
-		g.log.WithFields(logrus.Fields{"event": "cutAtExit", "request": j.ID, "route": j.route.Name, "tookMs": int64(now - j.arrivedMs)}).Warn()
+		g.log.WithFields(logrus.Fields{
+			"event": "cutAtExit", "request": j.ID, "route": j.route.Name, "tookMs": int64(now - j.arrivedMs), "leftMs": int64(j.timeoutMs - now),
+		}).Warn()
 	}
 }
 
--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -148,6 +148,7 @@
 	}
 	j.log.WithFields(evidence).WithFields(logrus.Fields{
 		"event": "answerUnproven", "server": s.engine.ID, "start": s.engine.Start, "liveness": l.String(), "tookMs": int64(g.clock.Now() - began),
+		"leftMs": int64(j.timeoutMs - began),
 	}).Warn()
 	return true
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -141,5 +141,9 @@
 // interrupted logs and counts a stream that ended before it was complete.
 func (g *Gateway) interrupted(j *job, reason string) {
 	g.metrics.route(j).Counter("interrupted").Inc(1)
-	j.log.WithFields(logrus.Fields{"event": "interrupted", "route": j.route.Name, "reason": reason, "events": j.caller.Progress().Writes, "sends": j.sends, "tookMs": int64(g.clock.Now() - j.arrivedMs)}).Warn()
+	now := g.clock.Now()
+	j.log.WithFields(logrus.Fields{
+		"event": "interrupted", "route": j.route.Name, "reason": reason, "events": j.caller.Progress().Writes, "sends": j.sends,
+		"tookMs": int64(now - j.arrivedMs), "leftMs": int64(j.timeoutMs - now),
+	}).Warn()
 }
