Gateway: the proof of an answer that ended in time has the time that is left, and 150 ms more

Callers saw a whole answer without framing cut, or told as 502 or 504, when it ended less than 10 ms before its time was up. Cause: the proof that its server lives left the margin that a further attempt needs, minTimeLeft, though none was to follow, and ended with the request's time, though the answer had ended before. Now the time is halved only if that leaves enough for the proof and for a further attempt; otherwise the proof has all of it and up to 150 ms after it, also when the process is about to end. It ends at once when the caller leaves.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -4,10 +4,13 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/backend/direct"
+	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/quarantine"
 	"github.com/damaskport/damaskport/internal/policy/retry"
@@ -19,10 +22,8 @@
 	// endingKeep is how long the result of a check whether a server has ended is used for the
 	// other requests that broke off there.
 	endingKeep = 500 * clock.Millisecond
-	// endingTimeout bounds a check after a request broke off, and unframedTimeout one after an answer
-	// without framing ended.
-	endingTimeout   = 300 * clock.Millisecond
-	unframedTimeout = 2 * clock.Second
+	// endingTimeout bounds a check after a request broke off.
+	endingTimeout = 300 * clock.Millisecond
 	// endingSettle is how long a server has to take connections after a request broke off there, and
 	// unframedSettle after an answer without framing ended: nothing else tells whether that answer is
 	// whole. The listener of a process that ends is closed among the last.
@@ -165,7 +166,9 @@
 	case g.endings.ended(now, k):
 		return direct.Ended, logrus.Fields{"evidence": "earlierCheck"}
 	}
-	seen := look(ctx, s.conns, unframedSettle, g.proofTimeout(j, s, now))
+	proof, cancel := g.proofContext(ctx, j, s)
+	defer cancel()
+	seen := s.conns.Look(proof, unframedSettle)
 	l := seen.Liveness()
 	if l == direct.Ended && g.endings.add(now, k) {
 		g.metrics.serverEnded()
@@ -179,14 +182,19 @@
 	return l, seen.Fields()
 }
 
-// proofTimeout returns how long to wait for a sign that the server of s is alive. A request that may
-// be tried at another server leaves time for that.
-func (g *Gateway) proofTimeout(j *job, s *send, now clock.Millis) clock.Millis {
-	left := j.timeoutMs - minTimeLeft - now
-	if j.route.MayRunAgain() && j.sends < j.route.Attempts && j.pool.hasOther(s.engine.ID, j.exclude) {
-		left /= 2
-	}
-	return max(min(left, unframedTimeout), 0)
+// proofContext returns the context of the proof that the answer of s, which has ended, is whole. The proof
+// goes on for a while when the time of the request or of the process is up, but not when the caller leaves.
+func (g *Gateway) proofContext(ctx context.Context, j *job, s *send) (context.Context, context.CancelFunc) {
+	another := j.route.MayRunAgain() && j.sends < j.route.Attempts && j.pool.hasOther(s.engine.ID, j.exclude)
+	proof, cancel := context.WithTimeout(context.WithoutCancel(ctx), retry.ProofTime(j.timeoutMs-g.clock.Now(), another).Duration())
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), exchange.ErrCallerLeft) {
+			cancel()
+			return
+		}
+		time.AfterFunc(retry.ProofGrace.Duration(), cancel)
+	})
+	return proof, func() { stop(); cancel() }
 }
 
 // promptParts returns the ids of the prompt parts that other requests may share, as they
--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -110,8 +110,10 @@
 	g.serving.Store(j, nil)
 	defer g.serving.Delete(j)
 	defer g.suspects.release(j)
-	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(r.Context()), g.wallTime(j.timeoutMs), errTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	defer cancel(nil)
+	ctx, stopTimeout := context.WithDeadlineCause(ctx, g.wallTime(j.timeoutMs), errTimeout)
+	defer stopTimeout()
 	// A protected request that a server may have is completed when its caller disconnects,
 	// so that its outcome is known.
 	log := j.log
@@ -119,13 +121,13 @@
 		if !g.cut.Load() {
 			log.WithField("event", "callerLeft").Info()
 		}
-		cancel()
+		cancel(exchange.ErrCallerLeft)
 	})
 	stopDeparture := context.AfterFunc(r.Context(), j.departure.Left)
 	defer stopDeparture()
 	// A request whose answer has not begun is abandoned shortly before the
 	// process exits, while there is time to send the caller a response.
-	stopEnding := context.AfterFunc(g.ending, func() { j.ending.GiveUp(cancel) })
+	stopEnding := context.AfterFunc(g.ending, func() { j.ending.GiveUp(func() { cancel(errEnding) }) })
 	defer stopEnding()
 	if j.route.Kind == routing.KindStream {
 		defer g.streams.end(j)
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -149,7 +149,7 @@
 		g.endSend(j, s, place.OutcomeFailed, "serverError")
 		return false
 	}
-	if !j.ending.Begin() {
+	if !j.ending.Begin() && !whole {
 		s.outcome = retry.OutcomeUnknown
 		g.endSend(j, s, place.OutcomeAbandoned, "ending")
 		return false
