Gateway: a request has all of the time that it was given

Callers saw streams of servers at work cut, and 504, up to 1 ms before their deadline or their route's time-out. Cause: the clock rounds down to a millisecond, and the time counted from the rounded arrival. Class: a reading that is rounded down begins a period that was promised. A server is still told at most the time that the caller gave, and 504 is said only once the time is up (502 before).

--- a/internal/role/gateway/handler.go
+++ b/internal/role/gateway/handler.go
@@ -62,9 +62,9 @@
 	header   http.Header    // the headers to forward
 	log      logrus.FieldLogger
 
-	arrivedMs  clock.Millis
-	deadlineMs clock.Millis // monotonic time of the caller's deadline
-	timeoutMs  clock.Millis // monotonic time of the route's timeout, at most deadlineMs
+	arrivedMs clock.Millis
+	allowedMs clock.Millis // the shorter one of the caller's deadline and the route's timeout
+	timeoutMs clock.Millis // monotonic time at which allowedMs has passed since the arrival
 
 	sends   int      // attempts that reached a server
 	exclude []string // ids of servers not to try again
@@ -162,14 +162,11 @@
 		j.account = a.Name
 		j.priority = cfg.Urgency(a, j.route)
 	}
-	j.deadlineMs = now + defaultDeadline
-	if j.DeadlineMs > 0 {
-		j.deadlineMs = now + j.DeadlineMs
-	}
-	j.timeoutMs = j.deadlineMs
+	j.allowedMs = cmp.Or(max(j.DeadlineMs, 0), defaultDeadline)
 	if t := j.route.TimeoutMs; t > 0 {
-		j.timeoutMs = min(j.timeoutMs, now+t)
+		j.allowedMs = min(j.allowedMs, t)
 	}
+	j.timeoutMs = now.AddFull(j.allowedMs)
 	if g.mayExitBefore(j, now) {
 		return j, notRun(http.StatusServiceUnavailable, "ending", otherGatewayRetryAfter)
 	}
@@ -291,7 +288,7 @@
 	switch {
 	case !j.mayHaveRun:
 		return notRun(http.StatusServiceUnavailable, reason, g.retryAfter(j))
-	case g.clock.Now() >= j.timeoutMs-minTimeLeft:
+	case g.clock.Now() >= j.timeoutMs:
 		return &exchange.Failure{Status: http.StatusGatewayTimeout, Code: reason}
 	}
 	return &exchange.Failure{Status: http.StatusBadGateway, Code: reason}
--- a/internal/role/gateway/placing.go
+++ b/internal/role/gateway/placing.go
@@ -219,7 +219,7 @@
 // chosen engine. Its times are relative to now.
 func (g *Gateway) reservationMessage(j *job, to target, now clock.Millis) enginequeue.Reservation {
 	g.mu.Lock()
-	answerMs := g.streamDurations.ExpectedDuration(j.route.Name, j.timeoutMs-j.arrivedMs)
+	answerMs := g.streamDurations.ExpectedDuration(j.route.Name, j.allowedMs)
 	g.mu.Unlock()
 	msg := enginequeue.Reservation{
 		ID: j.ID, Engine: to.engine, Account: j.account, Priority: j.priority, LatencySensitive: j.placeReq.LatencySensitive, ITLTargetMs: j.route.ITLTargetMs, UncachedTokens: to.UncachedTokens,
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -100,7 +100,7 @@
 	if j.route.Kind != routing.KindSafe || j.sends+1 >= j.route.Attempts || j.route.TargetMs <= 0 {
 		return 0
 	}
-	return min(serverTimeoutTargets*j.route.TargetMs, (j.timeoutMs-j.arrivedMs)/2)
+	return min(serverTimeoutTargets*j.route.TargetMs, j.allowedMs/2)
 }
 
 // lastFailure returns the final failure of a request whose last attempt, s, had
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -100,7 +100,7 @@
 	s := &send{choice: to.Choice, engine: to.engine, conns: to.conns, version: to.version, reservation: reservation, sentMs: now}
 	h := j.header.Clone()
 	g.codec.Forward(h, Send{
-		Server: to.ID, DeadlineMs: j.timeoutMs - now, Account: j.account, Engine: j.route.Engine,
+		Server: to.ID, DeadlineMs: min(j.timeoutMs-now, j.allowedMs), Account: j.account, Engine: j.route.Engine,
 		Priority: min(max(j.priority, 0), maxPriority), ResumesAt: resumesAt, CopyFrom: to.copyFromAddr,
 	})
 	sctx, cancel := context.WithCancel(ctx)
--- a/internal/runtime/clock/clock.go
+++ b/internal/runtime/clock/clock.go
@@ -32,6 +32,12 @@
 	return Millis(d / time.Millisecond)
 }
 
+// AddFull returns the end of a period of d that began at a moment at which a clock read m. Readings are
+// rounded down, so that m+d may come up to 1 ms before the period is over; AddFull never does.
+func (m Millis) AddFull(d Millis) Millis {
+	return m + d + 1
+}
+
 // Clock is a source of monotonic and wall-clock time.
 type Clock interface {
 	// Now returns the monotonic time, which includes time that the machine was suspended.
