Gateway: a pause between two readings of the time ends no request early

Callers of a gateway with little processor saw requests cut before their time: 16 to 19 ms early where the process was paused for 20 ms. Cause: a time of the gateway's clock was converted by reading the system's time before that clock, so that a pause between the two was taken from the request. The clock is read first now.

--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -67,9 +67,11 @@
 	partsCleared, cleared bool
 }
 
-// wallTime converts a time of the gateway's clock to a time.Time.
+// wallTime converts a time of the gateway's clock to a time.Time that is not earlier. The clock is read
+// first: a pause of the process between the two readings would otherwise make it earlier.
 func (g *Gateway) wallTime(ms clock.Millis) time.Time {
-	return time.Now().Add((ms - g.clock.Now()).Duration())
+	left := ms - g.clock.Now()
+	return time.Now().Add(left.Duration())
 }
 
 // sendOnce makes one attempt: it chooses the best server, waits for the request's
