Logs: an unproven answer says whether its server was leaving

Change: the field listed: whether the server is listed as ready. The check's result and servers_ended stay as they are.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -149,7 +149,7 @@
 	}
 	j.log.WithFields(evidence).WithFields(logrus.Fields{
 		"event": "answerUnproven", "server": s.engine.ID, "start": s.engine.Start, "liveness": l.String(), "tookMs": int64(g.clock.Now() - began),
-		"leftMs": int64(j.timeoutMs - began),
+		"leftMs": int64(j.timeoutMs - began), "listed": j.pool.lists(s.engine),
 	}).Warn()
 	return true
 }
