Gateway: a request that broke off is not held past its time for a check of its server

Cause: after a request broke off, its caller waited up to 300 ms (endingTimeout) for the check whether the server has ended, also when the request's time was up, and 150 ms of a proof before it. Change: the wait ends with the request; the check goes on, and its result is taken up for the requests that broke off. No test shows that the result that comes after the request is taken up: one that was tried passed without it too and is left out.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -97,25 +97,35 @@
 
 // serverEnded reports whether the server of s, at which a request broke off, has ended: it
 // is listed with a later start, or refuses connections now. A server that drains is expected
-// to.
-func (g *Gateway) serverEnded(j *job, s *send) bool {
+// to. The check outlasts the time of the request, but its caller is not kept for it: then late is the
+// check that goes on.
+func (g *Gateway) serverEnded(ctx context.Context, j *job, s *send) (ended bool, late *ending) {
 	k := s.engine.Key()
 	if g.startedAnew(k) {
-		return true
+		return true, nil
 	}
 	if s.conns == nil || !j.pool.lists(s.engine) {
-		return false
+		return false, nil
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
-		c.ended.Store(look(context.Background(), s.conns, endingSettle, endingTimeout).Liveness() == direct.Ended)
-		close(c.checked)
-		if c.ended.Load() {
+		go c.make(s.conns)
+	}
+	select {
+	case <-c.checked:
+		if first && c.ended.Load() {
 			g.metrics.serverEnded()
 		}
+		return c.ended.Load(), nil
+	case <-ctx.Done():
+		return false, c
 	}
-	<-c.checked
-	return c.ended.Load()
+}
+
+// make makes the check of the server of conns.
+func (e *ending) make(conns *direct.Pool) {
+	e.ended.Store(look(context.Background(), conns, endingSettle, endingTimeout).Liveness() == direct.Ended)
+	close(e.checked)
 }
 
 // startedAnew reports whether a later start of a server is listed.
@@ -232,26 +242,45 @@
 func (s *send) beganAnswer() bool { return s.ans != nil && !s.partsCleared }
 
 // examineBreak finds out whether the server of s ended before it had answered j, and records
-// it as evidence against j and the shared parts of its prompt.
-func (g *Gateway) examineBreak(j *job, s *send) {
+// it as evidence against j and the shared parts of its prompt. ctx has ended if the request has.
+func (g *Gateway) examineBreak(ctx context.Context, j *job, s *send) {
 	if s.cleared || s.notSent || s.reply.NotRun || s.outcome == retry.OutcomeFailed {
 		return
 	}
-	if s.broke && g.serverEnded(j, s) {
-		j.log.WithFields(logrus.Fields{
-			"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "subjects": j.inquiry.subjects, "trial": j.inquiry.trial, "send": j.sends,
-		}).Warn()
-		g.suspects.ended(j, s)
-		g.suspects.release(j)
-		return
+	var late *ending
+	if s.broke {
+		var ended bool
+		if ended, late = g.serverEnded(ctx, j, s); ended {
+			j.log.WithFields(logrus.Fields{
+				"event": "serverEnded", "server": s.engine.ID, "start": s.engine.Start, "begun": s.begun, "subjects": j.inquiry.subjects, "trial": j.inquiry.trial, "send": j.sends,
+			}).Warn()
+			g.suspects.ended(j, s)
+			g.suspects.release(j)
+			return
+		}
 	}
 	g.suspects.brokeOff(j, s)
+	if late != nil {
+		go g.takeUpEnding(late, s.engine.Key())
+	}
+}
+
+// takeUpEnding records the result of a check for the requests that have broken off at its server.
+func (g *Gateway) takeUpEnding(c *ending, k servers.Key) {
+	<-c.checked
+	if c.ended.Load() {
+		g.provedEnded(k)
+	}
+}
+
+// provedEnded records that a server at which requests broke off has ended.
+func (g *Gateway) provedEnded(k servers.Key) {
+	g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence { return b.Ended(now, k) })
 }
 
 // recheckEnding looks again whether the server of s has ended.
 func (g *Gateway) recheckEnding(p *pool, s *send) {
-	k := s.engine.Key()
 	if p.lists(s.engine) && look(context.Background(), s.conns, endingSettle, endingTimeout).Liveness() == direct.Ended {
-		g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence { return b.Ended(now, k) })
+		g.provedEnded(s.engine.Key())
 	}
 }
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -79,7 +79,7 @@
 // Again returns nil if the request is to be retried, or the failure that ends it.
 func (x *plain) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
 	if !s.slow || s.err != nil {
-		x.g.examineBreak(x.j, s)
+		x.g.examineBreak(ctx, x.j, s)
 	}
 	if !x.waitOnly && x.g.retryAllowed(ctx, x.j, s, 0) {
 		return nil
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -42,7 +42,7 @@
 // Again returns nil if the request is to be retried or resumed at another server,
 // or the failure that ends it.
 func (x *relay) Again(ctx context.Context, s *send, _ error) *exchange.Failure {
-	x.g.examineBreak(x.j, s)
+	x.g.examineBreak(ctx, x.j, s)
 	if x.g.retryAllowed(ctx, x.j, s, x.j.caller.Progress().Writes) {
 		return nil
 	}
