Gateway, drain: a request is refused that would be given up before its time

Cause: requests without an answer are given up 150 ms (answerMargin) before the end of the drain, but were accepted if their time ends before that end; and in short grace periods also after all others were given up. Change: a request is accepted by the time at which it would be given up (answerPeriod).

--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -23,11 +23,11 @@
 )
 
 // Accepts reports whether a request is accepted that arrives since ms after the
-// shutdown signal and may last up to most ms, if the process exits endMs after the
+// shutdown signal and may last up to most ms, if answers have to begin within endMs of the
 // signal. The maximum decides, not the typical duration: a refused request can be
 // served by another instance, but an interrupted answer may be lost to the caller.
 func Accepts(since, endMs, most clock.Millis) bool {
-	return since <= acceptAllMs || since+most < endMs
+	return since <= min(acceptAllMs, endMs) || since+most < endMs
 }
 
 // AnswerDurations holds the durations of the last 64 answers of each route, from the first
--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -64,3 +64,13 @@
 		t.Errorf("Need = %d, want 318", got)
 	}
 }
+
+// TestRequestAfterAShortDrainIsRefused guards against accepting a request after all others were given up.
+func TestRequestAfterAShortDrainIsRefused(t *testing.T) {
+	const end = 1950 * clock.Millisecond
+	for since, want := range map[clock.Millis]bool{0: true, end: true, end + 1: false, 2700: false} {
+		if got := drain.Accepts(since, end, clock.Second); got != want {
+			t.Errorf("%d ms after the signal: Accepts = %t, want %t", since, got, want)
+		}
+	}
+}
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -59,6 +59,9 @@
 	return clock.Millis(g.Settings().Bounds.GraceS*float64(clock.Second)) - endMargin
 }
 
+// answerPeriod returns the time from the shutdown signal until which an answer has to begin.
+func (g *Gateway) answerPeriod() clock.Millis { return g.drainPeriod() - answerMargin }
+
 // drain completes the requests in flight. The readiness check fails at once, so
 // that the platform stops sending new connections; connections close after their
 // answers, and requests that might not complete in time are refused. At the end,
@@ -68,7 +71,7 @@
 	end := g.drainPeriod()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Duration())
 	defer cancel()
-	defer time.AfterFunc((end - answerMargin).Duration(), g.cancelUnanswered).Stop()
+	defer time.AfterFunc(g.answerPeriod().Duration(), g.cancelUnanswered).Stop()
 	g.drainMs.Store(int64(g.clock.Now()))
 	g.draining.Store(true)
 	g.callerLn.CloseAfterAnswers()
@@ -106,8 +109,8 @@
 	}
 }
 
-// mayExitBefore reports whether the gateway is draining and may exit before j is
-// complete.
+// mayExitBefore reports whether the gateway is draining and may give j up before it
+// is complete.
 func (g *Gateway) mayExitBefore(j *job, now clock.Millis) bool {
-	return g.draining.Load() && !drain.Accepts(now-clock.Millis(g.drainMs.Load()), g.drainPeriod(), j.timeoutMs-now)
+	return g.draining.Load() && !drain.Accepts(now-clock.Millis(g.drainMs.Load()), g.answerPeriod(), j.timeoutMs-now)
 }
