Gateway: each check that shows the end of a server is counted

The check of a server outlasts the request that began it since, and servers_ended was counted by that request: an end that was known only after it was not counted. The check counts now. By reading; the tests of ended servers do not look at this metric.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -109,23 +109,23 @@
 	}
 	c, first := g.endings.check(g.clock.Now(), k)
 	if first {
-		go c.make(s.conns)
+		go g.makeCheck(c, s.conns)
 	}
 	select {
 	case <-c.checked:
-		if first && c.ended.Load() {
-			g.metrics.serverEnded()
-		}
 		return c.ended.Load(), nil
 	case <-ctx.Done():
 		return false, c
 	}
 }
 
-// make makes the check of the server of conns.
-func (e *ending) make(conns *direct.Pool) {
-	e.ended.Store(look(context.Background(), conns, endingSettle, endingTimeout).Liveness() == direct.Ended)
-	close(e.checked)
+// makeCheck makes the check c of the server of conns.
+func (g *Gateway) makeCheck(c *ending, conns *direct.Pool) {
+	c.ended.Store(look(context.Background(), conns, endingSettle, endingTimeout).Liveness() == direct.Ended)
+	close(c.checked)
+	if c.ended.Load() {
+		g.metrics.serverEnded()
+	}
 }
 
 // startedAnew reports whether a later start of a server is listed.
