Gateway: answers have all of the grace period but its last 300 ms

Cause: the time since the signal was the difference of two readings that are rounded down, so that up to 1 ms too much counted as passed. AddFull ends the period at most 1 ms late. The test is listed for other symptoms and stays so.

--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -86,8 +86,8 @@
 // finishAnswers waits for the answers that have not ended with the drain, and for callers to
 // read them, until exitMargin is left of the grace period.
 func (g *Gateway) finishAnswers() {
-	since := g.clock.Now() - clock.Millis(g.drainMs.Load())
-	left := max(g.drainPeriod()+endMargin-exitMargin-since, 0)
+	end := clock.Millis(g.drainMs.Load()).AddFull(g.drainPeriod() + endMargin - exitMargin)
+	left := max(end-g.clock.Now(), 0)
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
 	if err := g.callerLn.Shutdown(ctx); err != nil {
