Gateway: a server has all of the back-off that it asked for

Cause: a back-off counted from a reading that is rounded down to a millisecond, so that it could end up to 1 ms before the time that the server counts; an engine's queue did the same for its own back-off. Change: BackOffEnd (servers) and batch.BackOff end it with AddFull, up to 1 ms late instead.

--- a/internal/policy/batch/batch.go
+++ b/internal/policy/batch/batch.go
@@ -385,7 +385,7 @@
 // pause ms. The engine has less room than estimated, so the back-off applies to the
 // prompts of all entries.
 func (s *Scheduler) BackOff(now, pause clock.Millis) {
-	s.nextGrantMs = max(s.nextGrantMs, now+min(pause, maxBackOffMs))
+	s.nextGrantMs = max(s.nextGrantMs, now.AddFull(min(pause, maxBackOffMs)))
 }
 
 // confirmReachable records that a first event arrived at entry. If another entry has
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -460,3 +460,15 @@
 		}
 	}
 }
+
+// TestEngineHasAllOfItsBackOff guards against a prompt that is granted before the engine's back-off is over: the
+// clock may have read up to 1 ms less than the time at which it was asked for.
+func TestEngineHasAllOfItsBackOff(t *testing.T) {
+	for _, tt := range []struct{ pause, at, free clock.Millis }{{300, 300, 1}, {300, 301, 0}, {5000, 500, 1}, {5000, 501, 0}} {
+		s := batch.New(batch.Config{Slots: 4, MemoryTokens: 1000})
+		s.BackOff(1000, tt.pause)
+		if free := s.Load(1000 + tt.at).FreeMs; free != tt.free {
+			t.Errorf("%d ms after a back-off of %d ms: free in %d ms, want %d", tt.at, tt.pause, free, tt.free)
+		}
+	}
+}
--- a/internal/role/gateway/notices.go
+++ b/internal/role/gateway/notices.go
@@ -42,7 +42,7 @@
 	unproved := servers.Unproved{NeededMs: versions.ListNeeded(openedMs), SentMs: g.clock.Wall(), Draining: r.Draining}
 	if r.BackOffMs > 0 {
 		until := g.fleet.setBackOff(now, key, r.BackOffMs)
-		unproved.BackOffUntilMs = now + min(r.BackOffMs, servers.MaxBackOff)
+		unproved.BackOffUntilMs = servers.BackOffEnd(now, r.BackOffMs)
 		p.withTable(func(t *place.ServerTable) { t.Exclude(e.ID, until) })
 		g.peers.dropWaiting(e.ID)
 		g.metrics.countNotice("pause")
--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -135,11 +135,14 @@
 	return out
 }
 
-// BackOff records that a server requested a back-off of d from now on, at most
-// MaxBackOff, and returns the time at which its back-off ends. A later notice never
-// shortens an earlier back-off.
+// BackOffEnd returns the end of a back-off of d, at most MaxBackOff, that a server requested at now. The
+// server counts it exactly, so that it ends late rather than early.
+func BackOffEnd(now, d clock.Millis) clock.Millis { return now.AddFull(min(d, MaxBackOff)) }
+
+// BackOff records that a server requested a back-off of d from now on, and returns the time at
+// which its back-off ends; see BackOffEnd. A later notice never shortens an earlier back-off.
 func (n *Notices) BackOff(now clock.Millis, k Key, d clock.Millis) clock.Millis {
-	n.backOffs[k] = max(n.backOffs[k], now+min(d, MaxBackOff))
+	n.backOffs[k] = max(n.backOffs[k], BackOffEnd(now, d))
 	return n.backOffs[k]
 }
 
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -293,3 +294,17 @@
 		t.Errorf("end once it shows it (-want +got):\n%s", diff)
 	}
 }
+
+// TestBackOffIsNeverShort guards against requests in the last millisecond of a back-off.
+func TestBackOffIsNeverShort(t *testing.T) {
+	for _, tt := range []struct{ asked, d, want time.Duration }{
+		{time.Second, 300 * time.Millisecond, 300 * time.Millisecond},
+		{time.Second + 999*time.Microsecond, 300 * time.Millisecond, 300 * time.Millisecond},
+		{time.Second + 999*time.Microsecond, time.Hour, servers.MaxBackOff.Duration()},
+	} {
+		end := servers.NewNotices().BackOff(clock.FromDuration(tt.asked), servers.Key{ID: "s", Start: 1}, clock.FromDuration(tt.d))
+		if took := end.Duration() - tt.asked; took < tt.want || took > tt.want+time.Millisecond {
+			t.Errorf("a back-off of %v that was asked for at %v took %v", tt.d, tt.asked, took)
+		}
+	}
+}
