Callers' connections: a pause between two readings of the time does not make reads spin

Cause: the read deadline of an idle connection was made from the system's time, read before the clock. After a pause between the two it came early, the phase was not over, and Read tried again at once until it was, without sleep. Change: the clock is read first.

--- a/internal/caller/callerconn/conn.go
+++ b/internal/caller/callerconn/conn.go
@@ -76,7 +76,10 @@
 	at, ok := c.phase.Deadline(limits)
 	if ok && at != c.armedMs {
 		c.armedMs = at
-		_ = c.Conn.SetReadDeadline(time.Now().Add((at - c.ln.clock.Now()).Duration()))
+		// The clock is read first: a pause between the two readings would set the deadline too early, and
+		// reads would fail at once until the phase is over.
+		left := at - c.ln.clock.Now()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(left.Duration()))
 	}
 	return !c.over()
 }
--- a/internal/caller/callerconn/listener_test.go
+++ b/internal/caller/callerconn/listener_test.go
@@ -1,9 +1,12 @@
 package callerconn_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/damaskport/damaskport/internal/caller/callerconn"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -43,3 +46,48 @@
 		t.Errorf("status %d, want 204", res.StatusCode)
 	}
 }
+
+// pausedClock pauses the process before the given reading.
+type pausedClock struct {
+	clock.System
+	readings atomic.Int64
+	pausedAt int64
+	pause    time.Duration
+}
+
+func (c *pausedClock) Now() clock.Millis {
+	if c.readings.Add(1) == c.pausedAt {
+		time.Sleep(c.pause)
+	}
+	return c.System.Now()
+}
+
+// TestPausedConnectionWaits guards against idle connections that are read without end, or closed early, after
+// the process was paused between two readings of the time.
+func TestPausedConnectionWaits(t *testing.T) {
+	const idle, maxReadings = 200 * time.Millisecond, 20
+	for pausedAt := int64(1); pausedAt <= 4; pausedAt++ {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &pausedClock{pausedAt: pausedAt, pause: idle / 4}
+		l := callerconn.NewListener(ln, c, func() callerconn.Limits { return callerconn.Limits{IdleMs: clock.FromDuration(idle)} })
+		srv := &http.Server{}
+		l.Attach(srv)
+		go func() { _ = srv.Serve(l) }()
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		_, err = nc.Read(make([]byte, 1))
+		if took := time.Since(began); err != io.EOF || took < idle {
+			t.Errorf("paused before reading %d: %v after %v, want %v after %v", pausedAt, err, took, io.EOF, idle)
+		}
+		if n := c.readings.Load(); n > maxReadings {
+			t.Errorf("paused before reading %d: %d readings of the time, want at most %d", pausedAt, n, maxReadings)
+		}
+		_, _ = nc.Close(), srv.Close()
+	}
+}
