Gateway: windows are as long as configured, whatever their decimal places

Cause: settings in seconds were converted with a cut: 2.01 s became 2,009 ms, since 2.01 x 1000 is below 2010 in float64. Usage windows of such a length would have other numbers than the platform's. Change: clock.FromSeconds rounds to the nearest millisecond; used for the usage window, its report and the retry window. The grace period is still cut: a promise of the process to itself. Evidence: TestSecondsAreNotCut failed for 604 of 60,001 lengths before, and passes. The users' sheets have whole seconds.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -197,14 +197,14 @@
 	g.queueHost.OnHello = g.gatewayConnected
 	g.queueHost.OnFetch = func() any { return g.config.full() }
 	g.queueHost.OnBeat = g.receiveHeartbeat
-	g.usage = newUsageCounts(clock.Millis(cfg.Duties.WindowS*float64(clock.Second)), clock.Millis(cfg.Duties.ReportWithinS*float64(clock.Second)))
+	g.usage = newUsageCounts(clock.FromSeconds(cfg.Duties.WindowS), clock.FromSeconds(cfg.Duties.ReportWithinS))
 	return g, nil
 }
 
 func retryLimitOf(cfg settings.Gateway) retry.WindowLimit {
 	return retry.WindowLimit{
 		Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack,
-		WindowMs: clock.Millis(cfg.Bounds.RetryWindowS * float64(clock.Second)),
+		WindowMs: clock.FromSeconds(cfg.Bounds.RetryWindowS),
 	}
 }
 
--- a/internal/role/gateway/leader.go
+++ b/internal/role/gateway/leader.go
@@ -423,7 +423,7 @@
 
 // reportWithin returns how long after a window's end its report is due.
 func (g *Gateway) reportWithin() clock.Millis {
-	return clock.Millis(g.Settings().Duties.ReportWithinS * float64(clock.Second))
+	return clock.FromSeconds(g.Settings().Duties.ReportWithinS)
 }
 
 // dueWindow returns the first window that may be sealed. A window whose report is
--- a/internal/runtime/clock/clock.go
+++ b/internal/runtime/clock/clock.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -32,6 +33,12 @@
 	return Millis(d / time.Millisecond)
 }
 
+// FromSeconds converts s seconds to Millis, rounding to the nearest: most decimal numbers of seconds have no
+// exact float64, and rounding down would make 2.01 s of 2,010 ms 2,009 ms.
+func FromSeconds(s float64) Millis {
+	return Millis(math.Round(s * float64(Second)))
+}
+
 // AddFull returns the end of a period of d that began at a moment at which a clock read m. Readings are
 // rounded down, so that m+d may come up to 1 ms before the period is over; AddFull never does.
 func (m Millis) AddFull(d Millis) Millis {
--- a/internal/runtime/clock/clock_test.go
+++ b/internal/runtime/clock/clock_test.go
@@ -23,6 +23,15 @@
 	})
 }
 
+// TestSecondsAreNotCut guards against windows that are 1 ms shorter than configured.
+func TestSecondsAreNotCut(t *testing.T) {
+	for ms := clock.Millis(0); ms <= clock.Minute; ms++ {
+		if got := clock.FromSeconds(ms.Duration().Seconds()); got != ms {
+			t.Errorf("%v s: %d ms", ms.Duration().Seconds(), got)
+		}
+	}
+}
+
 func ExampleMillis_AddFull() {
 	arrived := clock.Millis(1000) // the exact time may be 1000.9 ms
 	fmt.Println(arrived.AddFull(300))
