Claims: the window of an idempotency key is never short

Cause: the window of a key without a time of issue began at a reading that is rounded down to a millisecond, and ended up to 1 ms before it was over. Change: it ends with AddFull, up to 1 ms late. Evidence: the new row of TestExpiry failed before and passes; the tests of state/claim, control/claims and proof/claims pass (one run of each, the last took 127 s beside others' runs).

--- a/internal/state/claim/fold_test.go
+++ b/internal/state/claim/fold_test.go
@@ -99,6 +99,9 @@
 	if err != nil || got != modelStart+2*clock.Hour {
 		t.Errorf("Expiry = %d, %v; want the issue time plus the window", got, err)
 	}
+	if got, _ := claim.Expiry("n", modelStart, 2*clock.Hour); got != modelStart.AddFull(2*clock.Hour) {
+		t.Errorf("Expiry of another key = %d; want all of the window, whatever part of a millisecond was cut off", got)
+	}
 	for _, now := range []clock.Millis{modelStart + 2*clock.Hour, modelStart - clock.Hour} {
 		if _, err := claim.Expiry(key, now, 2*clock.Hour); !errors.As(err, new(*claim.ExpiredKeyError)) {
 			t.Errorf("Expiry at %d: %v, want ExpiredKeyError", now, err)
--- a/internal/state/claim/key.go
+++ b/internal/state/claim/key.go
@@ -103,7 +103,7 @@
 	windowMs = min(windowMs, MaxWindow)
 	issued, ok := IssuedAt(idempotencyKey)
 	if !ok {
-		return nowMs + windowMs, nil
+		return nowMs.AddFull(windowMs), nil
 	}
 	if issued+windowMs <= nowMs || issued > nowMs+maxIssueSkew {
 		return 0, &ExpiredKeyError{IssuedMs: issued, NowMs: nowMs, WindowMs: windowMs}
