Gateway: no request is sent once its time is up

Cause: the time left for Deadline-Ms was read after the last check that some is left. After a pause of the process between them servers were sent requests with Deadline-Ms 0 or less, which says no deadline, or is none. Change: the last check before a request is written asks for time too; the request counts as not run.

--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -168,7 +168,8 @@
 	}
 	s.limited = !g.mayBeSent(g.clock.Now(), to)
 	s.suspected = !g.suspects.maySend(j)
-	return !s.limited && !s.suspected && j.pool.accepts(g.clock.Now(), to.engine) && j.departure.Send() && s.written.Begin()
+	now := g.clock.Now()
+	return !s.limited && !s.suspected && now < j.timeoutMs && j.pool.accepts(now, to.engine) && j.departure.Send() && s.written.Begin()
 }
 
 // maxPriority is the least urgent priority class of a model engine; 0 is the most
