--- a/internal/backend/direct/conn_test.go
+++ b/internal/backend/direct/conn_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -103,3 +105,39 @@
 		}
 	}
 }
+
+// TestIdleConnectionIsLeftBeforeItsServerCloses guards against requests on a connection that its server is about
+// to close: the server counts its idle time from an earlier moment.
+func TestIdleConnectionIsLeftBeforeItsServerCloses(t *testing.T) {
+	for announced, kept := range map[string]clock.Millis{"timeout=2": 1300, "max=9, timeout=1": 300, "": 4000} {
+		for idle, want := range map[clock.Millis]int64{kept - 1: 1, kept: 2} {
+			var opened atomic.Int64
+			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Keep-Alive", announced)
+				time.Sleep(10 * time.Millisecond)
+			}))
+			srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					opened.Add(1)
+				}
+			}
+			srv.Start()
+			c := clock.NewManual(clock.Hour, 0)
+			p := direct.NewPool(srv.Listener.Addr().String(), c)
+			for range 2 {
+				a, err := p.Do(t.Context(), direct.Request{Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+				c.Advance(idle)
+			}
+			if got := opened.Load(); got != want {
+				t.Errorf("Keep-Alive %q, idle for %d ms: %d connections, want %d", announced, idle, got, want)
+			}
+			p.Close()
+			srv.Close()
+		}
+	}
+}
