Starts: a start that waits for connections at its address lets no others join them

A start at an address that connections of other programs have, open or in TIME_WAIT, had to wait for a port that the system gave to further connections meanwhile, so that the wait had no end. Cause: it cannot bind the address until the last of them has gone (SO_REUSEADDR does not help, their sockets lack it), and kept nothing. It keeps the port now by a socket bound at 127.255.255.254: the system chooses no port for a connection that is bound. A program that binds the port by its number can still take it.

--- a/internal/runtime/listen/listen_test.go
+++ b/internal/runtime/listen/listen_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/damaskport/damaskport/internal/runtime/listen"
 )
@@ -74,6 +75,66 @@
 	}
 }
 
+// TestPortOfConnectionsIsKept guards against an address that never gets free, since the system gives its port
+// to further connections while a start waits for those that have it.
+func TestPortOfConnectionsIsKept(t *testing.T) {
+	far := [2]net.Listener{}
+	for i := range far {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		far[i] = ln
+	}
+	for _, host := range []string{"127.0.0.1", "0.0.0.0", ""} {
+		holder, err := net.Dial("tcp", far[0].Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer holder.Close()
+		port := holder.LocalAddr().(*net.TCPAddr).Port
+		var h listen.Reserved
+		defer h.Release()
+		for range 2 {
+			var addrErr *listen.Error
+			if _, err := h.Listen(at("a", net.JoinHostPort(host, strconv.Itoa(port)))); !errors.As(err, &addrErr) || !addrErr.Taken() {
+				t.Fatalf("host %q: error = %v, want that it is taken", host, err)
+			}
+		}
+		onPort := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_LOCAL_PORT_RANGE, port<<16|port)
+			})
+		}}
+		if c, err := onPort.Dial("tcp", far[1].Addr().String()); err == nil {
+			t.Errorf("host %q: a connection from %v joined the one that has the port", host, c.LocalAddr())
+			_ = c.Close()
+		}
+	}
+}
+
+// TestKeptPortIsListenedOn guards against a kept port that is in the way of its own start.
+func TestKeptPortIsListenedOn(t *testing.T) {
+	for _, host := range []string{"127.0.0.1", "0.0.0.0", ""} {
+		taken, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var h listen.Reserved
+		a := at("a", net.JoinHostPort(host, strconv.Itoa(taken.Addr().(*net.TCPAddr).Port)))
+		if _, err := h.Listen(a); err == nil {
+			t.Fatalf("host %q: no error", host)
+		}
+		_ = taken.Close()
+		lns, err := h.Listen(a)
+		if err != nil {
+			t.Errorf("host %q: %v", host, err)
+		}
+		listen.Close(lns)
+	}
+}
+
 // TestChangedAddressIsReleased changes the address between two attempts, as an operator may the settings.
 func TestChangedAddressIsReleased(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/runtime/listen/reserved.go
+++ b/internal/runtime/listen/reserved.go
@@ -20,12 +20,19 @@
 
 // Reserved keeps the addresses that a process could have in an attempt to start for the next one, so that
 // the system gives them to no connection meanwhile. The sockets are bound and don't listen: a
-// connection to such an address is refused, as if there were no process. The zero value holds none; a
-// nil *Reserved keeps nothing from one attempt to the next.
+// connection to such an address is refused, as if there were no process. Of an address that connections
+// have, the port is kept, so that no others join them. The zero value holds none; a nil *Reserved keeps
+// nothing from one attempt to the next.
 type Reserved struct {
 	sockets []socket
+	// ports are sockets that keep the ports of addresses that are taken.
+	ports []socket
 }
 
+// portHost is the host of the sockets that keep a port. The system chooses no port for a connection from
+// any host that a socket has been bound to on some host; this one is of no use for anything else.
+var portHost = net.IPv4(127, 255, 255, 254)
+
 // socket is a socket bound to an address.
 type socket struct {
 	addr Address
@@ -65,18 +72,19 @@
 
 // releaseOthers gives up all addresses but those of addrs.
 func (h *Reserved) releaseOthers(addrs []Address) {
-	h.sockets = slices.DeleteFunc(h.sockets, func(s socket) bool {
+	release := func(s socket) bool {
 		if slices.Contains(addrs, s.addr) {
 			return false
 		}
 		_ = unix.Close(s.fd)
 		return true
-	})
+	}
+	h.sockets, h.ports = slices.DeleteFunc(h.sockets, release), slices.DeleteFunc(h.ports, release)
 }
 
-// index returns the index of the socket of an address, or -1 if the address is not held.
-func (h *Reserved) index(a Address) int {
-	return slices.IndexFunc(h.sockets, func(s socket) bool { return s.addr == a })
+// index returns the index of the socket of an address, or -1 if there is none.
+func index(sockets []socket, a Address) int {
+	return slices.IndexFunc(sockets, func(s socket) bool { return s.addr == a })
 }
 
 // bindAll binds a socket to each address that is not held yet, as far as that is possible. It returns
@@ -87,19 +95,34 @@
 		return err
 	}
 	for i, a := range addrs {
-		if h.index(a) >= 0 {
+		if index(h.sockets, a) >= 0 {
 			continue
 		}
 		s, bindErr := bind(a, resolved[i])
-		if bindErr == nil {
+		switch {
+		case bindErr == nil:
 			h.sockets = append(h.sockets, s)
-		} else if err == nil && !bindErr.dispensable() {
+			continue
+		case bindErr.Taken():
+			h.keepPort(a, resolved[i])
+		}
+		if err == nil && !bindErr.dispensable() {
 			err = bindErr
 		}
 	}
 	return err
 }
 
+// keepPort keeps the port of an address that is taken, if the system lets it.
+func (h *Reserved) keepPort(a Address, to *net.TCPAddr) {
+	if index(h.ports, a) >= 0 {
+		return
+	}
+	if s, err := bind(a, &net.TCPAddr{IP: portHost, Port: to.Port}); err == nil {
+		h.ports = append(h.ports, s)
+	}
+}
+
 // dispensable reports whether the process can serve without the address.
 func (e *Error) dispensable() bool { return e.Optional && e.Taken() }
 
@@ -193,7 +216,7 @@
 
 // listen returns a listener on an address, which is not held any more then; nil if it was not held.
 func (h *Reserved) listen(a Address) (net.Listener, *Error) {
-	i := h.index(a)
+	i := index(h.sockets, a)
 	if i < 0 {
 		return nil, nil
 	}
