Gateway: a stop leaves callers that read slowly the answer that their server has sent

Cause: what a caller has not read waits in the process, behind a small send buffer. At the end of the drain the callers' connections now get what is left of the memory for sockets; the system delivers it after the process. Evidence: TestStopLeavesSlowReadersTheirAnswers failed in 6 of 6 cases (3 runs; about 191,000 of 300,000 bytes) and passes in 4 of 4 runs and with the race detector (1 run).

--- a/internal/policy/socketbuffer/socketbuffer.go
+++ b/internal/policy/socketbuffer/socketbuffer.go
@@ -50,6 +50,8 @@
 	maxPiece  = 32 << 10
 	// maxExtra is the most memory of a connection beyond its floor.
 	maxExtra = 256 << 10
+	// maxRest is the most memory for sending that Rest adds to a connection.
+	maxRest = 1 << 20
 	// minExtra is the least that is worth setting other sizes than the floor.
 	minExtra = 2 << 10
 )
@@ -130,6 +132,12 @@
 	return b
 }
 
+// Rest returns how much more memory for sending each of conns open connections may have if no others are
+// opened any more.
+func (b Budget) Rest(conns int) int {
+	return min(max(b.Bytes()-b.given, 0)/max(conns, 1), maxRest)
+}
+
 // sizes divides extra bytes beyond the floor between the directions.
 func sizes(extra int, receive float64) Sizes {
 	s := Floor()
--- a/internal/policy/socketbuffer/socketbuffer_test.go
+++ b/internal/policy/socketbuffer/socketbuffer_test.go
@@ -38,8 +38,8 @@
 				t.Fatalf("%+v is less than the floor %+v", s, f)
 			}
 			open = append(open, s)
-			if b.Given() > b.Bytes() {
-				t.Fatalf("%d bytes given of %d to %d connections", b.Given(), b.Bytes(), len(open))
+			if b.Given()+len(open)*b.Rest(len(open)) > b.Bytes() {
+				t.Fatalf("%d bytes given of %d to %d connections, and %d to each at the end", b.Given(), b.Bytes(), len(open), b.Rest(len(open)))
 			}
 		}
 		for _, s := range open {
--- a/internal/role/gateway/drain.go
+++ b/internal/role/gateway/drain.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/policy/drain"
+	"github.com/damaskport/damaskport/internal/policy/socketbuffer"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -81,8 +82,10 @@
 }
 
 // finishAnswers waits for the answers that have not ended with the drain, and for callers to
-// read them, until exitMargin is left of the grace period.
+// read them, until exitMargin is left of the grace period. What servers have sent by then is the
+// system's to deliver: no caller has to have read it.
 func (g *Gateway) finishAnswers() {
+	g.buffers.GiveRest(socketbuffer.Caller)
 	since := g.clock.Now() - clock.Millis(g.drainMs.Load())
 	left := max(g.drainPeriod()+endMargin-exitMargin-since, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
--- a/internal/runtime/tcp/buffers.go
+++ b/internal/runtime/tcp/buffers.go
@@ -49,7 +49,14 @@
 		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, s.Receive/2); err != nil {
 			return errors.Wrap(err, "set SO_RCVBUF")
 		}
-		return errors.Wrap(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, s.Send/2), "set SO_SNDBUF")
+		return sendBuffer(s.Send)(fd)
+	}
+}
+
+// sendBuffer sets the size of a socket's send buffer.
+func sendBuffer(bytes int) Option {
+	return func(fd int) error {
+		return errors.Wrap(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes/2), "set SO_SNDBUF")
 	}
 }
 
@@ -159,6 +166,27 @@
 	return c, nil
 }
 
+// GiveRest divides what is left of the budget among the open connections to peers of kind k, for what is
+// still sent to them: the kernel takes it, also if the process ends before its peer has read it. No
+// connections may be opened after it.
+func (b *Buffers) GiveRest(k socketbuffer.Kind) {
+	b.mu.Lock()
+	var open []*conn
+	for c := range b.conns {
+		if c.kind == k && c.raw != nil {
+			open = append(open, c)
+		}
+	}
+	rest := b.budget.Rest(len(open))
+	b.mu.Unlock()
+	for _, c := range open {
+		err := Set(c.raw, sendBuffer(c.sizes.Send+rest))
+		if !errors.Is(err, net.ErrClosed) {
+			b.note(err)
+		}
+	}
+}
+
 // Usage returns the bytes that the kernel holds for the open connections, by kind of peer. The error is
 // that of a kernel that does not tell.
 func (b *Buffers) Usage() (map[socketbuffer.Kind]int, error) {
