Gateway: the proof leaves time only to an attempt that can follow

Callers saw whole answers without framing cut 0.5 and 0.8 s before their time, where the proof needs a second (a server that has closed its listener): half of the time was kept for a further attempt though none could follow, since the caller had a part of the answer, or no other server had the stream's software version. The same decision as for a retry is asked now, with the budget and the versions. Class: a margin taken from a step that has no next.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -195,8 +195,8 @@
 // proofContext returns the context of the proof that the answer of s, which has ended, is whole. The proof
 // goes on for a while when the time of the request or of the process is up, but not when the caller leaves.
 func (g *Gateway) proofContext(ctx context.Context, j *job, s *send) (context.Context, context.CancelFunc) {
-	another := j.route.MayRunAgain() && j.sends < j.route.Attempts && j.pool.hasOther(s.engine.ID, j.exclude)
-	proof, cancel := context.WithTimeout(context.WithoutCancel(ctx), retry.ProofTime(j.timeoutMs-g.clock.Now(), another).Duration())
+	limit := retry.ProofTime(j.timeoutMs-g.clock.Now(), g.mayFollow(j, s))
+	proof, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit.Duration())
 	stop := context.AfterFunc(ctx, func() {
 		if errors.Is(context.Cause(ctx), exchange.ErrCallerLeft) {
 			cancel()
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -277,11 +278,7 @@
 	if s.notSent {
 		return len(j.exclude) <= maxNotSent && now < j.timeoutMs-minTimeLeft
 	}
-	reason := retry.ReasonNotToRetry(now, retry.Attempt{
-		Outcome: s.outcome, Protected: !j.route.MayRunAgain(),
-		Delivered: delivered, Resumable: j.route.Resumable && j.route.Kind == routing.KindStream,
-		Attempts: j.sends, MaxAttempts: j.route.Attempts, DeadlineMs: j.timeoutMs - minTimeLeft,
-	}, 0)
+	reason := j.reasonNotToRetry(now, s.outcome, delivered)
 	if reason == "" {
 		j.pool.mu.Lock()
 		if !j.pool.retries.Take(now, g.retrySharers()) {
@@ -293,6 +290,36 @@
 	return reason == ""
 }
 
+// reasonNotToRetry returns why j may not be sent again after an attempt with an outcome; empty if it may,
+// as far as the budget of retries and the servers allow it.
+func (j *job) reasonNotToRetry(now clock.Millis, outcome retry.Outcome, delivered int) retry.Reason {
+	return retry.ReasonNotToRetry(now, retry.Attempt{
+		Outcome: outcome, Protected: !j.route.MayRunAgain(),
+		Delivered: delivered, Resumable: j.route.Resumable && j.route.Kind == routing.KindStream,
+		Attempts: j.sends, MaxAttempts: j.route.Attempts, DeadlineMs: j.timeoutMs - minTimeLeft,
+	}, 0)
+}
+
+// mayFollow reports whether j could be answered by another attempt if that of s has failed.
+func (g *Gateway) mayFollow(j *job, s *send) bool {
+	delivered := j.caller.Progress().Writes
+	if len(j.beside.kept) > 0 && delivered == 0 {
+		return true
+	}
+	now := g.clock.Now()
+	if j.reasonNotToRetry(now, retry.OutcomeUnknown, delivered) != "" {
+		return false
+	}
+	j.pool.mu.Lock()
+	left := j.pool.retries.Left(now, g.retrySharers())
+	j.pool.mu.Unlock()
+	exclude := slices.Concat(j.exclude, g.streams.exclusions(j))
+	if s.begun {
+		exclude = append(exclude, j.pool.idsOf(func(v string) bool { return v != s.version })...)
+	}
+	return left > 0 && j.pool.hasOther(s.engine.ID, exclude)
+}
+
 // countUsage counts j once in the usage of its account, in the current window.
 func (g *Gateway) countUsage(j *job) {
 	if j.usageCounted || j.account == "" {
