Direct: a look holds its connection no longer than it may last

Callers were answered 341 to 401 ms after their time, where a server closes idle connections after its answer: the connection of the look is held for 400 ms then, whatever time the proof had. The hold ends with the look.

--- a/internal/backend/direct/liveness.go
+++ b/internal/backend/direct/liveness.go
@@ -178,7 +178,7 @@
 		}
 		k.sleep(ctx, min(wait, recheckInterval))
 	case k.conn != nil:
-		k.hold(wait)
+		k.hold(ctx, wait)
 	case k.closes > 1 && wait > 0:
 		// The first one after a closed connection tells a server that runs on from one that has ended,
 		// unless another process takes connections by then. A further one tells no more.
@@ -191,10 +191,15 @@
 // sleep waits for d; Look sees the end of ctx.
 func (k *check) sleep(ctx context.Context, d clock.Millis) { _ = k.pool.clock.Sleep(ctx, d) }
 
-// hold waits until the held connection was open for d, or the server closes it. After one was closed,
-// the next may have been opened as the listener was closed, and stay open with no process behind it.
-func (k *check) hold(d clock.Millis) {
-	err := k.conn.waitEnd(d.Duration())
+// hold waits until the held connection was open for d, the server closes it, or the time of ctx is up. After
+// one was closed, the next may have been opened as the listener was closed, and stay open with no process
+// behind it.
+func (k *check) hold(ctx context.Context, d clock.Millis) {
+	most := d.Duration()
+	if end, ok := ctx.Deadline(); ok {
+		most = min(most, time.Until(end))
+	}
+	err := k.conn.waitEnd(most)
 	if err == nil && k.closes == 0 {
 		k.kept = d > 0
 		k.look.Listening = k.pool.clock.Now() - k.endMs
