Direct: what the gateway closes itself is no sign of a server's end

Callers saw whole answers without framing cut 0.1 to 0.6 s before their time: a server that had closed its listener counted as ended at once, since the gateway had closed the other connection to it itself, as its caller left or a stop gave it up, and for 0.5 s its other answers were cut by the same check. A connection that the gateway leaves while it is open is noted, and the server is unknown then, not ended.

--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -96,7 +96,10 @@
 		_ = c.Close()
 		return nil, &NotSentError{err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		p.noteLeft(c)
+		_ = c.Close()
+	})
 	if ctx.Err() != nil {
 		stop()
 		_ = c.Close()
@@ -269,10 +272,12 @@
 		return nil
 	}
 	b.closed = true
-	b.unuse()
 	if b.stopCtxWatch() && b.complete && b.reusable && b.requestSent.Load() && b.c.br.Buffered() == 0 && !b.c.noReuse {
+		b.unuse()
 		b.pool.put(b.c)
 		return nil
 	}
+	b.pool.noteLeft(b.c)
+	b.unuse()
 	return b.c.Close()
 }
--- a/internal/backend/direct/liveness.go
+++ b/internal/backend/direct/liveness.go
@@ -65,6 +65,8 @@
 	OthersOpen, OthersClosed bool
 	// OthersUnread is set if such connections may be open, but unread data may hold their close back.
 	OthersUnread bool
+	// OthersLeft is set if the gateway itself has closed such a connection since the end, while it was open.
+	OthersLeft bool
 	// Answered is set if the server has answered what was sent after the end, on a connection from
 	// before it.
 	Answered bool
@@ -105,9 +107,9 @@
 	}
 }
 
-// Refuses reports whether no connection of the server is left, old or new.
+// Refuses reports whether the server has no connection any more, old or new.
 func (l Look) Refuses() bool {
-	return (l.Refused || l.Closed) && !l.OthersOpen && !l.OthersUnread
+	return (l.Refused || l.Closed) && !l.OthersOpen && !l.OthersUnread && !l.OthersLeft
 }
 
 // Fields returns l as it stands in logs.
@@ -115,7 +117,7 @@
 	f := map[string]any{
 		"evidence": "connection", "elapsedMs": int64(l.Elapsed), "listeningMs": int64(l.Listening), "refused": l.Refused,
 		"closed": l.Closed, "othersOpen": l.OthersOpen, "othersClosed": l.OthersClosed,
-		"othersUnread": l.OthersUnread,
+		"othersUnread": l.OthersUnread, "othersLeft": l.OthersLeft,
 	}
 	if l.Err != nil {
 		f["dialError"] = l.Err.Error()
@@ -165,6 +167,7 @@
 	if l.Refused || l.Closed {
 		others := p.stateBefore(k.refusedMs)
 		l.OthersOpen, l.OthersUnread = others == connOpen, others == connUnread
+		l.OthersLeft = p.leftSince(k.endMs, k.refusedMs)
 	}
 }
 
--- a/internal/backend/direct/liveness_test.go
+++ b/internal/backend/direct/liveness_test.go
@@ -34,6 +34,7 @@
 		"closes, others are open":             {direct.Look{Elapsed: settle, Listening: settle, Closed: true, OthersOpen: true}, direct.Alive},
 		"refuses, others are open so far":     {direct.Look{Elapsed: late - 1, Refused: true, OthersOpen: true}, direct.Unknown},
 		"refuses, others stay open":           {direct.Look{Elapsed: late, Refused: true, OthersOpen: true}, direct.Alive},
+		"refuses, the gateway left others":    {direct.Look{Elapsed: late, Refused: true, OthersLeft: true}, direct.Unknown},
 		"refuses, answers what was sent then": {direct.Look{Elapsed: 1, Refused: true, Answered: true}, direct.Alive},
 	} {
 		tc.look.Settle = settle
--- a/internal/backend/direct/pool.go
+++ b/internal/backend/direct/pool.go
@@ -37,10 +37,15 @@
 	acceptedMs clock.Millis
 	// resetMs is when the server last reset a new connection; 0 for never.
 	resetMs clock.Millis
+	// left is the last open connection that the gateway itself closed.
+	left leftConn
 	// noReuseUntilMs is the time until which connections are closed after one request.
 	noReuseUntilMs clock.Millis
 }
 
+// leftConn is a connection that the gateway closed while the server had it open.
+type leftConn struct{ openedMs, leftMs clock.Millis }
+
 // NewPool returns an empty Pool of connections to addr, given as host:port.
 func NewPool(addr string, c clock.Clock) *Pool {
 	return &Pool{addr: addr, clock: c, inUse: map[*conn]struct{}{}}
--- a/internal/backend/direct/signs.go
+++ b/internal/backend/direct/signs.go
@@ -92,3 +92,22 @@
 	}
 	return best
 }
+
+// noteLeft notes that the gateway itself is about to close c, if the server has not closed it: that
+// it is gone then is no sign of the server's end.
+func (p *Pool) noteLeft(c *conn) {
+	if c.state() == connClosed {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left = leftConn{openedMs: c.openedMs, leftMs: p.clock.Now()}
+}
+
+// leftSince reports whether the gateway has closed a connection since a time that was opened before another
+// one, and open until then.
+func (p *Pool) leftSince(ms, openedBefore clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.left.leftMs >= ms && p.left.openedMs < openedBefore
+}
