Gateway: names and a comment of the last fixes

mayFollow is called anotherMayAnswer, after what it tells, and the one answer that passes when the process is about to end has its reason. The logic does not change: gofmt, vet and revive pass, the whole script follows.

--- a/internal/role/gateway/endings.go
+++ b/internal/role/gateway/endings.go
@@ -195,7 +195,7 @@
 // proofContext returns the context of the proof that the answer of s, which has ended, is whole. The proof
 // goes on for a while when the time of the request or of the process is up, but not when the caller leaves.
 func (g *Gateway) proofContext(ctx context.Context, j *job, s *send) (context.Context, context.CancelFunc) {
-	limit := retry.ProofTime(j.timeoutMs-g.clock.Now(), g.mayFollow(j, s))
+	limit := retry.ProofTime(j.timeoutMs-g.clock.Now(), g.anotherMayAnswer(j, s))
 	proof, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit.Duration())
 	stop := context.AfterFunc(ctx, func() {
 		if errors.Is(context.Cause(ctx), exchange.ErrCallerLeft) {
--- a/internal/role/gateway/plain.go
+++ b/internal/role/gateway/plain.go
@@ -149,6 +149,7 @@
 		g.endSend(j, s, place.OutcomeFailed, "serverError")
 		return false
 	}
+	// A whole answer needs no more time of the process.
 	if !j.ending.Begin() && !whole {
 		s.outcome = retry.OutcomeUnknown
 		g.endSend(j, s, place.OutcomeAbandoned, "ending")
--- a/internal/role/gateway/send.go
+++ b/internal/role/gateway/send.go
@@ -300,8 +300,8 @@
 	}, 0)
 }
 
-// mayFollow reports whether j could be answered by another attempt if that of s has failed.
-func (g *Gateway) mayFollow(j *job, s *send) bool {
+// anotherMayAnswer reports whether j could be answered by another attempt if that of s has failed.
+func (g *Gateway) anotherMayAnswer(j *job, s *send) bool {
 	delivered := j.caller.Progress().Writes
 	if len(j.beside.kept) > 0 && delivered == 0 {
 		return true
