--- a/review/stand2/latereport.go
+++ b/review/stand2/latereport.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand2 plays the cases of the second review that cannot be put as days of the bench. It exits
 // with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could not run.
 //
@@ -23,7 +25,7 @@
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"last-answers":      lastAnswers,
 	"late-report":       lateReport,
-	"outage-versions":   outageVersions,
+	"unlisted-start":    unlistedStart,
 	"restored-versions": restoredVersions,
 }
 
--- a/review/stand2/outage.go
+++ b/review/stand2/outage.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -5,46 +7,44 @@
 	"time"
 )
 
-// The course of the case outage-versions, from when the gateways are ready.
+// The course of the case unlisted-start, from when the gateways are ready.
 const (
 	outStreamsAt = 2 * time.Second
-	// leaveAt is when a worker reports that it drains, downAt when the store goes down, and upAt when it is
-	// back.
-	leaveAt = 4 * time.Second
-	downAt  = leaveAt + 300*time.Millisecond
-	upAt    = downAt + 8*time.Second
-	// newVersionAt is from when on other workers are started again in place with a new version, and exitAt when the
-	// one that drains exits, more than DrainMs after its report.
-	newVersionAt = leaveAt + 800*time.Millisecond
-	exitAt       = leaveAt + 6500*time.Millisecond
-	outEnd       = 24 * time.Second
-	outWorkers   = 7
-	// outRenewed is how many workers are started again, one after the other with renewGap between them.
-	outRenewed = 3
-	renewGap   = 740 * time.Millisecond
-	outStreams = 120
+	// downAt is when the store goes down, and upAt when it is back.
+	downAt = 4 * time.Second
+	upAt   = downAt + 8*time.Second
+	// newVersionAt is when a worker is started again in place with another version, which other workers of
+	// the service have had from the begin.
+	newVersionAt = downAt + 500*time.Millisecond
+	// reportAt is when it reaches the store again and reports that it drains, and leftAt when it exits, more
+	// than DrainMs after that.
+	reportAt   = upAt + 300*time.Millisecond
+	leftAt     = reportAt + 2800*time.Millisecond
+	outEnd     = 26 * time.Second
+	outWorkers = 7
+	// outNewer is the number of workers that have the newer version from the begin.
+	outNewer = 2
+	// The first streams begin before the restart, the later ones from laterAt on: by then the list is read again,
+	// unless the store is down.
+	outStreams   = 50
+	laterAt      = newVersionAt + 1200*time.Millisecond
+	laterStreams = 140
 	// outGap is the time between the begins of two streams.
 	outGap = 40 * time.Millisecond
-	// outEventGap makes a stream last 9 s.
-	outEventGap = 180 * time.Millisecond
+	// outEventGap makes a stream last 11 s.
+	outEventGap = 220 * time.Millisecond
 )
 
-// outageVersions has workers start again in place with another version while the store is down, and a
-// worker that drains exit. It counts the streams that hold events of two versions.
-func outageVersions(rec *record, trouble bool) (bool, error) {
-	l, err := newLLM(rec, outWorkers, outEventGap)
+// unlistedStart has a worker start again in place with another version while the store is down, and drain
+// once the store is back. It counts the streams that hold events of two versions.
+func unlistedStart(rec *record, trouble bool) (bool, error) {
+	l, err := newLLM(rec, outWorkers, outNewer, outEventGap)
 	defer l.end()
 	if err != nil {
 		return false, err
 	}
 	l.until(outStreamsAt)
-	streams := l.beginStreams(outStreams, outGap)
-	l.until(leaveAt)
-	slices.SortStableFunc(l.workers, func(a, b *worker) int { return b.load() - a.load() })
-	leaving, renewed := l.workers[0], l.workers[1:1+outRenewed]
-	leaving.drain()
-	l.register(leaving)
-	rec.printf("worker %s reports that it drains, with %d streams", leaving.id, leaving.load())
+	before := l.beginStreams(0, outStreams, outGap)
 	l.until(downAt)
 	if trouble {
 		l.beats.pause()
@@ -52,33 +52,37 @@
 		rec.printf("the store is down: it resets all connections")
 	}
 	l.until(newVersionAt)
-	for _, wk := range renewed {
-		if err := l.renew(wk); err != nil {
-			return false, err
-		}
-		if !trouble {
-			l.register(wk)
-		}
-		time.Sleep(renewGap)
+	// The busiest worker of the older version.
+	wk := slices.MaxFunc(l.workers[outNewer:], func(a, b *worker) int { return a.load() - b.load() })
+	if err := l.renew(wk); err != nil {
+		return false, err
+	}
+	if !trouble {
+		l.register(wk)
 	}
-	l.until(exitAt)
-	rec.printf("worker %s exits, with %d streams", leaving.id, leaving.load())
-	leaving.close()
-	l.beats.drop(leaving)
+	l.until(laterAt)
+	later := l.beginStreams(outStreams, laterStreams, outGap)
+	l.until(upAt)
 	if trouble {
-		l.until(upAt)
 		l.storeDown(false)
 		rec.printf("the store is back")
-		l.beats.resume()
 	}
-	l.platform.Put("keyed.servers", leaving.id, nil)
-	for _, wk := range l.workers {
-		if wk != leaving {
-			l.register(wk)
-		}
+	l.until(reportAt)
+	wk.drain()
+	l.register(wk)
+	rec.printf("worker %s reports that it drains, as version 8, with %d streams", wk.id, wk.load())
+	for _, other := range l.workers {
+		l.register(other)
 	}
-	streams.wait(time.Until(l.ready.Add(outEnd)))
-	return streams.check(rec)
+	l.beats.resume()
+	l.until(leftAt)
+	rec.printf("worker %s exits, with %d streams", wk.id, wk.load())
+	wk.close()
+	l.beats.drop(wk)
+	l.platform.Put("keyed.servers", wk.id, nil)
+	before.wait(time.Until(l.ready.Add(outEnd)))
+	later.wait(time.Until(l.ready.Add(outEnd)))
+	return (&streams{all: append(before.all, later.all...)}).check(rec)
 }
 
 // storeDown makes the store reset all connections of gateways, or serve them again.
--- a/review/stand2/versions.go
+++ b/review/stand2/versions.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -64,9 +66,9 @@
 	ready   time.Time
 }
 
-// newLLM starts n workers of version 7, which leave gap between events, and the gateways. The caller calls end,
-// also after an error.
-func newLLM(rec *record, n int, gap time.Duration) (*llm, error) {
+// newLLM starts n workers, which leave gap between events, and the gateways. The first newer workers are of version
+// 8, the others of version 7. The caller calls end, also after an error.
+func newLLM(rec *record, n, newer int, gap time.Duration) (*llm, error) {
 	w, err := newWorld(rec, 0)
 	if err != nil {
 		return nil, err
@@ -75,7 +77,11 @@
 	w.platform.TellEra("5")
 	w.platform.PutJSON("keyed.op", "config", llmManifest())
 	for i := range n {
-		wk, err := startWorker(fmt.Sprintf("i-%d", i), "7", streamEvents, gap)
+		version := "7"
+		if i < newer {
+			version = "8"
+		}
+		wk, err := startWorker(fmt.Sprintf("i-%d", i), version, streamEvents, gap)
 		if err != nil {
 			return l, err
 		}
@@ -124,7 +130,7 @@
 // workers, and a loss of power of all gateways meanwhile. It counts the streams that hold events of two
 // versions.
 func restoredVersions(rec *record, trouble bool) (bool, error) {
-	l, err := newLLM(rec, restoredWorkers, eventGap)
+	l, err := newLLM(rec, restoredWorkers, 0, eventGap)
 	defer l.end()
 	if err != nil {
 		return false, err
@@ -141,7 +147,7 @@
 	}
 	rec.printf("they have registered")
 	l.until(streamsAt)
-	streams := l.beginStreams(streamCount, 0)
+	streams := l.beginStreams(0, streamCount, 0)
 	if trouble {
 		// With TROUBLE=drill or TROUBLE=kill the other disruption is left out.
 		if err := l.restore(backup, os.Getenv("TROUBLE") != "kill", os.Getenv("TROUBLE") != "drill"); err != nil {
@@ -259,17 +265,18 @@
 	cancel context.CancelFunc
 }
 
-// beginStreams begins n streams, with a pause of gap between two, through both gateways by turns.
-func (w *world) beginStreams(n int, gap time.Duration) *streams {
+// beginStreams begins n streams, numbered from first on, with a pause of gap between two, through both gateways by turns.
+func (w *world) beginStreams(first, n int, gap time.Duration) *streams {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &streams{cancel: cancel}
-	for i := range n {
+	for k := range n {
+		i := first + k
 		one := &stream{id: fmt.Sprintf("s%03d", i), prompt: fmt.Sprintf("%08x:100,%08x:100", 0x5c1e07a2+1009*i, 0x91bd3f06+17*i), versions: map[string]bool{}}
 		s.all = append(s.all, one)
 		s.done.Add(1)
 		go func() {
 			defer s.done.Done()
-			time.Sleep(time.Duration(i) * gap)
+			time.Sleep(time.Duration(k) * gap)
 			w.follow(ctx, one, i)
 		}()
 	}
