--- a/review/stand2/versions.go
+++ b/review/stand2/versions.go
@@ -21,22 +21,23 @@
 
 // The course of the case restored-versions, from when the gateways are ready.
 const (
-	// backupAt is as of when the copy of the store is, releaseAt when one worker is started again in
-	// place with a new version, and streamsAt when clients begin streams.
-	backupAt  = 3 * time.Second
-	releaseAt = 4 * time.Second
-	streamsAt = 5500 * time.Millisecond
+	// backupAt is as of when the copy of the store is. From releaseAt on workers are started again in place with
+	// a new version, one after the other with releaseGap between them, and at streamsAt clients begin streams.
+	backupAt   = 3500 * time.Millisecond
+	releaseAt  = 4 * time.Second
+	releaseGap = 740 * time.Millisecond
+	streamsAt  = 7500 * time.Millisecond
 	// awayAt is when the store is away in the drill, and backAt when it is back from the copy.
-	awayAt = 7500 * time.Millisecond
+	awayAt = 9 * time.Second
 	backAt = awayAt + 800*time.Millisecond
-	// killAt is when the gateways lose power. They start again as the store is back.
+	// killAt is when the gateways are killed. They start again as the store is back.
 	killAt = awayAt + 500*time.Millisecond
 	// rewriteAfter is the time from the return of the store until workers have written their entries again.
 	rewriteAfter = 1800 * time.Millisecond
-	caseEnd      = 20 * time.Second
-	// released is the number of workers, of three, that are started again with a new version.
-	released        = 2
-	restoredWorkers = 3
+	caseEnd      = 22 * time.Second
+	// released is the number of workers that are started again with a new version: a share of 0.43.
+	released        = 3
+	restoredWorkers = 7
 	streamCount     = 48
 	streamEvents    = 50
 	eventGap        = 120 * time.Millisecond
@@ -127,7 +128,7 @@
 }
 
 // restoredVersions plays a drill of the store, which comes back from a copy as of before a release of
-// workers, and a loss of power of all gateways meanwhile. It counts the streams that hold events of two
+// workers, and a kill of all gateways meanwhile. It counts the streams that hold events of two
 // versions.
 func restoredVersions(rec *record, trouble bool) (bool, error) {
 	l, err := newLLM(rec, restoredWorkers, 0, eventGap)
@@ -144,6 +145,7 @@
 			return false, err
 		}
 		l.register(wk)
+		time.Sleep(releaseGap)
 	}
 	rec.printf("they have registered")
 	l.until(streamsAt)
@@ -158,7 +160,7 @@
 	return streams.check(rec)
 }
 
-// restore plays the drill, in which the store comes back from a copy, and the loss of power of all gateways.
+// restore plays the drill, in which the store comes back from a copy, and the kill of all gateways.
 func (l *llm) restore(backup standin.Copy, drill, kill bool) error {
 	l.until(awayAt)
 	if drill {
@@ -172,7 +174,7 @@
 			_ = g.cmd.Process.Signal(syscall.SIGKILL)
 			<-g.exited
 		}
-		l.rec.printf("all gateways have lost power")
+		l.rec.printf("all gateways have been killed")
 	}
 	l.until(backAt)
 	if drill {
