Platform calls that were given up do not arrive later

What callers saw: a machine is cut off as its gateway, the leader, reports usage.

Cause: the client of the usage API ended its waiting after 600 ms and closed the connection in order. The system goes on sending what was written to such a connection, for minutes if need be. Plain and conditional appends to the store, and the calls of entries and sidecars to the log, were given up the same way; a process that is killed or stopped with a call on its way left the rest to its system too.

Change: tcp.Unanswered resets a connection that is closed between the first byte of a call and the first byte of its answer, also by the end of the process. The clients of the store, of the usage API and of the log use it. TCP_USER_TIMEOUT bounds for how long the system of a frozen process sends a call: the rest of the lease for reports, the time limit of the call for others. Reports go through the package fenced, as the other roles' already did, which checks the lease right before the bytes are written and sends a call at most once; its connections are closed in order now once they have an answer.

--- a/internal/platform/fenced/fenced.go
+++ b/internal/platform/fenced/fenced.go
@@ -3,22 +3,23 @@
 //
 // Each request has its own connection. The remaining time of the lease is checked
 // directly before each write, and the write, the answer and the kernel's TCP
-// retransmissions are limited to that time. Two gaps remain: the process may be
-// suspended between the check and the write, and the platform may execute a request
-// long after it has received it. The term in the request closes both gaps if the
-// platform checks it.
+// retransmissions are limited to that time. A connection whose request was given up is
+// reset, also by the end of the process, so that nothing of it is sent again. Two gaps
+// remain: the process may be suspended between the check and the write, and the
+// platform may execute a request long after it has received it. The term in the
+// request closes both gaps if the platform checks it.
 package fenced
 
 import (
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
@@ -62,10 +63,25 @@
 // effect: the status is 4xx.
 func (e *StatusError) Refused() bool { return e.Status/100 == 4 }
 
-// Post sends a POST request with a JSON body and returns the body of the answer. The
-// error is a *LapsedError if the lease ended, and a *StatusError for a status other
-// than 2xx. After any other error the request may have taken effect.
+// Request is a POST request with a JSON body.
+type Request struct {
+	URL string
+	// Header has further fields of the header.
+	Header http.Header
+	Body   []byte
+	// Dial opens the connection; nil opens one of the package tcp.
+	Dial tcp.DialFunc
+}
+
+// Post sends a request with a body and no further header, as Send does.
 func Post(ctx context.Context, url string, body []byte, g Guard) ([]byte, error) {
+	return Send(ctx, Request{URL: url, Body: body}, g)
+}
+
+// Send sends a request and returns the body of the answer. The error is a *LapsedError if
+// the lease ended, and a *StatusError for a status other than 2xx. After any other error
+// the request may have taken effect.
+func Send(ctx context.Context, r Request, g Guard) ([]byte, error) {
 	remaining := g.Remaining()
 	if remaining <= 0 {
 		return nil, &LapsedError{}
@@ -73,13 +89,16 @@
 	leaseCtx, cancel := context.WithTimeout(ctx, remaining.Duration())
 	defer cancel()
 	var sent atomic.Bool
-	tr := http1.Transport(&http.Transport{DisableKeepAlives: true, DialContext: dialer(g, &sent)})
+	tr := http1.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: r.dialer(g, &sent)})
 	defer tr.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(leaseCtx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(leaseCtx, http.MethodPost, r.URL, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, err
 	}
+	maps.Copy(req.Header, r.Header)
 	req.Header.Set("Content-Type", "application/json")
+	// A body that cannot be rewound keeps the transport from sending the request again by itself.
+	req.GetBody = nil
 	answer, err := roundTrip(tr, req)
 	var status *StatusError
 	if err == nil || errors.As(err, &status) {
@@ -107,63 +126,43 @@
 
 // dialer returns a dial function whose connections check g before each write and set
 // sent at the first one.
-func dialer(g Guard, sent *atomic.Bool) func(context.Context, string, string) (net.Conn, error) {
+func (r Request) dialer(g Guard, sent *atomic.Bool) tcp.DialFunc {
+	dial := r.Dial
+	if dial == nil {
+		dial = tcp.NewDialer(0).DialContext
+	}
+	dial = tcp.DialUnanswered(dial)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := tcp.NewDialer(0).DialContext(ctx, network, addr)
+		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		if tc, ok := c.(*net.TCPConn); ok {
-			// With a linger time of 0, closing discards data that the kernel has not
-			// sent yet.
-			if err := tc.SetLinger(0); err != nil {
-				c.Close()
-				return nil, err
-			}
-		}
-		return &conn{Conn: c, guard: g, sent: sent}, nil
+		return &conn{Unanswered: c.(*tcp.Unanswered), guard: g, sent: sent}, nil
 	}
 }
 
 // conn is a connection that checks the guard before each write.
 type conn struct {
-	net.Conn
+	*tcp.Unanswered
 	guard Guard
 	sent  *atomic.Bool
 }
 
-// Write writes b if the lease has time remaining.
+// Write writes b if the lease has time remaining. The kernel closes the connection if b is
+// not acknowledged within that time.
 func (c *conn) Write(b []byte) (int, error) {
-	if err := c.limitRetransmissions(c.guard.Remaining()); err != nil {
+	raw, err := c.SyscallConn()
+	if err != nil {
 		return 0, err
 	}
+	if remaining := c.guard.Remaining(); remaining > 0 {
+		if err := tcp.Set(raw, tcp.UnackedTimeout(remaining.Duration())); err != nil {
+			return 0, err
+		}
+	}
 	if c.guard.Remaining() <= 0 {
 		return 0, &LapsedError{Sent: c.sent.Load()}
 	}
 	c.sent.Store(true)
-	return c.Conn.Write(b)
-}
-
-// limitRetransmissions makes the kernel close the connection if sent data is not
-// acknowledged within the remaining time of the lease.
-func (c *conn) limitRetransmissions(remaining clock.Millis) error {
-	if remaining <= 0 {
-		return &LapsedError{Sent: c.sent.Load()}
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var sockoptErr error
-	err = raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(remaining))
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
+	return c.Unanswered.Write(b)
 }
--- a/internal/platform/fenced/fenced_test.go
+++ b/internal/platform/fenced/fenced_test.go
@@ -5,12 +5,15 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/damaskport/damaskport/internal/platform/fenced"
+	"github.com/damaskport/damaskport/internal/proof/cluster"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 )
 
@@ -77,3 +80,25 @@
 type guardFunc func() clock.Millis
 
 func (f guardFunc) Remaining() clock.Millis { return f() }
+
+// TestAbandonedRequestNeverArrives guards against a request of the holder of a lease that arrives after the lease
+// has ended, once a partition is over.
+func TestAbandonedRequestNeverArrives(t *testing.T) {
+	var received atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer srv.Close()
+	relay := cluster.NewRelay(t, strings.TrimPrefix(srv.URL, "http://"))
+	relay.Watch(func([]byte) { relay.Partition() })
+	clk := clock.System{}
+	until := clk.Now() + 300
+	_, err := fenced.Post(t.Context(), relay.URL(), []byte(`{}`), guardFunc(func() clock.Millis { return until - clk.Now() }))
+	var lapsed *fenced.LapsedError
+	if !errors.As(err, &lapsed) || !lapsed.Sent {
+		t.Errorf("request during a partition: %v, want LapsedError with the request sent", err)
+	}
+	relay.Restore()
+	time.Sleep(200 * time.Millisecond)
+	if n := received.Load(); n != 0 {
+		t.Errorf("%d requests arrived after the lease", n)
+	}
+}
--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -6,10 +6,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // acceptPause is the pause after a failed accept: as net/http pauses first.
@@ -32,6 +34,10 @@
 	trickle atomic.Int64 // time.Duration
 	// carried counts the connections that reached the target.
 	carried atomic.Int64
+	// healed is closed at the end of a partition; nil while there is none.
+	healed chan struct{}
+	// watch is called with the first bytes of each connection, if set.
+	watch func(first []byte)
 }
 
 // Direction is one of the two in which a connection carries data.
@@ -49,6 +55,7 @@
 	delay   *atomic.Int64
 	trickle *atomic.Int64
 	rewrite func(p []byte) []byte
+	relay   *Relay
 	// ended tells that an end has gone, and restored that the ends of a silent
 	// connection are passed on again.
 	ended, restored atomic.Bool
@@ -140,11 +147,40 @@
 	r.hold = [2]bool{true, true}
 }
 
+// Partition holds back all that connections carry until Restore, as a network does whose systems send it again.
+// What a connection carries is then lost if its sender has reset it, and passed on if it is open or was closed in
+// order. New connections are not passed on before Restore, and closed then.
+func (r *Relay) Partition() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.healed == nil {
+		r.healed = make(chan struct{})
+	}
+}
+
+// partition returns a channel that is closed at the end of the partition; nil while there is none.
+func (r *Relay) partition() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.healed
+}
+
+// Watch calls f with the first bytes of each new connection before they are passed on.
+func (r *Relay) Watch(f func(first []byte)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watch = f
+}
+
 // Restore lets new connections through again. Silent ones of which an end has gone
 // are closed.
 func (r *Relay) Restore() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.healed != nil {
+		close(r.healed)
+		r.healed = nil
+	}
 	r.down, r.hold = false, [2]bool{}
 	r.delay.Store(0)
 	r.trickle.Store(0)
@@ -181,12 +217,16 @@
 	if down {
 		return
 	}
+	if healed := r.partition(); healed != nil {
+		<-healed
+		return
+	}
 	out, err := net.Dial("tcp", target)
 	if err != nil {
 		return
 	}
 	r.carried.Add(1)
-	c := &relayed{in: in, out: out, delay: &r.delay, trickle: &r.trickle, rewrite: rewrite}
+	c := &relayed{in: in, out: out, delay: &r.delay, trickle: &r.trickle, rewrite: rewrite, relay: r}
 	c.silent[ToTarget].Store(hold[ToTarget])
 	c.silent[FromTarget].Store(hold[FromTarget])
 	r.mu.Lock()
@@ -211,8 +251,18 @@
 // not passed on.
 func (c *relayed) pass(from, to net.Conn, d Direction) {
 	buf := make([]byte, 32<<10)
-	for {
+	for first := true; ; first = false {
 		n, err := from.Read(buf)
+		if first && d == ToTarget && n > 0 {
+			c.relay.first(buf[:n])
+		}
+		if healed := c.relay.partition(); n > 0 && healed != nil {
+			<-healed
+			if isReset(from) {
+				err = syscall.ECONNRESET
+				n = 0
+			}
+		}
 		if wait := time.Duration(c.delay.Load()); wait > 0 {
 			time.Sleep(wait)
 		}
@@ -237,6 +287,31 @@
 	}
 }
 
+// first passes the first bytes of a connection to Watch's function.
+func (r *Relay) first(p []byte) {
+	r.mu.Lock()
+	watch := r.watch
+	r.mu.Unlock()
+	if watch != nil {
+		watch(p)
+	}
+}
+
+// isReset reports whether the peer of c has reset it, in place of closing it in order.
+func isReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	const closed = 7 // TCP_CLOSE
+	reset := true
+	err = raw.Control(func(fd uintptr) {
+		info, ierr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = ierr != nil || info.State == closed
+	})
+	return reset || err != nil
+}
+
 // write passes data on, byte by byte while what comes from the target trickles.
 func (c *relayed) write(to net.Conn, data []byte, d Direction) error {
 	for len(data) > 0 {
--- a/internal/role/gateway/leader.go
+++ b/internal/role/gateway/leader.go
@@ -432,6 +432,15 @@
 	return l.seals.NextWindow(now, wall, l.g.usage.oldest(wall))
 }
 
+// termLease is the lease of a leader until its next renewal.
+type termLease struct {
+	clock   clock.Clock
+	untilMs clock.Millis
+}
+
+// Remaining returns the time left in the lease.
+func (t termLease) Remaining() clock.Millis { return t.untilMs - t.clock.Now() }
+
 // report sends the sealed figures of a window to the platform. They were read from the
 // store or written to it in this term, so every leader that reports the window sends
 // the same figures.
@@ -440,7 +449,7 @@
 	if l.candidate.Until()-g.clock.Now() < minTermLeft {
 		return g.clock.Sleep(ctx, min(50*clock.Millisecond, max(l.candidate.Until()-g.clock.Now(), 1)))
 	}
-	err := g.usageReporter.ReportUsage(ctx, term, u)
+	err := g.usageReporter.ReportUsage(ctx, term, termLease{g.clock, l.candidate.Until()}, u)
 	log := g.log.WithFields(logrus.Fields{"event": "usageReported", "window": u.Window, "term": term, "ok": err == nil})
 	g.metrics.reported(err)
 	if err != nil {
--- a/internal/role/gateway/store.go
+++ b/internal/role/gateway/store.go
@@ -120,9 +120,16 @@
 // Usage holds the number of requests of each client account in one window.
 type Usage = sealing.Usage
 
+// Lease is a leader's lease, beyond which it may not act.
+type Lease interface {
+	// Remaining returns the time left in the lease; 0 or less if it has ended.
+	Remaining() clock.Millis
+}
+
 // UsageReporter sends usage reports to the platform. Only the leader may send them.
 type UsageReporter interface {
-	// ReportUsage sends the report of one window. term is the leader's term and serves
-	// as fencing number. After an error the report may have been accepted.
-	ReportUsage(ctx context.Context, term int64, u Usage) error
+	// ReportUsage sends the report of one window while the lease lasts. term is the leader's
+	// term and serves as fencing number. After an error the report may have been accepted, but
+	// it may not arrive later.
+	ReportUsage(ctx context.Context, term int64, lease Lease, u Usage) error
 }
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -46,12 +46,18 @@
 	return hex.EncodeToString(b)
 }
 
+// platformDialer opens connections that send nothing of a call that was given up. On those of a frozen process,
+// a call is not sent for longer than timeout.
+func platformDialer(timeout clock.Millis) tcp.DialFunc {
+	d := tcp.NewDialer(timeout.Duration(), tcp.UnackedTimeout(timeout.Duration()))
+	return tcp.DialUnanswered(d.DialContext)
+}
+
 // platformHTTP returns a client with keep-alive connections and limits that leave room
 // for a long poll of readWait; callers set shorter deadlines where they need them.
 func platformHTTP(timeout clock.Millis) *http.Client {
-	d := tcp.NewDialer(timeout.Duration())
 	return &http.Client{
-		Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()}),
+		Transport: http1.Transport(&http.Transport{DialContext: platformDialer(timeout), MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: (readWait + timeout).Duration()}),
 		Timeout:   (readWait + 2*timeout).Duration(),
 	}
 }
@@ -59,8 +65,7 @@
 // singleHTTP returns a client that opens a connection for each call, so that a
 // connection that no longer responds is never reused.
 func singleHTTP(timeout clock.Millis) *http.Client {
-	d := tcp.NewDialer(timeout.Duration())
-	return &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true})}
+	return &http.Client{Transport: http1.Transport(&http.Transport{DialContext: platformDialer(timeout), DisableKeepAlives: true})}
 }
 
 // Entry is an entry together with its admin server.
