Requests that were given up do not reach a server later

Bodies above 32 KB have no limit of unacknowledged time, and a sidecar's requests to its server, as well as an entry's to a sidecar, had none.

Cause: as for calls of the platform, the connection was closed in order, and the system went on sending.

Change: when the time of a request is over, its connection is reset; the clients of entries and sidecars use tcp.Unanswered.

--- a/internal/backend/attempt/attempt.go
+++ b/internal/backend/attempt/attempt.go
@@ -37,8 +37,9 @@
 }
 
 // New returns a Client that opens connections with dial and keeps up to idle of them
-// open for reuse.
-func New(dial func(ctx context.Context, network, addr string) (net.Conn, error), idle int) *Client {
+// open for reuse. Nothing of an attempt that was given up is sent later.
+func New(dial tcp.DialFunc, idle int) *Client {
+	dial = tcp.DialUnanswered(dial)
 	joined := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
--- a/internal/backend/direct/conn.go
+++ b/internal/backend/direct/conn.go
@@ -96,7 +96,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context) (*conn, error) {
-	d := tcp.NewDialer(dialTimeout, unackedOption(unackedTimeout))
+	d := tcp.NewDialer(dialTimeout, tcp.UnackedTimeout(unackedTimeout))
 	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
 	open := d.DialContext
 	if p.Buffers != nil {
@@ -112,12 +112,14 @@
 	return &conn{Conn: c, headerLimit: limit, br: bufio.NewReaderSize(limit, readBufferBytes), bw: bufio.NewWriter(c), idleTimeoutMs: defaultIdleTimeout}, nil
 }
 
-// unackedOption sets the time after which a connection whose peer does not acknowledge data is
-// closed; 0 for none.
-func unackedOption(d time.Duration) tcp.Option {
-	return func(fd int) error {
-		return errors.Wrap(unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond)), "set TCP_USER_TIMEOUT")
+// reset closes the connection, and has the system send nothing more of what was written.
+func (c *conn) reset() {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = tcp.Set(raw, tcp.ResetOnClose(true))
+		}
 	}
+	_ = c.Close()
 }
 
 // expectBody turns unackedTimeout on or off for a request with a body of n bytes; see windowBytes.
@@ -136,7 +138,7 @@
 		d = 0
 	}
 	c.lateReader = late
-	return tcp.Set(raw, unackedOption(d))
+	return tcp.Set(raw, tcp.UnackedTimeout(d))
 }
 
 // alive reports whether an idle connection is open and has no data to read. Data that
--- a/internal/backend/direct/exchange.go
+++ b/internal/backend/direct/exchange.go
@@ -84,7 +84,7 @@
 
 // Do sends r once and returns the response. The error is a *NotSentError if no byte of r
 // was sent; after any other error the server may have executed r. When ctx ends, the
-// connection is closed, also while the body is being read.
+// connection is reset, also while the body is being read, so that nothing of r is sent later.
 func (p *Pool) Do(ctx context.Context, r Request) (*Answer, error) {
 	get := p.get
 	if r.Fresh {
@@ -104,7 +104,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() {
 		p.noteLeft(c)
-		_ = c.Close()
+		c.reset()
 	})
 	if ctx.Err() != nil {
 		stop()
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -122,11 +122,12 @@
 }
 
 // newDataClient returns a client for the data connections to sidecars; if single is
-// true, each request opens a new connection.
+// true, each request opens a new connection. Nothing of a request that was given up is
+// sent later.
 func newDataClient(single bool) *http.Client {
 	d := tcp.NewDialer(dialTimeout)
 	return &http.Client{Transport: http1.Transport(&http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
+		DialContext: tcp.DialUnanswered(d.DialContext), MaxIdleConnsPerHost: idleConnsPerSidecar, DisableCompression: true,
 		DisableKeepAlives: single,
 	})}
 }
