Gateway: a lost member record is written again

By reading of the review: a stopping gateway deletes its member record; if it gives the call up after 0.9 s and the store carries it out later, it deletes the record of its successor on the machine, and the others leave that for up to 20 s, until its next record.

Cause: the deletion is not conditional, and a gateway never looked at its own record.

Change: the record names its process. A gateway that reads the topic and finds its record deleted or replaced writes it again, at most once a second.

Measured: TestLostMemberRecordIsWrittenAgain failed before ("not written again after it was deleted within 10 s") and passes in 9.5 s with its start.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -115,7 +115,11 @@
 	// from the store. settled is set once the configuration is known to be as new
 	// as theirs, or they did not answer in time; until then requests are refused.
 	membersRead, settled atomic.Bool
-	join                 joinState
+	// memberWritten is set once the store has the member record of this process, and memberLost
+	// gets a value when the record is found to be missing.
+	memberWritten atomic.Bool
+	memberLost    chan struct{}
+	join          joinState
 	// latestSeal is the newest sealed usage window that this gateway knows; nil
 	// if it knows none.
 	latestSeal atomic.Pointer[Usage]
@@ -163,7 +167,7 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, buffers: d.Buffers, metricsAddr: cfg.MetricsAddr,
+		gate: gate, buffers: d.Buffers, metricsAddr: cfg.MetricsAddr, memberLost: make(chan struct{}, 1),
 	}
 	if g.buffers == nil {
 		g.buffers = NewBuffers(cfg, d.Log)
--- a/internal/role/gateway/members.go
+++ b/internal/role/gateway/members.go
@@ -26,6 +26,9 @@
 	minMemberInterval        = 20 * clock.Second
 	memberIntervalPerGateway = 600 * clock.Millisecond
 	memberExpiryFactor       = 2.5
+	// minMemberRewrite is the shortest time between two records that replace a lost one: two processes of one
+	// name would else replace each other's without a pause.
+	minMemberRewrite = clock.Second
 	// serverListWait is how long the first dials wait for the list of servers: the owners of
 	// engine queues are dialed first. The reads at the start take about 100 ms.
 	serverListWait = 300 * clock.Millisecond
@@ -42,6 +45,8 @@
 	// the configuration in force then.
 	Epoch  epoch.Epoch `json:"era"`
 	Config int64       `json:"config"`
+	// Process is unique to each start of the gateway.
+	Process string `json:"process,omitempty"`
 }
 
 // liveMember is the record of another gateway. confirmedMs is when the record was last
@@ -52,13 +57,13 @@
 }
 
 // publishMember writes this gateway's member record at intervals until ctx ends, and
-// at once when the store came back from a backup. After ctx has ended it deletes the
-// record.
+// at once when the store came back from a backup or the record was lost. After ctx has
+// ended it deletes the record.
 func (g *Gateway) publishMember(ctx context.Context) error {
 	for failures := 0; ctx.Err() == nil; {
 		e, changed := g.store.epochAndChange()
 		version, _ := g.config.state()
-		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version})
+		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, Process: g.processID})
 		if err != nil {
 			return err
 		}
@@ -66,8 +71,9 @@
 		g.metrics.storeWrite(TopicMembers, err)
 		if err == nil {
 			failures = 0
+			g.memberWritten.Store(true)
 			g.outage.storeAnswered()
-			g.sleepInEpoch(ctx, g.memberInterval(), changed)
+			g.awaitMemberDue(ctx, changed)
 			continue
 		}
 		if failures == 0 && ctx.Err() == nil {
@@ -84,6 +90,41 @@
 	return nil
 }
 
+// awaitMemberDue waits until the member record is due again: after the interval, in a new epoch, whose channel
+// is changed, or once the record was lost.
+func (g *Gateway) awaitMemberDue(ctx context.Context, changed <-chan struct{}) {
+	now := g.clock.Now()
+	wait, cancel := context.WithTimeout(ctx, g.memberInterval().Duration())
+	defer cancel()
+	select {
+	case <-wait.Done():
+	case <-changed:
+	case <-g.memberLost:
+		_ = g.clock.Sleep(ctx, max(now+minMemberRewrite-g.clock.Now(), 0))
+	}
+}
+
+// noteOwnMember has the member record of this process written again if snap, a read of the topic that began after
+// it was written, shows that it is not there: a write that another process of this name has given up may arrive
+// late, such as the deletion of its own record. whole is set if snap has the newest record of each key.
+func (g *Gateway) noteOwnMember(snap Snapshot, whole bool) {
+	lost := whole
+	for _, r := range snap.Records {
+		if r.Key == g.name {
+			var m member
+			lost = json.Unmarshal(r.Value, &m) != nil || m.Process != g.processID
+		}
+	}
+	if !lost {
+		return
+	}
+	select {
+	case g.memberLost <- struct{}{}:
+		g.log.WithField("event", "peerRecordLost").Warn("the record of this gateway was deleted or replaced; writing it again")
+	default:
+	}
+}
+
 // sleepInEpoch waits for d, or until changed is closed because the store has a new
 // epoch.
 func (g *Gateway) sleepInEpoch(ctx context.Context, d clock.Millis, changed <-chan struct{}) {
@@ -111,12 +152,16 @@
 			g.confirmMembers(byName)
 			continue
 		}
-		snap, _, err := reader.read(ctx, 0)
+		written := g.memberWritten.Load()
+		snap, whole, err := reader.read(ctx, 0)
 		if err != nil {
 			reader.backOff(ctx)
 			continue
 		}
 		reads++
+		if written {
+			g.noteOwnMember(snap, whole)
+		}
 		g.join.applyMembers(g.store.currentEpoch(), membersOf(snap, g.name))
 		for until := g.clock.Now() + serverListWait; reads == 1 && !g.fleet.listed.Load() && g.clock.Now() < until; {
 			_ = g.clock.Sleep(ctx, startPollInterval)
