Events that servers do not end have a bound, alone and together

What callers saw: a faulty server sends small pieces of a stream that complete no event.

Cause: sse.Scanner looked at the size of an event only when a line did not fit into its read buffer of 16 KB. An event of short lines grew until the route's timeout, at the speed of the link. And the limit of 256 KB was that of each stream: no sum was bounded, so that some hundred streams whose events stall below it took all memory. Entries and sidecars read streams by the same code; an entry assembled answers of up to 4 MB each without counting them either.

Change: the scanner checks the size of an event as it grows. What it holds of an event beyond 4 KB is taken from budget.Events, an eighth of what the account of the process's memory lets it hold for callers, and left to it by the other uses (answers that are buffered have seven eighths in place of all; the test of the shares has its figures from that). Where it is used up, the incomplete event that has not grown for the longest time is given up, and its stream says so in the log: sendEnded reason=eventMemory. Sound streams have events that are small, or that have just grown. A sidecar's streams have the same, in solo from one budget for the whole process, and an entry counts what it assembles.

TestOversizedEventIsAnError has lines of three more kinds.

--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/damaskport/damaskport/internal/backend/attempt"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/http1"
 	"github.com/damaskport/damaskport/internal/runtime/tcp"
@@ -60,16 +61,18 @@
 type Client struct {
 	baseURL  string
 	attempts *attempt.Client
+	events   *budget.Events
 	// control sends cancel requests and fetches load reports, each over a new connection.
 	control *http.Client
 }
 
 // New returns a Client of the engine with the base URL base. It keeps up to idle
-// connections open for reuse. dialTimeout bounds the time to open a connection.
-func New(base string, dialTimeout time.Duration, idle int) *Client {
+// connections open for reuse. dialTimeout bounds the time to open a connection, and events
+// the memory for the events of all streams; nil for no bound.
+func New(base string, dialTimeout time.Duration, idle int, events *budget.Events) *Client {
 	d := tcp.NewDialer(dialTimeout)
 	return &Client{
-		baseURL: base, attempts: attempt.New(d.DialContext, idle),
+		baseURL: base, attempts: attempt.New(d.DialContext, idle), events: events,
 		control: &http.Client{Transport: http1.Transport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})},
 	}
 }
@@ -84,6 +87,16 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, stop := context.WithCancel(ctx)
+	stream, err := c.start(ctx, stop, a, body)
+	if err != nil {
+		stop()
+	}
+	return stream, err
+}
+
+// start sends a with a body, and returns the stream of its events, which stop ends.
+func (c *Client) start(ctx context.Context, stop context.CancelFunc, a Attempt, body []byte) (*Stream, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -104,7 +117,8 @@
 		}
 		return nil, &StatusError{Status: res.StatusCode, Type: res.Header.Get("Content-Type"), Body: data}
 	}
-	return &Stream{events: NewReader(res.Body), body: res.Body}, nil
+	memory := c.events.Stream(stop)
+	return &Stream{events: NewReader(res.Body, memory), body: res.Body, memory: memory, stop: stop}, nil
 }
 
 // requestBody returns the caller's body with the fields that the sidecar controls:
@@ -189,6 +203,8 @@
 type Stream struct {
 	events *Reader
 	body   io.Closer
+	memory *budget.Event
+	stop   context.CancelFunc
 }
 
 // Next returns the next event, with the errors of Reader.Next.
@@ -202,5 +218,7 @@
 // Close closes the response body, and with it the connection unless the body was read
 // to its end.
 func (s *Stream) Close() error {
+	defer s.stop()
+	defer s.memory.Release()
 	return s.body.Close()
 }
--- a/internal/backend/engine/events.go
+++ b/internal/backend/engine/events.go
@@ -35,9 +35,9 @@
 	events *sse.Scanner
 }
 
-// NewReader returns a Reader of the events in r.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{events: sse.NewScanner(r)}
+// NewReader returns a Reader of the events in r. m bounds what it holds of them, as in sse.NewScanner.
+func NewReader(r io.Reader, m sse.Memory) *Reader {
+	return &Reader{events: sse.NewScanner(r, m)}
 }
 
 var doneData = []byte("[DONE]")
--- a/internal/backend/engine/refusal_test.go
+++ b/internal/backend/engine/refusal_test.go
@@ -38,7 +38,7 @@
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 "+text)
 		}()
-		client := engine.New("http://"+ln.Addr().String(), time.Second, 1)
+		client := engine.New("http://"+ln.Addr().String(), time.Second, 1, nil)
 		_, err = client.Start(t.Context(), engine.Attempt{ID: "a-1", Body: []byte(`{}`)})
 		if status := (*engine.StatusError)(nil); err == nil || errors.As(err, &status) != whole {
 			t.Errorf("%q: error %v, whole %v", text, err, whole)
--- a/internal/cli/commands/roles.go
+++ b/internal/cli/commands/roles.go
@@ -147,7 +147,7 @@
 	var s *sidecar.Sidecar
 	var addrs listen.Reserved
 	log, err := c.start(sig, c.o, func(f settings.File, log *roleLog) (err error) {
-		s, err = process.NewSidecar(f, log, &addrs)
+		s, err = process.NewSidecar(f, log, &addrs, budget.NewHeld(log.account.Held()))
 		return err
 	})
 	if log == nil {
--- a/internal/load/deployment/processes.go
+++ b/internal/load/deployment/processes.go
@@ -70,7 +70,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = d.nextName(kind), zone, d.platformSettings(), d.policy
 	f.Sidecar.ControlAddr, f.Sidecar.DataAddr, f.Sidecar.AdminAddr = loopback, loopback, loopback
 	f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots, f.Sidecar.DrainMs = pool, url, slots, drainMs
-	sc, err := process.NewSidecar(f, d.log, nil)
+	sc, err := process.NewSidecar(f, d.log, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/policy/budget/budget_test.go
+++ b/internal/policy/budget/budget_test.go
@@ -62,9 +62,9 @@
 	var none budget.Request
 	body, answer, unbounded := r.For(budget.Body), r.For(budget.Answer), none.For(budget.Body)
 	got := []bool{
-		body.Room(55), body.Room(56), body.Take(55), body.Take(1), body.Room(1), answer.Room(45), answer.Take(45), answer.Take(1), unbounded.Room(1000), unbounded.Take(1000),
+		body.Room(55), body.Room(56), body.Take(55), body.Take(1), body.Room(1), answer.Room(32), answer.Take(32), answer.Take(1), unbounded.Room(1000), unbounded.Take(1000),
 	}
-	if d := cmp.Diff([]bool{true, false, true, false, false, true, true, false, true, true}, got); d != "" || h.Bytes() != 100 {
+	if d := cmp.Diff([]bool{true, false, true, false, false, true, true, false, true, true}, got); d != "" || h.Bytes() != 87 {
 		t.Errorf("%d bytes held: %s", h.Bytes(), d)
 	}
 	conns := 2
--- a/internal/policy/budget/held.go
+++ b/internal/policy/budget/held.go
@@ -10,7 +10,7 @@
 const (
 	Body   Use = 0.55
 	Serve  Use = 0.75 // a request besides its body, RequestBytes
-	Answer Use = 1
+	Answer Use = 1 - eventShare
 )
 
 const (
@@ -34,22 +34,38 @@
 	limit int64
 	bytes atomic.Int64
 	conns func() int // open connections of callers; nil if they are not counted
+	// events is the memory for events; nil for no limit.
+	events *Events
 }
 
 // NewHeld returns a Held for at most limit bytes; 0 for no limit.
-func NewHeld(limit int64) *Held { return &Held{limit: limit} }
+func NewHeld(limit int64) *Held {
+	h := &Held{limit: limit}
+	if limit > 0 {
+		h.events = newEvents(int64(eventShare * float64(limit)))
+	}
+	return h
+}
 
-// WithConns returns a Held with the limit of h that counts the open connections of callers.
+// WithConns returns a Held with the limit and the events of h that counts the open connections of callers.
 func (h *Held) WithConns(open func() int) *Held {
 	if h == nil {
 		return &Held{conns: open}
 	}
-	return &Held{limit: h.limit, conns: open}
+	return &Held{limit: h.limit, conns: open, events: h.events}
+}
+
+// Events returns the memory for events, which is a part of h; nil for no limit.
+func (h *Held) Events() *Events {
+	if h == nil {
+		return nil
+	}
+	return h.events
 }
 
 // Bytes returns the number of bytes held.
 func (h *Held) Bytes() int64 {
-	n := h.bytes.Load()
+	n := h.bytes.Load() + h.events.Bytes()
 	if h.conns != nil {
 		n += int64(h.conns()) * ConnBytes
 	}
--- a/internal/proof/cluster/cluster.go
+++ b/internal/proof/cluster/cluster.go
@@ -235,7 +235,7 @@
 	s.ControlRelay.rewriteWith(func(p []byte) []byte {
 		return told.ReplaceAllFunc(p, func(m []byte) []byte {
 			addr := hostPort(strings.Trim(strings.TrimPrefix(string(m), `"dataUrl":`), `"`))
-			s.DataRelay.retarget(addr)
+			s.DataRelay.Retarget(addr)
 			return []byte(`"dataUrl":"` + s.DataRelay.URL() + `"`)
 		})
 	})
--- a/internal/proof/cluster/relay.go
+++ b/internal/proof/cluster/relay.go
@@ -93,8 +93,8 @@
 	r.rewrite = f
 }
 
-// retarget has new connections go to another target.
-func (r *Relay) retarget(target string) {
+// Retarget has new connections go to another target.
+func (r *Relay) Retarget(target string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.target = target
--- a/internal/role/entry/model.go
+++ b/internal/role/entry/model.go
@@ -5,11 +5,13 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/backend/engine"
 	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/caller/openai"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/stream/sse"
 )
@@ -155,11 +157,14 @@
 	}
 	guard := x.e.startWatchdog(ans)
 	defer guard.stop()
-	events := engine.NewReader(ans.res.Body)
+	memory := x.e.held.Events().Stream(func() { go ans.res.Body.Close() })
+	defer memory.Release()
+	events := engine.NewReader(ans.res.Body, memory)
 	x.rewrite.Start(x.j.delivered)
 	for {
 		ev, err := events.Next()
 		if err != nil {
+			x.noteMemory(err)
 			return ans.interruptedEnd(ctx), nil
 		}
 		guard.reset()
@@ -175,6 +180,14 @@
 	}
 }
 
+// noteMemory logs that a stream ended because there was no memory for its event.
+func (x *chat) noteMemory(err error) {
+	var full *budget.EventMemoryError
+	if errors.As(err, &full) {
+		x.e.log.WithFields(logrus.Fields{"event": "streamBroken", "request": x.j.id}).Warn(err)
+	}
+}
+
 // forwardEvent forwards one event to the caller, or adds it to the answer being
 // assembled if the caller did not ask for a stream. more tells that further events
 // are buffered.
@@ -190,6 +203,9 @@
 		if x.assembler == nil {
 			x.assembler = openai.NewAssembler()
 		}
+		if !x.q.held.For(budget.Answer).Take(int64(len(data))) {
+			return answerLost(x.j, "there is no memory for the answer")
+		}
 		if err := x.assembler.Add(data); err != nil {
 			return answerLost(x.j, err.Error())
 		}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -338,6 +338,7 @@
 	m.Gauge("config_age_ms").Update(float64(g.fleet.configAge()))
 	parts, requests, endings := g.suspects.counts()
 	m.Gauge("held_bytes").Update(float64(g.held.Bytes()))
+	m.Gauge("event_bytes").Update(float64(g.held.Events().Bytes()))
 	m.Gauge("quarantined_parts").Update(float64(parts))
 	m.Gauge("quarantined_requests").Update(float64(requests))
 	m.Gauge("suspect_endings").Update(float64(endings))
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/damaskport/damaskport/internal/caller/exchange"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/place"
 	"github.com/damaskport/damaskport/internal/policy/retry"
 	"github.com/damaskport/damaskport/internal/stream/sse"
@@ -30,6 +31,18 @@
 // errNotFollowing reports an answer that does not go on after the events that the caller has.
 var errNotFollowing = errors.New("answer does not continue the stream")
 
+// brokenStreamError reports a stream that ended before its last event.
+type brokenStreamError struct{ err error }
+
+// Error returns the message of the cause.
+func (e *brokenStreamError) Error() string { return errTruncated.Error() + ": " + e.err.Error() }
+
+// Is reports whether target is errTruncated.
+func (e *brokenStreamError) Is(target error) bool { return target == errTruncated }
+
+// Unwrap returns the cause.
+func (e *brokenStreamError) Unwrap() error { return e.err }
+
 // Send makes one attempt to send the request. The server resumes after the events
 // that the caller has received.
 func (x *relay) Send(ctx context.Context) (*send, *exchange.Failure) {
@@ -63,6 +76,7 @@
 		return x.forwardOther(ctx, s)
 	}
 	err := x.copy(ctx, s)
+	var full *budget.EventMemoryError
 	switch {
 	case err == nil:
 		x.begin(s)
@@ -85,6 +99,10 @@
 			o = place.OutcomeFailed
 		}
 		g.endSend(j, s, o, "ended")
+	case errors.As(err, &full):
+		s.err = err
+		s.outcome = retry.OutcomeUnknown
+		g.endSend(j, s, place.OutcomeFailed, "eventMemory")
 	case errors.Is(err, errNotFollowing):
 		s.err = err
 		s.outcome = retry.OutcomeFailed
@@ -124,14 +142,16 @@
 // copy forwards complete events as they arrive. It returns nil at the end of a
 // complete stream.
 func (x *relay) copy(ctx context.Context, s *send) error {
-	events := sse.NewScanner(s.ans.Body)
+	memory := x.g.held.Events().Stream(s.cancel)
+	defer memory.Release()
+	events := sse.NewScanner(s.ans.Body, memory)
 	for {
 		event, err := events.Next()
 		switch {
 		case err == io.EOF && !x.g.cutUnframed(ctx, x.j, s):
 			return nil
 		case err != nil:
-			return errors.Wrap(errTruncated, err.Error())
+			return &brokenStreamError{err}
 		}
 		if err := x.write(s, event, events.Ready()); err != nil {
 			return err
--- a/internal/role/process/process.go
+++ b/internal/role/process/process.go
@@ -134,8 +134,9 @@
 }
 
 // NewSidecar creates a sidecar and listens on its addresses. held, unless it is nil, keeps addresses
-// over several calls. The error is a *listen.Error if an address cannot be listened on.
-func NewSidecar(f settings.File, log logrus.FieldLogger, held *listen.Reserved) (*sidecar.Sidecar, error) {
+// over several calls. mem bounds the memory held for events; nil for no bound. The error is a *listen.Error
+// if an address cannot be listened on.
+func NewSidecar(f settings.File, log logrus.FieldLogger, held *listen.Reserved, mem *budget.Held) (*sidecar.Sidecar, error) {
 	if f.Sidecar == nil {
 		return nil, errors.New("the settings have no section sidecar")
 	}
@@ -158,7 +159,7 @@
 		return supervise.New(f.Name+"/claims", log, clk).Run(ctx, c.Tasks()...)
 	}}
 	return sidecar.New(f, sidecar.Deps{
-		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Addresses: held, Incarnation: inc, Duties: []supervise.Task{claimsTask, {Name: "usage", Run: m.Run}},
+		Log: log, Clock: clk, Store: store, Claims: c, Meter: m, Addresses: held, Incarnation: inc, Held: mem, Duties: []supervise.Task{claimsTask, {Name: "usage", Run: m.Run}},
 	})
 }
 
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/damaskport/damaskport/internal/operator/settings"
 	"github.com/damaskport/damaskport/internal/peer/config"
 	"github.com/damaskport/damaskport/internal/peer/dispatch"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/policy/slots"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/runtime/crowd"
@@ -89,6 +90,8 @@
 	Incarnation string
 	// Duties are further tasks that run under the sidecar's supervisor.
 	Duties []supervise.Task
+	// Held bounds the memory held for events; nil for no bound.
+	Held *budget.Held
 }
 
 // Sidecar is a running sidecar. Create it with New and start it with Run.
@@ -136,7 +139,7 @@
 	s := &Sidecar{
 		name: f.Name, zone: f.Zone, cfg: cfg, incarnation: d.Incarnation,
 		log: d.Log.WithField("instance", f.Name), clock: d.Clock, claims: d.Claims, meter: d.Meter, store: d.Store,
-		engine:   engine.New(cfg.ServerURL, dialTimeout, max(cfg.Slots*2, minIdleConns)),
+		engine:   engine.New(cfg.ServerURL, dialTimeout, max(cfg.Slots*2, minIdleConns), d.Held.Events()),
 		service:  service.New(cfg.ServerURL, dialTimeout),
 		coreDone: make(chan struct{}),
 		tasks:    d.Duties,
--- a/internal/role/solo/config.go
+++ b/internal/role/solo/config.go
@@ -40,7 +40,7 @@
 	Accounts []directory.Account
 	Classes  []directory.Class
 	Policy   settings.Policy
-	// Held bounds the memory that an entry holds for callers; nil for no bound.
+	// Held bounds the memory that an entry holds for callers, and that of all events of streams; nil for no bound.
 	Held *budget.Held
 	// MaxWaiting bounds the requests that wait in an entry; 0 takes the default.
 	MaxWaiting int
--- a/internal/role/solo/solo.go
+++ b/internal/role/solo/solo.go
@@ -243,7 +243,7 @@
 	f.Name, f.Zone, f.Platform, f.Policy = name, zone, s.platformSettings(), s.cfg.Policy
 	f.Sidecar.ControlAddr, f.Sidecar.DataAddr, f.Sidecar.AdminAddr = loopback, loopback, loopback
 	f.Sidecar.Pool, f.Sidecar.ServerURL, f.Sidecar.Slots = pool, url, slots
-	sc, err := process.NewSidecar(f, s.log, nil)
+	sc, err := process.NewSidecar(f, s.log, nil, s.cfg.Held)
 	if err != nil {
 		return err
 	}
--- a/internal/stream/sse/sse_test.go
+++ b/internal/stream/sse/sse_test.go
@@ -10,11 +10,12 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/damaskport/damaskport/internal/runtime/bounded"
 	"github.com/damaskport/damaskport/internal/stream/sse"
 )
 
 func ExampleScanner() {
-	s := sse.NewScanner(strings.NewReader("id: 7\ndata: a\n\ndata: b\n\n"))
+	s := sse.NewScanner(strings.NewReader("id: 7\ndata: a\n\ndata: b\n\n"), nil)
 	for {
 		event, err := s.Next()
 		if err != nil {
@@ -44,7 +45,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			s := sse.NewScanner(iotest.HalfReader(strings.NewReader(tc.in)))
+			s := sse.NewScanner(iotest.HalfReader(strings.NewReader(tc.in)), nil)
 			var got []string
 			var err error
 			for err == nil {
@@ -63,10 +64,58 @@
 	}
 }
 
+// TestOversizedEventIsAnError guards against an event without a bound, whatever its lines are.
 func TestOversizedEventIsAnError(t *testing.T) {
-	s := sse.NewScanner(strings.NewReader("data: " + strings.Repeat("x", 5<<20) + "\n\n"))
-	if event, err := s.Next(); err == nil || errors.Is(err, io.ErrUnexpectedEOF) {
-		t.Errorf("got %d bytes and error %v, want an error for the size", len(event), err)
+	for _, line := range []string{"data: " + strings.Repeat("x", 5<<20), strings.Repeat("data: x\n", 1<<20), strings.Repeat("data: x\r\n", 1<<20), strings.Repeat(": x\n", 1<<20)} {
+		var m counter
+		s := sse.NewScanner(strings.NewReader(line+"\n\n"), &m)
+		event, err := s.Next()
+		var large *bounded.TooLargeError
+		if !errors.As(err, &large) {
+			t.Errorf("got %d bytes and error %v, want an error for the size", len(event), err)
+		}
+		if m.bytes > large.Bytes {
+			t.Errorf("took %d bytes for an event of at most %d", m.bytes, large.Bytes)
+		}
+	}
+}
+
+// counter is a Memory of which bytes are held, until limit if that is set.
+type counter struct {
+	bytes, limit int64
+	complete     int
+}
+
+var errFull = errors.New("full")
+
+func (c *counter) Take(n int64) error {
+	if c.limit > 0 && c.bytes+n > c.limit {
+		return errFull
+	}
+	c.bytes += n
+	return nil
+}
+func (c *counter) Complete()  { c.complete++ }
+func (c *counter) Release()   { c.bytes = 0 }
+func (c *counter) Err() error { return nil }
+
+// TestMemoryOfEvents guards against events that are held without being counted, or counted when they are not held.
+func TestMemoryOfEvents(t *testing.T) {
+	small, large := "data: a\n\n", "data: "+strings.Repeat("x", 20<<10)+"\n\n"
+	var m counter
+	s := sse.NewScanner(strings.NewReader(small+large+small), &m)
+	var got []int64
+	for range 3 {
+		if _, err := s.Next(); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, m.bytes)
+	}
+	if diff := cmp.Diff([]int64{0, 32 << 10, 0}, got); diff != "" || m.complete != 3 {
+		t.Errorf("%d complete; bytes held after each event (-want +got):\n%s", m.complete, diff)
+	}
+	if _, err := sse.NewScanner(strings.NewReader(large), &counter{limit: 16 << 10}).Next(); !errors.Is(err, errFull) {
+		t.Errorf("without memory: %v", err)
 	}
 }
 
@@ -86,7 +135,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			s := sse.NewScanner(strings.NewReader(tc.in))
+			s := sse.NewScanner(strings.NewReader(tc.in), nil)
 			if _, err := s.Next(); err != nil {
 				t.Fatal(err)
 			}
