Streams are proved by the latest start of a server, also of one that drains

What callers saw: while the store is away a server starts anew in place as another version; once the store is back it says that it drains, and exits.

Cause: the start of a server was looked up among those that may take requests. One that drains or has left had start 0, and a list that is newer than the connection then proved the start that was expected, though the entry that took the server out of the list names another one.

Change: the list tells the latest start that it has shown of each server, also of those that drain or were removed, and streams are proved by that. A stream that two starts may have begun has no version, as before, and is not joined.

--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -48,10 +48,12 @@
 	// listChanged has an element after the list of servers has changed.
 	listChanged chan struct{}
 
-	mu         sync.Mutex
-	pools      map[string]*pool
-	list       []servers.Server
-	retryLimit retry.WindowLimit
+	mu    sync.Mutex
+	pools map[string]*pool
+	list  []servers.Server
+	// knownStarts are the latest starts of servers, also of those that are not in list.
+	knownStarts map[string]int64
+	retryLimit  retry.WindowLimit
 
 	// notices holds the notices that servers sent about themselves; it is guarded by
 	// noticeMu. noticeMu is the last lock to be taken.
@@ -137,10 +139,10 @@
 	v.refresh()
 }
 
-// setServers sets the servers that may take requests.
-func (v *fleetView) setServers(list []servers.Server) {
+// setServers sets the servers that may take requests, and the latest known starts of all.
+func (v *fleetView) setServers(list []servers.Server, starts map[string]int64) {
 	v.mu.Lock()
-	v.list = list
+	v.list, v.knownStarts = list, starts
 	v.mu.Unlock()
 	v.listed.Store(true)
 	v.refresh()
@@ -342,6 +344,14 @@
 	return out
 }
 
+// latestStarts returns the latest known start of each server, by server id, also of those that drain or are gone. It
+// must not be changed.
+func (v *fleetView) latestStarts() map[string]int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.knownStarts
+}
+
 // startsAsOf returns when the list was last known to show the starts of all running servers,
 // by the steady clock.
 func (v *fleetView) startsAsOf() clock.Millis { return clock.Millis(v.startsAsOfMs.Load()) }
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -277,7 +277,7 @@
 		live[s.ID] = true
 		byPool[s.Pool]++
 	}
-	g.fleet.setServers(usable)
+	g.fleet.setServers(usable, l.Starts())
 	g.streams.observe()
 	g.suspects.provedEnded(func(now clock.Millis, b *quarantine.Breaks) quarantine.Evidence {
 		return b.Listed(now, g.fleet.starts())
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -112,7 +112,7 @@
 	proof := "answer"
 	switch {
 	case v.bound:
-		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.startsAsOf(), g.fleet.currentStart(v.Server)) == versions.Restarted {
+		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.startsAsOf(), g.fleet.latestStarts()[v.Server]) == versions.Restarted {
 			return g.notJoined(j, "streamVersionUnknown")
 		}
 	case j.ResumesAt == "":
@@ -303,7 +303,7 @@
 	}
 	v.Contact = versions.Contact{Server: a.engine.ID, Start: a.engine.Start, OpenedMs: a.ans.OpenedMs, BeganMs: now}
 	o := &openStream{Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, Contact: v.Contact}
-	asOf, listed := s.g.fleet.startsAsOf(), s.g.fleet.currentStart(v.Server)
+	asOf, latest := s.g.fleet.startsAsOf(), s.g.fleet.latestStarts()[v.Server]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.open[v.id]; old != nil && old.brokenMs != 0 {
@@ -311,14 +311,14 @@
 	}
 	s.open[v.id] = o
 	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
-	s.proveLocked(now, v.id, o, asOf, listed)
+	s.proveLocked(now, v.id, o, asOf, latest)
 }
 
 // proveLocked makes the version of an open stream known, once a list of servers as of a time
-// shows which start of its server began it. listed is the server's start in that list. A stream
+// shows which start of its server began it. latest is the latest start of the server by that list. A stream
 // that two starts may have begun has no version. s.mu is held.
-func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, listed int64) {
-	switch proof := o.Prove(asOf, listed); {
+func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, latest int64) {
+	switch proof := o.Prove(asOf, latest); {
 	case o.Version == unknownVersion, proof == versions.Unproved:
 		return
 	case proof == versions.Restarted:
@@ -364,7 +364,7 @@
 		return
 	}
 	now, asOf := s.g.clock.Wall(), s.g.fleet.startsAsOf()
-	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.starts()
+	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.latestStarts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.history.Observe(now, listed) {
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -315,3 +315,15 @@
 // Drained returns the latest start in which each server drained, by server id. No
 // requests may be placed on a server in that start or an earlier one.
 func (l *List) Drained() map[string]int64 { return maps.Clone(l.drained) }
+
+// Starts returns the latest known start of each server, by server id, also of those that drain or were removed.
+func (l *List) Starts() map[string]int64 {
+	out := maps.Clone(l.drained)
+	for id, r := range l.removed {
+		out[id] = max(out[id], r.start)
+	}
+	for id, e := range l.servers {
+		out[id] = max(out[id], e.Start)
+	}
+	return out
+}
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -308,3 +308,22 @@
 		}
 	}
 }
+
+// TestStartsOfServersThatAreGone guards against a start that is forgotten, or that is taken for an earlier one, because
+// its server takes no requests.
+func TestStartsOfServersThatAreGone(t *testing.T) {
+	l := servers.New(2 * clock.Second)
+	l.Put(servers.Server{ID: "listed", Start: 1})
+	l.Put(servers.Server{ID: "draining", Start: 1})
+	l.Put(servers.Server{ID: "draining", Start: 2, Draining: true})
+	l.Put(servers.Server{ID: "removed", Start: 3})
+	l.Drop(0, "removed")
+	l.Put(servers.Server{ID: "drained and removed", Start: 4, Draining: true})
+	l.Drop(0, "drained and removed")
+	l.Put(servers.Server{ID: "back", Start: 5, Draining: true})
+	l.Put(servers.Server{ID: "back", Start: 6})
+	want := map[string]int64{"listed": 1, "draining": 2, "removed": 3, "drained and removed": 4, "back": 6}
+	if diff := cmp.Diff(want, l.Starts()); diff != "" {
+		t.Errorf("latest starts (-want +got):\n%s", diff)
+	}
+}
--- a/internal/state/versions/contact.go
+++ b/internal/state/versions/contact.go
@@ -39,11 +39,11 @@
 // start a connection leads to that was opened at a time.
 func ListNeeded(openedMs clock.Millis) clock.Millis { return openedMs + registerTime }
 
-// Prove returns what a list as of a time says. listed is the start of the server in it; 0 if
-// it is not listed.
-func (c Contact) Prove(asOf clock.Millis, listed int64) Proof {
+// Prove returns what a list as of a time says. latest is the latest start of the server that it has shown so far,
+// also if the server drained or was removed in it; 0 if it has shown none.
+func (c Contact) Prove(asOf clock.Millis, latest int64) Proof {
 	switch {
-	case listed > c.Start && clock.Millis(listed) <= c.BeganMs+startMargin:
+	case latest > c.Start && clock.Millis(latest) <= c.BeganMs+startMargin:
 		return Restarted
 	case asOf < ListNeeded(c.OpenedMs):
 		return Unproved
