A gateway that starts after a restore waits for the entries of servers

What callers saw: the store comes back from a copy and all gateways are killed.

Cause: a gateway that sees a restore takes the list of servers as proof again only 2.3 s later, when all running servers have registered. One that starts after it has not seen it, and took the entries of the copy, with the starts and versions of before, for those of all running servers. Streams of a pool of one known version did not wait for any list.

Change: member records say since when their authors know of the store's epoch. A gateway reads them before it writes its own: if they tell of earlier epochs only, or of one that is younger than 2.3 s, the list proves nothing until then, and bound streams wait for it. A kill without a restore leaves records of the current epoch, so that nothing waits; nor does it where the store tells no epoch or the records are of an earlier build.

None of these streams goes on any more: the records of where they began are lost with the store and all gateways, and no caller can tell.

--- /dev/null
+++ b/internal/role/gateway/epochage.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/epoch"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
+
+// epochAge is what this gateway knows of how long the current store epoch has lasted. A process that starts after a
+// restore has not seen it: the member records tell. It is safe for concurrent use.
+type epochAge struct {
+	// known is closed once the member records were read.
+	known chan struct{}
+
+	mu sync.Mutex
+	// sinceMs is since when the epoch is known, by the wall clock; 0 if the records do not say.
+	sinceMs clock.Millis
+	// settledMs is when all running servers have registered again after a restore before the start of this process;
+	// 0 without one.
+	settledMs clock.Millis
+}
+
+func newEpochAge() *epochAge { return &epochAge{known: make(chan struct{})} }
+
+// startEpochAge applies the member records that this gateway has read first.
+func (g *Gateway) startEpochAge(snap Snapshot) {
+	a := g.epochAge
+	select {
+	case <-a.known:
+		return
+	default:
+	}
+	var all []epoch.Witness
+	for _, r := range snap.Records {
+		var m member
+		if len(r.Value) > 0 && json.Unmarshal(r.Value, &m) == nil {
+			all = append(all, epoch.Witness{Epoch: m.Epoch, SinceMs: m.EpochSinceMs})
+		}
+	}
+	now, e := g.clock.Now(), g.store.currentEpoch()
+	a.mu.Lock()
+	left, since := epoch.Age(e, g.clock.Wall(), servers.LapsedKeepMs, all)
+	a.sinceMs = since
+	if left > 0 {
+		a.settledMs = now + left
+	}
+	a.mu.Unlock()
+	close(a.known)
+	if left > 0 {
+		g.log.WithFields(logrus.Fields{"event": "storeRestoredBeforeStart", "era": e.String(), "leftMs": int64(left)}).Warn("the store may lack entries of servers that run")
+	}
+}
+
+// change notes that the store has a new epoch.
+func (a *epochAge) change(wall clock.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sinceMs = wall
+}
+
+// since returns since when the epoch is known.
+func (a *epochAge) since() clock.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sinceMs
+}
+
+// settled reports whether a list of servers as of a time shows all running servers, as far as this process knows of
+// restores before its start.
+func (a *epochAge) settled(asOf clock.Millis) bool {
+	select {
+	case <-a.known:
+	default:
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return asOf >= a.settledMs
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -119,6 +119,7 @@
 	// gets a value when the record is found to be missing.
 	memberWritten atomic.Bool
 	memberLost    chan struct{}
+	epochAge      *epochAge
 	join          joinState
 	// latestSeal is the newest sealed usage window that this gateway knows; nil
 	// if it knows none.
@@ -167,7 +168,7 @@
 	g := &Gateway{
 		name: cfg.Name, processID: d.ProcessID, dropped: d.Dropped, startMs: wall.Wall(), startMonoMs: wall.Now(), log: d.Log, clock: wall, wall: wall, codec: d.Codec, store: newEpochStore(d.Store, d.Log, d.Clock),
 		usageReporter: d.UsageReporter, decoder: d.Decoder, metrics: newMetrics(), streamDurations: drain.NewAnswerDurations(),
-		gate: gate, buffers: d.Buffers, metricsAddr: cfg.MetricsAddr, memberLost: make(chan struct{}, 1),
+		gate: gate, buffers: d.Buffers, metricsAddr: cfg.MetricsAddr, memberLost: make(chan struct{}, 1), epochAge: newEpochAge(),
 	}
 	if g.buffers == nil {
 		g.buffers = NewBuffers(cfg, d.Log)
--- a/internal/role/gateway/members.go
+++ b/internal/role/gateway/members.go
@@ -45,6 +45,8 @@
 	// the configuration in force then.
 	Epoch  epoch.Epoch `json:"era"`
 	Config int64       `json:"config"`
+	// EpochSinceMs is since when Epoch is known to the gateways, in Unix ms; 0 if that is not known.
+	EpochSinceMs clock.Millis `json:"eraSince,omitempty"`
 	// Process is unique to each start of the gateway.
 	Process string `json:"process,omitempty"`
 }
@@ -58,12 +60,18 @@
 
 // publishMember writes this gateway's member record at intervals until ctx ends, and
 // at once when the store came back from a backup or the record was lost. After ctx has
-// ended it deletes the record.
+// ended it deletes the record. The first record is written once those before it were read,
+// one of which it replaces.
 func (g *Gateway) publishMember(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.epochAge.known:
+	}
 	for failures := 0; ctx.Err() == nil; {
 		e, changed := g.store.epochAndChange()
 		version, _ := g.config.state()
-		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, Process: g.processID})
+		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, EpochSinceMs: g.epochAge.since(), Process: g.processID})
 		if err != nil {
 			return err
 		}
@@ -159,6 +167,7 @@
 			continue
 		}
 		reads++
+		g.startEpochAge(snap)
 		if written {
 			g.noteOwnMember(snap, whole)
 		}
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -39,7 +39,7 @@
 func (l *serverList) publishAge() {
 	now := l.g.clock.Now()
 	asOf := now - l.schedule.Age(now)
-	if asOf < l.settledMs {
+	if asOf < l.settledMs || !l.g.epochAge.settled(asOf) {
 		return
 	}
 	l.g.fleet.startsAsOfMs.Store(int64(asOf))
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -143,13 +143,14 @@
 
 // leadsToStart reports whether a connection that was opened at a time leads to the listed
 // start of its server. An address may have changed hands since the list was read, which
-// matters to bound streams of pools with several versions: they wait for a newer list.
+// matters to bound streams of pools with several versions: they wait for a newer list. So do
+// those of all pools while no list has shown the starts of all servers.
 func (s *streams) leadsToStart(ctx context.Context, j *job, openedMs clock.Millis) bool {
 	if !j.stream.bound {
 		return true
 	}
 	s.mu.Lock()
-	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name)
+	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name) || s.g.fleet.startsAsOf() == 0
 	s.mu.Unlock()
 	return !several || s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs))
 }
