Gateway: the epoch and since when it is known go into a member record together

Cause: the task that writes member records wakes before the age of the new epoch was noted, and could write the new epoch with the age of the one before; a gateway that started then would have taken the restored list for complete. Found by reading. Change: the age is kept with its epoch, and a record of another epoch begins anew. The error of an event that is given up for its memory is passed on as it is, so that other errors of streams read as before. Measured: TestStreamsKeepTheirVersionAfterADrillAndAKill and TestStreamsGoOnAfterAKill pass.

--- a/internal/role/gateway/epoch.go
+++ b/internal/role/gateway/epoch.go
@@ -253,7 +253,6 @@
 func (g *Gateway) epochChanged(before, now epoch.Epoch, source string) {
 	f := logrus.Fields{"event": "storeEra", "era": now.String(), "before": before.String(), "by": source}
 	if before.Known() {
-		g.epochAge.change(g.clock.Wall())
 		g.metrics.countRestore()
 		g.log.WithFields(f).Warn("store was restored from a backup; reading all topics again")
 	} else {
--- a/internal/role/gateway/epochage.go
+++ b/internal/role/gateway/epochage.go
@@ -18,7 +18,8 @@
 	known chan struct{}
 
 	mu sync.Mutex
-	// sinceMs is since when the epoch is known, by the wall clock; 0 if the records do not say.
+	// sinceMs is since when epoch is known, by the wall clock; 0 if the records do not say.
+	epoch   epoch.Epoch
 	sinceMs clock.Millis
 	// settledMs is when all running servers have registered again after a restore before the start of this process;
 	// 0 without one.
@@ -45,7 +46,7 @@
 	now, e := g.clock.Now(), g.store.currentEpoch()
 	a.mu.Lock()
 	left, since := epoch.Age(e, g.clock.Wall(), servers.LapsedKeepMs, all)
-	a.sinceMs = since
+	a.epoch, a.sinceMs = e, since
 	if left > 0 {
 		a.settledMs = now + left
 	}
@@ -56,17 +57,13 @@
 	}
 }
 
-// change notes that the store has a new epoch.
-func (a *epochAge) change(wall clock.Millis) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sinceMs = wall
-}
-
-// since returns since when the epoch is known.
-func (a *epochAge) since() clock.Millis {
+// since returns since when the current epoch e is known: now, if it is another one than before.
+func (a *epochAge) since(e epoch.Epoch, wall clock.Millis) clock.Millis {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if e != a.epoch {
+		a.epoch, a.sinceMs = e, wall
+	}
 	return a.sinceMs
 }
 
--- a/internal/role/gateway/members.go
+++ b/internal/role/gateway/members.go
@@ -71,7 +71,7 @@
 	for failures := 0; ctx.Err() == nil; {
 		e, changed := g.store.epochAndChange()
 		version, _ := g.config.state()
-		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, EpochSinceMs: g.epochAge.since(), Process: g.processID})
+		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, EpochSinceMs: g.epochAge.since(e, g.clock.Wall()), Process: g.processID})
 		if err != nil {
 			return err
 		}
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -31,18 +31,6 @@
 // errNotFollowing reports an answer that does not go on after the events that the caller has.
 var errNotFollowing = errors.New("answer does not continue the stream")
 
-// brokenStreamError reports a stream that ended before its last event.
-type brokenStreamError struct{ err error }
-
-// Error returns the message of the cause.
-func (e *brokenStreamError) Error() string { return errTruncated.Error() + ": " + e.err.Error() }
-
-// Is reports whether target is errTruncated.
-func (e *brokenStreamError) Is(target error) bool { return target == errTruncated }
-
-// Unwrap returns the cause.
-func (e *brokenStreamError) Unwrap() error { return e.err }
-
 // Send makes one attempt to send the request. The server resumes after the events
 // that the caller has received.
 func (x *relay) Send(ctx context.Context) (*send, *exchange.Failure) {
@@ -76,7 +64,6 @@
 		return x.forwardOther(ctx, s)
 	}
 	err := x.copy(ctx, s)
-	var full *budget.EventMemoryError
 	switch {
 	case err == nil:
 		x.begin(s)
@@ -99,7 +86,7 @@
 			o = place.OutcomeFailed
 		}
 		g.endSend(j, s, o, "ended")
-	case errors.As(err, &full):
+	case errors.As(err, new(*budget.EventMemoryError)):
 		s.err = err
 		s.outcome = retry.OutcomeUnknown
 		g.endSend(j, s, place.OutcomeFailed, "eventMemory")
@@ -150,8 +137,10 @@
 		switch {
 		case err == io.EOF && !x.g.cutUnframed(ctx, x.j, s):
 			return nil
+		case errors.As(err, new(*budget.EventMemoryError)):
+			return err
 		case err != nil:
-			return &brokenStreamError{err}
+			return errors.Wrap(errTruncated, err.Error())
 		}
 		if err := x.write(s, event, events.Ready()); err != nil {
 			return err
