Solo keeps to its memory for events too; tests of endless bytes fail on busy machines as well

Cause: solo had no test of its own, and on a busy machine the code before the fix did not fill 184 MB within a second, so that the test passed on it. Change: the engine's stand-in has a fault that sends lines of an event without an end.

--- a/internal/role/solo/failure_test.go
+++ b/internal/role/solo/failure_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/damaskport/damaskport/internal/operator/admin"
+	"github.com/damaskport/damaskport/internal/policy/budget"
 	"github.com/damaskport/damaskport/internal/role/solo"
 	"github.com/damaskport/damaskport/internal/standin/fault"
 	"github.com/damaskport/damaskport/internal/state/directory"
@@ -109,6 +112,68 @@
 	}
 }
 
+// TestEventsWithoutEndLeaveMemory guards against a deployment whose memory is used up by engines that never end an
+// event. What the test itself holds is small.
+func TestEventsWithoutEndLeaveMemory(t *testing.T) {
+	const callers, maxHeap = 16, 128 << 20
+	cfg := solo.Defaults()
+	cfg.Held = budget.NewHeld(32 << 20)
+	s := start(t, cfg)
+	for _, e := range s.Engines() {
+		e.Faults().Add(fault.Fault{Path: "/v1/chat/completions", Kind: fault.KindEndless})
+	}
+	peak := make(chan uint64)
+	done := make(chan struct{})
+	go func() {
+		var most uint64
+		for open := true; open; {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapInuse)
+			select {
+			case <-done:
+				open = false
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		peak <- most
+	}()
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			body := strings.NewReader(chat("endless", 4, i%2 == 0))
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL()+"/v1/chat/completions", body)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Header.Set("Authorization", "Bearer "+s.Key("demo"))
+			if res, err := http.DefaultClient.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+	close(done)
+	most := <-peak
+	t.Logf("at most %d MB in use", most>>20)
+	if most > maxHeap {
+		t.Errorf("%d MB in use, want at most %d", most>>20, maxHeap>>20)
+	}
+	for _, e := range s.Engines() {
+		e.Faults().Clear()
+	}
+	if status, _, data := post(t, s.URL()+"/v1/chat/completions", s.Key("demo"), chat("after", 4, true)); status != http.StatusOK {
+		t.Errorf("status %d after it: %s", status, data)
+	}
+	if n := cfg.Held.Events().Bytes(); n != 0 {
+		t.Errorf("%d bytes are still held of events", n)
+	}
+}
+
 func TestUsageReportsSumToWhatTheEnginesGenerated(t *testing.T) {
 	cfg := solo.Defaults()
 	cfg.TokenMs, cfg.UsageWindowMs, cfg.Entries = 0, 400, 2
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -46,6 +46,8 @@
 	KindCross Kind = "cross"
 	// KindCutMidway closes the connection within the write after AfterTokens writes.
 	KindCutMidway Kind = "cutMidway"
+	// KindEndless answers with lines of an event that never ends, until the connection is closed.
+	KindEndless Kind = "endless"
 )
 
 const (
@@ -78,7 +80,7 @@
 	if err := dec.Decode(&p); err != nil {
 		return err
 	}
-	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindLateAnswer, KindCross, KindCutMidway}
+	kinds := []Kind{KindFail, KindDelay, KindLoseAnswer, KindFreeze, KindSilent, KindLateAnswer, KindCross, KindCutMidway, KindEndless}
 	if !slices.Contains(kinds, p.Kind) {
 		return fmt.Errorf("kind: %q: must be one of %v", p.Kind, kinds)
 	}
@@ -185,6 +187,12 @@
 		held.send(w)
 	case KindCutMidway:
 		next.ServeHTTP(&cutWriter{w, f.AfterTokens}, r)
+	case KindEndless:
+		w.Header().Set("Content-Type", "text/event-stream")
+		lines := bytes.Repeat([]byte("data: x\n"), 4<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(lines)
+		}
 	}
 }
 
