A test of changes that an entry has given up

Cause: the log's clients of entries and sidecars had no test of their own for calls that arrive late. Change: TestChangeThatWasGivenUpIsNotAppended.

--- a/internal/proof/config/config_test.go
+++ b/internal/proof/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -202,6 +203,29 @@
 	}
 }
 
+// TestChangeThatWasGivenUpIsNotAppended guards against a change that the log gets after a partition, when its entry has
+// long told the operator that its outcome is not known, and others have made changes.
+func TestChangeThatWasGivenUpIsNotAppended(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, cluster.Options{})
+	relay := f.Entries[0].PlatformRelay
+	relay.Watch(func(first []byte) {
+		if bytes.HasPrefix(first, []byte("POST "+configStream)) {
+			relay.Partition()
+		}
+	})
+	before := f.version(f.Entries[1])
+	if o := f.change(f.Entries[0], f.NewChange(before, share(7))); o.result.Accepted || !o.unknown() {
+		t.Errorf("told %+v, %v; want that the outcome is not known", o.result, o.err)
+	}
+	relay.Watch(nil)
+	relay.Restore()
+	time.Sleep(time.Second)
+	if after := f.version(f.Entries[1]); after != before {
+		t.Errorf("version %d after the partition, want %d", after, before)
+	}
+}
+
 // endReads ends the reads that began before the fault in force.
 func (f *fleet) endReads() {
 	for _, e := range f.Entries {
