Sidecar's test of endless bytes: each form to sixteen callers in turn

Cause: with 24 MB at full speed and eight callers the test passed on the code before the fix. Change: sixteen requests get a form before the next one comes. Each test fails before the fix and passes.

--- a/internal/proof/endless/endless_test.go
+++ b/internal/proof/endless/endless_test.go
@@ -86,7 +86,7 @@
 		calls   []cluster.Request
 		perTurn int
 	}{
-		"model engine":  {engineSidecar, service, []cluster.Request{cluster.ChatRequest("b", 4, true), cluster.ChatRequest("b", 4, false)}, 8},
+		"model engine":  {engineSidecar, service, []cluster.Request{cluster.ChatRequest("b", 4, true), cluster.ChatRequest("b", 4, false)}, 16},
 		"plain service": {serviceSidecar, chat, []cluster.Request{{Path: cluster.ServicePath + "/x", Body: "b"}, {Method: http.MethodGet, Path: cluster.ServicePath + "/x"}}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
