review: case 12, a frozen gateway joins streams of two versions

A worker that starts again as another version and leaves while a gateway is frozen is absent from its next list, which is taken for proof of the version of before (ORDER).

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review-3/stand3 versions review/12
+exec target/review-3/stand3 frozen review/12
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -17,11 +17,11 @@
 
 // cases are the cases by name. Each reports whether its rule was broken; an error means that it could not run.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"tenants":  tenants,
-	"versions": versions,
-	"takeup":   takeUp,
-	"parts":    parts,
-	"budget":   budget,
+	"tenants": tenants,
+	"takeup":  takeUp,
+	"frozen":  frozen,
+	"parts":   parts,
+	"budget":  budget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -310,6 +310,7 @@
 	arrivals []arrival
 	version  int
 	down     bool
+	removed  bool
 }
 
 // addServer starts a server and registers it.
@@ -371,11 +372,20 @@
 	return nil
 }
 
-// register writes the entry of the server, unless it is down.
+// remove deletes the entry of the server, which serves on.
+func (s *server) remove() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed = true
+	s.w.platform.Put("keyed.servers", s.id, nil)
+	s.w.record.logf("the entry of %s was removed", s.id)
+}
+
+// register writes the entry of the server, unless it is down or was removed.
 func (s *server) register(state string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || s.removed {
 		return
 	}
 	s.w.platform.PutJSON("keyed.servers", s.id, map[string]any{
@@ -406,13 +416,6 @@
 	s.arrivals = append(s.arrivals, arrival{r.Header.Get("Request-Id"), s.id, time.Now(), ran})
 }
 
-// count returns the number of arrivals.
-func (s *server) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.arrivals)
-}
-
 // stamp sets what shows that the server has answered.
 func (s *server) stamp(rw http.ResponseWriter) { rw.Header().Set("Server-Stamp", "stamp."+s.id) }
 
