Streams: a list without a start proves nothing about it

Cause: versions.Contact.Prove took any list younger than the connection for the proof that the listed start had sent the events, if no later start was known. A read of the whole list shows nothing of starts that came and went since the read before it; records of streams (versions.Supposed) and a later start after two restarts were judged the same way.

servers.List now keeps how each start ended: by a record, so that nothing lies between, or by a read of the whole list, which leaves a gap. Over a gap a start is proved only if a list since the connection showed it; otherwise the gateway reads the records of the gap from the store, once, when a stream needs them. The first reader reads those of each gap in which a start ended, since a version that came and went concerns all gateways. A stream whose server can't be told is refused, also by the gateway that began it, which went on to "the only version" before.

--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/damaskport/damaskport/internal/state/routing"
 	"github.com/damaskport/damaskport/internal/state/servers"
 	"github.com/damaskport/damaskport/internal/state/speed"
+	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
 // fleetView is this gateway's view of the configuration and of the backend servers.
@@ -45,14 +46,15 @@
 	// startsAsOfMs is when the list was last known to show the starts of all running servers:
 	// it does not shortly after an outage or a restore of the store (steady clock).
 	startsAsOfMs atomic.Int64
-	// listChanged has an element after the list of servers has changed.
-	listChanged chan struct{}
+	// listChanged has an element after the list of servers has changed, and traceAsked once the records are needed that
+	// were added between two reads of the whole list.
+	listChanged, traceAsked chan struct{}
 
 	mu    sync.Mutex
 	pools map[string]*pool
 	list  []servers.Server
-	// knownStarts are the latest starts of servers, also of those that are not in list.
-	knownStarts map[string]int64
+	// knownStarts are the starts of servers, also of those that are not in list.
+	knownStarts servers.Starts
 	retryLimit  retry.WindowLimit
 
 	// notices holds the notices that servers sent about themselves; it is guarded by
@@ -102,7 +104,7 @@
 func newFleetView(zone string, c clock.Clock, log logrus.FieldLogger, limit retry.WindowLimit) *fleetView {
 	return &fleetView{
 		zone: zone, clock: c, log: log, retryLimit: limit, pools: map[string]*pool{}, notices: servers.NewNotices(), limits: ratelimit.NewKnown(),
-		warmUps: servers.NewWarmUps(), listChanged: make(chan struct{}, 1), evacuated: func(string) bool { return false }, gateways: func() int { return 1 },
+		warmUps: servers.NewWarmUps(), listChanged: make(chan struct{}, 1), traceAsked: make(chan struct{}, 1), evacuated: func(string) bool { return false }, gateways: func() int { return 1 },
 	}
 }
 
@@ -139,8 +141,15 @@
 	v.refresh()
 }
 
-// setServers sets the servers that may take requests, and the latest known starts of all.
-func (v *fleetView) setServers(list []servers.Server, starts map[string]int64) {
+// setStarts sets the known starts of all servers.
+func (v *fleetView) setStarts(starts servers.Starts) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.knownStarts = starts
+}
+
+// setServers sets the servers that may take requests, and the known starts of all.
+func (v *fleetView) setServers(list []servers.Server, starts servers.Starts) {
 	v.mu.Lock()
 	v.list, v.knownStarts = list, starts
 	v.mu.Unlock()
@@ -231,7 +240,7 @@
 	out := make([]place.Server, 0, len(list))
 	live, listed := map[servers.Key]bool{}, map[servers.Key]bool{}
 	engines := map[string]enginequeue.Engine{}
-	addrs, versions := map[string]string{}, map[string]string{}
+	addrs, byVersion := map[string]string{}, map[string]string{}
 	for _, s := range list {
 		listed[s.Key()] = true
 		if v.evacuated(s.Zone) {
@@ -244,7 +253,7 @@
 		out = append(out, ps)
 		live[s.Key()] = true
 		engines[s.ID] = enginequeue.Engine{ID: s.ID, Start: s.Start, Slots: s.Slots, MemoryTokens: ps.CacheTokens}
-		addrs[s.ID], versions[s.ID] = s.Addr, s.Version
+		addrs[s.ID], byVersion[s.ID] = s.Addr, s.Version
 		if p.conns[s.Key()] == nil {
 			c := direct.NewPool(s.Addr, v.clock)
 			c.Dialed, c.Buffers = v.dialed, v.buffers
@@ -264,7 +273,7 @@
 			delete(p.conns, k)
 		}
 	}
-	p.engines, p.addrs, p.versions, p.listed = engines, addrs, versions, listed
+	p.engines, p.addrs, p.versions, p.listed = engines, addrs, byVersion, listed
 }
 
 // choose selects a server for r, except those in exclude, and records that r is sent
@@ -344,14 +353,37 @@
 	return out
 }
 
-// latestStarts returns the latest known start of each server, by server id, also of those that drain or are gone. It
-// must not be changed.
-func (v *fleetView) latestStarts() map[string]int64 {
+// allStarts returns the known starts of all servers, also of those that drain or are gone.
+func (v *fleetView) allStarts() servers.Starts {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.knownStarts
 }
 
+// askTrace asks for the records between the reads of the whole list.
+func (v *fleetView) askTrace() {
+	select {
+	case v.traceAsked <- struct{}{}:
+	default:
+	}
+}
+
+// prove returns what the list of servers says about a contact. It waits until the records are read that may show a start
+// which the list does not, for at most listWait.
+func (v *fleetView) prove(ctx context.Context, c versions.Contact) versions.Proof {
+	for until := v.clock.Now() + listWait; ; {
+		asOf := v.startsAsOf()
+		proof := c.Prove(asOf, v.allStarts())
+		if proof != versions.Untraced {
+			return proof
+		}
+		v.askTrace()
+		if v.clock.Now() >= until || v.clock.Sleep(ctx, listPoll) != nil {
+			return proof
+		}
+	}
+}
+
 // startsAsOf returns when the list was last known to show the starts of all running servers,
 // by the steady clock.
 func (v *fleetView) startsAsOf() clock.Millis { return clock.Millis(v.startsAsOfMs.Load()) }
--- /dev/null
+++ b/internal/role/gateway/listgap.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/epoch"
+)
+
+const (
+	// maxGaps bounds the gaps that are remembered. maxGapPages bounds the pages of the store that are read to trace them:
+	// as many records as 4,600 servers write in some fifteen seconds.
+	maxGaps     = 8
+	maxGapPages = 16
+	// gapTimeout bounds the read of the records of the gaps.
+	gapTimeout = 1200 * clock.Millisecond
+)
+
+// listGap is the gap in front of a read of the whole list, which has a number: the records from a position on were not
+// read one by one.
+type listGap struct {
+	number int
+	from   epoch.Position
+}
+
+// errNoGapPosition reports that it is not known where a gap begins, as after a restore of the store.
+var errNoGapPosition = errors.New("the position of the list is not known")
+
+// errGapTooLong reports that a gap has more records than are read.
+var errGapTooLong = errors.New("too many records between two reads of the list")
+
+// noteGap records that the last read of the whole list ended starts. Before it, the list included all changes up to
+// asOf, and next was the next record to read; the later one counts. Only the first store reader traces each gap: a
+// version that came and went within it concerns all gateways.
+func (l *serverList) noteGap(asOf, next epoch.Position) {
+	from := asOf.Next()
+	if next.Comparable(asOf) && next.After(from) {
+		from = next
+	}
+	if !asOf.Known() {
+		from = epoch.Position{}
+	}
+	l.gaps = append(l.gaps, listGap{l.LastGap(), from})
+	if len(l.gaps) > maxGaps {
+		l.Trace(l.gaps[0].number, nil, false)
+		l.gaps = nil
+	}
+	if l.g.peers.rank(subjectReaders) == 0 {
+		l.g.fleet.askTrace()
+	}
+}
+
+// trace reads the records of the gaps, which show each start that came and went unseen.
+func (l *serverList) trace(ctx context.Context) {
+	if len(l.gaps) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, gapTimeout.Duration())
+	defer cancel()
+	first := l.gaps[0]
+	registered, passed, err := l.readGap(ctx, first.from)
+	l.gaps = nil
+	l.Trace(first.number, registered, err == nil)
+	f := logrus.Fields{"event": "serverListTraced", "from": first.from.Offset(), "servers": len(registered)}
+	if err != nil {
+		l.g.log.WithFields(f).Warn(err)
+		return
+	}
+	l.g.log.WithFields(f).Info()
+	l.g.streams.passed(passed)
+}
+
+// readGap reads the records from a position to that of the list. It returns the starts of each server in the order in which
+// they registered, and the versions of the servers by pool.
+func (l *serverList) readGap(ctx context.Context, from epoch.Position) (registered map[string][]int64, passed map[string][]string, err error) {
+	registered, versions := map[string][]int64{}, map[string]map[string]bool{}
+	for range maxGapPages {
+		if !from.Known() {
+			return nil, nil, errNoGapPosition
+		}
+		snap, err := l.g.store.Read(ctx, TopicServers, from, 0)
+		if err != nil {
+			return nil, nil, err
+		}
+		for _, r := range snap.Records {
+			s, ok := l.decode(r)
+			if len(r.Value) == 0 || !ok {
+				continue
+			}
+			if !slices.Contains(registered[s.ID], s.Start) {
+				registered[s.ID] = append(registered[s.ID], s.Start)
+			}
+			if versions[s.Pool] == nil {
+				versions[s.Pool] = map[string]bool{}
+			}
+			versions[s.Pool][s.Version] = true
+		}
+		if len(snap.Records) == 0 || snap.Next.Before().Reaches(l.asOf) {
+			passed = map[string][]string{}
+			for pool, all := range versions {
+				passed[pool] = slices.Sorted(maps.Keys(all))
+			}
+			return registered, passed, nil
+		}
+		from = snap.Next
+	}
+	return nil, nil, errGapTooLong
+}
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -33,15 +33,24 @@
 	// settledMs is the time from which on all running servers have registered again after an
 	// outage or a restore of the store.
 	settledMs clock.Millis
+	// gaps are those in front of reads of the whole list, oldest first, whose records may still be read. revision is that of
+	// the starts that are published.
+	gaps     []listGap
+	revision int
 }
 
 // publishAge publishes as of when the list shows the starts of all running servers.
 func (l *serverList) publishAge() {
 	now := l.g.clock.Now()
 	asOf := now - l.schedule.Age(now)
+	if r := l.Revision(); r != l.revision {
+		l.revision = r
+		l.g.fleet.setStarts(l.Starts())
+	}
 	if asOf < l.settledMs || !l.g.epochAge.settled(asOf) {
 		return
 	}
+	l.Shown(asOf)
 	l.g.fleet.startsAsOfMs.Store(int64(asOf))
 	for _, k := range l.g.fleet.proveNotices() {
 		l.g.serverDrains(now, k, "answer")
@@ -98,11 +107,13 @@
 	due := l.schedule.DueMs(now, l.g.peers.rank(subjectReaders))
 	// The wait is at most one read interval, because the rank changes when gateways
 	// connect or disconnect.
-	ctx, cancel := context.WithTimeout(ctx, min(due-now, l.g.followTimes().ReadInterval).Duration())
+	wait, cancel := context.WithTimeout(ctx, min(due-now, l.g.followTimes().ReadInterval).Duration())
 	defer cancel()
 	select {
 	case <-next:
-	case <-ctx.Done():
+	case <-l.g.fleet.traceAsked:
+		l.trace(ctx)
+	case <-wait.Done():
 	}
 }
 
@@ -155,7 +166,7 @@
 // read reads the list, or the records that were added to it, from the store. If this
 // gateway is a store reader, it sends the result to the others.
 func (l *serverList) read(ctx context.Context) {
-	sent := l.g.clock.Now()
+	sent, known := l.g.clock.Now(), l.reader.next
 	if sent-l.fullReadMs > fullReadInterval || sent-l.reader.readMs > maxIncrementalReadGap || l.schedule.NeedsFullRead(sent) {
 		l.reader.next = epoch.Position{}
 	}
@@ -189,7 +200,11 @@
 		l.fullReadMs = sent
 	}
 	before := l.asOf
+	gap := l.LastGap()
 	changes, replaced := l.applyRead(now, snap, whole)
+	if l.LastGap() != gap {
+		l.noteGap(before, known)
+	}
 	l.StoreAnswered(now, sent)
 	lapsed := l.DropExpired(now)
 	switch {
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -12,6 +12,7 @@
 	"github.com/damaskport/damaskport/internal/caller/exchange"
 	"github.com/damaskport/damaskport/internal/runtime/clock"
 	"github.com/damaskport/damaskport/internal/state/routing"
+	"github.com/damaskport/damaskport/internal/state/servers"
 	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
@@ -112,7 +113,7 @@
 	proof := "answer"
 	switch {
 	case v.bound:
-		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || v.Prove(g.fleet.startsAsOf(), g.fleet.latestStarts()[v.Server]) == versions.Restarted {
+		if !g.streams.leadsToStart(ctx, j, v.OpenedMs) || disproved(g.fleet.prove(ctx, v.Contact)) {
 			return g.notJoined(j, "streamVersionUnknown")
 		}
 	case j.ResumesAt == "":
@@ -131,6 +132,9 @@
 	return nil
 }
 
+// disproved reports whether a proof leaves several starts of a server that may have sent the events of a stream.
+func disproved(p versions.Proof) bool { return p == versions.Restarted || p == versions.Untraced }
+
 // notJoined returns the failure of a stream that cannot go on.
 func (g *Gateway) notJoined(j *job, reason string) *exchange.Failure {
 	g.metrics.streamJoin(reason)
@@ -159,6 +163,9 @@
 func (s *streams) find(ctx context.Context, j *job) (proof string, ok bool) {
 	id := versions.IDOf(j.streamOrigin())
 	begin, found := s.own(ctx, id)
+	if !found && s.disputed(id) {
+		return "", false
+	}
 	only, one := "", false
 	if !found {
 		only, one = s.only(ctx, j)
@@ -191,17 +198,33 @@
 // proof.
 func (s *streams) own(ctx context.Context, id versions.ID) (b versions.Begin, found bool) {
 	s.mu.Lock()
-	var since clock.Millis
-	if o := s.open[id]; o != nil && !o.proved {
-		since = versions.ListNeeded(o.OpenedMs)
+	var contact versions.Contact
+	o := s.open[id]
+	unproved := o != nil && !o.proved
+	if unproved {
+		contact = o.Contact
 	}
 	s.mu.Unlock()
-	if since != 0 && s.g.fleet.awaitListSince(ctx, since) {
+	if unproved && s.g.fleet.awaitListSince(ctx, versions.ListNeeded(contact.OpenedMs)) {
+		s.g.fleet.prove(ctx, contact)
 		s.observe()
 	}
 	return s.lookIn(id)
 }
 
+// disputed reports whether several starts of a server may have begun a stream that this gateway knows.
+func (s *streams) disputed(id versions.ID) bool {
+	s.mu.Lock()
+	o := s.open[id]
+	unknown := o != nil && o.Version == unknownVersion
+	var c versions.Contact
+	if o != nil && !o.proved {
+		c = o.Contact
+	}
+	s.mu.Unlock()
+	return unknown || c.Server != "" && disproved(c.Prove(s.g.fleet.startsAsOf(), s.g.fleet.allStarts()))
+}
+
 // lookIn returns where a stream began by the index; found is false if it is not known. The list
 // of servers may prove what another gateway had not proved yet.
 func (s *streams) lookIn(id versions.ID) (b versions.Begin, found bool) {
@@ -210,9 +233,12 @@
 	supposed, ok := s.index.Supposed(id)
 	s.mu.Unlock()
 	if ok {
-		c, asOf := s.g.clock, s.g.fleet.startsAsOf()
+		asOf, offset := s.g.fleet.startsAsOf(), s.g.clock.Wall()-s.g.clock.Now()
 		b = versions.Begin{Pool: supposed.Pool, Version: supposed.Version}
-		found = supposed.Prove(c.Wall()-(c.Now()-asOf), s.g.fleet.currentStart(supposed.Server)) == versions.Proved
+		proof := supposed.Prove(asOf, s.g.fleet.allStarts(), func(wall clock.Millis) clock.Millis { return wall - offset })
+		if found = proof == versions.Proved; proof == versions.Untraced {
+			s.g.fleet.askTrace()
+		}
 	}
 	return b, found && b.Version != unknownVersion
 }
@@ -304,7 +330,7 @@
 	}
 	v.Contact = versions.Contact{Server: a.engine.ID, Start: a.engine.Start, OpenedMs: a.ans.OpenedMs, BeganMs: now}
 	o := &openStream{Begin: versions.Begin{Pool: j.pool.name, Version: v.version}, Contact: v.Contact}
-	asOf, latest := s.g.fleet.startsAsOf(), s.g.fleet.latestStarts()[v.Server]
+	asOf, starts := s.g.fleet.startsAsOf(), s.g.fleet.allStarts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.open[v.id]; old != nil && old.brokenMs != 0 {
@@ -312,14 +338,18 @@
 	}
 	s.open[v.id] = o
 	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
-	s.proveLocked(now, v.id, o, asOf, latest)
+	s.proveLocked(now, v.id, o, asOf, starts)
 }
 
 // proveLocked makes the version of an open stream known, once a list of servers as of a time
-// shows which start of its server began it. latest is the latest start of the server by that list. A stream
-// that two starts may have begun has no version. s.mu is held.
-func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, latest int64) {
-	switch proof := o.Prove(asOf, latest); {
+// shows which start of its server began it. A stream that two starts may have begun has no version. s.mu is held.
+func (s *streams) proveLocked(now clock.Millis, id versions.ID, o *openStream, asOf clock.Millis, starts servers.Starts) {
+	switch proof := o.Prove(asOf, starts); {
+	case proof == versions.Untraced:
+		if !o.proved {
+			s.g.fleet.askTrace()
+		}
+		return
 	case o.Version == unknownVersion, proof == versions.Unproved:
 		return
 	case proof == versions.Restarted:
@@ -365,7 +395,7 @@
 		return
 	}
 	now, asOf := s.g.clock.Wall(), s.g.fleet.startsAsOf()
-	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.latestStarts()
+	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.allStarts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.history.Observe(now, listed) {
@@ -373,7 +403,7 @@
 		s.unrecorded = true
 	}
 	for id, o := range s.open {
-		s.proveLocked(now, id, o, asOf, starts[o.Server])
+		s.proveLocked(now, id, o, asOf, starts)
 		if o.brokenMs != 0 && now-o.brokenMs > versions.StreamLifetime {
 			delete(s.open, id)
 			s.broken--
--- a/internal/role/gateway/versionrecords.go
+++ b/internal/role/gateway/versionrecords.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// passed applies the versions of servers that came and went between two reads of the list, by pool.
+func (s *streams) passed(all map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.history.Passed(s.g.clock.Wall(), all) {
+		s.change++
+		s.unrecorded = true
+	}
+}
+
 func (s *streams) setLoaded() {
 	s.mu.Lock()
 	s.history.SetLoaded()
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -113,12 +113,21 @@
 	reachableSinceMs clock.Millis
 	// readSentMs is the time at which the last read that the store answered was sent.
 	readSentMs clock.Millis
+	// ends holds the ends of the starts of each server, by id and in their order. The slices are immutable.
+	ends map[string][]End
+	// gap is the number of the read of the whole list that is being applied; 0 while records are. reads counts such
+	// reads, and lastGap is the last one that ended a start.
+	gap, reads, lastGap int
+	revision            int
+	// shownMs is as of when the list is known to show the starts of all running servers, and nowMs the latest time that
+	// was passed to DropExpired.
+	shownMs, nowMs clock.Millis
 }
 
 // New returns an empty List. drain is how long servers continue to serve requests after
 // they registered as draining.
 func New(drain clock.Millis) *List {
-	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}}
+	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}, ends: map[string][]End{}}
 }
 
 // SetDrainTime sets how long servers continue to serve requests after they registered
@@ -186,6 +195,10 @@
 		return false
 	}
 	delete(l.removed, s.ID)
+	if ok && s.Start > old.Start {
+		l.end(s.ID, old.Start)
+	}
+	l.begun(s.ID, s.Start)
 	if s.Draining {
 		l.drained[s.ID] = s.Start
 	}
@@ -234,6 +247,7 @@
 	if !ok || e.keepUntilMs != 0 {
 		return false
 	}
+	l.end(id, e.Start)
 	if until := l.keepUntil(now); until > now && !e.Draining {
 		e.keepUntilMs = until
 		return false
@@ -248,6 +262,7 @@
 	if !ok {
 		return false
 	}
+	l.end(id, e.Start)
 	delete(l.servers, id)
 	l.removed[id] = removed{e.Start, e.Seq, now}
 	return true
@@ -256,6 +271,9 @@
 // Replace applies a complete list of the entries in the store and reports whether the
 // list changed. It calls Remove for each known server without an entry in all.
 func (l *List) Replace(now clock.Millis, all []Server) bool {
+	l.reads++
+	l.gap = l.reads
+	defer func() { l.gap = 0 }()
 	present := map[string]bool{}
 	changed := false
 	for _, s := range all {
@@ -275,6 +293,8 @@
 // It also forgets removals that are older than removedKeepMs.
 func (l *List) DropExpired(now clock.Millis) bool {
 	maps.DeleteFunc(l.removed, func(_ string, r removed) bool { return now-r.atMs > removedKeepMs })
+	l.nowMs = now
+	l.forgetEnds()
 	if l.unreachable {
 		return false
 	}
@@ -315,15 +335,3 @@
 // Drained returns the latest start in which each server drained, by server id. No
 // requests may be placed on a server in that start or an earlier one.
 func (l *List) Drained() map[string]int64 { return maps.Clone(l.drained) }
-
-// Starts returns the latest known start of each server, by server id, also of those that drain or were removed.
-func (l *List) Starts() map[string]int64 {
-	out := maps.Clone(l.drained)
-	for id, r := range l.removed {
-		out[id] = max(out[id], r.start)
-	}
-	for id, e := range l.servers {
-		out[id] = max(out[id], e.Start)
-	}
-	return out
-}
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -323,7 +323,11 @@
 	l.Put(servers.Server{ID: "back", Start: 5, Draining: true})
 	l.Put(servers.Server{ID: "back", Start: 6})
 	want := map[string]int64{"listed": 1, "draining": 2, "removed": 3, "drained and removed": 4, "back": 6}
-	if diff := cmp.Diff(want, l.Starts()); diff != "" {
+	starts, got := l.Starts(), map[string]int64{}
+	for id := range want {
+		got[id] = starts.Latest(id)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("latest starts (-want +got):\n%s", diff)
 	}
 }
--- a/internal/state/versions/contact.go
+++ b/internal/state/versions/contact.go
@@ -1,6 +1,9 @@
 package versions
 
-import "github.com/damaskport/damaskport/internal/runtime/clock"
+import (
+	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
+)
 
 const (
 	// registerTime is how long after it accepts connections a server may register its start.
@@ -30,23 +33,38 @@
 	Unproved Proof = iota
 	// Proved means that the start of the Contact sent the events.
 	Proved
-	// Restarted means that the server started anew before the first event, so that either start may
-	// have sent it.
+	// Restarted means that the server started anew before the first event, or that it can't be told whether it did,
+	// so that either start may have sent it.
 	Restarted
+	// Untraced means that the server may have started anew between two reads of the list: the records between them
+	// were not read.
+	Untraced
 )
 
 // ListNeeded returns the time, by the steady clock, as of which a list of servers shows which
 // start a connection leads to that was opened at a time.
 func ListNeeded(openedMs clock.Millis) clock.Millis { return openedMs + registerTime }
 
-// Prove returns what a list as of a time says. latest is the latest start of the server that it has shown so far,
-// also if the server drained or was removed in it; 0 if it has shown none.
-func (c Contact) Prove(asOf clock.Millis, latest int64) Proof {
+// Prove returns what a list as of a time says, by the starts of the servers that it has shown so far. That a start is not
+// in the list, or that a later one is, proves nothing by itself: others may have come and gone unseen.
+func (c Contact) Prove(asOf clock.Millis, starts servers.Starts) Proof {
+	latest := starts.Latest(c.Server)
+	e, ended := starts.End(servers.Key{ID: c.Server, Start: c.Start})
+	next := e.Next
+	if !ended && latest > c.Start {
+		next = latest
+	}
 	switch {
-	case latest > c.Start && clock.Millis(latest) <= c.BeganMs+startMargin:
+	case next > c.Start && clock.Millis(next) <= c.BeganMs+startMargin:
 		return Restarted
 	case asOf < ListNeeded(c.OpenedMs):
 		return Unproved
+	case !ended && latest == c.Start:
+		return Proved
+	case ended && (e.Gap == 0 || e.ShownMs >= ListNeeded(c.OpenedMs)):
+		return Proved
+	case ended && !e.Lost:
+		return Untraced
 	}
-	return Proved
+	return Restarted
 }
--- a/internal/state/versions/history.go
+++ b/internal/state/versions/history.go
@@ -150,6 +150,20 @@
 	return changed
 }
 
+// Passed records versions of servers that came and went between two reads of the list, by pool, and reports whether one
+// was not known.
+func (h *History) Passed(now clock.Millis, all map[string][]string) (changed bool) {
+	for pool, names := range all {
+		for _, name := range names {
+			if v := h.pools[pool][name]; v == nil || v.GoneMs != 0 && now-v.GoneMs > StreamLifetime {
+				h.put(pool, name, &version{Span: Span{GoneMs: now, AtMs: now}, seenMs: now})
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
 // dropOld forgets versions of a pool that no stream can have, and the oldest ones beyond
 // maxVersions.
 func (h *History) dropOld(now clock.Millis, all map[string]*version) {
--- a/internal/state/versions/index.go
+++ b/internal/state/versions/index.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
 )
 
 const (
@@ -45,13 +46,13 @@
 	BeganMs clock.Millis `json:"began"`
 }
 
-// Prove returns what a list of servers as of a time, in Unix ms, says. listed is the start of
-// the server in it; 0 if it is not listed, which proves nothing.
-func (s Supposed) Prove(asOf clock.Millis, listed int64) Proof {
-	if listed == 0 {
+// Prove returns what a list of servers as of a time says, by the starts that it has shown. steady converts Unix ms to
+// the clock of that time.
+func (s Supposed) Prove(asOf clock.Millis, starts servers.Starts, steady func(wall clock.Millis) clock.Millis) Proof {
+	if starts.Latest(s.Server) == 0 {
 		return Unproved
 	}
-	return Contact{Server: s.Server, Start: s.Start, OpenedMs: s.BeganMs + startMargin, BeganMs: s.BeganMs}.Prove(asOf, listed)
+	return Contact{Server: s.Server, Start: s.Start, OpenedMs: steady(s.BeganMs + startMargin), BeganMs: s.BeganMs}.Prove(asOf, starts)
 }
 
 // wireBatch is the JSON form of a Batch.
--- a/internal/state/versions/versions_test.go
+++ b/internal/state/versions/versions_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/damaskport/damaskport/internal/runtime/clock"
+	"github.com/damaskport/damaskport/internal/state/servers"
 	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
@@ -198,23 +199,64 @@
 	}
 }
 
+// entry is the entry of server s1 in a start.
+func entry(start int64) servers.Server { return servers.Server{ID: "s1", Pool: "llm", Start: start} }
+
+// newList returns a list with server s1 in start 10,000, as of a time.
+func newList(asOf clock.Millis) *servers.List {
+	l := servers.New(2000)
+	l.Replace(0, []servers.Server{entry(10_000)})
+	l.Shown(asOf)
+	return l
+}
+
+// TestContactProve guards against streams of two versions: what a list does not show is no proof that nothing was there
+// between two reads of it.
 func TestContactProve(t *testing.T) {
 	c := versions.Contact{Server: "s1", Start: 10_000, OpenedMs: 500, BeganMs: 60_000}
 	for _, tc := range []struct {
-		name   string
-		asOf   clock.Millis
-		listed int64
-		want   versions.Proof
+		name  string
+		asOf  clock.Millis
+		apply func(l *servers.List)
+		want  versions.Proof
 	}{
-		{"a list that is older than the connection", 400, 10_000, versions.Unproved},
-		{"a list of the moment at which it was opened", 500, 10_000, versions.Unproved},
-		{"a later list with the same start", 700, 10_000, versions.Proved},
-		{"a later list without the server", 700, 0, versions.Proved},
-		{"a start after the first event", 700, 65_000, versions.Proved},
-		{"a start before the first event", 700, 59_000, versions.Restarted},
-		{"a start before the first event, in an older list", 400, 59_000, versions.Restarted},
+		{"a list that is older than the connection", 400, nil, versions.Unproved},
+		{"a list of the moment at which it was opened", 500, nil, versions.Unproved},
+		{"a later list with the same start", 700, nil, versions.Proved},
+		{"its removal", 700, func(l *servers.List) { l.Remove(650, "s1") }, versions.Proved},
+		{"its removal in an outage", 700, func(l *servers.List) { l.StoreUnreachable(); l.Remove(650, "s1") }, versions.Proved},
+		{"a start after the first event", 700, func(l *servers.List) { l.Put(entry(65_000)) }, versions.Proved},
+		{"a start after its removal and the first event", 700, func(l *servers.List) { l.Remove(650, "s1"); l.Put(entry(65_000)) }, versions.Proved},
+		{"a start before the first event", 700, func(l *servers.List) { l.Put(entry(59_000)) }, versions.Restarted},
+		{"a start before the first event, and its removal", 700, func(l *servers.List) { l.Put(entry(59_000)); l.Remove(650, "s1") }, versions.Restarted},
+		{"a start before the first event, in an older list", 400, func(l *servers.List) { l.Put(entry(59_000)) }, versions.Restarted},
+		{"a whole list without the server", 700, func(l *servers.List) { l.Replace(650, nil) }, versions.Untraced},
+		{"a whole list without the server, in an outage", 700, func(l *servers.List) { l.StoreUnreachable(); l.Replace(650, nil) }, versions.Untraced},
+		{"a whole list with a start after the first event", 700, func(l *servers.List) { l.Replace(650, []servers.Server{entry(65_000)}) }, versions.Untraced},
+		{"a whole list with a start before the first event", 700, func(l *servers.List) { l.Replace(650, []servers.Server{entry(59_000)}) }, versions.Restarted},
+		{"a start after a whole list without the server", 700, func(l *servers.List) { l.Replace(650, nil); l.Put(entry(65_000)) }, versions.Untraced},
+		{"a list after the connection, then one without the server", 700, func(l *servers.List) { l.Shown(600); l.Replace(650, nil) }, versions.Proved},
+		{"a whole list without it, then one with it", 700, func(l *servers.List) {
+			l.Replace(650, nil)
+			l.Put(servers.Server{ID: "s1", Pool: "llm", Start: 10_000, Seq: 1})
+		}, versions.Proved},
+		{"records without another start", 700, func(l *servers.List) { l.Replace(650, nil); l.Trace(l.LastGap(), nil, true) }, versions.Proved},
+		{"records of a start that came and went", 700, func(l *servers.List) {
+			l.Replace(650, nil)
+			l.Trace(l.LastGap(), map[string][]int64{"s1": {10_000, 59_000}}, true)
+		}, versions.Restarted},
+		{"records of a start between two lists", 700, func(l *servers.List) {
+			l.Replace(650, []servers.Server{entry(65_000)})
+			l.Trace(l.LastGap(), map[string][]int64{"s1": {59_000, 65_000}}, true)
+		}, versions.Restarted},
+		{"records that can't be read", 700, func(l *servers.List) { l.Replace(650, nil); l.Trace(l.LastGap(), nil, false) }, versions.Restarted},
+		{"records of a later gap", 700, func(l *servers.List) { l.Replace(650, nil); l.Trace(l.LastGap()+1, nil, true) }, versions.Untraced},
 	} {
-		if got := c.Prove(tc.asOf, tc.listed); got != tc.want {
+		l := newList(min(tc.asOf, 400))
+		if tc.apply != nil {
+			tc.apply(l)
+		}
+		if got := c.Prove(tc.asOf, l.Starts()); got != tc.want {
 			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
 		}
 	}
@@ -237,21 +279,32 @@
 	if diff := cmp.Diff(supposed, got); !ok || diff != "" {
 		t.Errorf("from a record: %v -want +got\n%s", ok, diff)
 	}
+	steady := func(wall clock.Millis) clock.Millis { return wall - 50_000 }
 	for _, tc := range []struct {
-		name         string
-		asOf, listed int64
-		want         versions.Proof
+		name  string
+		asOf  clock.Millis // in Unix ms
+		apply func(l *servers.List)
+		want  versions.Proof
 	}{
-		{"an older list", 60_400, 10_000, versions.Unproved},
-		{"the same start later", 61_000, 10_000, versions.Proved},
-		{"a start after the first event", 66_000, 65_000, versions.Proved},
-		{"a start before the first event", 61_000, 59_900, versions.Restarted},
-		{"not listed", 61_000, 0, versions.Unproved},
+		{"an older list", 60_400, nil, versions.Unproved},
+		{"the same start later", 61_000, nil, versions.Proved},
+		{"a start after the first event", 66_000, func(l *servers.List) { l.Put(entry(65_000)) }, versions.Proved},
+		{"a start before the first event", 61_000, func(l *servers.List) { l.Put(entry(59_900)) }, versions.Restarted},
+		{"its removal", 61_000, func(l *servers.List) { l.Remove(1, "s1") }, versions.Proved},
+		{"a whole list without the server", 61_000, func(l *servers.List) { l.Replace(1, nil) }, versions.Untraced},
+		{"a whole list with a start after the first event", 66_000, func(l *servers.List) { l.Replace(1, []servers.Server{entry(65_000)}) }, versions.Untraced},
 	} {
-		if got := supposed.Prove(clock.Millis(tc.asOf), tc.listed); got != tc.want {
+		l := newList(10_000)
+		if tc.apply != nil {
+			tc.apply(l)
+		}
+		if got := supposed.Prove(steady(tc.asOf), l.Starts(), steady); got != tc.want {
 			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
 		}
 	}
+	if got := supposed.Prove(steady(61_000), servers.New(2000).Starts(), steady); got != versions.Unproved {
+		t.Errorf("a list that never had the server: got %v, want %v", got, versions.Unproved)
+	}
 	x.Add(60_300, versions.Batch{AtMs: 60_300, Streams: map[versions.ID]versions.Begin{id: {Pool: "llm", Version: "1"}}})
 	if _, ok := x.Supposed(id); ok {
 		t.Error("a stream that was proved is still unproved")
