Streams: those of a gateway that dies as a new version comes go on

What begins before the second version is used, and what was known of that time, were not told apart.

A further version is now used only by gateways whose record of streams names it (Span.Recorded, History.ToName), a second after it was first listed, or at once where most servers have it.

--- a/internal/peer/enginequeue/enginequeue.go
+++ b/internal/peer/enginequeue/enginequeue.go
@@ -89,10 +89,11 @@
 )
 
 // Versions are the software versions of the servers by pool; Stored is set if the store holds
-// them.
+// them. Recorder is what the sender says of its record of streams; nil if that is unchanged.
 type Versions struct {
-	Spans  versions.Spans `json:"spans"`
-	Stored bool           `json:"stored,omitempty"`
+	Spans    versions.Spans     `json:"spans"`
+	Stored   bool               `json:"stored,omitempty"`
+	Recorder *versions.Recorder `json:"recorder,omitempty"`
 }
 
 // TrialRequest asks to run one request, or names one that has ended.
--- a/internal/role/gateway/epochage.go
+++ b/internal/role/gateway/epochage.go
@@ -79,3 +79,11 @@
 	defer a.mu.Unlock()
 	return asOf >= a.settledMs
 }
+
+// restoredSince reports whether the store may have come back from a backup since a time, by the wall clock, before this
+// process started, at startMs: it may lack what others had written.
+func (a *epochAge) restoredSince(since, startMs clock.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch.Number() > 0 && a.sinceMs >= since && a.sinceMs < startMs
+}
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -342,6 +342,20 @@
 	return out
 }
 
+// versionCounts returns the number of listed servers by pool and software version.
+func (v *fleetView) versionCounts() map[string]map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := map[string]map[string]int{}
+	for _, s := range v.list {
+		if out[s.Pool] == nil {
+			out[s.Pool] = map[string]int{}
+		}
+		out[s.Pool][s.Version]++
+	}
+	return out
+}
+
 // starts returns when the current process of each listed server started, by server id.
 func (v *fleetView) starts() map[string]int64 {
 	v.mu.Lock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -287,6 +287,7 @@
 		supervise.Task{Name: "evidence", Run: g.keepEvidence},
 		supervise.Task{Name: "versions", Run: g.keepVersions},
 		supervise.Task{Name: "streams", Run: g.keepStreams},
+		supervise.Task{Name: "behind", Run: g.reportBehind},
 		supervise.Task{Name: "peers", Run: g.followPeers},
 		supervise.Task{Name: "beats", Run: g.peers.sendHeartbeats},
 		supervise.Task{Name: "ready", Run: func(ctx context.Context) error {
--- a/internal/role/gateway/join.go
+++ b/internal/role/gateway/join.go
@@ -52,6 +52,9 @@
 	// Versions are the software versions that the sender knows, if it has read those of the
 	// store; only some gateways send them.
 	Versions *versions.Spans `json:"versions,omitempty"`
+	// Process is that of the sender, and Recorder what it says of its record of streams.
+	Process  string             `json:"process,omitempty"`
+	Recorder *versions.Recorder `json:"recorder,omitempty"`
 }
 
 // joinState records whether a gateway that has just started can rely on the
@@ -135,7 +138,10 @@
 	r := joinReply{
 		Epoch: g.store.currentEpoch(), Config: version, ConfigAt: at, Settled: g.settled.Load(), Draining: draining[:min(len(draining), maxJoinReplyServers)],
 		IssuesPermits: true, Limits: g.permits.limits(maxJoinReplyServers), Examines: true, Zones: g.zones.view(),
+		Process: g.processID,
 	}
+	recorder := g.streams.recorder()
+	r.Recorder = &recorder
 	if g.peers.ranksAmong(subjectEvidence, evidenceSenders) {
 		e, _ := g.suspects.snapshot()
 		r.Evidence = &e
@@ -162,6 +168,10 @@
 	}
 	g.learnLimits(reply.Limits, "gateway")
 	t.setDuties(p, reply.IssuesPermits, reply.Examines)
+	t.setProcess(p, reply.Process)
+	if reply.Recorder != nil {
+		g.streams.learnRecorder(*reply.Recorder)
+	}
 	if reply.Evidence != nil {
 		g.suspects.merge(*reply.Evidence, false)
 		if reply.Settled {
--- a/internal/role/gateway/peertable.go
+++ b/internal/role/gateway/peertable.go
@@ -20,6 +20,7 @@
 	"github.com/damaskport/damaskport/internal/runtime/tcp"
 	"github.com/damaskport/damaskport/internal/state/evacuation"
 	"github.com/damaskport/damaskport/internal/state/servers"
+	"github.com/damaskport/damaskport/internal/state/versions"
 )
 
 const (
@@ -61,6 +62,8 @@
 	// heartbeatMs is when the last heartbeat was sent, unansweredMs when the first one
 	// after the peer's last message was sent. Both are steady-clock times.
 	heartbeatMs, unansweredMs clock.Millis
+	// process identifies the process at the other end; empty until it has said so.
+	process string
 }
 
 // peerTable holds the connections to the queue hosts of all gateways, this one
@@ -86,6 +89,8 @@
 	lastAsk    uint64
 	// trialAsks are like permitAsks, for questions to the examiner.
 	trialAsks map[uint64]chan bool
+	// losses are the times in which connections to other gateways ended: from the last message to the end.
+	losses []versions.Period
 }
 
 func newPeerTable(g *Gateway) *peerTable {
@@ -264,10 +269,71 @@
 	if p.up {
 		t.g.log.WithFields(logrus.Fields{"event": "peerLost", "peer": p.name}).Info(err)
 	}
-	p.link, p.overloaded, p.issuesPermits, p.examines = nil, false, false, false
+	t.noteLossLocked(p)
+	p.link, p.overloaded, p.issuesPermits, p.examines, p.process = nil, false, false, false, ""
 	t.setPeerUp(p, false)
 }
 
+// noteLossLocked records when the connection to a peer ended; t.mu is held.
+func (t *peerTable) noteLossLocked(p *peer) {
+	if p.link == nil || p.addr == "" {
+		return
+	}
+	wall := t.g.clock.Wall()
+	t.losses = slices.DeleteFunc(t.losses, func(l versions.Period) bool { return wall-l.ToMs > versions.StreamLifetime })
+	t.losses = append(t.losses, versions.Period{FromMs: wall - (t.g.clock.Now() - p.link.Heard()), ToMs: wall})
+}
+
+// lossesSince returns the periods since a time in which other gateways may have ended. Before its own start, at startMs,
+// this gateway has seen none.
+func (t *peerTable) lossesSince(since, startMs clock.Millis) []versions.Period {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.Clone(t.losses)
+	if startMs > since {
+		out = append(out, versions.Period{FromMs: since, ToMs: startMs})
+	}
+	return out
+}
+
+// setProcess records which process is at the other end of the connection to a peer.
+func (t *peerTable) setProcess(p *peer, process string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.process = process
+}
+
+// runs reports whether a process is connected.
+func (t *peerTable) runs(process string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ofProcessLocked(process) != nil
+}
+
+// ofProcessLocked returns the connected peer that is a process; nil if there is none. t.mu is held.
+func (t *peerTable) ofProcessLocked(process string) *peer {
+	for _, p := range t.peers {
+		if p.process == process && p.link != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// heardSince reports whether a message of a process has arrived since a time. Without one, it asks for a sign of life.
+func (t *peerTable) heardSince(process string, at clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.ofProcessLocked(process)
+	if p == nil {
+		return false
+	}
+	if now := t.g.clock.Now(); p.link.Heard() < at && now-p.heartbeatMs >= pingInterval {
+		t.heartbeatLocked(p, now)
+	}
+	return p.link.Heard() >= at
+}
+
 // setPeerUp records whether a peer can own engine queues; t.mu is held.
 func (t *peerTable) setPeerUp(p *peer, up bool) {
 	if p.up != up {
--- a/internal/role/gateway/streamrecords.go
+++ b/internal/role/gateway/streamrecords.go
@@ -19,15 +19,16 @@
 func (g *Gateway) keepStreams(ctx context.Context) error {
 	s := g.streams
 	e, sweptMs := g.store.currentEpoch(), g.clock.Now()
-	for g.clock.Sleep(ctx, s.interval()) == nil {
+	for s.awaitDue(ctx) {
 		if current := g.store.currentEpoch(); current != e {
 			// The store may have come back from a backup without the record.
 			e = current
 			s.recordAgain()
 		}
 		s.observe()
-		if err := s.write(ctx); err != nil {
+		if err := s.write(ctx, false); err != nil {
 			g.log.WithField("event", "streamsUnwritten").Warn(err)
+			_ = g.clock.Sleep(ctx, s.interval())
 		}
 		if now := g.clock.Now(); now-sweptMs >= versions.StreamLifetime {
 			sweptMs = now
@@ -36,7 +37,18 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalPublishTimeout.Duration())
 	defer cancel()
-	return s.write(last)
+	return s.write(last, true)
+}
+
+// awaitDue waits for the interval between two records, or until one is due at once. It returns false if ctx has ended.
+func (s *streams) awaitDue(ctx context.Context) bool {
+	wait, cancel := context.WithTimeout(ctx, s.interval().Duration())
+	defer cancel()
+	select {
+	case <-s.due:
+	case <-wait.Done():
+	}
+	return ctx.Err() == nil
 }
 
 func (s *streams) recordAgain() {
@@ -54,7 +66,9 @@
 		return b, false
 	}
 	s.unrecorded = false
+	s.waitingMs, s.writingMs = 0, s.waitingMs
 	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}, Unproved: map[versions.ID]versions.Supposed{}}
+	b.Recorder = versions.Recorder{Process: s.g.processID, Begins: s.namesLocked(now)}
 	for id, o := range s.open {
 		switch {
 		case !s.recordedLocked(now, o.Pool):
@@ -64,17 +78,24 @@
 			b.Unproved[id] = versions.Supposed{Pool: o.Pool, Version: o.Version, Server: o.Server, Start: o.Start, BeganMs: o.BeganMs}
 		}
 	}
-	return b, len(b.Streams)+len(b.Unproved) > 0 || s.recordedMs != 0
+	return b, needed(b) || s.recordedMs != 0
 }
 
-// write writes the record of the open streams if it is due, and deletes it if there are none.
-func (s *streams) write(ctx context.Context) error {
+// needed reports whether a record says anything.
+func needed(b versions.Batch) bool {
+	return len(b.Streams)+len(b.Unproved)+len(b.Recorder.Begins) > 0
+}
+
+// write writes the record of the open streams if it is due, and deletes it if there is nothing to say. last is set if the
+// process begins no more streams.
+func (s *streams) write(ctx context.Context, last bool) error {
 	b, due := s.record(s.g.clock.Wall())
 	if !due {
 		return nil
 	}
+	b.Recorder.Left = last
 	var data []byte
-	if len(b.Streams)+len(b.Unproved) > 0 {
+	if needed(b) {
 		var err error
 		if data, err = json.Marshal(b); err != nil {
 			return err
@@ -82,16 +103,23 @@
 	}
 	err := s.g.store.Append(ctx, TopicStreams, s.g.processID, data)
 	s.g.metrics.storeWrite(TopicStreams, err)
+	if err == nil {
+		defer s.recorded(b.Recorder)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case err != nil:
 		s.unrecorded = true
+		if s.writingMs != 0 {
+			s.waitingMs = s.writingMs
+		}
 	case len(data) == 0:
 		s.recordedMs = 0
 	default:
 		s.recordedMs = b.AtMs
 	}
+	s.writingMs = 0
 	return err
 }
 
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -30,6 +30,8 @@
 	streamIntervalPerGateway = 3 * clock.Millisecond
 	// rerecordAfter is the time after which an unchanged record is written again.
 	rerecordAfter = versions.StreamLifetime / 2
+	// recordLifetime is the age up to which a record may hold a stream that can still be taken up.
+	recordLifetime = versions.StreamLifetime + rerecordAfter
 	// maxBroken bounds the streams of a gateway that broke off and may be taken up.
 	maxBroken = 4096
 	// lookupTries is how often the store is asked for a stream: its gateway may not have
@@ -59,9 +61,18 @@
 type streams struct {
 	g *Gateway
 
-	mu      sync.Mutex
-	history *versions.History
-	index   *versions.Index
+	mu        sync.Mutex
+	history   *versions.History
+	index     *versions.Index
+	recorders *versions.Recorders
+	// due has an element once the record is to be written at once.
+	due chan struct{}
+	// waitingMs is when the oldest stream began that the record lacks, and writingMs that of those that are being written; 0
+	// if there is none. told is what the other gateways were told last.
+	waitingMs, writingMs clock.Millis
+	told                 versions.Recorder
+	// unnamed is when a stream last began at a version that the record does not name, in Unix ms.
+	unnamedMs clock.Millis
 	// open are the streams that run here, or broke off here and may be taken up again.
 	open   map[versions.ID]*openStream
 	broken int // number of open streams that broke off
@@ -71,6 +82,8 @@
 	recordedMs clock.Millis
 	// outdated are the keys of records that no stream needs.
 	outdated []string
+	// switched are the starts in place as another version that the history has.
+	switched map[servers.Line]int64
 	// change counts the changes of the history.
 	change int
 
@@ -82,7 +95,8 @@
 
 func newStreams(g *Gateway) *streams {
 	return &streams{
-		g: g, history: versions.NewHistory(), index: versions.NewIndex(), open: map[versions.ID]*openStream{},
+		g: g, history: versions.NewHistory(), index: versions.NewIndex(), recorders: versions.NewRecorders(), switched: map[servers.Line]int64{}, open: map[versions.ID]*openStream{},
+		due:    make(chan struct{}, 1),
 		reader: &topicReader{g: g, topic: TopicStreams},
 	}
 }
@@ -179,10 +193,9 @@
 	case j.Origin == "":
 		return "", false
 	default:
-		if begin, found = s.lookUp(ctx, id); !found {
+		if begin, proof, found = s.lookUp(ctx, j, id); !found {
 			return "", false
 		}
-		proof = "record"
 	}
 	if begin.Pool != j.pool.name {
 		if !slices.ContainsFunc(j.route.Split, func(p routing.Share) bool { return p.Pool == begin.Pool }) {
@@ -265,21 +278,25 @@
 	return s.history.Only(s.g.clock.Wall(), j.pool.name)
 }
 
-// lookUp looks for a stream in the records of the store.
-func (s *streams) lookUp(ctx context.Context, id versions.ID) (begin versions.Begin, found bool) {
+// lookUp looks for a stream in the records of the store, and returns where it began and how that is proved. A stream that
+// no record holds began at the base version of its pool if all that began at other versions are recorded.
+func (s *streams) lookUp(ctx context.Context, j *job, id versions.ID) (begin versions.Begin, proof string, found bool) {
 	for try := range lookupTries {
 		if try > 0 && s.g.clock.Sleep(ctx, s.interval()) != nil {
-			break
+			return versions.Begin{}, "", false
 		}
 		if err := s.refresh(ctx); err != nil {
 			s.g.log.WithField("event", "streamsUnread").Warn(err)
-			break
+			return versions.Begin{}, "", false
 		}
 		if begin, found = s.lookIn(id); found {
-			return begin, true
+			return begin, "record", true
+		}
+		if base, ok := s.base(j, id, try == lookupTries-1); ok {
+			return versions.Begin{Pool: j.pool.name, Version: base}, "base", true
 		}
 	}
-	return versions.Begin{}, false
+	return versions.Begin{}, "", false
 }
 
 // refresh reads the records that were added since the last read. Of several calls at a time
@@ -299,6 +316,7 @@
 	s.readMs = began
 	for _, r := range snap.Records {
 		if len(r.Value) == 0 {
+			s.recorderGone(r.Key)
 			continue
 		}
 		var b versions.Batch
@@ -308,10 +326,11 @@
 		}
 		now := s.g.clock.Wall()
 		s.mu.Lock()
-		if now-b.AtMs > versions.StreamLifetime {
+		if now-b.AtMs > recordLifetime {
 			s.outdated = append(s.outdated, r.Key)
 		} else {
 			s.index.Add(now, b)
+			s.recorders.Learn(min(b.AtMs, now), recorderOf(r.Key, b))
 		}
 		s.mu.Unlock()
 	}
@@ -337,7 +356,15 @@
 		s.broken--
 	}
 	s.open[v.id] = o
-	s.unrecorded = s.unrecorded || s.recordedLocked(now, o.Pool)
+	if s.recordedLocked(now, o.Pool) {
+		s.unrecorded = true
+		if s.waitingMs == 0 {
+			s.waitingMs = s.g.clock.Now()
+		}
+	}
+	if s.history.Unnamed(o.Pool, o.Version) {
+		s.unnamedMs = now
+	}
 	s.proveLocked(now, v.id, o, asOf, starts)
 }
 
@@ -398,10 +425,23 @@
 	listed, starts := s.g.fleet.listedVersions(), s.g.fleet.allStarts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.history.Observe(now, listed) {
+	changed := s.history.Observe(now, listed)
+	for line, start := range starts.Switched() {
+		if s.switched[line] != start && s.history.Switched(now, clock.Millis(start), line.Pool, line.Version) {
+			s.switched[line], changed = start, true
+		}
+	}
+	if changed {
 		s.change++
 		s.unrecorded = true
 	}
+	if s.namesDueLocked(now) {
+		s.unrecorded = true
+		select {
+		case s.due <- struct{}{}:
+		default:
+		}
+	}
 	for id, o := range s.open {
 		s.proveLocked(now, id, o, asOf, starts)
 		if o.brokenMs != 0 && now-o.brokenMs > versions.StreamLifetime {
@@ -410,6 +450,7 @@
 		}
 	}
 	s.index.Sweep(now)
+	s.recorders.Sweep(now, recordLifetime, s.g.peers.runs)
 }
 
 // exclusions returns the servers to which j must not be sent because of their version: if
@@ -423,14 +464,23 @@
 		return nil
 	}
 	now := s.g.clock.Wall()
-	var early []string
+	var early, overdue []string
+	listed := j.pool.versionList()
 	s.mu.Lock()
-	for _, v := range j.pool.versionList() {
-		if !s.history.Established(now, j.pool.name, v) {
+	for _, v := range listed {
+		switch {
+		case s.history.Established(now, j.pool.name, v):
+		case s.history.Overdue(now, j.pool.name, v):
+			overdue = append(overdue, v)
+		default:
 			early = append(early, v)
 		}
 	}
 	s.mu.Unlock()
+	if len(early)+len(overdue) < len(listed) {
+		// Overdue versions are used only where there is no other.
+		early = append(early, overdue...)
+	}
 	if len(early) == 0 {
 		return nil
 	}
--- a/internal/role/gateway/versionrecords.go
+++ b/internal/role/gateway/versionrecords.go
@@ -142,6 +142,9 @@
 		g.log.WithFields(logrus.Fields{"event": "versionsInvalid", "key": from}).Warn(err)
 		return nil
 	}
+	if m.Recorder != nil {
+		g.streams.learnRecorder(*m.Recorder)
+	}
 	g.streams.mergeVersions(m.Spans, m.Stored)
 	return nil
 }
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -91,6 +91,7 @@
 // removed identifies the last entry of a server that was removed at atMs.
 type removed struct {
 	start, seq int64
+	version    string
 	atMs       clock.Millis
 }
 
@@ -119,6 +120,8 @@
 	// reads, and lastGap is the last one that ended a start.
 	gap, reads, lastGap int
 	revision            int
+	// switched are the latest starts of servers that started anew in place as another version, by that version.
+	switched map[Line]int64
 	// shownMs is as of when the list is known to show the starts of all running servers, and nowMs the latest time that
 	// was passed to DropExpired.
 	shownMs, nowMs clock.Millis
@@ -127,7 +130,7 @@
 // New returns an empty List. drain is how long servers continue to serve requests after
 // they registered as draining.
 func New(drain clock.Millis) *List {
-	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}, ends: map[string][]End{}}
+	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}, ends: map[string][]End{}, switched: map[Line]int64{}}
 }
 
 // SetDrainTime sets how long servers continue to serve requests after they registered
@@ -191,12 +194,17 @@
 	if start, hasDrained := l.drained[s.ID]; hasDrained && s.Start <= start {
 		return false
 	}
-	if last, wasRemoved := l.removed[s.ID]; wasRemoved && s.Start != 0 && (s.Start < last.start || s.Start == last.start && s.Seq <= last.seq) {
+	last, wasRemoved := l.removed[s.ID]
+	if wasRemoved && s.Start != 0 && (s.Start < last.start || s.Start == last.start && s.Seq <= last.seq) {
 		return false
 	}
+	if wasRemoved {
+		l.noteVersion(last.version, s)
+	}
 	delete(l.removed, s.ID)
 	if ok && s.Start > old.Start {
 		l.end(s.ID, old.Start)
+		l.noteVersion(old.Version, s)
 	}
 	l.begun(s.ID, s.Start)
 	if s.Draining {
@@ -264,7 +272,7 @@
 	}
 	l.end(id, e.Start)
 	delete(l.servers, id)
-	l.removed[id] = removed{e.Start, e.Seq, now}
+	l.removed[id] = removed{e.Start, e.Seq, e.Version, now}
 	return true
 }
 
--- a/internal/state/servers/starts.go
+++ b/internal/state/servers/starts.go
@@ -24,10 +24,17 @@
 
 // Starts are the starts of all known servers. The value is immutable.
 type Starts struct {
-	latest map[string]int64
-	ends   map[string][]End
+	latest   map[string]int64
+	ends     map[string][]End
+	switched map[Line]int64
 }
 
+// Line is a pool and a software version of its servers.
+type Line struct{ Pool, Version string }
+
+// Switched returns the latest start of a server that started anew in place as another version, by that version.
+func (s Starts) Switched() map[Line]int64 { return s.switched }
+
 // Latest returns the latest known start of a server, also if it drained or was removed in it; 0 if none is known.
 func (s Starts) Latest(id string) int64 { return s.latest[id] }
 
@@ -50,7 +57,7 @@
 	for id, e := range l.servers {
 		latest[id] = max(latest[id], e.Start)
 	}
-	return Starts{latest, maps.Clone(l.ends)}
+	return Starts{latest, maps.Clone(l.ends), maps.Clone(l.switched)}
 }
 
 // Revision changes whenever a start ends, and when a gap is traced.
@@ -73,6 +80,15 @@
 	l.noteGap()
 }
 
+// noteVersion notes that a server is listed in a start whose version may be another one than that of the start before.
+func (l *List) noteVersion(old string, s Server) {
+	if old != s.Version {
+		k := Line{s.Pool, s.Version}
+		l.switched[k] = max(l.switched[k], s.Start)
+		l.revision++
+	}
+}
+
 // begun notes that a start of a server is listed, which the ends of earlier ones precede.
 func (l *List) begun(id string, start int64) {
 	all := l.ends[id]
--- a/internal/state/versions/history.go
+++ b/internal/state/versions/history.go
@@ -23,6 +23,14 @@
 	// StoreWait is the time after which a version is used although the store did not confirm
 	// the record of it.
 	StoreWait = 2 * clock.Second
+	// HoldBack is how long after it was first listed streams do not begin at a further version of a pool: by then the
+	// gateways know of it, and have recorded the streams that they began before.
+	HoldBack = clock.Second
+	// switchMargin is the time around the start of a server in place as another version in which a gateway may take it
+	// for the start before.
+	switchMargin = 2 * clock.Second
+	// maxListDelay is the longest time after its start at which a server is listed first, also after an outage of the store.
+	maxListDelay = 10 * clock.Second
 	// maxVersions bounds the versions that are kept of one pool.
 	maxVersions = 16
 )
@@ -33,6 +41,11 @@
 	GoneMs clock.Millis `json:"gone,omitempty"`
 	// AtMs is when the span was last changed.
 	AtMs clock.Millis `json:"at"`
+	// Recorded is set for a further version: one that came while its pool had another. Streams begin at it only at
+	// gateways whose record of streams names it.
+	Recorded bool `json:"recorded,omitempty"`
+	// SwitchedMs is when the last server started anew in place as this version; 0 if none has.
+	SwitchedMs clock.Millis `json:"switched,omitempty"`
 }
 
 // Spans are the versions by pool.
@@ -66,8 +79,8 @@
 	Span
 	// seenMs is when this gateway first listed it; 0 if it may be used at once.
 	seenMs clock.Millis
-	// stored is set once the store holds it.
-	stored bool
+	// stored is set once the store holds it, and named once this gateway's record of streams names it.
+	stored, named bool
 }
 
 // History holds the versions of all pools. It is not safe for concurrent use.
@@ -98,7 +111,11 @@
 				v = &version{}
 				h.put(pool, name, v)
 			}
+			if s.SwitchedMs = min(s.SwitchedMs, now); s.SwitchedMs > v.SwitchedMs {
+				v.SwitchedMs, changed = s.SwitchedMs, true
+			}
 			if s.AtMs > v.AtMs && (s.GoneMs == 0 || !slices.Contains(h.listed[pool], name)) {
+				s.SwitchedMs = v.SwitchedMs
 				v.Span = s
 				changed = true
 			}
@@ -122,26 +139,32 @@
 	h.listed = listed
 	for pool, names := range listed {
 		first := len(h.pools[pool]) == 0
+		if only := h.Possible(now, pool); len(only) == 1 {
+			h.pools[pool][only[0]].Recorded = false
+		}
+		further := len(h.Possible(now, pool)) > 0
 		for _, name := range names {
 			v := h.pools[pool][name]
 			switch {
 			case v == nil || now-v.GoneMs > StreamLifetime && v.GoneMs != 0:
-				v = &version{Span: Span{AtMs: now}, seenMs: now}
+				v = &version{Span: Span{AtMs: now, Recorded: further}, seenMs: now}
 				if first {
 					v.seenMs = 0
 				}
 				h.put(pool, name, v)
 				changed = true
 			case v.GoneMs != 0:
-				v.Span = Span{AtMs: now}
+				v.GoneMs, v.AtMs = 0, now
 				changed = true
+			case v.Recorded && v.seenMs == 0:
+				v.seenMs = now
 			}
 		}
 	}
 	for pool, all := range h.pools {
 		for name, v := range all {
 			if v.GoneMs == 0 && !slices.Contains(listed[pool], name) {
-				v.Span = Span{GoneMs: now, AtMs: now}
+				v.GoneMs, v.AtMs = now, now
 				changed = true
 			}
 		}
@@ -156,7 +179,7 @@
 	for pool, names := range all {
 		for _, name := range names {
 			if v := h.pools[pool][name]; v == nil || v.GoneMs != 0 && now-v.GoneMs > StreamLifetime {
-				h.put(pool, name, &version{Span: Span{GoneMs: now, AtMs: now}, seenMs: now})
+				h.put(pool, name, &version{Span: Span{GoneMs: now, AtMs: now, Recorded: true, SwitchedMs: now}, seenMs: now})
 				changed = true
 			}
 		}
@@ -199,8 +222,102 @@
 	return all[0], true
 }
 
+// Base returns the version at which streams of a pool begin without a record: the one that all of its gateways knew
+// before the further ones came. ok is false if there is none, or several.
+func (h *History) Base(now clock.Millis, pool string) (name string, ok bool) {
+	var all []string
+	for _, name := range h.Possible(now, pool) {
+		if !h.pools[pool][name].Recorded {
+			all = append(all, name)
+		}
+	}
+	if !h.loaded || len(all) != 1 {
+		return "", false
+	}
+	return all[0], true
+}
+
+// Switched records that a server of a pool is listed that started anew in place as a version, and reports whether the
+// version is known. A start that lies in the future or far from the list, by another clock, counts as just now.
+func (h *History) Switched(now, startMs clock.Millis, pool, name string) bool {
+	v := h.pools[pool][name]
+	if v == nil {
+		return false
+	}
+	if startMs > now || startMs < now-maxListDelay {
+		startMs = now
+	}
+	v.SwitchedMs = max(v.SwitchedMs, startMs)
+	return true
+}
+
+// Period is a span of time, in Unix ms.
+type Period struct{ FromMs, ToMs clock.Millis }
+
+// SwitchedWithin reports whether a server of a pool may have started anew in place as another version within one of some
+// periods: a gateway that ended in one may have begun streams there as at the start before.
+func (h *History) SwitchedWithin(now clock.Millis, pool string, periods ...Period) bool {
+	for _, v := range h.pools[pool] {
+		if v.SwitchedMs == 0 || now-v.SwitchedMs > StreamLifetime {
+			continue
+		}
+		if slices.ContainsFunc(periods, func(p Period) bool { return p.FromMs <= v.SwitchedMs+switchMargin && v.SwitchedMs <= p.ToMs }) {
+			return true
+		}
+	}
+	return false
+}
+
+// ToName returns the further versions, by pool, that the gateway's record of streams is to name, so that streams may
+// begin at them. servers is the number of listed servers by pool and version. HoldBack does not apply where fewer than
+// half of the servers are of other versions.
+func (h *History) ToName(now clock.Millis, servers map[string]map[string]int) map[string][]string {
+	out := map[string][]string{}
+	for pool, all := range servers {
+		total, others := 0, 0
+		for name, n := range all {
+			total += n
+			if v := h.pools[pool][name]; v != nil && (!v.Recorded || v.named) {
+				others += n
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(all)) {
+			v := h.pools[pool][name]
+			if v == nil || !v.Recorded || !v.stored && now-v.seenMs < StoreWait {
+				continue
+			}
+			if v.named || now-v.AtMs >= HoldBack || 2*others < total {
+				out[pool] = append(out[pool], name)
+			}
+		}
+	}
+	return out
+}
+
+// Named records that the gateway's record of streams names versions, by pool, and no others.
+func (h *History) Named(all map[string][]string) {
+	for pool, versions := range h.pools {
+		for name, v := range versions {
+			v.named = slices.Contains(all[pool], name)
+		}
+	}
+}
+
+// Unnamed reports whether a version of a pool is a further one that the gateway's record does not name.
+func (h *History) Unnamed(pool, name string) bool {
+	v := h.pools[pool][name]
+	return v != nil && v.Recorded && !v.named
+}
+
+// Overdue reports whether a version was to be established long ago.
+func (h *History) Overdue(now clock.Millis, pool, name string) bool {
+	v := h.pools[pool][name]
+	return v != nil && now-v.seenMs >= StoreWait
+}
+
 // Established reports whether streams may begin at servers of a version: the store holds it,
-// so that gateways that start know it too. Before the records of the store are known all may.
+// so that gateways that start know it too, and the gateway's record of streams names it if that is
+// needed. Before the records of the store are known all may.
 func (h *History) Established(now clock.Millis, pool, name string) bool {
 	if !h.loaded {
 		return true
@@ -209,6 +326,9 @@
 	if v == nil {
 		return false
 	}
+	if v.Recorded {
+		return v.named
+	}
 	return v.seenMs == 0 || v.stored || now-v.seenMs >= StoreWait
 }
 
--- a/internal/state/versions/index.go
+++ b/internal/state/versions/index.go
@@ -32,6 +32,8 @@
 type Batch struct {
 	AtMs    clock.Millis
 	Streams map[ID]Begin
+	// Recorder is what the gateway says of the record; it has no process in records of earlier builds.
+	Recorder Recorder
 	// Unproved are streams that a start of a server may have begun of which no list was read
 	// since.
 	Unproved map[ID]Supposed
@@ -60,6 +62,7 @@
 	AtMs     clock.Millis                 `json:"at"`
 	IDs      map[string]map[string]string `json:"ids"`
 	Unproved map[ID]Supposed              `json:"unproved,omitempty"`
+	Recorder *Recorder                    `json:"recorder,omitempty"`
 }
 
 // MarshalJSON encodes the batch.
@@ -69,6 +72,9 @@
 		raw[begin] = binary.BigEndian.AppendUint64(raw[begin], uint64(id))
 	}
 	w := wireBatch{AtMs: b.AtMs, IDs: map[string]map[string]string{}, Unproved: b.Unproved}
+	if b.Recorder.Process != "" {
+		w.Recorder = &b.Recorder
+	}
 	for begin, ids := range raw {
 		if w.IDs[begin.Pool] == nil {
 			w.IDs[begin.Pool] = map[string]string{}
@@ -86,6 +92,9 @@
 		return err
 	}
 	out := Batch{AtMs: w.AtMs, Streams: map[ID]Begin{}, Unproved: w.Unproved}
+	if w.Recorder != nil {
+		out.Recorder = *w.Recorder
+	}
 	for pool, byVersion := range w.IDs {
 		for name, text := range byVersion {
 			ids, err := base64.RawStdEncoding.DecodeString(text)
@@ -144,6 +153,13 @@
 	return k.Begin, ok && !k.contradicted
 }
 
+// Known reports whether a record names a stream, also if it is not known at which version it began.
+func (x *Index) Known(id ID) bool {
+	_, proved := x.streams[id]
+	_, supposed := x.supposed[id]
+	return proved || supposed
+}
+
 // Supposed returns where an unproved stream may have begun; ok is false if id is none.
 func (x *Index) Supposed(id ID) (s Supposed, ok bool) {
 	s, ok = x.supposed[id]
--- a/internal/state/versions/versions_test.go
+++ b/internal/state/versions/versions_test.go
@@ -25,12 +25,14 @@
 	fmt.Println(h.Only(t0+1000, "llm"))
 	fmt.Println(h.Established(t0+1000, "llm", "1"), h.Established(t0+1000, "llm", "2"))
 	h.Merge(t0+1100, h.Spans(), true)
-	fmt.Println(h.Established(t0+1100, "llm", "2"))
+	names := h.ToName(t0+1000+versions.HoldBack, map[string]map[string]int{"llm": {"1": 2, "2": 1}})
+	h.Named(names)
+	fmt.Println(names, h.Established(t0+1000+versions.HoldBack, "llm", "2"))
 	// Output:
 	// 1 true
 	//  false
 	// true false
-	// true
+	// map[llm:[2]] true
 }
 
 // step is one observation of the versions of a pool, some time after the start.
@@ -85,18 +87,136 @@
 	}
 }
 
-func TestNewVersionWaitsForTheStore(t *testing.T) {
+// TestFurtherVersionWaitsForItsRecord guards against a stream that begins at a further version before a record says that
+// some do: it would be taken for one of the base version.
+func TestFurtherVersionWaitsForItsRecord(t *testing.T) {
 	h := versions.NewHistory()
 	h.SetLoaded()
 	h.Observe(t0, map[string][]string{"llm": {"1"}})
 	h.Observe(t0+100, map[string][]string{"llm": {"1", "2"}})
+	for _, at := range []clock.Millis{200, 100 + versions.StoreWait} {
+		if h.Established(t0+at, "llm", "2") {
+			t.Errorf("established after %v without a record", at)
+		}
+	}
+	if h.Overdue(t0+200, "llm", "2") || !h.Overdue(t0+100+versions.StoreWait, "llm", "2") {
+		t.Error("want it overdue after StoreWait")
+	}
+	h.Merge(t0+200, h.Spans(), true)
+	few := map[string]map[string]int{"llm": {"1": 3, "2": 2}}
+	most := map[string]map[string]int{"llm": {"1": 1, "2": 2}}
+	for _, tc := range []struct {
+		name    string
+		at      clock.Millis
+		servers map[string]map[string]int
+		want    map[string][]string
+	}{
+		{"held back", 200, few, map[string][]string{}},
+		{"most servers have it", 200, most, map[string][]string{"llm": {"2"}}},
+		{"after HoldBack", 100 + versions.HoldBack, few, map[string][]string{"llm": {"2"}}},
+	} {
+		if diff := cmp.Diff(tc.want, h.ToName(t0+tc.at, tc.servers)); diff != "" {
+			t.Errorf("%s: versions to name (-want +got):\n%s", tc.name, diff)
+		}
+	}
+	h.Named(map[string][]string{"llm": {"2"}})
+	if !h.Established(t0+200, "llm", "2") {
+		t.Error("not established once the record names it")
+	}
+}
+
+// TestBaseVersion guards against a base version that is not the one of all streams without a record: of a pool that began
+// with two, that goes on from one to the next, or whose servers come back to an earlier one.
+func TestBaseVersion(t *testing.T) {
+	const gone = versions.StreamLifetime + 1
+	for _, tc := range []struct {
+		name  string
+		steps []step
+		at    clock.Millis
+		want  string
+	}{
+		{"one version", []step{{0, []string{"1"}}}, 1000, "1"},
+		{"a further one", []step{{0, []string{"1"}}, {500, []string{"1", "2"}}}, 1000, "1"},
+		{"the further one alone", []step{{0, []string{"1"}}, {500, []string{"2"}}}, 1000, "1"},
+		{"the further one for long", []step{{0, []string{"1"}}, {500, []string{"2"}}, {500 + gone, []string{"2"}}}, 600 + gone, "2"},
+		{"a third after it", []step{{0, []string{"1"}}, {500, []string{"2"}}, {500 + gone, []string{"2", "3"}}}, 600 + gone, "2"},
+		{"a third before that", []step{{0, []string{"1"}}, {500, []string{"1", "2"}}, {900, []string{"2", "3"}}}, 1000, "1"},
+		{"back to the first", []step{{0, []string{"1"}}, {500, []string{"2"}}, {900, []string{"1", "2"}}}, 1000, "1"},
+		{"two from the beginning", []step{{0, []string{"1", "2"}}}, 1000, ""},
+	} {
+		h := versions.NewHistory()
+		h.SetLoaded()
+		for _, s := range tc.steps {
+			h.Observe(t0+s.at, map[string][]string{"llm": s.listed})
+		}
+		if got, ok := h.Base(t0+tc.at, "llm"); got != tc.want || ok != (tc.want != "") {
+			t.Errorf("%s: base %q, %t, want %q", tc.name, got, ok, tc.want)
+		}
+		restarted := versions.NewHistory()
+		restarted.Merge(t0+tc.at, h.Spans(), true)
+		restarted.SetLoaded()
+		if got, _ := restarted.Base(t0+tc.at, "llm"); got != tc.want {
+			t.Errorf("%s: base %q after a restart, want %q", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestSwitchedWithin guards against streams that a gateway began at a server which had just become one of another version
+// in place, and could not record: the gateway may have ended then.
+func TestSwitchedWithin(t *testing.T) {
+	h := versions.NewHistory()
+	h.SetLoaded()
+	h.Observe(t0, map[string][]string{"llm": {"1", "2"}})
+	h.Switched(t0+10_000, t0+10_000, "llm", "2")
+	for _, tc := range []struct {
+		name     string
+		at       clock.Millis
+		from, to clock.Millis
+		want     bool
+	}{
+		{"a gateway ended long before", 20_000, 5_000, 9_000, false},
+		{"just after", 20_000, 10_500, 10_700, true},
+		{"it was silent all the while", 20_000, 9_000, 16_000, true},
+		{"long after", 20_000, 13_000, 13_100, false},
+		{"no stream of that time is left", 10_001 + versions.StreamLifetime, 10_500, 10_700, false},
+	} {
+		if got := h.SwitchedWithin(t0+tc.at, "llm", versions.Period{FromMs: t0 + tc.from, ToMs: t0 + tc.to}); got != tc.want {
+			t.Errorf("%s: %t, want %t", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestRecorders guards against a stream that is taken for one of the base version although a gateway that began streams at
+// a further one has ended, or is cut off from the store, so that its record lacks some.
+func TestRecorders(t *testing.T) {
+	names := map[string][]string{"llm": {"2"}}
 	for _, tc := range []struct {
-		at   clock.Millis
-		want bool
-	}{{200, false}, {100 + versions.StoreWait, true}} {
-		if got := h.Established(t0+tc.at, "llm", "2"); got != tc.want {
-			t.Errorf("established after %v: %v, want %v", tc.at, got, tc.want)
+		name string
+		said []versions.Recorder
+		want []string
+	}{
+		{"nothing said", nil, nil},
+		{"the process itself", []versions.Recorder{{Process: "own", Begins: names}}, nil},
+		{"names the base version only", []versions.Recorder{{Process: "a", Begins: map[string][]string{"llm": {"1"}}}}, nil},
+		{"names one of another pool", []versions.Recorder{{Process: "a", Begins: map[string][]string{"app": {"2"}}}}, nil},
+		{"names a further one", []versions.Recorder{{Process: "a", Begins: names}}, []string{"a"}},
+		{"is behind, and names none", []versions.Recorder{{Process: "a", Behind: true}}, nil},
+		{"used one that it does not name", []versions.Recorder{{Process: "a", Unnamed: true}}, []string{"a"}},
+		{"left in order", []versions.Recorder{{Process: "a", Begins: names}, {Process: "a", Begins: names, Left: true}}, nil},
+	} {
+		r := versions.NewRecorders()
+		for i, said := range tc.said {
+			r.Learn(t0+clock.Millis(i), said)
 		}
+		if diff := cmp.Diff(tc.want, r.Begun("own", "llm", "1")); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", tc.name, diff)
+		}
+	}
+	r := versions.NewRecorders()
+	r.Learn(t0+500, versions.Recorder{Process: "a"})
+	r.Learn(t0, versions.Recorder{Process: "a", Begins: names})
+	if diff := cmp.Diff([]string{"a"}, r.Begun("own", "llm", "1")); diff != "" {
+		t.Errorf("a record by another clock (-want +got):\n%s", diff)
 	}
 }
 
