Configuration: an empty or null list of accounts admits nobody

Cause: routing.Config.KeysNeeded took a configuration without accounts for one that needs no keys, and the decoder did not tell an empty list from an absent field; an empty key in the list matched the empty key of a request without one.

Config.Anonymous is set only where the field is absent; the zero value needs keys. Blank keys admit nobody, are logged and named by the configuration check, which also shows when keys become needless. The document is passed on between gateways as it stands in the store, so no other copy has to keep the distinction. The same for other fields: an empty or null list of regions, which bound nothing, allows none; a service without weight, or without a name, gets no requests, also where all weights of a route are zero; an empty list of accounts of an entry's route is refused.

--- a/internal/operator/routecheck/routecheck.go
+++ b/internal/operator/routecheck/routecheck.go
@@ -107,6 +107,8 @@
 		for n, key := range a.Keys {
 			j, ok := holder[key]
 			switch {
+			case routing.IsBlank(key):
+				add("keys[%d] is blank and admits nobody", n)
 			case ok && j == i:
 				add("keys[%d] is held twice", n)
 			case ok:
@@ -153,7 +155,8 @@
 			c.MaxBodyBytes, int64(c.MaxHeaderBytes), int64(c.HeaderTimeoutMs), int64(c.IdleTimeoutMs),
 		}
 	}
-	out := compare("", map[string]any{"limits": limits(before)}, map[string]any{"limits": limits(after)})
+	access := func(c *routing.Config) any { return struct{ KeysNeeded bool }{c.KeysNeeded()} }
+	out := compare("", map[string]any{"access": access(before), "limits": limits(before)}, map[string]any{"access": access(after), "limits": limits(after)})
 	out = append(out, compare("route", named(before.Routes, func(r routing.Route) string { return r.Name }), named(after.Routes, func(r routing.Route) string { return r.Name }))...)
 	out = append(out, compare("pool", named(before.Pools, func(p routing.Pool) string { return p.Name }), named(after.Pools, func(p routing.Pool) string { return p.Name }))...)
 	return append(out, compare("account", named(before.Accounts, func(a routing.Account) string { return a.Name }), named(after.Accounts, func(a routing.Account) string { return a.Name }))...)
--- a/internal/role/gateway/config.go
+++ b/internal/role/gateway/config.go
@@ -114,6 +114,9 @@
 	fields := logrus.Fields{"version": cfg.Version, "offset": r.At.Offset(), "era": r.At.Epoch().String()}
 	switch {
 	case v == configNewer:
+		if blank := cfg.BlankKeys(); len(blank) > 0 {
+			g.log.WithFields(fields).WithFields(logrus.Fields{"event": "configKeyBlank", "accounts": blank}).Error("blank API keys admit nobody")
+		}
 		g.log.WithFields(fields).WithFields(logrus.Fields{
 			"event": "config", "before": before, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts), "changedBytes": len(diff.Middle),
 		}).Info()
--- a/internal/state/directory/fold_test.go
+++ b/internal/state/directory/fold_test.go
@@ -213,6 +213,7 @@
 		"account/account-0000":      {RemoveClass: "chat"},
 		"class/chat.pools":          {RemovePool: "assistant"},
 		"route.protectedMethods":    {SetRoute: &directory.Route{PathPrefix: "/b", Pool: "p", ProtectedMethods: []string{"post"}}},
+		"route.accounts":            {SetRoute: &directory.Route{PathPrefix: "/b", Pool: "p", Accounts: []string{}}},
 		"route.pathPrefix":          {SetRoute: &directory.Route{PathPrefix: "/b/../c", Pool: "p"}},
 		"route//b.pool":             {SetRoute: &directory.Route{PathPrefix: "/b", Pool: "assistant"}},
 		"key/new.account":           {IssueKey: &directory.Key{ID: "new", Account: "none", Digest: directory.DigestSecret("s")}},
--- a/internal/state/directory/types.go
+++ b/internal/state/directory/types.go
@@ -81,8 +81,8 @@
 	// ProtectedMethods lists the HTTP methods whose requests must not run more
 	// than once.
 	ProtectedMethods []string `json:"protectedMethods,omitempty"`
-	// Accounts lists the client accounts that may use the route; empty allows all.
-	Accounts []string `json:"accounts,omitempty"`
+	// Accounts lists the client accounts that may use the route; nil allows all, and an empty list is not valid.
+	Accounts []string `json:"accounts,omitzero"`
 }
 
 // Key is an API key of a client account. Its secret part is stored only as a hash.
--- a/internal/state/directory/validate.go
+++ b/internal/state/directory/validate.go
@@ -104,8 +104,11 @@
 			return &FieldError{"route.protectedMethods", m, "must be one of " + strings.Join(knownMethods, ", ")}
 		}
 	}
-	if len(r.Accounts) == 0 {
+	switch {
+	case r.Accounts == nil:
 		return nil
+	case len(r.Accounts) == 0:
+		return &FieldError{"route.accounts", "[]", "must name a client account, or be left out to allow all"}
 	}
 	return checkNames("route.accounts", r.Accounts)
 }
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -33,7 +33,8 @@
 }
 
 // Share is the fraction of a route's requests that goes to a pool: its weight divided by
-// the sum of the weights in the route.
+// the sum of the positive weights in the route. Without a positive weight a pool gets none, unless it
+// is the only one.
 type Share struct {
 	Pool   string
 	Weight float64
@@ -57,6 +58,9 @@
 	Homes       []string     // regions to which requests are bound; empty for none
 }
 
+// Nowhere returns homes that are in no region, so that requests bound to them can't run.
+func Nowhere() []string { return []string{""} }
+
 // Pool is a set of interchangeable backend servers.
 type Pool struct {
 	Name        string
@@ -74,7 +78,7 @@
 // Account is a client account.
 type Account struct {
 	Name     string
-	Keys     []string // API keys
+	Keys     []string // API keys; blank ones admit nobody
 	Priority *int     // 0 is the most urgent; compared before the routes' priorities; nil ranks last
 	Homes    []string // regions to which its requests are bound, beside those of the route; empty for none
 }
@@ -85,6 +89,7 @@
 	Routes          []Route
 	Pools           []Pool
 	Accounts        []Account
+	Anonymous       bool         // requests need no API key; only without accounts
 	MaxBodyBytes    int64        // maximum size of a request body
 	MaxHeaderBytes  int          // maximum size of a request header
 	HeaderTimeoutMs clock.Millis // time limit for the request header
@@ -119,7 +124,9 @@
 		if p := c.Pools[i]; p.WarmUpMs < 0 || p.WarmUpPerSecond < 0 {
 			return nil, &FieldError{fmt.Sprintf("pools[%d] %q: warm-up", i, p.Name), "must not be negative"}
 		}
-		c.poolsByName[c.Pools[i].Name] = &c.Pools[i]
+		if c.Pools[i].Name != "" {
+			c.poolsByName[c.Pools[i].Name] = &c.Pools[i]
+		}
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -140,7 +147,9 @@
 	c.indexPriorities()
 	for i := range c.Accounts {
 		for _, k := range c.Accounts[i].Keys {
-			c.accountsByKey[k] = &c.Accounts[i]
+			if !IsBlank(k) {
+				c.accountsByKey[k] = &c.Accounts[i]
+			}
 		}
 	}
 	return &c, nil
@@ -206,30 +215,50 @@
 func (c *Config) AccountByKey(key string) *Account { return c.accountsByKey[key] }
 
 // KeysNeeded reports whether requests to non-public routes need an API key.
-func (c *Config) KeysNeeded() bool { return len(c.Accounts) > 0 }
+func (c *Config) KeysNeeded() bool { return !c.Anonymous || len(c.Accounts) > 0 }
+
+// IsBlank reports whether an API key is one that callers without a key could be taken to send.
+func IsBlank(key string) bool { return strings.TrimSpace(key) == "" }
+
+// BlankKeys returns the names of the accounts that have a blank API key.
+func (c *Config) BlankKeys() []string {
+	var out []string
+	for _, a := range c.Accounts {
+		if slices.ContainsFunc(a.Keys, IsBlank) {
+			out = append(out, a.Name)
+		}
+	}
+	return out
+}
 
 // Pool returns the named pool, or nil.
 func (c *Config) Pool(name string) *Pool { return c.poolsByName[name] }
 
 // Choose returns the name of the pool for the request with the id. The same id always
-// gets the same pool, and ids are spread over the pools in proportion to their weights.
+// gets the same pool, and ids are spread over the pools in proportion to their weights. It is empty if
+// no pool of several has a weight.
 func (r *Route) Choose(id string) string {
 	if len(r.Split) == 1 {
 		return r.Split[0].Pool
 	}
 	sum := 0.0
 	for _, s := range r.Split {
-		sum += s.Weight
+		sum += max(s.Weight, 0)
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
 	at := float64(h.Sum32()) / (1 << 32) * sum
+	last := ""
 	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
 		if at -= s.Weight; at < 0 {
 			return s.Pool
 		}
+		last = s.Pool
 	}
-	return r.Split[len(r.Split)-1].Pool
+	return last
 }
 
 // MayRunAgain reports whether a request of the route may be sent again after it has run:
