Streams: none goes on at the first server of a version unseen

Cause: a bound stream waited for a list that was read after the connection was opened only in pools known to have several versions (leadsToStart); the first server of the second one is not known until then.

Bound streams now wait for such a list in all pools. A connection that was open before the list was read, as kept ones are, waits for nothing.

--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -160,17 +160,17 @@
 }
 
 // leadsToStart reports whether a connection that was opened at a time leads to the listed
-// start of its server. An address may have changed hands since the list was read, which
-// matters to bound streams of pools with several versions: they wait for a newer list. So do
-// those of all pools while no list has shown the starts of all servers.
+// start of its server. The server may have started anew since the list was read, as another version
+// that the pool has not had before, and an address may have changed hands: bound streams wait for a newer
+// list. Without one they go on only in a pool that is known to have one version, by a list that has shown the
+// starts of all servers.
 func (s *streams) leadsToStart(ctx context.Context, j *job, openedMs clock.Millis) bool {
-	if !j.stream.bound {
+	if !j.stream.bound || s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs)) {
 		return true
 	}
 	s.mu.Lock()
-	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name) || s.g.fleet.startsAsOf() == 0
-	s.mu.Unlock()
-	return !several || s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs))
+	defer s.mu.Unlock()
+	return ctx.Err() == nil && !s.recordedLocked(s.g.clock.Wall(), j.pool.name) && s.g.fleet.startsAsOf() != 0
 }
 
 // find finds the version of the stream that j takes up, and how that is proved.
