Notices: an unproved draining notice holds for each start that may have sent it

The notice was kept as unproved until a list proved it, 2.3 s after the outage, but the start was used as soon as a list showed it: Notices.Draining, unlike BackOffUntil, did not look at unproved notices.

--- a/internal/state/servers/notices.go
+++ b/internal/state/servers/notices.go
@@ -116,10 +116,12 @@
 }
 
 // Draining reports whether a server sent a draining notice in the start k.Start or a
-// later one.
+// later one. An unproved notice counts for each start that may have sent it.
 func (n *Notices) Draining(k Key) bool {
-	notice, ok := n.draining[k.ID]
-	return ok && k.Start <= notice.start
+	if notice, ok := n.draining[k.ID]; ok && k.Start <= notice.start {
+		return true
+	}
+	return slices.ContainsFunc(n.unproved[k.ID], func(u Unproved) bool { return u.Draining && u.mayBeOf(k.Start) })
 }
 
 // DrainingServers returns the servers with a draining notice, most recently seen first.
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -258,6 +258,22 @@
 	}
 }
 
+// TestUnprovedDrainingNoticeHolds guards against requests at a server that said it drains: the list shows the start that said
+// so before it proves that it did.
+func TestUnprovedDrainingNoticeHolds(t *testing.T) {
+	n := servers.NewNotices()
+	n.MarkDraining(900, servers.Key{ID: "s", Start: 10_000})
+	n.MarkUnproved("s", servers.Unproved{NeededMs: 1000, SentMs: 50_000, Draining: true})
+	n.MarkUnproved("pauses", servers.Unproved{NeededMs: 1000, SentMs: 50_000, BackOffUntilMs: 4000})
+	for k, want := range map[servers.Key]bool{
+		{ID: "s", Start: 10_000}: true, {ID: "s", Start: 49_000}: true, {ID: "s", Start: 50_001}: false, {ID: "pauses", Start: 49_000}: false,
+	} {
+		if got := n.Draining(k); got != want {
+			t.Errorf("start %d of %s drains: %t, want %t", k.Start, k.ID, got, want)
+		}
+	}
+}
+
 // TestBackOffIsOfEachStartThatMayHaveAsked guards against a back-off that is forgotten, or kept for a later start.
 func TestBackOffIsOfEachStartThatMayHaveAsked(t *testing.T) {
 	n := servers.NewNotices()
