--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -403,9 +403,9 @@
 func (v *fleetView) startsAsOf() clock.Millis { return clock.Millis(v.startsAsOfMs.Load()) }
 
 // awaitListSince waits for a list that shows the starts of all servers that ran at a time, and
-// reports whether it came within listWait.
-func (v *fleetView) awaitListSince(ctx context.Context, at clock.Millis) bool {
-	for until := v.clock.Now() + listWait; v.startsAsOf() < at; {
+// reports whether it came within most.
+func (v *fleetView) awaitListSince(ctx context.Context, at, most clock.Millis) bool {
+	for until := v.clock.Now() + most; v.startsAsOf() < at; {
 		if v.clock.Now() >= until || v.clock.Sleep(ctx, listPoll) != nil {
 			return false
 		}
--- a/internal/role/gateway/listgap.go
+++ b/internal/role/gateway/listgap.go
@@ -17,8 +17,9 @@
 	// as many records as 4,600 servers write in some fifteen seconds.
 	maxGaps     = 8
 	maxGapPages = 16
-	// gapTimeout bounds the read of the records of the gaps.
-	gapTimeout = 1200 * clock.Millisecond
+	// gapTimeout bounds the read of the records of the gaps, and minTraceInterval the time between two tries.
+	gapTimeout       = 1200 * clock.Millisecond
+	minTraceInterval = 300 * clock.Millisecond
 )
 
 // listGap is the gap in front of a read of the whole list, which has a number: the records from a position on were not
@@ -55,26 +56,36 @@
 	}
 }
 
-// trace reads the records of the gaps, which show each start that came and went unseen.
+// trace reads the records of the gaps, which show each start that came and went unseen. While the store can't be read it
+// is to be called again.
 func (l *serverList) trace(ctx context.Context) {
-	if len(l.gaps) == 0 {
+	if now := l.g.clock.Now(); len(l.gaps) == 0 || now-l.tracedMs < minTraceInterval {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, gapTimeout.Duration())
 	defer cancel()
 	first := l.gaps[0]
 	registered, passed, err := l.readGap(ctx, first.from)
-	l.gaps = nil
-	l.Trace(first.number, registered, err == nil)
+	l.tracedMs = l.g.clock.Now()
 	f := logrus.Fields{"event": "serverListTraced", "from": first.from.Offset(), "servers": len(registered)}
 	if err != nil {
 		l.g.log.WithFields(f).Warn(err)
+	} else {
+		l.g.log.WithFields(f).Info()
+	}
+	if err != nil && !isLost(err) {
 		return
 	}
-	l.g.log.WithFields(f).Info()
+	l.gaps = nil
+	l.Trace(first.number, registered, err == nil)
 	l.g.streams.passed(passed)
 }
 
+// isLost reports whether an error means that the records of a gap can't be read later either.
+func isLost(err error) bool {
+	return errors.Is(err, errNoGapPosition) || errors.Is(err, errGapTooLong) || errors.As(err, new(*TrimmedError)) || errors.As(err, new(*EpochMismatchError))
+}
+
 // readGap reads the records from a position to that of the list. It returns the starts of each server in the order in which
 // they registered, and the versions of the servers by pool.
 func (l *serverList) readGap(ctx context.Context, from epoch.Position) (registered map[string][]int64, passed map[string][]string, err error) {
@@ -88,8 +99,11 @@
 			return nil, nil, err
 		}
 		for _, r := range snap.Records {
+			if len(r.Value) == 0 {
+				continue
+			}
 			s, ok := l.decode(r)
-			if len(r.Value) == 0 || !ok {
+			if !ok {
 				continue
 			}
 			if !slices.Contains(registered[s.ID], s.Start) {
--- a/internal/role/gateway/recorders.go
+++ b/internal/role/gateway/recorders.go
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name, ok = s.history.Base(now, j.pool.name)
-	if !ok || s.index.Known(id) || g.epochAge.restoredSince(now-versions.StreamLifetime, g.startMs) {
+	if !ok || s.open[id] != nil || s.index.Known(id) || g.epochAge.restoredSince(now-versions.StreamLifetime, g.startMs) {
 		return "", false
 	}
 	if s.history.SwitchedWithin(now, j.pool.name, g.peers.lossesSince(now-versions.StreamLifetime, g.startMs)...) {
@@ -84,19 +84,18 @@
 // others than before.
 func (s *streams) recorded(r versions.Recorder) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.history.Named(r.Begins)
-	s.mu.Unlock()
-	s.tell(r.Begins)
+	s.tellLocked(r.Begins)
 }
 
-// tell tells the other gateways what has changed: the versions that the record names, and whether it is behind.
-func (s *streams) tell(begins map[string][]string) {
-	s.mu.Lock()
+// tellLocked tells the other gateways which versions the record names and whether it is behind, if these have changed.
+// s.mu is held, so that they are told in the order of the changes.
+func (s *streams) tellLocked(begins map[string][]string) {
 	unnamed := s.unnamedMs != 0 && s.g.clock.Wall()-s.unnamedMs <= versions.StreamLifetime
 	r := versions.Recorder{Process: s.g.processID, Begins: begins, Behind: s.behindLocked(), Unnamed: unnamed}
 	changed := r.Behind != s.told.Behind || r.Unnamed != s.told.Unnamed || !maps.EqualFunc(r.Begins, s.told.Begins, slices.Equal)
 	s.told = r
-	s.mu.Unlock()
 	if changed {
 		s.g.peers.broadcast(enginequeue.MethodVersions, func(*peer) any { return enginequeue.Versions{Recorder: &r} })
 	}
@@ -111,11 +110,11 @@
 
 // reportBehind tells the other gateways while this one can't record its streams, until ctx ends.
 func (g *Gateway) reportBehind(ctx context.Context) error {
+	s := g.streams
 	for g.clock.Sleep(ctx, behindPoll) == nil {
-		g.streams.mu.Lock()
-		begins := g.streams.told.Begins
-		g.streams.mu.Unlock()
-		g.streams.tell(begins)
+		s.mu.Lock()
+		s.tellLocked(s.told.Begins)
+		s.mu.Unlock()
 	}
 	return nil
 }
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -33,9 +33,10 @@
 	// settledMs is the time from which on all running servers have registered again after an
 	// outage or a restore of the store.
 	settledMs clock.Millis
-	// gaps are those in front of reads of the whole list, oldest first, whose records may still be read. revision is that of
-	// the starts that are published.
+	// gaps are those in front of reads of the whole list, oldest first, whose records may still be read; tracedMs is when that
+	// was last tried. revision is that of the starts that are published.
 	gaps     []listGap
+	tracedMs clock.Millis
 	revision int
 }
 
--- a/internal/role/gateway/streamrecords.go
+++ b/internal/role/gateway/streamrecords.go
@@ -58,17 +58,17 @@
 }
 
 // record returns the streams to be recorded; due is false if the record in the store is as
-// good.
-func (s *streams) record(now clock.Millis) (b versions.Batch, due bool) {
+// good. last is set if the process begins no more streams.
+func (s *streams) record(now clock.Millis, last bool) (b versions.Batch, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.unrecorded && (s.recordedMs == 0 || now-s.recordedMs < rerecordAfter) {
+	if !last && !s.unrecorded && (s.recordedMs == 0 || now-s.recordedMs < rerecordAfter) {
 		return b, false
 	}
 	s.unrecorded = false
 	s.waitingMs, s.writingMs = 0, s.waitingMs
 	b = versions.Batch{AtMs: now, Streams: map[versions.ID]versions.Begin{}, Unproved: map[versions.ID]versions.Supposed{}}
-	b.Recorder = versions.Recorder{Process: s.g.processID, Begins: s.namesLocked(now)}
+	b.Recorder = versions.Recorder{Process: s.g.processID, Begins: s.namesLocked(now), Left: last}
 	for id, o := range s.open {
 		switch {
 		case !s.recordedLocked(now, o.Pool):
@@ -89,11 +89,10 @@
 // write writes the record of the open streams if it is due, and deletes it if there is nothing to say. last is set if the
 // process begins no more streams.
 func (s *streams) write(ctx context.Context, last bool) error {
-	b, due := s.record(s.g.clock.Wall())
+	b, due := s.record(s.g.clock.Wall(), last)
 	if !due {
 		return nil
 	}
-	b.Recorder.Left = last
 	var data []byte
 	if needed(b) {
 		var err error
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -38,9 +38,11 @@
 	// recorded it yet.
 	lookupTries = 5
 	// listWait is how long a stream waits for a list of servers that was read since, and
-	// listPoll the interval at which it looks.
-	listWait = 1500 * clock.Millisecond
-	listPoll = 20 * clock.Millisecond
+	// listPoll the interval at which it looks. nextListWait is how long it waits where it can do without:
+	// for the next read while the store answers.
+	listWait     = 1500 * clock.Millisecond
+	listPoll     = 20 * clock.Millisecond
+	nextListWait = 700 * clock.Millisecond
 	// versionRetryAfter is the Retry-After of a stream that cannot go on now.
 	versionRetryAfter = 700 * clock.Millisecond
 	// unknownVersion is recorded for a stream whose server may have been another start.
@@ -165,12 +167,17 @@
 // list. Without one they go on only in a pool that is known to have one version, by a list that has shown the
 // starts of all servers.
 func (s *streams) leadsToStart(ctx context.Context, j *job, openedMs clock.Millis) bool {
-	if !j.stream.bound || s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs)) {
+	if !j.stream.bound {
 		return true
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return ctx.Err() == nil && !s.recordedLocked(s.g.clock.Wall(), j.pool.name) && s.g.fleet.startsAsOf() != 0
+	several := s.recordedLocked(s.g.clock.Wall(), j.pool.name) || s.g.fleet.startsAsOf() == 0
+	s.mu.Unlock()
+	most := listWait
+	if !several {
+		most = nextListWait
+	}
+	return s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs), most) || !several && ctx.Err() == nil
 }
 
 // find finds the version of the stream that j takes up, and how that is proved.
@@ -218,7 +225,7 @@
 		contact = o.Contact
 	}
 	s.mu.Unlock()
-	if unproved && s.g.fleet.awaitListSince(ctx, versions.ListNeeded(contact.OpenedMs)) {
+	if unproved && s.g.fleet.awaitListSince(ctx, versions.ListNeeded(contact.OpenedMs), listWait) {
 		s.g.fleet.prove(ctx, contact)
 		s.observe()
 	}
