--- a/internal/role/gateway/epochage.go
+++ b/internal/role/gateway/epochage.go
@@ -21,6 +21,10 @@
 	// sinceMs is since when epoch is known, by the wall clock; 0 if the records do not say.
 	epoch   epoch.Epoch
 	sinceMs clock.Millis
+	// changedMs is when epoch followed an earlier one, by the wall clock; 0 if no change is known. changedBefore is set
+	// if that was before the start of this process.
+	changedMs     clock.Millis
+	changedBefore bool
 	// settledMs is when all running servers have registered again after a restore before the start of this process;
 	// 0 without one.
 	settledMs clock.Millis
@@ -37,16 +41,24 @@
 	default:
 	}
 	var all []epoch.Witness
+	now, e := g.clock.Now(), g.store.currentEpoch()
+	var changed clock.Millis
+	earlierOnly := false
 	for _, r := range snap.Records {
 		var m member
 		if len(r.Value) > 0 && json.Unmarshal(r.Value, &m) == nil {
 			all = append(all, epoch.Witness{Epoch: m.Epoch, SinceMs: m.EpochSinceMs})
+			changed = max(changed, m.EpochChangedMs)
+			earlierOnly = (earlierOnly || len(all) == 1) && e.After(m.Epoch)
 		}
 	}
-	now, e := g.clock.Now(), g.store.currentEpoch()
+	if earlierOnly {
+		changed = g.clock.Wall()
+	}
 	a.mu.Lock()
 	left, since := epoch.Age(e, g.clock.Wall(), servers.LapsedKeepMs, all)
 	a.epoch, a.sinceMs = e, since
+	a.changedMs, a.changedBefore = changed, changed > 0
 	if left > 0 {
 		a.settledMs = now + left
 	}
@@ -57,14 +69,18 @@
 	}
 }
 
-// since returns since when the current epoch e is known: now, if it is another one than before.
-func (a *epochAge) since(e epoch.Epoch, wall clock.Millis) clock.Millis {
+// since returns since when the current epoch e is known: now, if it is another one than before; and when it followed an
+// earlier one, 0 if no change is known.
+func (a *epochAge) since(e epoch.Epoch, wall clock.Millis) (since, changed clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e != a.epoch {
+		if a.epoch.Known() {
+			a.changedMs, a.changedBefore = wall, false
+		}
 		a.epoch, a.sinceMs = e, wall
 	}
-	return a.sinceMs
+	return a.sinceMs, a.changedMs
 }
 
 // settled reports whether a list of servers as of a time shows all running servers, as far as this process knows of
@@ -80,10 +96,10 @@
 	return asOf >= a.settledMs
 }
 
-// restoredSince reports whether the store may have come back from a backup since a time, by the wall clock, before this
-// process started, at startMs: it may lack what others had written.
-func (a *epochAge) restoredSince(since, startMs clock.Millis) bool {
+// restoredSince reports whether the store came back from a backup since a time, by the wall clock, but before this process
+// started: it may lack what others had written.
+func (a *epochAge) restoredSince(since clock.Millis) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.epoch.Number() > 0 && a.sinceMs >= since && a.sinceMs < startMs
+	return a.changedBefore && a.changedMs >= since
 }
--- a/internal/role/gateway/listgap.go
+++ b/internal/role/gateway/listgap.go
@@ -36,12 +36,12 @@
 var errGapTooLong = errors.New("too many records between two reads of the list")
 
 // noteGap records that the last read of the whole list ended starts. Before it, the list included all changes up to
-// asOf, and next was the next record to read; the later one counts. Only the first store reader traces each gap: a
+// asOf, and unread was the first record that was not read; the later position counts. Only the first store reader traces each gap: a
 // version that came and went within it concerns all gateways.
-func (l *serverList) noteGap(asOf, next epoch.Position) {
+func (l *serverList) noteGap(asOf, unread epoch.Position) {
 	from := asOf.Next()
-	if next.Comparable(asOf) && next.After(from) {
-		from = next
+	if unread.Comparable(asOf) && unread.After(from) {
+		from = unread
 	}
 	if !asOf.Known() {
 		from = epoch.Position{}
--- a/internal/role/gateway/members.go
+++ b/internal/role/gateway/members.go
@@ -47,6 +47,8 @@
 	Config int64       `json:"config"`
 	// EpochSinceMs is since when Epoch is known to the gateways, in Unix ms; 0 if that is not known.
 	EpochSinceMs clock.Millis `json:"eraSince,omitempty"`
+	// EpochChangedMs is when Epoch followed an earlier one, in Unix ms; 0 if the gateways know of no change.
+	EpochChangedMs clock.Millis `json:"eraChanged,omitempty"`
 	// Process is unique to each start of the gateway.
 	Process string `json:"process,omitempty"`
 }
@@ -71,7 +73,8 @@
 	for failures := 0; ctx.Err() == nil; {
 		e, changed := g.store.epochAndChange()
 		version, _ := g.config.state()
-		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, EpochSinceMs: g.epochAge.since(e, g.clock.Wall()), Process: g.processID})
+		since, followed := g.epochAge.since(e, g.clock.Wall())
+		data, err := json.Marshal(member{Control: g.Settings().ControlAddr, Epoch: e, Config: version, EpochSinceMs: since, EpochChangedMs: followed, Process: g.processID})
 		if err != nil {
 			return err
 		}
--- a/internal/role/gateway/recorders.go
+++ b/internal/role/gateway/recorders.go
@@ -15,7 +15,7 @@
 	// gateway says that it is behind.
 	behindMargin = 250 * clock.Millisecond
 	// behindPoll is the interval at which a gateway looks whether it is behind.
-	behindPoll = 100 * clock.Millisecond
+	behindPoll = 200 * clock.Millisecond
 	// pingInterval is the shortest time between two heartbeats that ask one gateway for a sign of life.
 	pingInterval = 300 * clock.Millisecond
 )
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name, ok = s.history.Base(now, j.pool.name)
-	if !ok || s.open[id] != nil || s.index.Known(id) || g.epochAge.restoredSince(now-versions.StreamLifetime, g.startMs) {
+	if !ok || s.open[id] != nil || s.index.Known(id) || g.epochAge.restoredSince(now-versions.StreamLifetime) {
 		return "", false
 	}
 	if s.history.SwitchedWithin(now, j.pool.name, g.peers.lossesSince(now-versions.StreamLifetime, g.startMs)...) {
@@ -77,6 +77,9 @@
 
 // namesLocked returns the further versions that the record is to name, by pool. s.mu is held.
 func (s *streams) namesLocked(now clock.Millis) map[string][]string {
+	if !s.history.HasFurther() {
+		return nil
+	}
 	return s.history.ToName(now, s.g.fleet.versionCounts())
 }
 
--- a/internal/role/gateway/serverlist.go
+++ b/internal/role/gateway/serverlist.go
@@ -167,7 +167,7 @@
 // read reads the list, or the records that were added to it, from the store. If this
 // gateway is a store reader, it sends the result to the others.
 func (l *serverList) read(ctx context.Context) {
-	sent, known := l.g.clock.Now(), l.reader.next
+	sent, unread := l.g.clock.Now(), l.reader.next
 	if sent-l.fullReadMs > fullReadInterval || sent-l.reader.readMs > maxIncrementalReadGap || l.schedule.NeedsFullRead(sent) {
 		l.reader.next = epoch.Position{}
 	}
@@ -204,7 +204,7 @@
 	gap := l.LastGap()
 	changes, replaced := l.applyRead(now, snap, whole)
 	if l.LastGap() != gap {
-		l.noteGap(before, known)
+		l.noteGap(before, unread)
 	}
 	l.StoreAnswered(now, sent)
 	lapsed := l.DropExpired(now)
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -85,7 +85,7 @@
 	// outdated are the keys of records that no stream needs.
 	outdated []string
 	// switched are the starts in place as another version that the history has.
-	switched map[servers.Line]int64
+	switched map[servers.PoolVersion]int64
 	// change counts the changes of the history.
 	change int
 
@@ -97,7 +97,7 @@
 
 func newStreams(g *Gateway) *streams {
 	return &streams{
-		g: g, history: versions.NewHistory(), index: versions.NewIndex(), recorders: versions.NewRecorders(), switched: map[servers.Line]int64{}, open: map[versions.ID]*openStream{},
+		g: g, history: versions.NewHistory(), index: versions.NewIndex(), recorders: versions.NewRecorders(), switched: map[servers.PoolVersion]int64{}, open: map[versions.ID]*openStream{},
 		due:    make(chan struct{}, 1),
 		reader: &topicReader{g: g, topic: TopicStreams},
 	}
@@ -433,9 +433,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.history.Observe(now, listed)
-	for line, start := range starts.Switched() {
-		if s.switched[line] != start && s.history.Switched(now, clock.Millis(start), line.Pool, line.Version) {
-			s.switched[line], changed = start, true
+	for pv, start := range starts.Switched() {
+		if s.switched[pv] != start && s.history.Switched(now, clock.Millis(start), pv.Pool, pv.Version) {
+			s.switched[pv], changed = start, true
 		}
 	}
 	if changed {
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -121,7 +121,7 @@
 	gap, reads, lastGap int
 	revision            int
 	// switched are the latest starts of servers that started anew in place as another version, by that version.
-	switched map[Line]int64
+	switched map[PoolVersion]int64
 	// shownMs is as of when the list is known to show the starts of all running servers, and nowMs the latest time that
 	// was passed to DropExpired.
 	shownMs, nowMs clock.Millis
@@ -130,7 +130,7 @@
 // New returns an empty List. drain is how long servers continue to serve requests after
 // they registered as draining.
 func New(drain clock.Millis) *List {
-	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}, ends: map[string][]End{}, switched: map[Line]int64{}}
+	return &List{drainMs: drain, servers: map[string]*listed{}, drained: map[string]int64{}, removed: map[string]removed{}, ends: map[string][]End{}, switched: map[PoolVersion]int64{}}
 }
 
 // SetDrainTime sets how long servers continue to serve requests after they registered
--- a/internal/state/servers/starts.go
+++ b/internal/state/servers/starts.go
@@ -26,14 +26,14 @@
 type Starts struct {
 	latest   map[string]int64
 	ends     map[string][]End
-	switched map[Line]int64
+	switched map[PoolVersion]int64
 }
 
-// Line is a pool and a software version of its servers.
-type Line struct{ Pool, Version string }
+// PoolVersion is a pool and a software version of its servers.
+type PoolVersion struct{ Pool, Version string }
 
 // Switched returns the latest start of a server that started anew in place as another version, by that version.
-func (s Starts) Switched() map[Line]int64 { return s.switched }
+func (s Starts) Switched() map[PoolVersion]int64 { return s.switched }
 
 // Latest returns the latest known start of a server, also if it drained or was removed in it; 0 if none is known.
 func (s Starts) Latest(id string) int64 { return s.latest[id] }
@@ -83,7 +83,7 @@
 // noteVersion notes that a server is listed in a start whose version may be another one than that of the start before.
 func (l *List) noteVersion(old string, s Server) {
 	if old != s.Version {
-		k := Line{s.Pool, s.Version}
+		k := PoolVersion{s.Pool, s.Version}
 		l.switched[k] = max(l.switched[k], s.Start)
 		l.revision++
 	}
--- a/internal/state/versions/history.go
+++ b/internal/state/versions/history.go
@@ -41,9 +41,9 @@
 	GoneMs clock.Millis `json:"gone,omitempty"`
 	// AtMs is when the span was last changed.
 	AtMs clock.Millis `json:"at"`
-	// Recorded is set for a further version: one that came while its pool had another. Streams begin at it only at
-	// gateways whose record of streams names it.
-	Recorded bool `json:"recorded,omitempty"`
+	// Further is set for a version that came while its pool had another. Streams begin at it only at gateways whose
+	// record of streams names it.
+	Further bool `json:"further,omitempty"`
 	// SwitchedMs is when the last server started anew in place as this version; 0 if none has.
 	SwitchedMs clock.Millis `json:"switched,omitempty"`
 }
@@ -140,14 +140,14 @@
 	for pool, names := range listed {
 		first := len(h.pools[pool]) == 0
 		if only := h.Possible(now, pool); len(only) == 1 {
-			h.pools[pool][only[0]].Recorded = false
+			h.pools[pool][only[0]].Further = false
 		}
-		further := len(h.Possible(now, pool)) > 0
+		hasOther := len(h.Possible(now, pool)) > 0
 		for _, name := range names {
 			v := h.pools[pool][name]
 			switch {
 			case v == nil || now-v.GoneMs > StreamLifetime && v.GoneMs != 0:
-				v = &version{Span: Span{AtMs: now, Recorded: further}, seenMs: now}
+				v = &version{Span: Span{AtMs: now, Further: hasOther}, seenMs: now}
 				if first {
 					v.seenMs = 0
 				}
@@ -156,7 +156,7 @@
 			case v.GoneMs != 0:
 				v.GoneMs, v.AtMs = 0, now
 				changed = true
-			case v.Recorded && v.seenMs == 0:
+			case v.Further && v.seenMs == 0:
 				v.seenMs = now
 			}
 		}
@@ -179,7 +179,7 @@
 	for pool, names := range all {
 		for _, name := range names {
 			if v := h.pools[pool][name]; v == nil || v.GoneMs != 0 && now-v.GoneMs > StreamLifetime {
-				h.put(pool, name, &version{Span: Span{GoneMs: now, AtMs: now, Recorded: true, SwitchedMs: now}, seenMs: now})
+				h.put(pool, name, &version{Span: Span{GoneMs: now, AtMs: now, Further: true, SwitchedMs: now}, seenMs: now})
 				changed = true
 			}
 		}
@@ -227,7 +227,7 @@
 func (h *History) Base(now clock.Millis, pool string) (name string, ok bool) {
 	var all []string
 	for _, name := range h.Possible(now, pool) {
-		if !h.pools[pool][name].Recorded {
+		if !h.pools[pool][name].Further {
 			all = append(all, name)
 		}
 	}
@@ -268,6 +268,18 @@
 	return false
 }
 
+// HasFurther reports whether a pool has a further version.
+func (h *History) HasFurther() bool {
+	for _, all := range h.pools {
+		for _, v := range all {
+			if v.Further {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ToName returns the further versions, by pool, that the gateway's record of streams is to name, so that streams may
 // begin at them. servers is the number of listed servers by pool and version. HoldBack does not apply where fewer than
 // half of the servers are of other versions.
@@ -277,13 +289,13 @@
 		total, others := 0, 0
 		for name, n := range all {
 			total += n
-			if v := h.pools[pool][name]; v != nil && (!v.Recorded || v.named) {
+			if v := h.pools[pool][name]; v != nil && (!v.Further || v.named) {
 				others += n
 			}
 		}
 		for _, name := range slices.Sorted(maps.Keys(all)) {
 			v := h.pools[pool][name]
-			if v == nil || !v.Recorded || !v.stored && now-v.seenMs < StoreWait {
+			if v == nil || !v.Further || !v.stored && now-v.seenMs < StoreWait {
 				continue
 			}
 			if v.named || now-v.AtMs >= HoldBack || 2*others < total {
@@ -306,7 +318,7 @@
 // Unnamed reports whether a version of a pool is a further one that the gateway's record does not name.
 func (h *History) Unnamed(pool, name string) bool {
 	v := h.pools[pool][name]
-	return v != nil && v.Recorded && !v.named
+	return v != nil && v.Further && !v.named
 }
 
 // Overdue reports whether a version was to be established long ago.
@@ -326,7 +338,7 @@
 	if v == nil {
 		return false
 	}
-	if v.Recorded {
+	if v.Further {
 		return v.named
 	}
 	return v.seenMs == 0 || v.stored || now-v.seenMs >= StoreWait
--- a/internal/state/versions/recorders.go
+++ b/internal/state/versions/recorders.go
@@ -12,7 +12,7 @@
 type Recorder struct {
 	// Process identifies the process.
 	Process string `json:"process"`
-	// Begins are the further versions at which streams may begin at the process, by pool; see Span.Recorded.
+	// Begins are the further versions at which streams may begin at the process, by pool; see Span.Further.
 	Begins map[string][]string `json:"begins,omitempty"`
 	// Behind is set while the process can't record the streams that it begins, and Unnamed if some began at a version
 	// that its record does not name.
