--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -43,6 +43,8 @@
 	listWait     = 1500 * clock.Millisecond
 	listPoll     = 20 * clock.Millisecond
 	nextListWait = 700 * clock.Millisecond
+	// listWaitShare is the part of the time left to a stream that such a wait may take, as a divisor.
+	listWaitShare = 4
 	// versionRetryAfter is the Retry-After of a stream that cannot go on now.
 	versionRetryAfter = 700 * clock.Millisecond
 	// unknownVersion is recorded for a stream whose server may have been another start.
@@ -164,7 +166,7 @@
 // leadsToStart reports whether a connection that was opened at a time leads to the listed
 // start of its server. The server may have started anew since the list was read, as another version
 // that the pool has not had before, and an address may have changed hands: bound streams wait for a newer
-// list. Without one they go on only in a pool that is known to have one version, by a list that has shown the
+// list, in a pool with one version only those that broke off within their answer. Without one they go on only in a pool that is known to have one version, by a list that has shown the
 // starts of all servers.
 func (s *streams) leadsToStart(ctx context.Context, j *job, openedMs clock.Millis) bool {
 	if !j.stream.bound {
@@ -175,7 +177,11 @@
 	s.mu.Unlock()
 	most := listWait
 	if !several {
-		most = nextListWait
+		if !j.caller.Progress().Begun {
+			// The stream was taken up by a list that was read since.
+			return true
+		}
+		most = min(nextListWait, (j.timeoutMs-s.g.clock.Now())/listWaitShare)
 	}
 	return s.g.fleet.awaitListSince(ctx, versions.ListNeeded(openedMs), most) || !several && ctx.Err() == nil
 }
