--- a/internal/role/gateway/epochage.go
+++ b/internal/role/gateway/epochage.go
@@ -21,8 +21,8 @@
 	// sinceMs is since when epoch is known, by the wall clock; 0 if the records do not say.
 	epoch   epoch.Epoch
 	sinceMs clock.Millis
-	// changedMs is when epoch followed an earlier one, by the wall clock; 0 if no change is known. changedBefore is set
-	// if that was before the start of this process.
+	// changedMs is when epoch followed an earlier one, by the wall clock: when the store was restored; 0 if no change is
+	// known. changedBefore is set if that was before the start of this process.
 	changedMs     clock.Millis
 	changedBefore bool
 	// settledMs is when all running servers have registered again after a restore before the start of this process;
--- a/internal/role/gateway/fleet.go
+++ b/internal/role/gateway/fleet.go
@@ -46,8 +46,7 @@
 	// startsAsOfMs is when the list was last known to show the starts of all running servers:
 	// it does not shortly after an outage or a restore of the store (steady clock).
 	startsAsOfMs atomic.Int64
-	// listChanged has an element after the list of servers has changed, and traceAsked once the records are needed that
-	// were added between two reads of the whole list.
+	// listChanged has an element after the list of servers has changed, and traceAsked once its gaps are to be traced.
 	listChanged, traceAsked chan struct{}
 
 	mu    sync.Mutex
@@ -374,7 +373,7 @@
 	return v.knownStarts
 }
 
-// askTrace asks for the records between the reads of the whole list.
+// askTrace asks the task that follows the list to trace its gaps; see listGap.
 func (v *fleetView) askTrace() {
 	select {
 	case v.traceAsked <- struct{}{}:
@@ -382,8 +381,8 @@
 	}
 }
 
-// prove returns what the list of servers says about a contact. It waits until the records are read that may show a start
-// which the list does not, for at most listWait.
+// prove returns which start of a server a contact led to, by the list of servers. If that depends on a gap of the list, it
+// waits until the gap was traced, for at most listWait.
 func (v *fleetView) prove(ctx context.Context, c versions.Contact) versions.Proof {
 	for until := v.clock.Now() + listWait; ; {
 		asOf := v.startsAsOf()
--- a/internal/role/gateway/listgap.go
+++ b/internal/role/gateway/listgap.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// maxGaps bounds the gaps that are remembered. maxGapPages bounds the pages of the store that are read to trace them:
-	// as many records as 4,600 servers write in some fifteen seconds.
+	// maxGaps bounds the gaps that are remembered, and maxGapPages the pages of the store that are read to trace them.
 	maxGaps     = 8
 	maxGapPages = 16
 	// gapTimeout bounds the read of the records of the gaps, and minTraceInterval the time between two tries.
@@ -22,9 +21,11 @@
 	minTraceInterval = 300 * clock.Millisecond
 )
 
-// listGap is the gap in front of a read of the whole list, which has a number: the records from a position on were not
-// read one by one.
+// listGap is the gap in front of a read of the whole list. Such a read returns the newest entry of each server, not the
+// records that were written since the read before it: a start of a server that registered and was removed meanwhile is in
+// neither list. To trace a gap is to read these records, from a position on.
 type listGap struct {
+	// number is that of the read; see servers.End.
 	number int
 	from   epoch.Position
 }
@@ -36,8 +37,9 @@
 var errGapTooLong = errors.New("too many records between two reads of the list")
 
 // noteGap records that the last read of the whole list ended starts. Before it, the list included all changes up to
-// asOf, and unread was the first record that was not read; the later position counts. Only the first store reader traces each gap: a
-// version that came and went within it concerns all gateways.
+// asOf, and unread was the first record that was not read; the gap begins at the later of the two. The first store
+// reader traces each gap, since a version that came and went within it concerns all gateways; the others trace one
+// when the version of a stream depends on it.
 func (l *serverList) noteGap(asOf, unread epoch.Position) {
 	from := asOf.Next()
 	if unread.Comparable(asOf) && unread.After(from) {
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -357,7 +357,8 @@
 	}
 	now := s.g.clock.Wall()
 	v := &j.stream
-	if !v.bound {
+	isNew := !v.bound
+	if isNew {
 		*v = streamVersion{bound: true, version: a.version, id: versions.IDOf(j.streamOrigin())}
 	}
 	v.Contact = versions.Contact{Server: a.engine.ID, Start: a.engine.Start, OpenedMs: a.ans.OpenedMs, BeganMs: now}
@@ -375,7 +376,7 @@
 			s.waitingMs = s.g.clock.Now()
 		}
 	}
-	if s.history.Unnamed(o.Pool, o.Version) {
+	if isNew && s.history.Unnamed(o.Pool, o.Version) {
 		s.unnamedMs = now
 	}
 	s.proveLocked(now, v.id, o, asOf, starts)
